--- /dev/null
+++ b/ebonyrun-base/src/main/java/org/ebonyrun/base/duty/Ticking.java
@@ -0,0 +1,12 @@
+package org.ebonyrun.base.duty;
+
+/** A state machine that does periodic work. */
+@FunctionalInterface
+public interface Ticking {
+    /**
+     * Does the work that is due.
+     *
+     * @param now the monotonic time in nanoseconds
+     */
+    void onTick(long now);
+}
--- /dev/null
+++ b/ebonyrun-base/src/main/java/org/ebonyrun/base/duty/package-info.java
@@ -0,0 +1,5 @@
+/** Threads with one duty each, fed by bounded rings. */
+@NullMarked
+package org.ebonyrun.base.duty;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/ebonyrun-base/src/main/java/org/ebonyrun/base/id/AttemptId.java
@@ -0,0 +1,17 @@
+package org.ebonyrun.base.id;
+
+/**
+ * Identifies one attempt to run a piece of work.
+ *
+ * <p>Immutable and thread safe. Unique across process restarts, because each start of a process
+ * draws a new incarnation.
+ *
+ * @param incarnation the random number that the issuing process drew at its start
+ * @param counter the number of the attempt within that incarnation
+ */
+public record AttemptId(long incarnation, long counter) {
+    @Override
+    public String toString() {
+        return Long.toHexString(incarnation) + "-" + counter;
+    }
+}
--- /dev/null
+++ b/ebonyrun-base/src/main/java/org/ebonyrun/base/result/Fault.java
@@ -0,0 +1,63 @@
+package org.ebonyrun.base.result;
+
+import static java.util.Objects.requireNonNull;
+
+/**
+ * A typed failure: its code, what is known of the work, and where it arose.
+ *
+ * <p>Immutable and thread safe.
+ *
+ * @param code the stable error code
+ * @param outcome whether the work ran
+ * @param step the step of the path at which the fault arose, for example {@code endpoint.connect}
+ * @param peer the peer at which the fault arose; empty when it arose in this process
+ * @param detail a message for people
+ * @param retryAfterMillis when to come back, in milliseconds; zero when a retry is of no use
+ */
+public record Fault(
+        FaultCode code,
+        Outcome outcome,
+        String step,
+        String peer,
+        String detail,
+        long retryAfterMillis) {
+
+    /** Checks that every component is present. */
+    public Fault {
+        requireNonNull(code);
+        requireNonNull(outcome);
+        requireNonNull(step);
+        requireNonNull(peer);
+        requireNonNull(detail);
+    }
+
+    /** Creates a fault of work that did not run and should not be repeated unchanged. */
+    public static Fault notRun(FaultCode code, String step, String peer, String detail) {
+        return new Fault(code, Outcome.NOT_RUN, step, peer, detail, 0);
+    }
+
+    /** Creates a fault of work whose execution is unknown. */
+    public static Fault unknown(FaultCode code, String step, String peer, String detail) {
+        return new Fault(code, Outcome.UNKNOWN, step, peer, detail, 0);
+    }
+
+    /** Creates a fault of work that ended in a known error. */
+    public static Fault failed(FaultCode code, String step, String peer, String detail) {
+        return new Fault(code, Outcome.FAILED, step, peer, detail, 0);
+    }
+
+    /** Returns a copy that asks the caller to come back after {@code millis} milliseconds. */
+    public Fault withRetryAfterMillis(long millis) {
+        return new Fault(code, outcome, step, peer, detail, millis);
+    }
+
+    /** Returns a copy with another outcome. */
+    public Fault withOutcome(Outcome other) {
+        return new Fault(code, other, step, peer, detail, retryAfterMillis);
+    }
+
+    /** Returns whether the work is known not to have run. */
+    public boolean isNotRun() {
+        return outcome == Outcome.NOT_RUN;
+    }
+}
--- /dev/null
+++ b/ebonyrun-client/src/main/java/org/ebonyrun/client/demo/CallLog.java
@@ -0,0 +1,35 @@
+package org.ebonyrun.client.demo;
+
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.atomic.AtomicLong;
+import org.HdrHistogram.ConcurrentHistogram;
+import org.HdrHistogram.Histogram;
+
+/** What the demonstration's callers saw. Thread safe. */
+final class CallLog {
+    private static final int SIGNIFICANT_DIGITS = 3;
+
+    final AtomicLong mAnswered = new AtomicLong();
+    final AtomicLong mLate = new AtomicLong();
+    final AtomicLong mRefused = new AtomicLong();
+    final AtomicLong mFailed = new AtomicLong();
+    final List<String> mWrong = new CopyOnWriteArrayList<>();
+    final List<String> mSyncAnswered = new CopyOnWriteArrayList<>();
+    final List<String> mSyncNotRun = new CopyOnWriteArrayList<>();
+    final List<String> mSyncUnknown = new CopyOnWriteArrayList<>();
+    private final Histogram mMicros = new ConcurrentHistogram(SIGNIFICANT_DIGITS);
+
+    void answered(long nanos, long targetMillis) {
+        mAnswered.incrementAndGet();
+        mMicros.recordValue(nanos / 1_000);
+        if (nanos > targetMillis * 1_000_000) {
+            mLate.incrementAndGet();
+        }
+    }
+
+    /** Returns a quantile of the time to the whole answer, in milliseconds. */
+    double millisAt(double quantile) {
+        return mMicros.getValueAtPercentile(quantile * 100) / 1_000.0;
+    }
+}
--- /dev/null
+++ b/ebonyrun-client/src/main/java/org/ebonyrun/client/demo/DemoFleet.java
@@ -0,0 +1,266 @@
+package org.ebonyrun.client.demo;
+
+import java.io.IOException;
+import java.net.URI;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.ebonyrun.base.id.FailureDomain;
+import org.ebonyrun.base.id.ServiceName;
+import org.ebonyrun.base.id.VmId;
+import org.ebonyrun.base.result.Result;
+import org.ebonyrun.daemon.DaemonSettings;
+import org.ebonyrun.daemon.agent.AgentNode;
+import org.ebonyrun.daemon.entry.EntryNode;
+import org.ebonyrun.platform.http.HttpCall;
+import org.ebonyrun.platform.http.HttpCaller;
+import org.ebonyrun.platform.http.HttpReply;
+import org.ebonyrun.platform.vm.VmRecord;
+import org.ebonyrun.standin.engine.EngineSettings;
+import org.ebonyrun.standin.engine.StandinEngine;
+import org.ebonyrun.standin.engine.StandinService;
+import org.ebonyrun.standin.platform.StandinPlatform;
+
+/**
+ * The demonstration's processes, all in this one: 2 entries, 4 engines and 2 plain services in 3
+ * failure domains, with an agent beside each endpoint, and a platform. Real sockets join them.
+ *
+ * <p>Not thread safe while it starts; afterwards thread safe.
+ */
+final class DemoFleet implements AutoCloseable {
+    static final String MODEL_SERVICE = "model-servers";
+    static final String QUEUE_SERVICE = "queue-app";
+
+    private static final String HOST = "127.0.0.1";
+    private static final int ENTRIES = 2;
+    private static final int ENGINES = 4;
+    private static final int SERVICES = 2;
+    private static final int DOMAINS = 3;
+    private static final int SLOTS = 8;
+    private static final int TOKENS_PER_CHUNK = 4;
+    private static final long CHUNK_MILLIS = 10;
+    private static final long SWAP_MILLIS = 150;
+    private static final long SERVICE_MILLIS = 3;
+    private static final long FIRST_VERSION = 1;
+    private static final long READY_MILLIS = 15_000;
+    private static final long READY_POLL_MILLIS = 20;
+    private static final long TIMEOUT_MILLIS = 5_000;
+    private static final String CONFIG =
+            """
+            services:
+              model-servers: {kind: engine}
+              queue-app: {kind: plain}
+            classes:
+              slot-lookup:
+                service: model-servers
+                kind: interactive
+                lateness: {quantile: 0.99, within: 400ms}
+              billing-sync:
+                service: queue-app
+                kind: background
+                lateness: {quantile: 0.95, within: 2s}
+                idempotent: false
+              pad-order:
+                service: model-servers
+                kind: rollout
+                staleness: 2 versions
+                trainer_idle: 3s
+                scored_by: queue-app
+            """;
+
+    private final HttpCaller mCaller;
+    private final StandinPlatform mPlatform;
+    private final List<StandinEngine> mEngines = new ArrayList<>();
+    private final List<StandinService> mServices = new ArrayList<>();
+    private final List<AgentNode> mAgents = new ArrayList<>();
+    private final List<EntryNode> mEntries = new ArrayList<>();
+    private final AtomicInteger mNextEntry = new AtomicInteger();
+
+    private DemoFleet() throws IOException {
+        mCaller = HttpCaller.start();
+        mPlatform = StandinPlatform.start(HOST, 0);
+        mPlatform.publish(MODEL_SERVICE, FIRST_VERSION);
+        for (int i = 0; i < ENGINES; i++) {
+            startEngine(i);
+        }
+        for (int i = 0; i < SERVICES; i++) {
+            startService(i);
+        }
+        for (int i = 0; i < ENTRIES; i++) {
+            startEntry(i);
+        }
+    }
+
+    /** Starts everything and waits until every entry is ready and sees every endpoint. */
+    static DemoFleet start() throws IOException, InterruptedException {
+        DemoFleet fleet = new DemoFleet();
+        fleet.applyConfig();
+        fleet.awaitReady();
+        return fleet;
+    }
+
+    static long firstVersion() {
+        return FIRST_VERSION;
+    }
+
+    HttpCaller caller() {
+        return mCaller;
+    }
+
+    StandinPlatform platform() {
+        return mPlatform;
+    }
+
+    List<StandinEngine> engines() {
+        return mEngines;
+    }
+
+    List<StandinService> services() {
+        return mServices;
+    }
+
+    /** Returns the next entry, as the platform's balancer would. */
+    URI nextEntry() {
+        int index = Math.floorMod(mNextEntry.getAndIncrement(), mEntries.size());
+        return address(mEntries.get(index));
+    }
+
+    /** Crashes one engine; its agent stays. */
+    void crashEngine(int index) {
+        mEngines.get(index).close();
+    }
+
+    @Override
+    public void close() {
+        mEntries.forEach(EntryNode::close);
+        mAgents.forEach(AgentNode::close);
+        mEngines.forEach(StandinEngine::close);
+        mServices.forEach(StandinService::close);
+        mPlatform.close();
+        mCaller.close();
+    }
+
+    private void startEngine(int index) throws IOException {
+        EngineSettings settings =
+                new EngineSettings(
+                        "engine" + index,
+                        SLOTS,
+                        TOKENS_PER_CHUNK,
+                        CHUNK_MILLIS,
+                        SWAP_MILLIS,
+                        index % 2 == 0);
+        StandinEngine engine = StandinEngine.start(settings, HOST, 0, FIRST_VERSION);
+        mEngines.add(engine);
+        startAgent("sampler-" + index, domain(index), MODEL_SERVICE, engine.address(), true);
+    }
+
+    private void startService(int index) throws IOException {
+        StandinService service = StandinService.start("service" + index, HOST, 0, SERVICE_MILLIS);
+        mServices.add(service);
+        startAgent("queue-" + index, domain(index + 1), QUEUE_SERVICE, service.address(), false);
+    }
+
+    private void startAgent(
+            String vm, FailureDomain domain, String service, URI endpoint, boolean engine)
+            throws IOException {
+        DaemonSettings settings =
+                settings(
+                        DaemonSettings.ROLE_ENDPOINT,
+                        vm,
+                        domain,
+                        ServiceName.of(service),
+                        endpoint,
+                        engine);
+        AgentNode agent = AgentNode.start(settings);
+        mAgents.add(agent);
+        mPlatform.putVm(
+                new VmRecord(
+                        VmId.of(vm),
+                        VmRecord.ROLE_ENDPOINT,
+                        service,
+                        domain,
+                        HOST,
+                        agent.linkPort(),
+                        false));
+    }
+
+    private void startEntry(int index) throws IOException {
+        String vm = "entry-" + index;
+        EntryNode entry =
+                EntryNode.start(
+                        settings(DaemonSettings.ROLE_ENTRY, vm, domain(index), null, null, false));
+        mEntries.add(entry);
+        mPlatform.putVm(
+                new VmRecord(
+                        VmId.of(vm),
+                        VmRecord.ROLE_ENTRY,
+                        "",
+                        domain(index),
+                        HOST,
+                        entry.linkPort(),
+                        false));
+    }
+
+    private DaemonSettings settings(
+            String role,
+            String vm,
+            FailureDomain domain,
+            @org.jspecify.annotations.Nullable ServiceName service,
+            @org.jspecify.annotations.Nullable URI endpoint,
+            boolean engine) {
+        URI platform = mPlatform.address();
+        return new DaemonSettings(
+                role,
+                VmId.of(vm),
+                domain,
+                new DaemonSettings.Listen(HOST, 0),
+                new DaemonSettings.Listen(HOST, 0),
+                new DaemonSettings.Platform(platform, platform, platform),
+                service,
+                endpoint,
+                engine,
+                1 << 20,
+                32L << 20,
+                64,
+                TIMEOUT_MILLIS);
+    }
+
+    private void applyConfig() {
+        URI uri = URI.create(nextEntry() + "/admin/config?author=demo&expect=0");
+        HttpCall call =
+                HttpCall.json("PUT", uri, CONFIG.getBytes(StandardCharsets.UTF_8), TIMEOUT_MILLIS);
+        HttpReply reply = mCaller.request(call, "demo.config").join().orThrow();
+        if (!reply.isSuccess()) {
+            throw new IllegalStateException("config refused: " + reply.text());
+        }
+    }
+
+    private void awaitReady() throws InterruptedException {
+        long deadline = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(READY_MILLIS);
+        while (!mEntries.stream().allMatch(this::isReady)) {
+            if (System.nanoTime() > deadline) {
+                throw new IllegalStateException("the fleet is not ready");
+            }
+            TimeUnit.MILLISECONDS.sleep(READY_POLL_MILLIS);
+        }
+    }
+
+    private boolean isReady(EntryNode entry) {
+        URI uri = URI.create(address(entry) + "/admin/dump");
+        Result<HttpReply> reply =
+                mCaller.request(HttpCall.of("GET", uri, TIMEOUT_MILLIS), "demo.dump").join();
+        String usable = "\"usable\":true,\"free\"";
+        int seen = reply.fold(HttpReply::text, Object::toString).split(usable, -1).length - 1;
+        return entry.isReady() && seen == ENGINES + SERVICES;
+    }
+
+    private static URI address(EntryNode entry) {
+        return URI.create("http://" + HOST + ":" + entry.httpPort());
+    }
+
+    private static FailureDomain domain(int index) {
+        return FailureDomain.of("hall-" + (char) ('a' + index % DOMAINS));
+    }
+}
--- /dev/null
+++ b/ebonyrun-client/src/main/java/org/ebonyrun/client/package-info.java
@@ -0,0 +1,5 @@
+/** The client: its binary and commands. */
+@NullMarked
+package org.ebonyrun.client;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/ebonyrun-core/src/main/java/org/ebonyrun/core/attempt/Attempt.java
@@ -0,0 +1,44 @@
+package org.ebonyrun.core.attempt;
+
+import java.io.ByteArrayOutputStream;
+import java.util.TreeSet;
+import org.ebonyrun.base.id.AttemptId;
+import org.ebonyrun.base.time.Nanos;
+
+/** One attempt at an agent. Not thread safe; confined to the attempt duty. */
+final class Attempt {
+    /** Where an attempt stands. */
+    enum Phase {
+        QUEUED,
+        RUNNING
+    }
+
+    final AttemptId mId;
+    final Job mJob;
+    final long mLink;
+    final long mGiveUpAt;
+    final QueueOrder.QueuedWork mQueued;
+    final TreeSet<Long> mVersions = new TreeSet<>();
+    final ByteArrayOutputStream mContent = new ByteArrayOutputStream();
+    Phase mPhase = Phase.QUEUED;
+    long mStartedAt;
+    int mPieces;
+    int mTokens;
+
+    Attempt(AttemptId id, Job job, long link, long arrival, long serviceMillis, long now) {
+        mId = id;
+        mJob = job;
+        mLink = link;
+        mGiveUpAt = now + Nanos.ofMillis(job.timeoutMillis());
+        long latestStart = now + Nanos.ofMillis(job.targetMillis() - serviceMillis);
+        mQueued = new QueueOrder.QueuedWork(job.kind(), arrival, latestStart);
+    }
+
+    boolean isSample() {
+        return mJob.kind() == WorkKind.SAMPLE;
+    }
+
+    WeightVersions versions() {
+        return WeightVersions.copyOf(mVersions);
+    }
+}
--- /dev/null
+++ b/ebonyrun-core/src/main/java/org/ebonyrun/core/attempt/SampleStore.java
@@ -0,0 +1,67 @@
+package org.ebonyrun.core.attempt;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.ebonyrun.base.id.SampleKey;
+import org.ebonyrun.base.id.TrainerId;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Finished samples that are held until released.
+ *
+ * <p>Invariant: at most one sample a slot; the first one that finishes stays. Nothing is evicted:
+ * the agent refuses new samples while the store is full.
+ *
+ * <p>Not thread safe; confined to the attempt duty.
+ */
+final class SampleStore {
+    private final Map<SampleKey, Stored> mSamples = new HashMap<>();
+    private long mBytes;
+
+    /** A finished sample and its content. */
+    record Stored(SampleInfo info, byte[] content) {}
+
+    /** Stores a sample unless the slot is filled; returns what the slot holds now. */
+    Stored add(SampleKey key, SampleInfo info, byte[] content) {
+        Stored present = mSamples.get(key);
+        if (present != null) {
+            return present;
+        }
+        Stored stored = new Stored(info, content);
+        mSamples.put(key, stored);
+        mBytes += content.length;
+        return stored;
+    }
+
+    @Nullable Stored get(SampleKey key) {
+        return mSamples.get(key);
+    }
+
+    void release(SampleKey key) {
+        Stored stored = mSamples.remove(key);
+        if (stored != null) {
+            mBytes -= stored.content().length;
+        }
+    }
+
+    List<AttemptMessage.HeldSample> ofStep(TrainerId trainer, long step) {
+        List<AttemptMessage.HeldSample> held = new ArrayList<>();
+        mSamples.forEach(
+                (key, stored) -> {
+                    if (key.trainer().equals(trainer) && key.step() == step) {
+                        held.add(new AttemptMessage.HeldSample(key, stored.info()));
+                    }
+                });
+        return held;
+    }
+
+    long bytes() {
+        return mBytes;
+    }
+
+    int size() {
+        return mSamples.size();
+    }
+}
--- /dev/null
+++ b/ebonyrun-core/src/main/java/org/ebonyrun/core/attempt/ServiceTimes.java
@@ -0,0 +1,33 @@
+package org.ebonyrun.core.attempt;
+
+import java.util.HashMap;
+import java.util.Map;
+import org.ebonyrun.base.id.ClassName;
+
+/**
+ * Service times learned per class.
+ *
+ * <p>Not thread safe; confined to the duty that owns it.
+ */
+public final class ServiceTimes {
+    private static final int WINDOW = 128;
+    private static final double MEDIAN = 0.5;
+
+    private final Map<ClassName, DecayingQuantile> mByClass = new HashMap<>();
+
+    /** Adds the measured service time of one attempt, in milliseconds. */
+    public void add(ClassName name, long millis) {
+        mByClass.computeIfAbsent(name, key -> DecayingQuantile.create(WINDOW)).add(millis);
+    }
+
+    /** Returns the median service time in milliseconds; zero while nothing is known. */
+    public long medianMillis(ClassName name) {
+        return quantileMillis(name, MEDIAN);
+    }
+
+    /** Returns a quantile of the service time in milliseconds; zero while nothing is known. */
+    public long quantileMillis(ClassName name, double q) {
+        DecayingQuantile known = mByClass.get(name);
+        return known == null ? 0 : known.quantile(q, 0);
+    }
+}
--- /dev/null
+++ b/ebonyrun-core/src/main/java/org/ebonyrun/core/attempt/WeightVersions.java
@@ -0,0 +1,36 @@
+package org.ebonyrun.core.attempt;
+
+import com.fasterxml.jackson.annotation.JsonCreator;
+import com.fasterxml.jackson.annotation.JsonValue;
+import java.util.Collection;
+import java.util.List;
+
+/**
+ * The weight versions that produced an answer, ascending and without repeats.
+ *
+ * <p>Immutable and thread safe.
+ *
+ * @param values the versions; empty when no token was produced or the endpoint has no weights
+ */
+public record WeightVersions(@JsonValue List<Long> values) {
+    /** Sorts and copies the versions. */
+    public WeightVersions {
+        values = values.stream().sorted().distinct().toList();
+    }
+
+    /** Returns the versions in {@code values}. */
+    @JsonCreator
+    public static WeightVersions copyOf(Collection<Long> values) {
+        return new WeightVersions(List.copyOf(values));
+    }
+
+    /** Returns the absence of any version. */
+    public static WeightVersions none() {
+        return new WeightVersions(List.of());
+    }
+
+    /** Returns the oldest version, or zero if there is none. */
+    public long oldest() {
+        return values.isEmpty() ? 0 : values.get(0);
+    }
+}
--- /dev/null
+++ b/ebonyrun-core/src/main/java/org/ebonyrun/core/attempt/package-info.java
@@ -0,0 +1,5 @@
+/** Attempts at an endpoint: queueing, admission, execution and finished samples. */
+@NullMarked
+package org.ebonyrun.core.attempt;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/ebonyrun-core/src/main/java/org/ebonyrun/core/config/ConfigMessage.java
@@ -0,0 +1,21 @@
+package org.ebonyrun.core.config;
+
+import org.ebonyrun.base.wire.Message;
+
+/** Messages that spread the operators' configuration between processes. Immutable. */
+public sealed interface ConfigMessage extends Message {
+    /**
+     * Asks a peer for its configuration.
+     *
+     * @param knownVersion the version that the sender has
+     */
+    record ConfigRequest(long knownVersion) implements ConfigMessage {}
+
+    /**
+     * Carries a configuration.
+     *
+     * @param version the version
+     * @param text the YAML text
+     */
+    record ConfigUpdate(long version, String text) implements ConfigMessage {}
+}
--- /dev/null
+++ b/ebonyrun-core/src/main/java/org/ebonyrun/core/config/ConfigOutputs.java
@@ -0,0 +1,10 @@
+package org.ebonyrun.core.config;
+
+/** What the configuration duty does to the world. Called on the duty's thread. */
+public interface ConfigOutputs {
+    /** Sends a message to one peer, identified by its link number. */
+    void send(long link, ConfigMessage message);
+
+    /** Announces a newly adopted configuration to every other duty and peer. */
+    void adopted(OperatorConfig config, String text);
+}
--- /dev/null
+++ b/ebonyrun-core/src/main/java/org/ebonyrun/core/config/ConfigParser.java
@@ -0,0 +1,233 @@
+package org.ebonyrun.core.config;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Set;
+import org.ebonyrun.base.id.ClassName;
+import org.ebonyrun.base.id.ServiceName;
+import org.ebonyrun.core.settings.Problem;
+import org.ebonyrun.core.settings.SettingsNode;
+import org.ebonyrun.core.settings.Units;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Reads and checks the operators' configuration as a whole.
+ *
+ * <p>Not thread safe; one parser reads one file.
+ */
+public final class ConfigParser {
+    private static final Set<String> ROOT_KEYS = Set.of("services", "classes");
+    private static final Set<String> SERVICE_KEYS = Set.of("kind");
+    private static final Set<String> CLASS_KEYS =
+            Set.of(
+                    "service",
+                    "kind",
+                    "lateness",
+                    "idempotent",
+                    "staleness",
+                    "trainer_idle",
+                    "scored_by");
+    private static final Set<String> LATENESS_KEYS = Set.of("quantile", "within");
+    private static final Set<String> MECHANISM_KEYS =
+            Set.of("weight", "weights", "priority", "priorities", "address", "addresses", "share");
+    private static final String PLACEHOLDER = "invalid";
+
+    private final List<Problem> mProblems = new ArrayList<>();
+    private final Map<ServiceName, ServiceSpec> mServices = new LinkedHashMap<>();
+    private final Map<ClassName, ClassSpec> mClasses = new LinkedHashMap<>();
+
+    private ConfigParser() {}
+
+    /** Reads a file; the configuration is valid when the list of problems is empty. */
+    public static Parsed parse(String file, String text, long version) {
+        ConfigParser parser = new ConfigParser();
+        SettingsNode root = SettingsNode.parse(file, text, parser.mProblems);
+        if (parser.mProblems.isEmpty()) {
+            parser.readRoot(root);
+        }
+        OperatorConfig config = new OperatorConfig(version, parser.mServices, parser.mClasses);
+        return new Parsed(config, List.copyOf(parser.mProblems));
+    }
+
+    /**
+     * A configuration and what is wrong with it.
+     *
+     * @param config what could be read
+     * @param problems every fault found; empty for a valid configuration
+     */
+    public record Parsed(OperatorConfig config, List<Problem> problems) {
+        /** Returns whether the configuration may be accepted. */
+        public boolean isValid() {
+            return problems.isEmpty();
+        }
+    }
+
+    private void readRoot(SettingsNode root) {
+        if (!root.isPresent()) {
+            root.problem("is empty; services and classes are needed");
+            return;
+        }
+        checkKeys(root, ROOT_KEYS);
+        root.get("services").children().forEach(this::readService);
+        root.get("classes").children().forEach(this::readClass);
+        if (mServices.isEmpty()) {
+            root.get("services").problem("needs at least one service");
+        }
+        if (mClasses.isEmpty()) {
+            root.get("classes").problem("needs at least one class");
+        }
+    }
+
+    private void readService(String key, SettingsNode node) {
+        checkKeys(node, SERVICE_KEYS);
+        @Nullable ServiceName name = serviceName(node, key);
+        ServiceKind kind = node.get("kind").read(ConfigParser::serviceKind, ServiceKind.PLAIN);
+        if (!node.get("kind").isPresent()) {
+            node.problem("kind is missing; write engine or plain");
+        }
+        if (name != null) {
+            mServices.put(name, new ServiceSpec(name, kind));
+        }
+    }
+
+    private void readClass(String key, SettingsNode node) {
+        checkKeys(node, CLASS_KEYS);
+        int before = mProblems.size();
+        ClassName name = className(node, key);
+        ClassKind kind = node.get("kind").read(ConfigParser::classKind, ClassKind.BACKGROUND);
+        if (!node.get("kind").isPresent()) {
+            node.problem("kind is missing; write interactive, background or rollout");
+        }
+        @Nullable ServiceSpec service = service(node.get("service"), true);
+        @Nullable ServiceSpec scorer = service(node.get("scored_by"), false);
+        SettingsNode lateness = node.get("lateness");
+        lateness.allow(LATENESS_KEYS);
+        double quantile = lateness.get("quantile").read(Units::quantile, 0.0);
+        long within = lateness.get("within").read(Units::millis, 0L);
+        long staleness = node.get("staleness").read(Units::versions, 0L);
+        long idle = node.get("trainer_idle").read(Units::millis, 0L);
+        boolean idempotent = node.get("idempotent").read(Units::flag, true);
+        checkTargets(node, kind, service);
+        if (service != null && mProblems.size() == before) {
+            mClasses.put(
+                    name,
+                    new ClassSpec(
+                            name,
+                            service.name(),
+                            kind,
+                            quantile,
+                            within,
+                            idempotent,
+                            staleness,
+                            idle,
+                            scorer == null ? null : scorer.name()));
+        }
+    }
+
+    private static void checkTargets(
+            SettingsNode node, ClassKind kind, @Nullable ServiceSpec service) {
+        if (kind == ClassKind.ROLLOUT) {
+            requireKey(node, "staleness", "write for example '2 versions'");
+            requireKey(node, "trainer_idle", "write for example '5s'");
+            forbidKey(node, "lateness", "a rollout states staleness and trainer_idle");
+            if (service != null && service.kind() != ServiceKind.ENGINE) {
+                node.get("service").problem("a rollout needs a service of kind engine");
+            }
+            return;
+        }
+        requireKey(node, "lateness", "write for example {quantile: 0.99, within: 800ms}");
+        if (node.get("lateness").isPresent()) {
+            requireKey(node.get("lateness"), "quantile", "write for example 0.99");
+            requireKey(node.get("lateness"), "within", "write for example 800ms");
+        }
+        for (String key : List.of("staleness", "trainer_idle", "scored_by")) {
+            forbidKey(node, key, "only a class of kind rollout has it");
+        }
+    }
+
+    private static void requireKey(SettingsNode node, String key, String hint) {
+        if (!node.get(key).isPresent()) {
+            node.get(key).problem("is missing; " + hint);
+        }
+    }
+
+    private static void forbidKey(SettingsNode node, String key, String hint) {
+        if (node.get(key).isPresent()) {
+            node.get(key).problem("does not belong here; " + hint);
+        }
+    }
+
+    private static void checkKeys(SettingsNode node, Set<String> allowed) {
+        node.children()
+                .forEach(
+                        (key, child) -> {
+                            if (MECHANISM_KEYS.contains(key)) {
+                                child.problem(
+                                        "is decided by the system; state targets instead"
+                                                + " (lateness, staleness, trainer_idle)");
+                            } else if (!allowed.contains(key)) {
+                                child.problem(
+                                        "unknown key; allowed here: "
+                                                + String.join(
+                                                        ", ", allowed.stream().sorted().toList()));
+                            }
+                        });
+    }
+
+    private @Nullable ServiceSpec service(SettingsNode node, boolean required) {
+        if (!node.isPresent()) {
+            if (required) {
+                node.problem("is missing; name one of the services");
+            }
+            return null;
+        }
+        @Nullable ServiceName name = serviceName(node, node.text(PLACEHOLDER));
+        ServiceSpec found = name == null ? null : mServices.get(name);
+        if (name != null && found == null) {
+            node.problem("no service is called '" + name + "'; known: " + mServices.keySet());
+        }
+        return found;
+    }
+
+    private static @Nullable ServiceName serviceName(SettingsNode node, String text) {
+        try {
+            return ServiceName.of(text);
+        } catch (IllegalArgumentException e) {
+            node.problem(String.valueOf(e.getMessage()));
+            return null;
+        }
+    }
+
+    private static ClassName className(SettingsNode node, String text) {
+        try {
+            return ClassName.of(text);
+        } catch (IllegalArgumentException e) {
+            node.problem(String.valueOf(e.getMessage()));
+            return ClassName.of(PLACEHOLDER);
+        }
+    }
+
+    private static ServiceKind serviceKind(String text) {
+        return constant(ServiceKind.class, text);
+    }
+
+    private static ClassKind classKind(String text) {
+        return constant(ClassKind.class, text);
+    }
+
+    private static <E extends Enum<E>> E constant(Class<E> type, String text) {
+        for (E value : type.getEnumConstants()) {
+            if (value.name().toLowerCase(Locale.ROOT).equals(text)) {
+                return value;
+            }
+        }
+        List<String> names = new ArrayList<>();
+        for (E value : type.getEnumConstants()) {
+            names.add(value.name().toLowerCase(Locale.ROOT));
+        }
+        throw new IllegalArgumentException("'" + text + "' is not one of " + names);
+    }
+}
--- /dev/null
+++ b/ebonyrun-core/src/main/java/org/ebonyrun/core/lease/LeaseEvents.java
@@ -0,0 +1,13 @@
+package org.ebonyrun.core.lease;
+
+/** A state machine that holds leases and hears what the key-value service says of them. */
+public interface LeaseEvents {
+    /** Handles the answer to taking a lease. */
+    void onLeaseReading(String key, LeaseReading reading, long now);
+
+    /** Handles the absence of an answer about a lease. */
+    void onLeaseUnavailable(String key, long now);
+
+    /** Handles the answer to extending a lease. */
+    void onLeaseRenewed(String key, boolean granted, long now);
+}
--- /dev/null
+++ b/ebonyrun-core/src/main/java/org/ebonyrun/core/rollout/CompletionBodies.java
@@ -0,0 +1,8 @@
+package org.ebonyrun.core.rollout;
+
+/** Makes the request body that an engine needs for a prompt. Implementations are thread safe. */
+@FunctionalInterface
+public interface CompletionBodies {
+    /** Returns the body of a streaming completion request for one sample of a group. */
+    byte[] completion(PromptGroup group);
+}
--- /dev/null
+++ b/ebonyrun-core/src/main/java/org/ebonyrun/core/rollout/Step.java
@@ -0,0 +1,504 @@
+package org.ebonyrun.core.rollout;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.BitSet;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.ebonyrun.base.id.SampleKey;
+import org.ebonyrun.base.id.VmId;
+import org.ebonyrun.base.result.Fault;
+import org.ebonyrun.base.result.FaultCode;
+import org.ebonyrun.base.time.Nanos;
+import org.ebonyrun.core.attempt.AttemptMessage;
+import org.ebonyrun.core.attempt.SampleInfo;
+import org.ebonyrun.core.attempt.WorkKind;
+import org.ebonyrun.core.config.ClassSpec;
+import org.ebonyrun.core.routing.Work;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * One step at its owner: runs every slot until the trainer has it.
+ *
+ * <p>Invariants: a slot is handed out only if the pull's cursor lacks it; the age of a sample is
+ * checked at the hand-over, against the version that the pull states; samples are released at their
+ * agents only after a cursor that includes them has come back.
+ *
+ * <p>Not thread safe; confined to the rollout duty.
+ */
+final class Step {
+    private static final long GIVE_UP_NANOS = Nanos.ofMillis(600_000);
+    private static final long ADOPTION_NANOS = Nanos.ofMillis(3_000);
+    private static final long FETCH_NANOS = Nanos.ofMillis(3_000);
+    private static final long RETRY_NANOS = Nanos.ofMillis(500);
+    private static final int MAX_ANSWER_BYTES = 4 << 20;
+    private static final String COMPLETIONS = "/v1/completions";
+    private static final String JSON = "application/json";
+
+    private final StepManifest mManifest;
+    private final CompletionBodies mBodies;
+    private final RolloutOutputs mOutputs;
+    private final long mFence;
+    private final long mStartedAt;
+    private final List<Slot> mSlots = new ArrayList<>();
+    private ClassSpec mSpec;
+    private long mVersion;
+    private @Nullable OpenPull mPull;
+    private boolean mClosed;
+    private long mStale;
+
+    Step(
+            StepManifest manifest,
+            ClassSpec spec,
+            CompletionBodies bodies,
+            RolloutOutputs outputs,
+            long fence,
+            long now) {
+        mManifest = manifest;
+        mSpec = spec;
+        mBodies = bodies;
+        mOutputs = outputs;
+        mFence = fence;
+        mStartedAt = now;
+        mVersion = manifest.version();
+        int index = 0;
+        for (int group = 0; group < manifest.groups().size(); group++) {
+            for (int i = 0; i < manifest.groups().get(group).samples(); i++) {
+                mSlots.add(new Slot(index++, group));
+            }
+        }
+    }
+
+    StepManifest manifest() {
+        return mManifest;
+    }
+
+    ClassSpec spec() {
+        return mSpec;
+    }
+
+    boolean isClosed() {
+        return mClosed;
+    }
+
+    boolean hasOpenPull() {
+        return mPull != null;
+    }
+
+    void onSpec(ClassSpec spec) {
+        mSpec = spec;
+    }
+
+    /** Starts a step that was just submitted: nothing of it can exist anywhere. */
+    void startNew(long now) {
+        mOutputs.setMinVersion(mManifest.trainer(), minVersion());
+        mSlots.forEach(slot -> submit(slot, now));
+    }
+
+    /** Starts a step that another owner may have begun: asks the agents first. */
+    void startTakenOver(long now) {
+        mOutputs.setMinVersion(mManifest.trainer(), minVersion());
+        for (Slot slot : mSlots) {
+            slot.mPhase = Slot.Phase.ADOPTED;
+            slot.mRetryAt = now + RETRY_NANOS;
+        }
+        mOutputs.broadcast(mSpec.service(), heldQuery());
+    }
+
+    void onAgentConnected(VmId vm) {
+        mOutputs.send(vm, heldQuery());
+    }
+
+    /** Handles the loss of an agent: what it held may come back with it for a while. */
+    void onAgentLost(VmId vm, long now) {
+        for (Slot slot : mSlots) {
+            boolean held = slot.mPhase == Slot.Phase.READY || slot.mPhase == Slot.Phase.SCORING;
+            if (held && vm.equals(slot.mVm)) {
+                slot.mPhase = Slot.Phase.ADOPTED;
+                slot.mRetryAt = now + ADOPTION_NANOS;
+                dropFetch(slot.mIndex, now);
+            }
+        }
+    }
+
+    void onHeldSamples(VmId vm, AttemptMessage.HeldSamples held, long now) {
+        held.held().forEach(sample -> onFinished(vm, sample.key(), sample.info(), now));
+        for (SampleKey key : held.running()) {
+            Slot slot = slot(key);
+            if (slot != null && slot.mPhase == Slot.Phase.ADOPTED) {
+                slot.mRetryAt = now + GIVE_UP_NANOS;
+                slot.mVm = vm;
+            }
+        }
+    }
+
+    /** Handles a finished sample; the first one for a slot stays, any other is released. */
+    void onFinished(VmId vm, SampleKey key, SampleInfo info, long now) {
+        Slot slot = slot(key);
+        if (slot == null) {
+            return;
+        }
+        boolean filled =
+                slot.mPhase == Slot.Phase.READY
+                        || slot.mPhase == Slot.Phase.SCORING
+                        || slot.mPhase == Slot.Phase.DELIVERED;
+        if (filled) {
+            if (!vm.equals(slot.mVm) || slot.mPhase == Slot.Phase.DELIVERED) {
+                mOutputs.release(vm, List.of(key));
+            }
+            return;
+        }
+        if (slot.mPhase == Slot.Phase.SUBMITTED) {
+            mOutputs.cancel(slot.mWorkId);
+        }
+        slot.mVm = vm;
+        slot.mInfo = info;
+        if (isStale(info)) {
+            rerun(slot, now);
+            return;
+        }
+        slot.mPhase = mSpec.scorer() == null ? Slot.Phase.READY : Slot.Phase.SCORING;
+        if (slot.mPhase == Slot.Phase.SCORING) {
+            slot.mRetryAt = now + FETCH_NANOS;
+            mOutputs.send(vm, new AttemptMessage.FetchSample(key));
+        }
+        serve(now);
+    }
+
+    /** Handles work that the dispatch duty gave up. */
+    void onFailed(SampleKey key, long now) {
+        Slot slot = slot(key);
+        if (slot != null && slot.mPhase == Slot.Phase.SUBMITTED) {
+            slot.reset();
+            slot.mRetryAt = now + RETRY_NANOS;
+        }
+    }
+
+    void onScored(SampleKey key, @Nullable String score, long now) {
+        Slot slot = slot(key);
+        if (slot == null || slot.mPhase != Slot.Phase.SCORING) {
+            return;
+        }
+        if (score == null) {
+            slot.mRetryAt = now + RETRY_NANOS;
+            return;
+        }
+        slot.mScore = score;
+        slot.mPhase = Slot.Phase.READY;
+        serve(now);
+    }
+
+    void onContent(VmId vm, AttemptMessage.SampleContent message, long now) {
+        Slot slot = slot(message.key());
+        if (slot == null || !vm.equals(slot.mVm)) {
+            return;
+        }
+        byte[] content = message.content();
+        if (content == null || message.info() == null) {
+            boolean held = slot.mPhase == Slot.Phase.READY || slot.mPhase == Slot.Phase.SCORING;
+            if (held) {
+                slot.reset();
+                submit(slot, now);
+            }
+            dropFetch(slot.mIndex, now);
+            return;
+        }
+        if (slot.mPhase == Slot.Phase.SCORING && mSpec.scorer() != null) {
+            slot.mRetryAt = now + FETCH_NANOS;
+            mOutputs.score(mSpec.scorer(), message.key(), content);
+            return;
+        }
+        handOver(slot, content, message.info(), now);
+    }
+
+    /** Handles a pull whose cursor is of this step. */
+    void onPull(OpenPull pull, long now) {
+        if (mPull != null) {
+            Fault fault =
+                    Fault.notRun(
+                            FaultCode.CONFLICT,
+                            "step.pull",
+                            "",
+                            "another pull of the step is open");
+            mOutputs.reply(pull.mRequestId, StepReply.failed(fault.withRetryAfterMillis(200)));
+            return;
+        }
+        mVersion = pull.mVersion;
+        mOutputs.setMinVersion(mManifest.trainer(), minVersion());
+        acknowledge(pull.mCursor);
+        if (pull.mCursor.count() == mSlots.size()) {
+            close();
+            mOutputs.reply(
+                    pull.mRequestId,
+                    new StepReply(null, pull.mCursor.encode(), List.of(), 0, true));
+            return;
+        }
+        dropStale(now);
+        mPull = pull;
+        serve(now);
+    }
+
+    /** Ends the step: its attempts are cancelled and its samples released. */
+    void close() {
+        mClosed = true;
+        for (Slot slot : mSlots) {
+            if (slot.mPhase == Slot.Phase.SUBMITTED) {
+                mOutputs.cancel(slot.mWorkId);
+            }
+        }
+        mOutputs.broadcast(
+                mSpec.service(),
+                new AttemptMessage.CloseStep(mManifest.trainer(), mManifest.step(), mFence));
+        refusePull("the step was cancelled", FaultCode.CANCELLED);
+    }
+
+    /** Forgets the step, because another process owns it now; its attempts go on. */
+    void abandon() {
+        mClosed = true;
+        for (Slot slot : mSlots) {
+            if (slot.mPhase == Slot.Phase.SUBMITTED) {
+                mOutputs.abandon(slot.mWorkId);
+            }
+        }
+        refusePull("another entry owns the step now", FaultCode.OWNER_UNAVAILABLE);
+    }
+
+    /** Cancels the open pull of a request that nobody waits for any more. */
+    void cancelPull(long requestId) {
+        if (mPull != null && mPull.mRequestId == requestId) {
+            mPull = null;
+        }
+    }
+
+    void onTick(long now) {
+        for (Slot slot : mSlots) {
+            if (now - slot.mRetryAt < 0) {
+                continue;
+            }
+            if (slot.mPhase == Slot.Phase.ADOPTED || slot.mPhase == Slot.Phase.PENDING) {
+                slot.reset();
+                submit(slot, now);
+            } else if (slot.mPhase == Slot.Phase.SCORING && slot.mVm != null) {
+                slot.mRetryAt = now + FETCH_NANOS;
+                mOutputs.send(slot.mVm, new AttemptMessage.FetchSample(key(slot)));
+            }
+        }
+        tickPull(now);
+    }
+
+    StepDump dump(long now) {
+        Map<Slot.Phase, Integer> phases = new HashMap<>();
+        mSlots.forEach(slot -> phases.merge(slot.mPhase, 1, Integer::sum));
+        return new StepDump(
+                mManifest.trainer(),
+                mManifest.step(),
+                mSlots.size(),
+                phases.getOrDefault(Slot.Phase.DELIVERED, 0),
+                phases.getOrDefault(Slot.Phase.READY, 0),
+                phases.getOrDefault(Slot.Phase.SUBMITTED, 0),
+                mStale,
+                mVersion,
+                Nanos.toMillis(now - mStartedAt));
+    }
+
+    private void tickPull(long now) {
+        OpenPull pull = mPull;
+        if (pull == null) {
+            return;
+        }
+        if (!pull.mFetching.isEmpty() && now - pull.mFetchDeadline >= 0) {
+            pull.mFetching.clear();
+            finishPull(pull, now);
+        } else if (pull.mFetching.isEmpty() && now - pull.mDeadline >= 0) {
+            answer(pull, now);
+        } else {
+            serve(now);
+        }
+    }
+
+    private void acknowledge(Cursor cursor) {
+        Map<VmId, List<SampleKey>> releases = new HashMap<>();
+        BitSet has = cursor.slots();
+        for (int i = has.nextSetBit(0); i >= 0 && i < mSlots.size(); i = has.nextSetBit(i + 1)) {
+            Slot slot = mSlots.get(i);
+            if (slot.mPhase == Slot.Phase.SUBMITTED) {
+                mOutputs.cancel(slot.mWorkId);
+            }
+            if (slot.mPhase != Slot.Phase.DELIVERED && slot.mVm != null) {
+                releases.computeIfAbsent(slot.mVm, vm -> new ArrayList<>()).add(key(slot));
+            }
+            slot.mPhase = Slot.Phase.DELIVERED;
+        }
+        releases.forEach(mOutputs::release);
+    }
+
+    private void dropStale(long now) {
+        for (Slot slot : mSlots) {
+            if (slot.mPhase == Slot.Phase.READY && slot.mInfo != null && isStale(slot.mInfo)) {
+                rerun(slot, now);
+            }
+        }
+    }
+
+    private void rerun(Slot slot, long now) {
+        mStale++;
+        if (slot.mVm != null) {
+            mOutputs.release(slot.mVm, List.of(key(slot)));
+        }
+        slot.reset();
+        submit(slot, now);
+    }
+
+    private boolean isStale(SampleInfo info) {
+        return info.versions().oldest() < minVersion();
+    }
+
+    private long minVersion() {
+        return mVersion - mSpec.stalenessVersions();
+    }
+
+    private void serve(long now) {
+        OpenPull pull = mPull;
+        if (pull == null || !pull.mFetching.isEmpty()) {
+            return;
+        }
+        for (Slot slot : selectReady(pull)) {
+            boolean sent =
+                    slot.mVm != null
+                            && mOutputs.send(slot.mVm, new AttemptMessage.FetchSample(key(slot)));
+            if (sent) {
+                pull.mFetching.set(slot.mIndex);
+            }
+        }
+        pull.mFetchDeadline = now + FETCH_NANOS;
+    }
+
+    /** Selects finished slots, those of whole groups first, within the answer's limits. */
+    private List<Slot> selectReady(OpenPull pull) {
+        Map<Integer, Integer> unfinished = new HashMap<>();
+        List<Slot> ready = new ArrayList<>();
+        for (Slot slot : mSlots) {
+            if (slot.mPhase == Slot.Phase.READY && !pull.mCursor.has(slot.mIndex)) {
+                ready.add(slot);
+            } else if (slot.mPhase != Slot.Phase.DELIVERED) {
+                unfinished.merge(slot.mGroup, 1, Integer::sum);
+            }
+        }
+        ready.sort(
+                Comparator.comparingInt((Slot slot) -> unfinished.getOrDefault(slot.mGroup, 0))
+                        .thenComparingInt(slot -> slot.mIndex));
+        List<Slot> selected = new ArrayList<>();
+        long bytes = 0;
+        for (Slot slot : ready) {
+            bytes += slot.mInfo == null ? 0 : slot.mInfo.bytes();
+            boolean full = selected.size() >= pull.mMax || bytes > MAX_ANSWER_BYTES;
+            if (full && !selected.isEmpty()) {
+                break;
+            }
+            selected.add(slot);
+        }
+        return selected;
+    }
+
+    private void handOver(Slot slot, byte[] content, SampleInfo info, long now) {
+        OpenPull pull = mPull;
+        if (pull == null || !pull.mFetching.get(slot.mIndex)) {
+            return;
+        }
+        pull.mFetching.clear(slot.mIndex);
+        if (isStale(info)) {
+            rerun(slot, now);
+        } else {
+            pull.mSamples.add(
+                    new Sample(
+                            slot.mIndex,
+                            slot.mGroup,
+                            new String(content, StandardCharsets.UTF_8),
+                            info.tokens(),
+                            info.versions(),
+                            slot.mScore));
+        }
+        if (pull.mFetching.isEmpty()) {
+            finishPull(pull, now);
+        }
+    }
+
+    private void dropFetch(int index, long now) {
+        OpenPull pull = mPull;
+        if (pull != null && pull.mFetching.get(index)) {
+            pull.mFetching.clear(index);
+            if (pull.mFetching.isEmpty()) {
+                finishPull(pull, now);
+            }
+        }
+    }
+
+    private void finishPull(OpenPull pull, long now) {
+        if (pull.mSamples.isEmpty()) {
+            serve(now);
+        } else {
+            answer(pull, now);
+        }
+    }
+
+    private void answer(OpenPull pull, long now) {
+        mPull = null;
+        Cursor next = pull.next();
+        int remaining = mSlots.size() - next.count();
+        mOutputs.idle(mManifest.trainer(), now - pull.mOpenedAt);
+        for (Sample sample : pull.mSamples) {
+            mOutputs.delivered(mManifest.trainer(), mVersion - sample.versions().oldest());
+        }
+        mOutputs.reply(
+                pull.mRequestId,
+                new StepReply(null, next.encode(), pull.mSamples, remaining, false));
+    }
+
+    private void refusePull(String detail, FaultCode code) {
+        if (mPull != null) {
+            Fault fault = Fault.notRun(code, "step.pull", "", detail).withRetryAfterMillis(200);
+            mOutputs.reply(mPull.mRequestId, StepReply.failed(fault));
+            mPull = null;
+        }
+    }
+
+    private void submit(Slot slot, long now) {
+        slot.mPhase = Slot.Phase.SUBMITTED;
+        slot.mWorkId = mOutputs.nextWorkId();
+        PromptGroup group = mManifest.groups().get(slot.mGroup);
+        mOutputs.submit(
+                new Work(
+                        slot.mWorkId,
+                        WorkKind.SAMPLE,
+                        mSpec.service(),
+                        mSpec.name(),
+                        mStartedAt + Nanos.ofMillis(mSpec.trainerIdleMillis()),
+                        now + GIVE_UP_NANOS,
+                        true,
+                        false,
+                        COMPLETIONS,
+                        JSON,
+                        mBodies.completion(group),
+                        group.prompt().hashCode(),
+                        key(slot),
+                        mFence));
+    }
+
+    private AttemptMessage heldQuery() {
+        return new AttemptMessage.HeldQuery(mManifest.trainer(), mManifest.step(), mFence);
+    }
+
+    private SampleKey key(Slot slot) {
+        return new SampleKey(mManifest.trainer(), mManifest.step(), slot.mIndex);
+    }
+
+    private @Nullable Slot slot(SampleKey key) {
+        boolean mine =
+                key.trainer().equals(mManifest.trainer())
+                        && key.step() == mManifest.step()
+                        && key.slot() < mSlots.size();
+        return mine ? mSlots.get(key.slot()) : null;
+    }
+}
--- /dev/null
+++ b/ebonyrun-core/src/main/java/org/ebonyrun/core/rollout/StepManifest.java
@@ -0,0 +1,44 @@
+package org.ebonyrun.core.rollout;
+
+import static com.google.common.base.Preconditions.checkArgument;
+
+import com.fasterxml.jackson.annotation.JsonProperty;
+import java.util.List;
+import org.ebonyrun.base.id.ClassName;
+import org.ebonyrun.base.id.TrainerId;
+
+/**
+ * What a trainer wants of one step. Slots are numbered from zero, group after group.
+ *
+ * <p>Immutable and thread safe.
+ *
+ * @param trainer the trainer
+ * @param step the number of the step
+ * @param className the class of work
+ * @param version the trainer's weight version at submission
+ * @param groups the prompts
+ */
+public record StepManifest(
+        @JsonProperty("trainer") TrainerId trainer,
+        @JsonProperty("step") long step,
+        @JsonProperty("class") ClassName className,
+        @JsonProperty("version") long version,
+        @JsonProperty("groups") List<PromptGroup> groups) {
+    /** Greatest number of samples in a step. */
+    public static final int MAX_SLOTS = 65_536;
+
+    /** Copies the groups and checks the size. */
+    public StepManifest {
+        checkArgument(trainer != null, "trainer is missing");
+        checkArgument(className != null, "class is missing");
+        checkArgument(groups != null && !groups.isEmpty(), "groups is empty");
+        groups = List.copyOf(groups);
+        int slots = groups.stream().mapToInt(PromptGroup::samples).sum();
+        checkArgument(slots <= MAX_SLOTS, "a step has at most %s samples: %s", MAX_SLOTS, slots);
+    }
+
+    /** Returns the number of slots. */
+    public int slots() {
+        return groups.stream().mapToInt(PromptGroup::samples).sum();
+    }
+}
--- /dev/null
+++ b/ebonyrun-core/src/main/java/org/ebonyrun/core/routing/EndpointView.java
@@ -0,0 +1,86 @@
+package org.ebonyrun.core.routing;
+
+import org.ebonyrun.base.id.FailureDomain;
+import org.ebonyrun.base.id.ServiceName;
+import org.ebonyrun.base.id.VmId;
+import org.ebonyrun.core.attempt.EndpointLoad;
+
+/**
+ * What an entry knows of one endpoint. Load is as old as the last message; what was sent since is
+ * added to it.
+ *
+ * <p>Not thread safe; confined to the dispatch duty.
+ */
+public final class EndpointView {
+    private final VmId mVm;
+    private final ServiceName mService;
+    private final FailureDomain mDomain;
+    private EndpointLoad mLoad = EndpointLoad.unknown();
+    private boolean mUsable;
+    private int mCallsSince;
+    private int mSamplesSince;
+
+    private EndpointView(VmId vm, ServiceName service, FailureDomain domain) {
+        mVm = vm;
+        mService = service;
+        mDomain = domain;
+    }
+
+    /** Creates the view of an endpoint that has reported nothing. */
+    public static EndpointView create(VmId vm, ServiceName service, FailureDomain domain) {
+        return new EndpointView(vm, service, domain);
+    }
+
+    /** Returns the endpoint's VM. */
+    public VmId vm() {
+        return mVm;
+    }
+
+    /** Returns the endpoint's service. */
+    public ServiceName service() {
+        return mService;
+    }
+
+    /** Returns where the endpoint runs. */
+    public FailureDomain failureDomain() {
+        return mDomain;
+    }
+
+    /** Returns the newest report. */
+    public EndpointLoad load() {
+        return mLoad;
+    }
+
+    /** Returns whether the endpoint may get new work. */
+    public boolean isUsable() {
+        return mUsable && !mLoad.leaving() && mLoad.slots() > 0;
+    }
+
+    /** Returns how many calls would start at once, by what is known here. */
+    public int free() {
+        return mLoad.free() - mCallsSince - mSamplesSince;
+    }
+
+    /** Returns how many samples would be taken, by what is known here. */
+    public int sampleRoom() {
+        return mLoad.sampleRoom() - mCallsSince - mSamplesSince;
+    }
+
+    void setUsable(boolean usable) {
+        mUsable = usable;
+    }
+
+    void onLoad(EndpointLoad load) {
+        mLoad = load;
+        mCallsSince = 0;
+        mSamplesSince = 0;
+    }
+
+    void onSent(boolean sample) {
+        if (sample) {
+            mSamplesSince++;
+        } else {
+            mCallsSince++;
+        }
+    }
+}
--- /dev/null
+++ b/ebonyrun-core/src/main/java/org/ebonyrun/core/routing/Work.java
@@ -0,0 +1,48 @@
+package org.ebonyrun.core.routing;
+
+import org.ebonyrun.base.id.ClassName;
+import org.ebonyrun.base.id.SampleKey;
+import org.ebonyrun.base.id.ServiceName;
+import org.ebonyrun.core.attempt.WorkKind;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * One piece of work that an entry must get done.
+ *
+ * <p>Immutable by convention: the body is not copied and must not be changed.
+ *
+ * @param id a number that is unique within the process
+ * @param kind whose work it is
+ * @param service the service that runs it
+ * @param className the class of work
+ * @param targetAt the monotonic time in nanoseconds at which the target is missed
+ * @param giveUpAt the monotonic time in nanoseconds at which the work is given up
+ * @param idempotent whether it may run more than once
+ * @param streaming whether pieces are passed on before the answer is whole
+ * @param path the path and query of the endpoint's HTTP interface
+ * @param contentType the content type of the body
+ * @param body the request body
+ * @param affinity a hash that work with the same prompt prefix shares; zero for none
+ * @param sample the slot that a sample fills; null for a call
+ * @param fence the fence of the step's owner; zero for a call
+ */
+public record Work(
+        long id,
+        WorkKind kind,
+        ServiceName service,
+        ClassName className,
+        long targetAt,
+        long giveUpAt,
+        boolean idempotent,
+        boolean streaming,
+        String path,
+        String contentType,
+        byte[] body,
+        long affinity,
+        @Nullable SampleKey sample,
+        long fence) {
+    /** Returns whether this is a sample. */
+    public boolean isSample() {
+        return kind == WorkKind.SAMPLE;
+    }
+}
--- /dev/null
+++ b/ebonyrun-core/src/main/java/org/ebonyrun/core/settings/SettingsNode.java
@@ -0,0 +1,185 @@
+package org.ebonyrun.core.settings;
+
+import java.io.StringReader;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Function;
+import org.jspecify.annotations.Nullable;
+import org.yaml.snakeyaml.LoaderOptions;
+import org.yaml.snakeyaml.Yaml;
+import org.yaml.snakeyaml.error.MarkedYAMLException;
+import org.yaml.snakeyaml.error.YAMLException;
+import org.yaml.snakeyaml.nodes.MappingNode;
+import org.yaml.snakeyaml.nodes.Node;
+import org.yaml.snakeyaml.nodes.NodeTuple;
+import org.yaml.snakeyaml.nodes.ScalarNode;
+import org.yaml.snakeyaml.nodes.SequenceNode;
+
+/**
+ * A value in a YAML file, with its line and path. Reading a value of the wrong kind adds a {@link
+ * Problem} to the list that all nodes of a file share and gives the fallback, so that one pass
+ * finds every fault.
+ *
+ * <p>Not thread safe; used by the thread that reads the file.
+ */
+public final class SettingsNode {
+    private static final int MAX_BYTES = 512 * 1024;
+
+    private final String mFile;
+    private final String mPath;
+    private final @Nullable Node mNode;
+    private final int mLine;
+    private final List<Problem> mProblems;
+
+    private SettingsNode(
+            String file, String path, @Nullable Node node, int line, List<Problem> problems) {
+        mFile = file;
+        mPath = path;
+        mNode = node;
+        mLine = line;
+        mProblems = problems;
+    }
+
+    /** Parses a file. Syntax errors are added to {@code problems}. */
+    public static SettingsNode parse(String file, String text, List<Problem> problems) {
+        LoaderOptions options = new LoaderOptions();
+        options.setCodePointLimit(MAX_BYTES);
+        options.setAllowDuplicateKeys(false);
+        Node root = null;
+        try {
+            root = new Yaml(options).compose(new StringReader(text));
+        } catch (MarkedYAMLException e) {
+            int line = e.getProblemMark() == null ? 0 : e.getProblemMark().getLine() + 1;
+            problems.add(new Problem(file, line, "", "not valid YAML: " + e.getProblem()));
+        } catch (YAMLException e) {
+            problems.add(new Problem(file, 0, "", "not valid YAML: " + e.getMessage()));
+        }
+        return new SettingsNode(file, "", root, 1, problems);
+    }
+
+    /** Returns whether the value is present. */
+    public boolean isPresent() {
+        return mNode != null;
+    }
+
+    /** Returns the path from the root, with dots. */
+    public String path() {
+        return mPath;
+    }
+
+    /** Adds a problem at this value. */
+    public void problem(String message) {
+        mProblems.add(new Problem(mFile, mLine, mPath, message));
+    }
+
+    /** Returns the child with the given key; absent if there is none. */
+    public SettingsNode get(String key) {
+        SettingsNode child = children().get(key);
+        return child != null ? child : new SettingsNode(mFile, join(key), null, mLine, mProblems);
+    }
+
+    /** Returns the children in the order of the file; empty, with a problem, if not a mapping. */
+    public Map<String, SettingsNode> children() {
+        Map<String, SettingsNode> children = new LinkedHashMap<>();
+        if (mNode == null) {
+            return children;
+        }
+        if (!(mNode instanceof MappingNode mapping)) {
+            problem("must be a mapping");
+            return children;
+        }
+        for (NodeTuple tuple : mapping.getValue()) {
+            String key = ((ScalarNode) scalarKey(tuple)).getValue();
+            int line = tuple.getKeyNode().getStartMark().getLine() + 1;
+            Node value = tuple.getValueNode();
+            children.put(key, new SettingsNode(mFile, join(key), value, line, mProblems));
+        }
+        return children;
+    }
+
+    /** Returns the items of a list; empty, with a problem, if it is not a list. */
+    public List<SettingsNode> items() {
+        List<SettingsNode> items = new ArrayList<>();
+        if (mNode instanceof SequenceNode sequence) {
+            for (Node item : sequence.getValue()) {
+                String path = mPath + "[" + items.size() + "]";
+                int line = item.getStartMark().getLine() + 1;
+                items.add(new SettingsNode(mFile, path, item, line, mProblems));
+            }
+        } else if (mNode != null) {
+            problem("must be a list");
+        }
+        return items;
+    }
+
+    /** Adds a problem for every key that is not allowed. */
+    public void allow(Set<String> keys) {
+        children()
+                .forEach(
+                        (key, child) -> {
+                            if (!keys.contains(key)) {
+                                child.problem("unknown key; allowed here: " + sorted(keys));
+                            }
+                        });
+    }
+
+    /** Returns the text of a scalar; a problem, and the fallback, if it is absent. */
+    public String required(String fallback) {
+        if (mNode == null) {
+            problem("is missing");
+            return fallback;
+        }
+        return text(fallback);
+    }
+
+    /** Returns the text of a scalar, or the fallback if it is absent. */
+    public String text(String fallback) {
+        if (mNode instanceof ScalarNode scalar) {
+            return scalar.getValue();
+        }
+        if (mNode != null) {
+            problem("must be a single value");
+        }
+        return fallback;
+    }
+
+    /**
+     * Returns a scalar read by {@code read}, or the fallback if it is absent. An {@link
+     * IllegalArgumentException} of {@code read} becomes a problem.
+     */
+    public <T> T read(Function<String, T> read, T fallback) {
+        if (mNode == null) {
+            return fallback;
+        }
+        String text = text("");
+        try {
+            return read.apply(text);
+        } catch (IllegalArgumentException e) {
+            problem(String.valueOf(e.getMessage()));
+            return fallback;
+        }
+    }
+
+    private static Node scalarKey(NodeTuple tuple) {
+        Node key = tuple.getKeyNode();
+        return key instanceof ScalarNode
+                ? key
+                : new ScalarNode(
+                        org.yaml.snakeyaml.nodes.Tag.STR,
+                        "?",
+                        key.getStartMark(),
+                        key.getEndMark(),
+                        org.yaml.snakeyaml.DumperOptions.ScalarStyle.PLAIN);
+    }
+
+    private String join(String key) {
+        return mPath.isEmpty() ? key : mPath + "." + key;
+    }
+
+    private static String sorted(Set<String> keys) {
+        return String.join(", ", keys.stream().sorted().toList());
+    }
+}
--- /dev/null
+++ b/ebonyrun-core/src/main/java/org/ebonyrun/core/weights/WeightPlanner.java
@@ -0,0 +1,298 @@
+package org.ebonyrun.core.weights;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import org.ebonyrun.base.duty.Ticking;
+import org.ebonyrun.base.id.ServiceName;
+import org.ebonyrun.base.id.VmId;
+import org.ebonyrun.base.time.Nanos;
+import org.ebonyrun.core.lease.Lease;
+import org.ebonyrun.core.lease.LeaseEvents;
+import org.ebonyrun.core.lease.LeaseHolder;
+import org.ebonyrun.core.lease.LeaseReading;
+import org.ebonyrun.core.lease.LeaseState;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Brings the newest weights of each engine service to its endpoints, a part of them at a time.
+ *
+ * <p>Invariants: orders are given only under the service's planner lease and carry its fence; at
+ * most {@link #MAX_SWAPPING_SHARE} of the endpoints swap at once, but at least one; at most {@link
+ * #MAX_STORE_FETCHES} fetch from the rate-limited store at once, the others copy from endpoints
+ * that have the version, each of which serves at most {@link #MAX_COPIES} at once.
+ *
+ * <p>Not thread safe; confined to the weight duty.
+ */
+public final class WeightPlanner implements Ticking, LeaseEvents {
+    /** Greatest share of a service's endpoints that swap at once. */
+    public static final double MAX_SWAPPING_SHARE = 0.34;
+
+    /** Greatest number of endpoints that fetch from the store at once. */
+    public static final int MAX_STORE_FETCHES = 2;
+
+    /** Greatest number of endpoints that copy from one endpoint at once. */
+    public static final int MAX_COPIES = 2;
+
+    private static final long POLL_NANOS = Nanos.ofMillis(500);
+    private static final long ORDER_NANOS = Nanos.ofMillis(30_000);
+    private static final long BACKOFF_NANOS = Nanos.ofMillis(1_000);
+    private static final String STORE = "";
+
+    private final LeaseHolder mSelf;
+    private final PlannerOutputs mOutputs;
+    private final Map<ServiceName, Plan> mPlans = new HashMap<>();
+
+    private WeightPlanner(LeaseHolder self, PlannerOutputs outputs) {
+        mSelf = self;
+        mOutputs = outputs;
+    }
+
+    /** The roll-out of one service. Confined to the weight duty. */
+    private static final class Plan {
+        private final ServiceName mService;
+        private final Lease mLease;
+        private final Map<VmId, Replica> mReplicas = new TreeMap<>();
+        private long mLatest;
+        private long mNextPoll;
+
+        Plan(ServiceName service, Lease lease) {
+            mService = service;
+            mLease = lease;
+        }
+    }
+
+    /** One endpoint of a roll-out. Confined to the weight duty. */
+    private static final class Replica {
+        private long mVersion;
+        private long mOrdered;
+        private String mSource = STORE;
+        private long mOrderedUntil;
+        private long mNotBefore;
+        private long mFailures;
+    }
+
+    /** Creates a planner without services. */
+    public static WeightPlanner create(LeaseHolder self, PlannerOutputs outputs) {
+        return new WeightPlanner(self, outputs);
+    }
+
+    /** Adds the services whose weights are planned. */
+    public void onServices(List<ServiceName> services) {
+        mPlans.keySet().retainAll(services);
+        for (ServiceName service : services) {
+            mPlans.computeIfAbsent(
+                    service, key -> new Plan(key, Lease.create(leaseKey(key), mSelf, mOutputs)));
+        }
+    }
+
+    /** Returns the key of a service's planner lease, whose revision is the fence. */
+    public static String leaseKey(ServiceName service) {
+        return "planner/" + service;
+    }
+
+    /** Takes note of the version that an endpoint reports. */
+    public void onVersion(VmId vm, ServiceName service, long version, boolean usable) {
+        Plan plan = mPlans.get(service);
+        if (plan == null) {
+            return;
+        }
+        if (!usable) {
+            plan.mReplicas.remove(vm);
+            return;
+        }
+        Replica replica = plan.mReplicas.computeIfAbsent(vm, key -> new Replica());
+        replica.mVersion = version;
+        if (version >= replica.mOrdered) {
+            replica.mOrdered = 0;
+        }
+    }
+
+    /** Handles the newest version in the store. */
+    public void onLatest(ServiceName service, long version, long now) {
+        Plan plan = mPlans.get(service);
+        if (plan != null) {
+            plan.mLatest = Math.max(plan.mLatest, version);
+            order(plan, now);
+        }
+    }
+
+    /** Handles the end of an order. */
+    public void onResult(VmId vm, ServiceName service, WeightMessage.LoadResult result, long now) {
+        Plan plan = mPlans.get(service);
+        Replica replica = plan == null ? null : plan.mReplicas.get(vm);
+        if (plan == null || replica == null || replica.mOrdered != result.version()) {
+            return;
+        }
+        replica.mOrdered = 0;
+        if (result.fault() == null) {
+            replica.mVersion = result.version();
+        } else {
+            replica.mFailures++;
+            replica.mNotBefore = now + BACKOFF_NANOS;
+        }
+        order(plan, now);
+    }
+
+    @Override
+    public void onLeaseReading(String key, LeaseReading reading, long now) {
+        Plan plan = byKey(key);
+        if (plan != null) {
+            plan.mLease.onReading(reading, now);
+        }
+    }
+
+    @Override
+    public void onLeaseUnavailable(String key, long now) {
+        Plan plan = byKey(key);
+        if (plan != null) {
+            plan.mLease.onUnavailable(now);
+        }
+    }
+
+    @Override
+    public void onLeaseRenewed(String key, boolean granted, long now) {
+        Plan plan = byKey(key);
+        if (plan == null) {
+            return;
+        }
+        if (granted) {
+            plan.mLease.onRenewed(now);
+        } else {
+            plan.mLease.onRenewalRefused(now);
+        }
+    }
+
+    @Override
+    public void onTick(long now) {
+        for (Plan plan : mPlans.values()) {
+            if (plan.mLease.state(now) == LeaseState.UNKNOWN) {
+                plan.mLease.ask(now);
+            }
+            plan.mLease.renewIfDue(now);
+            if (plan.mLease.isHeld(now) && now - plan.mNextPoll >= 0) {
+                plan.mNextPoll = now + POLL_NANOS;
+                mOutputs.askLatest(plan.mService);
+            }
+            order(plan, now);
+        }
+    }
+
+    /** Returns the state for a dump. */
+    public List<PlanDump> dump(long now) {
+        List<PlanDump> plans = new ArrayList<>();
+        for (Plan plan : mPlans.values()) {
+            Map<VmId, Long> versions = new TreeMap<>();
+            plan.mReplicas.forEach((vm, replica) -> versions.put(vm, replica.mVersion));
+            long failures = plan.mReplicas.values().stream().mapToLong(r -> r.mFailures).sum();
+            plans.add(
+                    new PlanDump(
+                            plan.mService,
+                            plan.mLease.isHeld(now),
+                            plan.mLease.fence(),
+                            plan.mLatest,
+                            failures,
+                            versions));
+        }
+        return plans;
+    }
+
+    /**
+     * The state of one service's roll-out for people.
+     *
+     * @param service the service
+     * @param planner whether this process plans it
+     * @param fence the fence of its orders
+     * @param latest the newest version in the store
+     * @param failures orders that failed
+     * @param versions the version of each endpoint
+     */
+    public record PlanDump(
+            ServiceName service,
+            boolean planner,
+            long fence,
+            long latest,
+            long failures,
+            Map<VmId, Long> versions) {}
+
+    private void order(Plan plan, long now) {
+        if (!plan.mLease.isHeld(now)) {
+            return;
+        }
+        expireOrders(plan, now);
+        int allowed = Math.max(1, (int) (plan.mReplicas.size() * MAX_SWAPPING_SHARE));
+        long swapping = plan.mReplicas.values().stream().filter(r -> r.mOrdered > 0).count();
+        List<Map.Entry<VmId, Replica>> behind = new ArrayList<>();
+        for (Map.Entry<VmId, Replica> entry : plan.mReplicas.entrySet()) {
+            Replica replica = entry.getValue();
+            boolean due = now - replica.mNotBefore >= 0 && replica.mOrdered == 0;
+            if (due && replica.mVersion < plan.mLatest) {
+                behind.add(entry);
+            }
+        }
+        behind.sort(Comparator.comparingLong(entry -> entry.getValue().mVersion));
+        for (Map.Entry<VmId, Replica> entry : behind) {
+            if (swapping >= allowed) {
+                return;
+            }
+            String source = source(plan);
+            if (source != null && order(plan, entry.getKey(), entry.getValue(), source, now)) {
+                swapping++;
+            }
+        }
+    }
+
+    private boolean order(Plan plan, VmId vm, Replica replica, String from, long now) {
+        String source =
+                from.equals(STORE)
+                        ? mOutputs.storeSource(plan.mService, plan.mLatest)
+                        : mOutputs.peerSource(VmId.of(from), plan.mService, plan.mLatest);
+        WeightMessage.LoadOrder order =
+                new WeightMessage.LoadOrder(plan.mLatest, plan.mLease.fence(), source);
+        if (!mOutputs.order(vm, order)) {
+            replica.mNotBefore = now + BACKOFF_NANOS;
+            return false;
+        }
+        replica.mOrdered = plan.mLatest;
+        replica.mSource = from;
+        replica.mOrderedUntil = now + ORDER_NANOS;
+        return true;
+    }
+
+    private static void expireOrders(Plan plan, long now) {
+        for (Replica replica : plan.mReplicas.values()) {
+            if (replica.mOrdered > 0 && now - replica.mOrderedUntil >= 0) {
+                replica.mOrdered = 0;
+                replica.mFailures++;
+            }
+        }
+    }
+
+    /** Returns a VM to copy from, the store, or null while every source is busy. */
+    private static @Nullable String source(Plan plan) {
+        Map<String, Integer> copies = new HashMap<>();
+        for (Replica replica : plan.mReplicas.values()) {
+            if (replica.mOrdered > 0) {
+                copies.merge(replica.mSource, 1, Integer::sum);
+            }
+        }
+        for (Map.Entry<VmId, Replica> entry : plan.mReplicas.entrySet()) {
+            String vm = entry.getKey().value();
+            boolean has = entry.getValue().mVersion >= plan.mLatest;
+            if (has && copies.getOrDefault(vm, 0) < MAX_COPIES) {
+                return vm;
+            }
+        }
+        return copies.getOrDefault(STORE, 0) < MAX_STORE_FETCHES ? STORE : null;
+    }
+
+    private @Nullable Plan byKey(String key) {
+        return mPlans.values().stream()
+                .filter(plan -> plan.mLease.key().equals(key))
+                .findFirst()
+                .orElse(null);
+    }
+}
--- /dev/null
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/DaemonSettings.java
@@ -0,0 +1,202 @@
+package org.ebonyrun.daemon;
+
+import java.net.URI;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import java.util.function.Function;
+import org.ebonyrun.base.id.FailureDomain;
+import org.ebonyrun.base.id.ServiceName;
+import org.ebonyrun.base.id.VmId;
+import org.ebonyrun.core.settings.Problem;
+import org.ebonyrun.core.settings.SettingsNode;
+import org.ebonyrun.core.settings.Units;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * The settings of one daemon.
+ *
+ * <p>Immutable and thread safe.
+ *
+ * @param role {@code entry} or {@code endpoint}
+ * @param vm the VM on which the daemon runs
+ * @param failureDomain where the VM runs
+ * @param linkListen where the daemon listens for links
+ * @param httpListen where it listens for HTTP: callers at an entry, operators at both
+ * @param platform where the platform's services are
+ * @param service the service of the endpoint; null at an entry
+ * @param endpoint the address of the endpoint; null at an entry
+ * @param engine whether the endpoint is a model engine
+ * @param maxBodyBytes the largest request body, in bytes
+ * @param maxHeldBytes finished samples above which an agent starts no more, in bytes
+ * @param subsetSize how many endpoints of a service an entry connects to
+ * @param drainMillis how long a graceful shutdown may take, in milliseconds
+ */
+public record DaemonSettings(
+        String role,
+        VmId vm,
+        FailureDomain failureDomain,
+        Listen linkListen,
+        Listen httpListen,
+        Platform platform,
+        @Nullable ServiceName service,
+        @Nullable URI endpoint,
+        boolean engine,
+        int maxBodyBytes,
+        long maxHeldBytes,
+        int subsetSize,
+        long drainMillis) {
+    /** The role of an entry. */
+    public static final String ROLE_ENTRY = "entry";
+
+    /** The role of an agent beside an endpoint. */
+    public static final String ROLE_ENDPOINT = "endpoint";
+
+    private static final int DEFAULT_BODY_BYTES = 1 << 20;
+    private static final long DEFAULT_HELD_BYTES = 32L << 20;
+    private static final int DEFAULT_SUBSET = 64;
+    private static final long DEFAULT_DRAIN_MILLIS = 60_000;
+    private static final Set<String> ROOT_KEYS =
+            Set.of("role", "vm", "failure_domain", "listen", "platform", "endpoint", "limits");
+    private static final Set<String> LIMIT_KEYS =
+            Set.of("body", "held_samples", "endpoints_per_service", "drain");
+
+    /**
+     * An address to listen on.
+     *
+     * @param host the IP number
+     * @param port the port; zero lets the system choose
+     */
+    public record Listen(String host, int port) {
+        /**
+         * Reads {@code host:port}.
+         *
+         * @throws IllegalArgumentException if the text has another form
+         */
+        public static Listen parse(String text) {
+            int colon = text.lastIndexOf(':');
+            if (colon <= 0) {
+                throw new IllegalArgumentException(
+                        "'" + text + "' is not an address; write for example 10.0.0.5:7100");
+            }
+            int port = Units.count(text.substring(colon + 1));
+            if (port > 65_535) {
+                throw new IllegalArgumentException("port " + port + " is above 65535");
+            }
+            return new Listen(text.substring(0, colon), port);
+        }
+    }
+
+    /**
+     * Addresses of the platform's services.
+     *
+     * @param keyValue the key-value service
+     * @param vms the list of VMs
+     * @param weights the weight store
+     */
+    public record Platform(URI keyValue, URI vms, URI weights) {}
+
+    /**
+     * Settings and what is wrong with them.
+     *
+     * @param settings what could be read
+     * @param problems every fault found; empty for valid settings
+     */
+    public record Parsed(DaemonSettings settings, List<Problem> problems) {}
+
+    /** Returns whether this is an entry. */
+    public boolean isEntry() {
+        return role.equals(ROLE_ENTRY);
+    }
+
+    /** Reads settings and finds every fault in them. */
+    public static Parsed parse(String file, String text) {
+        List<Problem> problems = new ArrayList<>();
+        SettingsNode root = SettingsNode.parse(file, text, problems);
+        if (problems.isEmpty() && !root.isPresent()) {
+            root.problem("is empty; role, vm, failure_domain, listen and platform are needed");
+        }
+        root.allow(ROOT_KEYS);
+        String role = root.get("role").required(ROLE_ENTRY);
+        if (!role.equals(ROLE_ENTRY) && !role.equals(ROLE_ENDPOINT)) {
+            root.get("role").problem("'" + role + "' is not a role; write entry or endpoint");
+        }
+        SettingsNode limits = root.get("limits");
+        limits.allow(LIMIT_KEYS);
+        SettingsNode endpoint = root.get("endpoint");
+        boolean atEndpoint = role.equals(ROLE_ENDPOINT);
+        checkEndpoint(endpoint, atEndpoint);
+        DaemonSettings settings =
+                new DaemonSettings(
+                        role,
+                        needed(root.get("vm"), VmId::of, VmId.of("unknown")),
+                        needed(
+                                root.get("failure_domain"),
+                                FailureDomain::of,
+                                FailureDomain.of("unknown")),
+                        listen(root.get("listen").get("link")),
+                        listen(root.get("listen").get("http")),
+                        platform(root.get("platform")),
+                        atEndpoint
+                                ? needed(
+                                        endpoint.get("service"),
+                                        ServiceName::of,
+                                        ServiceName.of("unknown"))
+                                : null,
+                        atEndpoint ? uri(endpoint.get("address")) : null,
+                        endpoint.get("kind").text("engine").equals("engine"),
+                        (int)
+                                (long)
+                                        limits.get("body")
+                                                .read(Units::bytes, (long) DEFAULT_BODY_BYTES),
+                        limits.get("held_samples").read(Units::bytes, DEFAULT_HELD_BYTES),
+                        limits.get("endpoints_per_service").read(Units::count, DEFAULT_SUBSET),
+                        limits.get("drain").read(Units::millis, DEFAULT_DRAIN_MILLIS));
+        root.get("listen").allow(Set.of("link", "http"));
+        return new Parsed(settings, List.copyOf(problems));
+    }
+
+    private static void checkEndpoint(SettingsNode endpoint, boolean atEndpoint) {
+        if (!atEndpoint) {
+            if (endpoint.isPresent()) {
+                endpoint.problem("does not belong here; only the role endpoint has it");
+            }
+            return;
+        }
+        endpoint.allow(Set.of("service", "kind", "address"));
+        String kind = endpoint.get("kind").required("engine");
+        if (!kind.equals("engine") && !kind.equals("plain")) {
+            endpoint.get("kind").problem("'" + kind + "' is not a kind; write engine or plain");
+        }
+    }
+
+    private static Platform platform(SettingsNode node) {
+        node.allow(Set.of("key_value", "vms", "weights"));
+        return new Platform(
+                uri(node.get("key_value")), uri(node.get("vms")), uri(node.get("weights")));
+    }
+
+    private static Listen listen(SettingsNode node) {
+        return needed(node, Listen::parse, new Listen("127.0.0.1", 0));
+    }
+
+    private static URI uri(SettingsNode node) {
+        return needed(node, DaemonSettings::parseUri, URI.create("http://127.0.0.1:1"));
+    }
+
+    private static URI parseUri(String text) {
+        URI uri = URI.create(text);
+        if (!"http".equals(uri.getScheme()) || uri.getHost() == null) {
+            throw new IllegalArgumentException(
+                    "'" + text + "' is not an address; write for example http://10.0.0.5:7000");
+        }
+        return uri;
+    }
+
+    private static <T> T needed(SettingsNode node, Function<String, T> read, T fallback) {
+        if (!node.isPresent()) {
+            node.problem("is missing");
+        }
+        return node.read(read, fallback);
+    }
+}
--- /dev/null
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/admin/AdminHandlers.java
@@ -0,0 +1,77 @@
+package org.ebonyrun.daemon.admin;
+
+import java.util.LinkedHashMap;
+import java.util.Map;
+import org.ebonyrun.daemon.store.Json;
+import org.ebonyrun.platform.http.Responder;
+import org.glassfish.grizzly.http.server.HttpHandler;
+import org.glassfish.grizzly.http.server.Request;
+import org.glassfish.grizzly.http.server.Response;
+import org.tinylog.Logger;
+
+/** HTTP handlers for operators that every process has. Stateless and thread safe. */
+public final class AdminHandlers {
+    private static final String JSON = "application/json";
+    private static final String TEXT = "text/plain; version=0.0.4; charset=utf-8";
+
+    private AdminHandlers() {}
+
+    /** Returns the handlers of a process by path. */
+    public static Map<String, HttpHandler> of(AdminSource source) {
+        Map<String, HttpHandler> handlers = new LinkedHashMap<>();
+        handlers.put("/admin/dump", handler((request, out) -> dump(source, out)));
+        handlers.put("/admin/drain", handler((request, out) -> drain(source, request, out)));
+        handlers.put("/ready", handler((request, out) -> ready(source, out)));
+        handlers.put("/metrics", handler((request, out) -> out.whole(200, TEXT, source.metrics())));
+        return handlers;
+    }
+
+    /** Answers one request. Implementations must not block. */
+    @FunctionalInterface
+    public interface Action {
+        /** Answers the request, now or later. */
+        void run(Request request, Responder out);
+    }
+
+    /** Returns a handler that runs an action with a suspended response. */
+    public static HttpHandler handler(Action action) {
+        return new HttpHandler() {
+            @Override
+            public void service(Request request, Response response) {
+                Responder out = Responder.suspend(response);
+                try {
+                    action.run(request, out);
+                } catch (RuntimeException e) {
+                    Logger.error(e, "path={} failed", request.getRequestURI());
+                    out.whole(500, JSON, Json.write(Map.of("error", "internal")));
+                }
+            }
+        };
+    }
+
+    private static void dump(AdminSource source, Responder out) {
+        source.dump()
+                .whenComplete(
+                        (state, error) -> {
+                            if (error == null) {
+                                out.whole(200, JSON, Json.write(state));
+                            } else {
+                                out.whole(503, JSON, Json.write(Map.of("error", "busy")));
+                            }
+                        });
+    }
+
+    private static void drain(AdminSource source, Request request, Responder out) {
+        if (!request.getMethod().getMethodString().equals("POST")) {
+            out.whole(405, JSON, Json.write(Map.of("error", "use POST")));
+            return;
+        }
+        source.drain();
+        out.whole(202, JSON, Json.write(Map.of("draining", true)));
+    }
+
+    private static void ready(AdminSource source, Responder out) {
+        boolean ready = source.isReady();
+        out.whole(ready ? 200 : 503, JSON, Json.write(Map.of("ready", ready)));
+    }
+}
--- /dev/null
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/admin/NodeMetrics.java
@@ -0,0 +1,111 @@
+package org.ebonyrun.daemon.admin;
+
+import io.prometheus.metrics.core.metrics.Counter;
+import io.prometheus.metrics.core.metrics.GaugeWithCallback;
+import io.prometheus.metrics.core.metrics.Histogram;
+import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.util.List;
+import org.ebonyrun.base.duty.Duty;
+
+/** The metrics of one process. Thread safe. */
+public final class NodeMetrics {
+    private static final double[] LATENESS_SECONDS = {
+        0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3, 6, 12, 30
+    };
+    private static final double[] VERSIONS = {0, 1, 2, 3, 4, 6, 8, 12};
+
+    private final PrometheusRegistry mRegistry = new PrometheusRegistry();
+    private final Histogram mLatency =
+            Histogram.builder()
+                    .name("ebonyrun_call_seconds")
+                    .help("Time from a call's arrival to its whole answer, by class.")
+                    .labelNames("class")
+                    .classicUpperBounds(LATENESS_SECONDS)
+                    .classicOnly()
+                    .register(mRegistry);
+    private final Counter mCalls =
+            Counter.builder()
+                    .name("ebonyrun_calls_total")
+                    .help("Calls by class and how they ended: in-time, late or a fault code.")
+                    .labelNames("class", "end")
+                    .register(mRegistry);
+    private final Histogram mStaleness =
+            Histogram.builder()
+                    .name("ebonyrun_sample_age_versions")
+                    .help("Age of delivered samples in versions, by trainer.")
+                    .labelNames("trainer")
+                    .classicUpperBounds(VERSIONS)
+                    .classicOnly()
+                    .register(mRegistry);
+    private final Counter mIdle =
+            Counter.builder()
+                    .name("ebonyrun_trainer_idle_seconds_total")
+                    .help("Time that pulls waited for samples, by trainer.")
+                    .labelNames("trainer")
+                    .register(mRegistry);
+    private final Counter mPlatformCalls =
+            Counter.builder()
+                    .name("ebonyrun_platform_calls_total")
+                    .help("Calls to the key-value service by kind and end.")
+                    .labelNames("kind", "end")
+                    .register(mRegistry);
+
+    /** Creates the metrics of a process, all zero. */
+    public NodeMetrics() {}
+
+    /** Adds the fill of the rings of some duties. */
+    public void watchRings(List<Duty<?>> duties) {
+        GaugeWithCallback.builder()
+                .name("ebonyrun_ring_fill_ratio")
+                .help("Share of a duty's ring that is in use.")
+                .labelNames("duty")
+                .callback(
+                        gauge -> {
+                            for (Duty<?> duty : duties) {
+                                double fill = (double) duty.depth() / duty.capacity();
+                                gauge.call(fill, duty.name());
+                            }
+                        })
+                .register(mRegistry);
+    }
+
+    /** Counts a call that was answered. */
+    public void answered(String className, double seconds, boolean inTime) {
+        mLatency.labelValues(className).observe(seconds);
+        mCalls.labelValues(className, inTime ? "in-time" : "late").inc();
+    }
+
+    /** Counts a call that ended in a fault. */
+    public void failed(String className, String code) {
+        mCalls.labelValues(className, code).inc();
+    }
+
+    /** Counts a delivered sample. */
+    public void delivered(String trainer, long age) {
+        mStaleness.labelValues(trainer).observe(age);
+    }
+
+    /** Counts the time that a pull waited. */
+    public void idle(String trainer, double seconds) {
+        mIdle.labelValues(trainer).inc(seconds);
+    }
+
+    /** Counts a call to the key-value service. */
+    public void platformCall(String kind, boolean success) {
+        mPlatformCalls.labelValues(kind, success ? "ok" : "fault").inc();
+    }
+
+    /** Returns all metrics in the Prometheus text format. */
+    public byte[] text() {
+        ByteArrayOutputStream out = new ByteArrayOutputStream();
+        try {
+            new PrometheusTextFormatWriter(false).write(out, mRegistry.scrape());
+        } catch (IOException e) {
+            throw new IllegalStateException(e);
+        }
+        return out.toByteArray();
+    }
+}
--- /dev/null
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/agent/AgentNode.java
@@ -0,0 +1,388 @@
+package org.ebonyrun.daemon.agent;
+
+import static java.util.Objects.requireNonNull;
+
+import java.io.IOException;
+import java.net.URI;
+import java.security.SecureRandom;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import org.ebonyrun.base.duty.Command;
+import org.ebonyrun.base.duty.Duty;
+import org.ebonyrun.base.duty.MachineHandler;
+import org.ebonyrun.base.id.AttemptId;
+import org.ebonyrun.base.id.ServiceName;
+import org.ebonyrun.base.result.Fault;
+import org.ebonyrun.base.result.FaultCode;
+import org.ebonyrun.base.time.MonotonicClock;
+import org.ebonyrun.base.time.Nanos;
+import org.ebonyrun.base.wire.LinkTransport;
+import org.ebonyrun.base.wire.Message;
+import org.ebonyrun.core.attempt.AttemptLimits;
+import org.ebonyrun.core.attempt.AttemptMachine;
+import org.ebonyrun.core.attempt.AttemptMessage;
+import org.ebonyrun.core.attempt.AttemptOutputs;
+import org.ebonyrun.core.attempt.EndpointLoad;
+import org.ebonyrun.core.attempt.Job;
+import org.ebonyrun.core.attempt.QueueOrder;
+import org.ebonyrun.core.config.ConfigMachine;
+import org.ebonyrun.core.config.ConfigMessage;
+import org.ebonyrun.core.config.ConfigOutputs;
+import org.ebonyrun.core.config.OperatorConfig;
+import org.ebonyrun.core.membership.MembershipMessage;
+import org.ebonyrun.core.weights.SwapMachine;
+import org.ebonyrun.core.weights.SwapOutputs;
+import org.ebonyrun.core.weights.WeightMessage;
+import org.ebonyrun.core.weights.WeightPlanner;
+import org.ebonyrun.daemon.DaemonSettings;
+import org.ebonyrun.daemon.admin.AdminHandlers;
+import org.ebonyrun.daemon.admin.AdminSource;
+import org.ebonyrun.daemon.admin.NodeMetrics;
+import org.ebonyrun.daemon.link.LinkBook;
+import org.ebonyrun.daemon.link.LinkEvents;
+import org.ebonyrun.daemon.link.PeerLink;
+import org.ebonyrun.daemon.link.WireTypes;
+import org.ebonyrun.platform.http.HttpCaller;
+import org.ebonyrun.platform.http.HttpListenerSettings;
+import org.ebonyrun.platform.http.HttpServers;
+import org.ebonyrun.platform.kv.HttpKeyValueStore;
+import org.ebonyrun.platform.kv.KeyValueEntry;
+import org.ebonyrun.platform.kv.KeyValueStore;
+import org.glassfish.grizzly.http.server.HttpServer;
+
+/**
+ * One agent: the only way to its endpoint.
+ *
+ * <p>Thread safe. Each duty's machine is touched on that duty's thread only; links and HTTP hand
+ * their events to the duties' rings. An I/O thread waits while a ring is full, which slows the peer
+ * down.
+ */
+public final class AgentNode implements AutoCloseable, AdminSource {
+    private static final int RING = 16_384;
+    private static final int SMALL_RING = 1_024;
+    private static final int HTTP_WORKERS = 2;
+    private static final long TICK_NANOS = Nanos.ofMillis(20);
+    private static final long HEARTBEAT_MILLIS = 250;
+    private static final long STATE_MILLIS = 500;
+    private static final int INITIAL_SLOTS = 0;
+
+    private final DaemonSettings mSettings;
+    private final NodeMetrics mMetrics = new NodeMetrics();
+    private final HttpCaller mCaller;
+    private final EndpointAdapter mAdapter;
+    private final KeyValueStore mStore;
+    private final LinkBook mBook;
+    private final LinkTransport mTransport;
+    private final AttemptMachine mAttempts;
+    private final ConfigMachine mConfig;
+    private final SwapMachine mSwap;
+    private final Duty<Command<AttemptMachine>> mAttemptDuty;
+    private final Duty<Command<ConfigMachine>> mConfigDuty;
+    private final Duty<Command<SwapMachine>> mSwapDuty;
+    private final ScheduledExecutorService mTimer;
+    private final HttpServer mHttp;
+    private final int mLinkPort;
+    private volatile long mConfigVersion;
+    private volatile boolean mReady;
+    private volatile boolean mDraining;
+
+    private AgentNode(DaemonSettings settings) throws IOException {
+        mSettings = settings;
+        mCaller = HttpCaller.start();
+        URI endpoint = requireNonNull(settings.endpoint());
+        EndpointEvents events = new Events();
+        mAdapter =
+                settings.engine()
+                        ? EngineAdapter.create(mCaller, endpoint, events)
+                        : PlainAdapter.create(mCaller, endpoint, events);
+        mStore = HttpKeyValueStore.create(mCaller, settings.platform().keyValue());
+        MonotonicClock clock = MonotonicClock.system();
+        AttemptLimits limits =
+                new AttemptLimits(
+                        INITIAL_SLOTS, AttemptLimits.DEFAULT_QUEUED, settings.maxHeldBytes());
+        mAttempts =
+                AttemptMachine.create(
+                        settings.vm(), limits, QueueOrder.leastLaxity(), new AttemptEffects());
+        mConfig = ConfigMachine.create(new ConfigEffects());
+        mSwap = SwapMachine.create(settings.vm(), new SwapEffects());
+        mAttemptDuty = Duty.start("attempt", RING, MachineHandler.of(mAttempts), clock, TICK_NANOS);
+        mConfigDuty =
+                Duty.start("config", SMALL_RING, MachineHandler.of(mConfig), clock, TICK_NANOS);
+        mSwapDuty = Duty.start("weights", SMALL_RING, MachineHandler.of(mSwap), clock, TICK_NANOS);
+        mMetrics.watchRings(List.of(mAttemptDuty, mConfigDuty, mSwapDuty));
+        ServiceName service = requireNonNull(settings.service());
+        MembershipMessage.Hello hello =
+                new MembershipMessage.Hello(
+                        settings.vm(),
+                        DaemonSettings.ROLE_ENDPOINT,
+                        service.value(),
+                        settings.failureDomain(),
+                        new SecureRandom().nextLong(),
+                        settings.engine() ? endpoint.toString() : "");
+        mBook = LinkBook.create(hello, new Links());
+        mTransport = LinkTransport.start(WireTypes.codec(), mBook);
+        mLinkPort = mTransport.listen(settings.linkListen().host(), settings.linkListen().port());
+        mHttp =
+                HttpServers.start(
+                        new HttpListenerSettings(
+                                "admin",
+                                settings.httpListen().host(),
+                                settings.httpListen().port(),
+                                HTTP_WORKERS),
+                        AdminHandlers.of(this));
+        mTimer =
+                Executors.newSingleThreadScheduledExecutor(
+                        task -> {
+                            Thread thread = new Thread(task, "agent-timer");
+                            thread.setDaemon(true);
+                            return thread;
+                        });
+    }
+
+    /** Starts an agent. */
+    public static AgentNode start(DaemonSettings settings) throws IOException {
+        AgentNode node = new AgentNode(settings);
+        node.mTimer.scheduleAtFixedRate(
+                node.mAdapter::readState, 0, STATE_MILLIS, TimeUnit.MILLISECONDS);
+        node.mTimer.scheduleAtFixedRate(
+                node::heartbeat, HEARTBEAT_MILLIS, HEARTBEAT_MILLIS, TimeUnit.MILLISECONDS);
+        node.learnFloor();
+        return node;
+    }
+
+    /** Returns the port for links. */
+    public int linkPort() {
+        return mLinkPort;
+    }
+
+    /** Returns the port for operators. */
+    public int httpPort() {
+        return HttpServers.port(mHttp);
+    }
+
+    @Override
+    public CompletableFuture<Object> dump() {
+        MonotonicClock clock = MonotonicClock.system();
+        return mAttemptDuty
+                .query(() -> mAttempts.dump(clock.nanoTime()))
+                .thenCombine(mSwapDuty.query(mSwap::floor), this::dump);
+    }
+
+    @Override
+    public boolean isReady() {
+        return mReady && !mDraining;
+    }
+
+    @Override
+    public void drain() {
+        mDraining = true;
+        mAttemptDuty.post((machine, now) -> machine.onDrain());
+        heartbeat();
+    }
+
+    @Override
+    public byte[] metrics() {
+        return mMetrics.text();
+    }
+
+    /**
+     * Refuses new work, waits until what was accepted is finished and held samples are fetched, at
+     * most for the time in the settings, and closes.
+     *
+     * @return whether everything was finished
+     */
+    public boolean drainAndClose() throws InterruptedException {
+        drain();
+        long deadline = System.nanoTime() + Nanos.ofMillis(mSettings.drainMillis());
+        boolean idle = false;
+        while (!idle && System.nanoTime() < deadline) {
+            idle = mAttemptDuty.query(mAttempts::isIdle).join();
+            TimeUnit.MILLISECONDS.sleep(20);
+        }
+        close();
+        return idle;
+    }
+
+    /** Closes at once, as a crash would. */
+    @Override
+    public void close() {
+        mTimer.shutdownNow();
+        mBook.closeAll();
+        mTransport.close();
+        mHttp.shutdownNow();
+        mAttemptDuty.close();
+        mConfigDuty.close();
+        mSwapDuty.close();
+        mCaller.close();
+    }
+
+    private Object dump(AttemptMachine.Dump attempts, long floor) {
+        Map<String, Object> state = new LinkedHashMap<>();
+        state.put("vm", mSettings.vm());
+        state.put("role", mSettings.role());
+        state.put("service", mSettings.service());
+        state.put("failure_domain", mSettings.failureDomain());
+        state.put("config_version", mConfigVersion);
+        state.put("fence_floor", floor);
+        state.put("draining", mDraining);
+        state.put("attempts", attempts);
+        return state;
+    }
+
+    private void heartbeat() {
+        mAttemptDuty.offer(
+                (machine, now) -> {
+                    EndpointLoad load = machine.load(now);
+                    Message beat = new MembershipMessage.Heartbeat(mConfigVersion, load);
+                    mBook.introduced().forEach(peer -> peer.link().send(beat));
+                });
+    }
+
+    /** Reads the newest fence, again and again until the key-value service answers. */
+    private void learnFloor() {
+        ServiceName service = requireNonNull(mSettings.service());
+        mStore.get(WeightPlanner.leaseKey(service))
+                .thenAccept(
+                        result ->
+                                result.fold(
+                                        entry -> {
+                                            onFloor(entry);
+                                            return true;
+                                        },
+                                        fault -> {
+                                            retryFloor();
+                                            return false;
+                                        }));
+    }
+
+    private void onFloor(Optional<KeyValueEntry> entry) {
+        long fence = entry.map(KeyValueEntry::revision).orElse(0L);
+        mSwapDuty.post((machine, now) -> machine.onFloor(fence));
+    }
+
+    private void retryFloor() {
+        if (!mTimer.isShutdown()) {
+            mTimer.schedule(this::learnFloor, STATE_MILLIS, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    /** Hands what the endpoint does to the duties. Thread safe. */
+    private final class Events implements EndpointEvents {
+        @Override
+        public void onPiece(AttemptId id, byte[] data, int tokens, long version) {
+            mAttemptDuty.post((machine, now) -> machine.onPiece(id, data, tokens, version, now));
+        }
+
+        @Override
+        public void onEnd(AttemptId id, int status, String contentType) {
+            mAttemptDuty.post((machine, now) -> machine.onEnd(id, status, contentType, now));
+        }
+
+        @Override
+        public void onFailure(AttemptId id, boolean sent, FaultCode code, String detail) {
+            mAttemptDuty.post((machine, now) -> machine.onFailure(id, sent, code, detail, now));
+        }
+
+        @Override
+        public void onState(long version, int slots) {
+            mReady = true;
+            mAttemptDuty.post((machine, now) -> machine.onEndpointState(version, slots, now));
+        }
+
+        @Override
+        public void onUnreachable() {
+            mReady = false;
+            mAttemptDuty.post((machine, now) -> machine.onEndpointUnreachable());
+        }
+
+        @Override
+        public void onLoaded(long version, Optional<Fault> fault) {
+            mSwapDuty.post((machine, now) -> machine.onLoaded(version, fault));
+            mAdapter.readState();
+        }
+    }
+
+    /** Hands what entries send to the duties. Thread safe. */
+    private final class Links implements LinkEvents {
+        @Override
+        public void onPeer(PeerLink peer) {
+            heartbeat();
+        }
+
+        @Override
+        public void onMessage(PeerLink peer, Message message) {
+            long link = peer.number();
+            if (message instanceof AttemptMessage attempt) {
+                mAttemptDuty.post((machine, now) -> machine.onMessage(link, attempt, now));
+            } else if (message instanceof ConfigMessage config) {
+                mConfigDuty.post((machine, now) -> machine.onMessage(link, config));
+            } else if (message instanceof MembershipMessage.Heartbeat beat) {
+                long version = beat.configVersion();
+                mConfigDuty.post((machine, now) -> machine.onPeerVersion(link, version));
+            } else if (message instanceof WeightMessage.LoadOrder order) {
+                mSwapDuty.post((machine, now) -> machine.onOrder(link, order));
+            }
+        }
+
+        @Override
+        public void onPeerLost(PeerLink peer) {
+            mAttemptDuty.post((machine, now) -> machine.onLinkClosed(peer.number(), now));
+        }
+    }
+
+    /** Carries out what the attempt duty decides. Used on its thread. */
+    private final class AttemptEffects implements AttemptOutputs {
+        @Override
+        public void send(long link, AttemptMessage message) {
+            mBook.send(link, message);
+        }
+
+        @Override
+        public void start(AttemptId id, Job job) {
+            mAdapter.start(id, job);
+        }
+
+        @Override
+        public void stop(AttemptId id) {
+            mAdapter.stop(id);
+        }
+    }
+
+    /** Carries out what the configuration duty decides. Used on its thread. */
+    private final class ConfigEffects implements ConfigOutputs {
+        @Override
+        public void send(long link, ConfigMessage message) {
+            mBook.send(link, message);
+        }
+
+        @Override
+        public void adopted(OperatorConfig config, String text) {
+            mConfigVersion = config.version();
+            heartbeat();
+        }
+    }
+
+    /** Carries out what the weight duty decides. Used on its thread. */
+    private final class SwapEffects implements SwapOutputs {
+        @Override
+        public void send(long link, WeightMessage message) {
+            mBook.send(link, message);
+        }
+
+        @Override
+        public void load(long version, long fence, String source) {
+            mAdapter.load(version, fence, source);
+        }
+
+        @Override
+        public void swapping(boolean swapping) {
+            mAttemptDuty.post((machine, now) -> machine.onSwapping(swapping, now));
+        }
+    }
+}
--- /dev/null
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/agent/PlainAdapter.java
@@ -0,0 +1,108 @@
+package org.ebonyrun.daemon.agent;
+
+import java.net.URI;
+import java.util.Map;
+import java.util.Optional;
+import org.ebonyrun.base.id.AttemptId;
+import org.ebonyrun.base.result.Fault;
+import org.ebonyrun.base.result.FaultCode;
+import org.ebonyrun.core.attempt.Job;
+import org.ebonyrun.platform.http.HttpCall;
+import org.ebonyrun.platform.http.HttpCaller;
+import org.ebonyrun.platform.http.HttpListener;
+
+/** Talks to a plain HTTP service, which has no weights. Thread safe. */
+public final class PlainAdapter implements EndpointAdapter {
+    private static final int SLOTS = 64;
+    private static final long STATE_TIMEOUT_MILLIS = 1_000;
+
+    private final HttpCaller mCaller;
+    private final URI mBase;
+    private final EndpointEvents mEvents;
+    private final Exchanges mExchanges = new Exchanges();
+
+    private PlainAdapter(HttpCaller caller, URI base, EndpointEvents events) {
+        mCaller = caller;
+        mBase = base;
+        mEvents = events;
+    }
+
+    /** Creates an adapter to the service at {@code base}. */
+    public static PlainAdapter create(HttpCaller caller, URI base, EndpointEvents events) {
+        return new PlainAdapter(caller, base, events);
+    }
+
+    @Override
+    public void start(AttemptId id, Job job) {
+        HttpCall call =
+                new HttpCall(
+                        "POST",
+                        URI.create(mBase + job.path()),
+                        Map.of("Content-Type", job.contentType(), "X-Request-Id", id.toString()),
+                        job.body(),
+                        Math.max(1, job.timeoutMillis()));
+        mExchanges.add(id, mCaller.send(call, new Answer(id)));
+    }
+
+    @Override
+    public void stop(AttemptId id) {
+        mExchanges.cancel(id);
+    }
+
+    @Override
+    public void readState() {
+        HttpCall call = HttpCall.of("GET", URI.create(mBase + "/"), STATE_TIMEOUT_MILLIS);
+        mCaller.request(call, "service.state")
+                .thenAccept(
+                        result -> {
+                            if (result.isOk()) {
+                                mEvents.onState(0, SLOTS);
+                            } else {
+                                mEvents.onUnreachable();
+                            }
+                        });
+    }
+
+    @Override
+    public void load(long version, long fence, String source) {
+        Fault fault =
+                Fault.notRun(
+                        FaultCode.BAD_REQUEST,
+                        "service.load",
+                        mBase.getAuthority(),
+                        "a plain service has no weights");
+        mEvents.onLoaded(version, Optional.of(fault));
+    }
+
+    /** Reads one answer. Used by one I/O thread at a time. */
+    private final class Answer implements HttpListener {
+        private final AttemptId mId;
+        private int mStatus;
+
+        Answer(AttemptId id) {
+            mId = id;
+        }
+
+        @Override
+        public void onHead(int status) {
+            mStatus = status;
+        }
+
+        @Override
+        public void onData(byte[] data) {
+            mEvents.onPiece(mId, data, 0, 0);
+        }
+
+        @Override
+        public void onEnd() {
+            mExchanges.remove(mId);
+            mEvents.onEnd(mId, mStatus, "application/json");
+        }
+
+        @Override
+        public void onFailure(boolean sent, String detail) {
+            mExchanges.remove(mId);
+            mEvents.onFailure(mId, sent, FaultCode.PEER_LOST, detail);
+        }
+    }
+}
--- /dev/null
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/entry/ConfigApi.java
@@ -0,0 +1,148 @@
+package org.ebonyrun.daemon.entry;
+
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.nio.ByteBuffer;
+import java.nio.charset.CharacterCodingException;
+import java.nio.charset.StandardCharsets;
+import java.util.HexFormat;
+import java.util.concurrent.ThreadLocalRandom;
+import org.ebonyrun.base.result.Fault;
+import org.ebonyrun.base.result.FaultCode;
+import org.ebonyrun.core.config.ConfigParser;
+import org.ebonyrun.core.settings.Problem;
+import org.ebonyrun.daemon.store.Json;
+import org.ebonyrun.daemon.store.StoredConfig;
+import org.ebonyrun.platform.http.BodyReader;
+import org.ebonyrun.platform.http.Responder;
+import org.glassfish.grizzly.http.server.Request;
+
+/**
+ * Operators' HTTP interface to the configuration: {@code GET} and {@code PUT /admin/config}, {@code
+ * GET /admin/config/{version}}. Thread safe.
+ */
+final class ConfigApi {
+    static final String PREFIX = "/admin/config";
+
+    private static final String STEP = "http.config";
+    private static final int MAX_BYTES = 512 * 1024;
+
+    private final EntryContext mContext;
+
+    ConfigApi(EntryContext context) {
+        mContext = context;
+    }
+
+    void handle(Request request, Responder out) {
+        String rest = request.getRequestURI().substring(PREFIX.length());
+        String method = request.getMethod().getMethodString();
+        if (method.equals("GET") && rest.isEmpty()) {
+            mContext.mConfigs
+                    .read()
+                    .thenAccept(
+                            result ->
+                                    result.fold(
+                                            current -> send(out, current.config()),
+                                            fault -> sendFault(out, fault)));
+        } else if (method.equals("GET") && rest.matches("/\\d{1,18}")) {
+            history(Long.parseLong(rest.substring(1)), out);
+        } else if (method.equals("PUT") && rest.isEmpty()) {
+            BodyReader.read(
+                    request,
+                    MAX_BYTES,
+                    result ->
+                            result.fold(
+                                    body -> replace(request, body, out),
+                                    fault -> sendFault(out, fault)));
+        } else {
+            sendFault(out, notRun(FaultCode.NOT_FOUND, "no such operation"));
+        }
+    }
+
+    private void history(long version, Responder out) {
+        mContext.mConfigs
+                .history(version)
+                .thenAccept(
+                        result ->
+                                result.fold(
+                                        found ->
+                                                found.map(config -> send(out, config))
+                                                        .orElseGet(() -> noVersion(out, version)),
+                                        fault -> sendFault(out, fault)));
+    }
+
+    private boolean replace(Request request, byte[] body, Responder out) {
+        String author = request.getParameter("author");
+        String expected = request.getParameter("expect");
+        if (author == null || expected == null || !expected.matches("\\d{1,18}")) {
+            return sendFault(out, notRun(FaultCode.BAD_REQUEST, "author and expect are needed"));
+        }
+        String text;
+        try {
+            text = StandardCharsets.UTF_8.newDecoder().decode(ByteBuffer.wrap(body)).toString();
+        } catch (CharacterCodingException e) {
+            return sendFault(out, notRun(FaultCode.BAD_REQUEST, "the text is not UTF-8"));
+        }
+        long version = Long.parseLong(expected);
+        ConfigParser.Parsed parsed = ConfigParser.parse("config", text, version + 1);
+        if (!parsed.isValid()) {
+            return sendProblems(out, parsed);
+        }
+        String given = request.getParameter("nonce");
+        String nonce =
+                given != null && !given.isEmpty()
+                        ? given
+                        : HexFormat.of().toHexDigits(ThreadLocalRandom.current().nextLong());
+        mContext.mConfigs
+                .replace(version, author, text, nonce)
+                .thenAccept(
+                        result ->
+                                result.fold(
+                                        config -> {
+                                            adopt(config);
+                                            return send(out, config);
+                                        },
+                                        fault -> sendFault(out, fault)));
+        return true;
+    }
+
+    private void adopt(StoredConfig config) {
+        mContext.mConfigDuty.post(
+                (machine, now) -> machine.onConfig(config.version(), config.text()));
+    }
+
+    private static boolean send(Responder out, StoredConfig config) {
+        ObjectNode body = Json.mapper().createObjectNode();
+        body.put("version", config.version());
+        body.put("author", config.author());
+        body.put("text", config.text());
+        out.whole(200, Faults.JSON, Json.write(body));
+        return true;
+    }
+
+    private static boolean sendFault(Responder out, Fault fault) {
+        Faults.send(out, fault);
+        return false;
+    }
+
+    private static boolean noVersion(Responder out, long version) {
+        return sendFault(out, notRun(FaultCode.NOT_FOUND, "no version " + version));
+    }
+
+    private static boolean sendProblems(Responder out, ConfigParser.Parsed parsed) {
+        ObjectNode body = Json.mapper().createObjectNode();
+        ArrayNode problems = body.putArray("problems");
+        for (Problem problem : parsed.problems()) {
+            problems.addObject()
+                    .put("line", problem.line())
+                    .put("path", problem.path())
+                    .put("message", problem.message());
+        }
+        out.whole(422, Faults.JSON, Json.write(body));
+        return false;
+    }
+
+    private static Fault notRun(FaultCode code, String detail) {
+        return Fault.notRun(code, STEP, "", detail);
+    }
+}
--- /dev/null
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/entry/DispatchEffects.java
@@ -0,0 +1,68 @@
+package org.ebonyrun.daemon.entry;
+
+import org.ebonyrun.base.id.SampleKey;
+import org.ebonyrun.base.id.VmId;
+import org.ebonyrun.base.result.Fault;
+import org.ebonyrun.core.attempt.AttemptMessage;
+import org.ebonyrun.core.attempt.SampleInfo;
+import org.ebonyrun.core.routing.Answer;
+import org.ebonyrun.core.routing.DispatchOutputs;
+import org.ebonyrun.core.routing.Work;
+import org.ebonyrun.daemon.link.PeerLink;
+
+/** Carries out what the dispatch duty decides. Used on its thread. */
+final class DispatchEffects implements DispatchOutputs {
+    private final EntryContext mContext;
+
+    DispatchEffects(EntryContext context) {
+        mContext = context;
+    }
+
+    @Override
+    public boolean send(VmId vm, AttemptMessage message) {
+        PeerLink peer = mContext.mByVm.get(vm);
+        return peer != null && peer.link().send(message);
+    }
+
+    @Override
+    public void piece(Work work, byte[] data) {
+        CallSink sink = mContext.mSinks.get(work.id());
+        if (sink != null) {
+            sink.onPiece(data);
+        }
+    }
+
+    @Override
+    public void answered(Work work, Answer answer) {
+        CallSink sink = mContext.mSinks.remove(work.id());
+        if (sink != null) {
+            sink.onAnswer(work, answer);
+        }
+    }
+
+    @Override
+    public void sampled(Work work, VmId vm, SampleInfo info) {
+        SampleKey key = work.sample();
+        if (key != null) {
+            found(vm, key, info);
+        }
+    }
+
+    @Override
+    public void found(VmId vm, SampleKey key, SampleInfo info) {
+        mContext.mRolloutDuty.post((machine, now) -> machine.onFinished(vm, key, info, now));
+    }
+
+    @Override
+    public void failed(Work work, Fault fault) {
+        SampleKey key = work.sample();
+        if (key != null) {
+            mContext.mRolloutDuty.post((machine, now) -> machine.onSampleFailed(key, now));
+            return;
+        }
+        CallSink sink = mContext.mSinks.remove(work.id());
+        if (sink != null) {
+            sink.onFault(fault);
+        }
+    }
+}
--- /dev/null
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/entry/DutyLeases.java
@@ -0,0 +1,49 @@
+package org.ebonyrun.daemon.entry;
+
+import java.util.function.Supplier;
+import org.ebonyrun.base.duty.Command;
+import org.ebonyrun.base.duty.Duty;
+import org.ebonyrun.core.lease.LeaseEvents;
+import org.ebonyrun.core.lease.LeaseOutputs;
+import org.ebonyrun.daemon.store.LeaseClient;
+
+/**
+ * Asks the key-value service about leases and hands its answers to the duty that holds them.
+ *
+ * <p>Immutable and thread safe.
+ *
+ * @param <M> the state machine of the duty
+ */
+final class DutyLeases<M extends LeaseEvents> implements LeaseOutputs {
+    private final Supplier<LeaseClient> mClient;
+    private final Supplier<Duty<Command<M>>> mDuty;
+
+    DutyLeases(Supplier<LeaseClient> client, Supplier<Duty<Command<M>>> duty) {
+        mClient = client;
+        mDuty = duty;
+    }
+
+    @Override
+    public void acquire(String key) {
+        mClient.get()
+                .acquire(key)
+                .thenApply(
+                        result ->
+                                result.<Command<M>>fold(
+                                        reading -> (m, now) -> m.onLeaseReading(key, reading, now),
+                                        fault -> (m, now) -> m.onLeaseUnavailable(key, now)))
+                .thenAccept(command -> mDuty.get().post(command));
+    }
+
+    @Override
+    public void renew(String key, long revision) {
+        mClient.get()
+                .renew(key, revision)
+                .thenApply(
+                        result ->
+                                result.<Command<M>>fold(
+                                        granted -> (m, now) -> m.onLeaseRenewed(key, granted, now),
+                                        fault -> (m, now) -> m.onLeaseUnavailable(key, now)))
+                .thenAccept(command -> mDuty.get().post(command));
+    }
+}
--- /dev/null
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/entry/EntryLinks.java
@@ -0,0 +1,131 @@
+package org.ebonyrun.daemon.entry;
+
+import org.ebonyrun.base.id.ServiceName;
+import org.ebonyrun.base.id.VmId;
+import org.ebonyrun.base.wire.Message;
+import org.ebonyrun.core.attempt.AttemptMessage;
+import org.ebonyrun.core.attempt.EndpointLoad;
+import org.ebonyrun.core.config.ConfigMessage;
+import org.ebonyrun.core.membership.MembershipMessage;
+import org.ebonyrun.core.rollout.RolloutMessage;
+import org.ebonyrun.core.weights.WeightMessage;
+import org.ebonyrun.daemon.DaemonSettings;
+import org.ebonyrun.daemon.link.LinkEvents;
+import org.ebonyrun.daemon.link.PeerLink;
+import org.tinylog.Logger;
+
+/** Hands what peers of an entry send to the duties. Thread safe. */
+final class EntryLinks implements LinkEvents {
+    private final EntryContext mContext;
+
+    EntryLinks(EntryContext context) {
+        mContext = context;
+    }
+
+    @Override
+    public void onPeer(PeerLink peer) {
+        if (!mContext.mStarted) {
+            peer.link().close();
+            return;
+        }
+        MembershipMessage.Hello hello = hello(peer);
+        PeerLink older = mContext.mByVm.put(hello.vm(), peer);
+        if (older != null && older != peer && isAgent(hello)) {
+            older.link().close();
+        }
+        Logger.info("peer={} address={} connected", hello.vm(), peer.link().peer());
+        mContext.mMembershipDuty.post((machine, now) -> machine.onConnected(hello.vm(), now));
+        if (isAgent(hello)) {
+            ServiceName service = ServiceName.of(hello.service());
+            mContext.mRolloutDuty.post(
+                    (machine, now) -> machine.onAgentConnected(hello.vm(), service));
+        }
+    }
+
+    @Override
+    public void onMessage(PeerLink peer, Message message) {
+        if (!mContext.mStarted) {
+            return;
+        }
+        VmId vm = hello(peer).vm();
+        if (message instanceof AttemptMessage attempt) {
+            onAttempt(vm, attempt);
+        } else if (message instanceof MembershipMessage.Heartbeat beat) {
+            onHeartbeat(peer, beat);
+        } else if (message instanceof ConfigMessage config) {
+            long link = peer.number();
+            mContext.mConfigDuty.post((machine, now) -> machine.onMessage(link, config));
+        } else if (message instanceof WeightMessage.LoadResult result) {
+            ServiceName service = ServiceName.of(hello(peer).service());
+            mContext.mPlannerDuty.post(
+                    (machine, now) -> machine.onResult(vm, service, result, now));
+        } else if (message instanceof RolloutMessage.Forward forward) {
+            mContext.mReplies.beginForwarded(peer, forward);
+        } else if (message instanceof RolloutMessage.Forwarded forwarded) {
+            mContext.mReplies.complete(forwarded.requestId(), forwarded.reply());
+        }
+    }
+
+    @Override
+    public void onPeerLost(PeerLink peer) {
+        if (!mContext.mStarted) {
+            return;
+        }
+        MembershipMessage.Hello hello = hello(peer);
+        mContext.mReplies.onLinkLost(peer.link());
+        if (!mContext.mByVm.remove(hello.vm(), peer)) {
+            return;
+        }
+        Logger.info("peer={} address={} disconnected", hello.vm(), peer.link().peer());
+        mContext.mMembershipDuty.post((machine, now) -> machine.onDisconnected(hello.vm(), now));
+        if (isAgent(hello)) {
+            ServiceName service = ServiceName.of(hello.service());
+            mContext.mDispatchDuty.post((machine, now) -> machine.onLinkLost(hello.vm(), now));
+            mContext.mRolloutDuty.post((machine, now) -> machine.onAgentLost(hello.vm(), now));
+            mContext.mPlannerDuty.post(
+                    (machine, now) -> machine.onVersion(hello.vm(), service, 0, false));
+        }
+    }
+
+    private void onAttempt(VmId vm, AttemptMessage message) {
+        boolean held =
+                message instanceof AttemptMessage.SampleContent
+                        || message instanceof AttemptMessage.HeldSamples;
+        if (held) {
+            mContext.mRolloutDuty.post((machine, now) -> machine.onMessage(vm, message, now));
+        } else {
+            mContext.mDispatchDuty.post((machine, now) -> machine.onMessage(vm, message, now));
+        }
+    }
+
+    private void onHeartbeat(PeerLink peer, MembershipMessage.Heartbeat beat) {
+        MembershipMessage.Hello hello = hello(peer);
+        VmId vm = hello.vm();
+        EndpointLoad load = beat.load();
+        boolean leaving = load != null && load.leaving();
+        mContext.mMembershipDuty.post((machine, now) -> machine.onHeard(vm, leaving, now));
+        long version = beat.configVersion();
+        if (version != mContext.mCurrent.version()) {
+            long link = peer.number();
+            mContext.mConfigDuty.post((machine, now) -> machine.onPeerVersion(link, version));
+        }
+        if (load != null) {
+            ServiceName service = ServiceName.of(hello.service());
+            mContext.mDispatchDuty.post((machine, now) -> machine.onHeartbeat(vm, load, now));
+            mContext.mPlannerDuty.post(
+                    (machine, now) -> machine.onVersion(vm, service, load.version(), true));
+        }
+    }
+
+    private static boolean isAgent(MembershipMessage.Hello hello) {
+        return hello.role().equals(DaemonSettings.ROLE_ENDPOINT);
+    }
+
+    private static MembershipMessage.Hello hello(PeerLink peer) {
+        MembershipMessage.Hello hello = peer.hello();
+        if (hello == null) {
+            throw new IllegalStateException("link is not introduced: " + peer.link().peer());
+        }
+        return hello;
+    }
+}
--- /dev/null
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/entry/EntryNode.java
@@ -0,0 +1,141 @@
+package org.ebonyrun.daemon.entry;
+
+import java.io.IOException;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.ebonyrun.base.time.Nanos;
+import org.ebonyrun.daemon.DaemonSettings;
+import org.ebonyrun.daemon.admin.AdminHandlers;
+import org.ebonyrun.daemon.admin.AdminSource;
+import org.ebonyrun.platform.http.HttpListenerSettings;
+import org.ebonyrun.platform.http.HttpServers;
+import org.glassfish.grizzly.http.server.HttpHandler;
+import org.glassfish.grizzly.http.server.HttpServer;
+
+/** One entry: callers', trainers' and operators' way in. Thread safe. */
+public final class EntryNode implements AutoCloseable, AdminSource {
+    private static final int HTTP_WORKERS = 4;
+
+    private final EntryContext mContext;
+    private final HttpServer mHttp;
+
+    private EntryNode(DaemonSettings settings) throws IOException {
+        mContext = new EntryContext(settings);
+        CallApi calls = new CallApi(mContext);
+        StepApi steps = new StepApi(mContext);
+        ConfigApi config = new ConfigApi(mContext);
+        Map<String, HttpHandler> handlers = AdminHandlers.of(this);
+        handlers.put(CallApi.PREFIX + "*", AdminHandlers.handler(calls::handle));
+        handlers.put(StepApi.PREFIX + "*", AdminHandlers.handler(steps::handle));
+        handlers.put(ConfigApi.PREFIX, AdminHandlers.handler(config::handle));
+        handlers.put(ConfigApi.PREFIX + "/*", AdminHandlers.handler(config::handle));
+        mHttp =
+                HttpServers.start(
+                        new HttpListenerSettings(
+                                "entry",
+                                settings.httpListen().host(),
+                                settings.httpListen().port(),
+                                HTTP_WORKERS),
+                        handlers);
+    }
+
+    /** Starts an entry. */
+    public static EntryNode start(DaemonSettings settings) throws IOException {
+        EntryNode node = new EntryNode(settings);
+        new VmPoller(node.mContext).start();
+        new ConfigWatcher(node.mContext).start();
+        return node;
+    }
+
+    /** Returns the port for links. */
+    public int linkPort() {
+        return mContext.mLinkPort;
+    }
+
+    /** Returns the port for HTTP. */
+    public int httpPort() {
+        return HttpServers.port(mHttp);
+    }
+
+    @Override
+    public CompletableFuture<Object> dump() {
+        Map<String, Object> state = new LinkedHashMap<>();
+        state.put("vm", mContext.mSettings.vm());
+        state.put("role", mContext.mSettings.role());
+        state.put("failure_domain", mContext.mSettings.failureDomain());
+        state.put("config_version", mContext.mCurrent.version());
+        state.put("draining", mContext.mDraining);
+        return mContext.mDispatchDuty
+                .query(mContext.mDispatcher::dump)
+                .thenAccept(dispatch -> state.put("dispatch", dispatch))
+                .thenCompose(
+                        ignored ->
+                                mContext.mRolloutDuty.query(
+                                        () -> mContext.mRollout.dump(System.nanoTime())))
+                .thenAccept(steps -> state.put("steps", steps))
+                .thenCompose(
+                        ignored ->
+                                mContext.mMembershipDuty.query(
+                                        () -> mContext.mMembership.dump(System.nanoTime())))
+                .thenAccept(peers -> state.put("peers", peers))
+                .thenCompose(
+                        ignored ->
+                                mContext.mPlannerDuty.query(
+                                        () -> mContext.mPlanner.dump(System.nanoTime())))
+                .thenApply(
+                        plans -> {
+                            state.put("weights", plans);
+                            return state;
+                        });
+    }
+
+    @Override
+    public boolean isReady() {
+        return !mContext.mDraining && mContext.mCurrent.version() > 0;
+    }
+
+    @Override
+    public void drain() {
+        mContext.mDraining = true;
+    }
+
+    @Override
+    public byte[] metrics() {
+        return mContext.mMetrics.text();
+    }
+
+    /**
+     * Refuses new work, waits until accepted calls and open pulls are answered, at most for the
+     * time in the settings, gives its leases up, and closes.
+     *
+     * @return whether everything was finished
+     */
+    public boolean drainAndClose() throws InterruptedException {
+        drain();
+        long deadline = System.nanoTime() + Nanos.ofMillis(mContext.mSettings.drainMillis());
+        boolean idle = false;
+        while (!idle && System.nanoTime() < deadline) {
+            idle = mContext.mSinks.isEmpty() && mContext.mReplies.isEmpty();
+            TimeUnit.MILLISECONDS.sleep(20);
+        }
+        mContext.mRolloutDuty.query(this::handOver).join();
+        close();
+        return idle;
+    }
+
+    /** Closes at once, as a crash would. */
+    @Override
+    public void close() {
+        mHttp.shutdownNow();
+        mContext.close();
+    }
+
+    private boolean handOver() {
+        mContext.mRollout
+                .handOver(System.nanoTime())
+                .forEach((key, revision) -> mContext.mLeases.release(key, revision).join());
+        return true;
+    }
+}
--- /dev/null
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/entry/Faults.java
@@ -0,0 +1,38 @@
+package org.ebonyrun.daemon.entry;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import org.ebonyrun.base.result.Fault;
+import org.ebonyrun.daemon.store.Json;
+import org.ebonyrun.platform.http.Responder;
+
+/** Writes faults as HTTP answers. Stateless and thread safe. */
+final class Faults {
+    static final String JSON = "application/json";
+
+    private static final long MILLIS_PER_SECOND = 1_000;
+
+    private Faults() {}
+
+    /** Returns the JSON of a fault. */
+    static byte[] json(Fault fault) {
+        ObjectNode error = Json.mapper().createObjectNode();
+        error.put("code", fault.code().wireName());
+        error.put("outcome", fault.outcome().wireName());
+        error.put("step", fault.step());
+        error.put("peer", fault.peer());
+        error.put("detail", fault.detail());
+        error.put("retry_after_ms", fault.retryAfterMillis());
+        ObjectNode body = Json.mapper().createObjectNode();
+        body.set("error", error);
+        return Json.write(body);
+    }
+
+    /** Answers a request with a fault. */
+    static void send(Responder out, Fault fault) {
+        if (fault.retryAfterMillis() > 0) {
+            long seconds = Math.max(1, fault.retryAfterMillis() / MILLIS_PER_SECOND);
+            out.header("Retry-After", Long.toString(seconds));
+        }
+        out.whole(fault.code().httpStatus(), JSON, json(fault));
+    }
+}
--- /dev/null
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/entry/PlannerEffects.java
@@ -0,0 +1,64 @@
+package org.ebonyrun.daemon.entry;
+
+import org.ebonyrun.base.id.ServiceName;
+import org.ebonyrun.base.id.VmId;
+import org.ebonyrun.core.lease.LeaseOutputs;
+import org.ebonyrun.core.weights.PlannerOutputs;
+import org.ebonyrun.core.weights.WeightMessage;
+import org.ebonyrun.core.weights.WeightPlanner;
+import org.ebonyrun.daemon.link.PeerLink;
+
+/** Carries out what the weight planner decides. Used on the weight duty's thread. */
+final class PlannerEffects implements PlannerOutputs {
+    private final EntryContext mContext;
+    private final LeaseOutputs mLeases;
+
+    PlannerEffects(EntryContext context) {
+        mContext = context;
+        mLeases = new DutyLeases<WeightPlanner>(() -> context.mLeases, () -> context.mPlannerDuty);
+    }
+
+    @Override
+    public void acquire(String key) {
+        mLeases.acquire(key);
+    }
+
+    @Override
+    public void renew(String key, long revision) {
+        mLeases.renew(key, revision);
+    }
+
+    @Override
+    public boolean order(VmId vm, WeightMessage.LoadOrder order) {
+        PeerLink peer = mContext.mByVm.get(vm);
+        return peer != null && peer.link().send(order);
+    }
+
+    @Override
+    public void askLatest(ServiceName service) {
+        mContext.mWeights
+                .latest(service)
+                .thenAccept(
+                        result ->
+                                result.map(
+                                        version -> {
+                                            mContext.mPlannerDuty.post(
+                                                    (machine, now) ->
+                                                            machine.onLatest(
+                                                                    service, version, now));
+                                            return version;
+                                        }));
+    }
+
+    @Override
+    public String storeSource(ServiceName service, long version) {
+        return mContext.mWeights.source(service, version);
+    }
+
+    @Override
+    public String peerSource(VmId vm, ServiceName service, long version) {
+        PeerLink peer = mContext.mByVm.get(vm);
+        String base = peer == null || peer.hello() == null ? "" : peer.hello().weightSource();
+        return base + "/weights/" + version;
+    }
+}
--- /dev/null
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/entry/RolloutEffects.java
@@ -0,0 +1,197 @@
+package org.ebonyrun.daemon.entry;
+
+import java.nio.charset.StandardCharsets;
+import java.util.Optional;
+import org.ebonyrun.base.id.ClassName;
+import org.ebonyrun.base.id.SampleKey;
+import org.ebonyrun.base.id.ServiceName;
+import org.ebonyrun.base.id.TrainerId;
+import org.ebonyrun.base.id.VmId;
+import org.ebonyrun.base.result.Fault;
+import org.ebonyrun.base.time.Nanos;
+import org.ebonyrun.core.attempt.AttemptMessage;
+import org.ebonyrun.core.attempt.WorkKind;
+import org.ebonyrun.core.lease.LeaseHolder;
+import org.ebonyrun.core.lease.LeaseOutputs;
+import org.ebonyrun.core.rollout.RolloutMachine;
+import org.ebonyrun.core.rollout.RolloutOutputs;
+import org.ebonyrun.core.rollout.StepManifest;
+import org.ebonyrun.core.rollout.StepReply;
+import org.ebonyrun.core.rollout.StepRequest;
+import org.ebonyrun.core.routing.Answer;
+import org.ebonyrun.core.routing.Work;
+import org.ebonyrun.daemon.link.PeerLink;
+import org.jspecify.annotations.Nullable;
+
+/** Carries out what the rollout duty decides. Used on its thread. */
+final class RolloutEffects implements RolloutOutputs {
+    private static final ClassName SCORING = ClassName.of("scoring");
+    private static final long SCORE_NANOS = Nanos.ofMillis(3_000);
+
+    private final EntryContext mContext;
+    private final LeaseOutputs mLeases;
+
+    RolloutEffects(EntryContext context) {
+        mContext = context;
+        mLeases = new DutyLeases<RolloutMachine>(() -> context.mLeases, () -> context.mRolloutDuty);
+    }
+
+    @Override
+    public void acquire(String key) {
+        mLeases.acquire(key);
+    }
+
+    @Override
+    public void renew(String key, long revision) {
+        mLeases.renew(key, revision);
+    }
+
+    @Override
+    public void storeManifest(StepManifest manifest) {
+        mContext.mManifests
+                .store(manifest)
+                .thenAccept(
+                        result -> {
+                            Optional<Fault> fault =
+                                    result.fold(ok -> Optional.empty(), Optional::of);
+                            mContext.mRolloutDuty.post(
+                                    (machine, now) ->
+                                            machine.onManifestStored(manifest, fault, now));
+                        });
+    }
+
+    @Override
+    public void loadManifest(TrainerId trainer, long step) {
+        mContext.mManifests
+                .load(trainer, step)
+                .thenAccept(
+                        result -> {
+                            StepManifest manifest =
+                                    result.<@Nullable StepManifest>fold(
+                                            found -> found.orElse(null), fault -> null);
+                            Optional<Fault> fault =
+                                    result.fold(ok -> Optional.empty(), Optional::of);
+                            mContext.mRolloutDuty.post(
+                                    (machine, now) ->
+                                            machine.onManifestLoaded(
+                                                    trainer, step, manifest, fault, now));
+                        });
+    }
+
+    @Override
+    public void deleteManifest(TrainerId trainer, long step, int slots) {
+        mContext.mManifests.delete(trainer, step);
+    }
+
+    @Override
+    public void submit(Work work) {
+        mContext.mDispatchDuty.post((machine, now) -> machine.submit(work, now));
+    }
+
+    @Override
+    public void cancel(long workId) {
+        mContext.mDispatchDuty.post((machine, now) -> machine.cancel(workId));
+    }
+
+    @Override
+    public void abandon(long workId) {
+        mContext.mDispatchDuty.post((machine, now) -> machine.abandon(workId));
+    }
+
+    @Override
+    public void setMinVersion(TrainerId trainer, long version) {
+        mContext.mDispatchDuty.post((machine, now) -> machine.setMinVersion(trainer, version, now));
+    }
+
+    @Override
+    public boolean send(VmId vm, AttemptMessage message) {
+        PeerLink peer = mContext.mByVm.get(vm);
+        return peer != null && peer.link().send(message);
+    }
+
+    @Override
+    public void broadcast(ServiceName service, AttemptMessage message) {
+        for (PeerLink peer : mContext.mByVm.values()) {
+            boolean serves = peer.hello() != null && peer.hello().service().equals(service.value());
+            if (serves) {
+                peer.link().send(message);
+            }
+        }
+    }
+
+    @Override
+    public void score(ServiceName scorer, SampleKey key, byte[] content) {
+        long now = System.nanoTime();
+        long id = nextWorkId();
+        Work work =
+                new Work(
+                        id,
+                        WorkKind.CALL,
+                        scorer,
+                        SCORING,
+                        now + SCORE_NANOS,
+                        now + SCORE_NANOS,
+                        true,
+                        false,
+                        "/score",
+                        "text/plain",
+                        content,
+                        0,
+                        null,
+                        0);
+        mContext.mSinks.put(id, new ScoreSink(key));
+        mContext.mDispatchDuty.post((machine, at) -> machine.submit(work, at));
+    }
+
+    @Override
+    public void forward(LeaseHolder owner, long requestId, StepRequest request) {
+        mContext.mReplies.forward(owner, requestId, request);
+    }
+
+    @Override
+    public void reply(long requestId, StepReply reply) {
+        mContext.mReplies.complete(requestId, reply);
+    }
+
+    @Override
+    public void idle(TrainerId trainer, long nanos) {
+        mContext.mMetrics.idle(trainer.value(), (double) nanos / Nanos.PER_SECOND);
+    }
+
+    @Override
+    public void delivered(TrainerId trainer, long age) {
+        mContext.mMetrics.delivered(trainer.value(), age);
+    }
+
+    @Override
+    public long nextWorkId() {
+        return mContext.mWorkIds.incrementAndGet();
+    }
+
+    /** Passes a score on to the rollout duty. Used on the dispatch duty. */
+    private final class ScoreSink implements CallSink {
+        private final SampleKey mKey;
+
+        ScoreSink(SampleKey key) {
+            mKey = key;
+        }
+
+        @Override
+        public void onPiece(byte[] data) {}
+
+        @Override
+        public void onAnswer(Work work, Answer answer) {
+            boolean success = answer.status() / 100 == 2;
+            tell(success ? new String(answer.body(), StandardCharsets.UTF_8).strip() : null);
+        }
+
+        @Override
+        public void onFault(Fault fault) {
+            tell(null);
+        }
+
+        private void tell(@Nullable String score) {
+            mContext.mRolloutDuty.post((machine, now) -> machine.onScored(mKey, score, now));
+        }
+    }
+}
--- /dev/null
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/store/ConfigStore.java
@@ -0,0 +1,152 @@
+package org.ebonyrun.daemon.store;
+
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import org.ebonyrun.base.result.Fault;
+import org.ebonyrun.base.result.FaultCode;
+import org.ebonyrun.base.result.Result;
+import org.ebonyrun.platform.kv.ConditionalWriter;
+import org.ebonyrun.platform.kv.KeyValueEntry;
+import org.ebonyrun.platform.kv.KeyValueStore;
+import org.ebonyrun.platform.kv.WriteOutcome;
+
+/**
+ * Reads and replaces the operators' configuration in the key-value service.
+ *
+ * <p>Invariant: the version grows by one with each accepted change.
+ *
+ * <p>Thread safe.
+ */
+public final class ConfigStore {
+    private static final String KEY = "config/current";
+    private static final String HISTORY = "config/history/";
+    private static final String STEP = "config.write";
+
+    private final KeyValueStore mStore;
+    private final ConditionalWriter mWriter;
+
+    private ConfigStore(KeyValueStore store) {
+        mStore = store;
+        mWriter = ConditionalWriter.create(store);
+    }
+
+    /** Creates a store of the configuration. */
+    public static ConfigStore create(KeyValueStore store) {
+        return new ConfigStore(store);
+    }
+
+    /**
+     * The configuration and the revision of its key.
+     *
+     * @param config the configuration
+     * @param revision the revision; {@link KeyValueStore#ABSENT} before the first
+     */
+    public record Current(StoredConfig config, long revision) {}
+
+    /** Reads the configuration. */
+    public CompletableFuture<Result<Current>> read() {
+        return mStore.get(KEY).thenApply(result -> result.map(ConfigStore::current));
+    }
+
+    /** Waits for a configuration after the given revision. */
+    public CompletableFuture<Result<Current>> watch(long afterRevision, long waitMillis) {
+        return mStore.watch(KEY, afterRevision, waitMillis)
+                .thenApply(result -> result.map(ConfigStore::current));
+    }
+
+    /**
+     * Replaces the configuration if its version is still {@code expectedVersion}.
+     *
+     * @param nonce marks this change, so that it is recognised after a lost answer
+     * @return the stored configuration, or a fault with the outcome {@code not-run} (another change
+     *     came first) or {@code unknown}
+     */
+    public CompletableFuture<Result<StoredConfig>> replace(
+            long expectedVersion, String author, String text, String nonce) {
+        return read().thenCompose(
+                        result ->
+                                result.fold(
+                                        current ->
+                                                replace(
+                                                        current,
+                                                        expectedVersion,
+                                                        author,
+                                                        text,
+                                                        nonce),
+                                        fault -> done(Result.err(notWritten(fault)))));
+    }
+
+    /** Reads an earlier version. */
+    public CompletableFuture<Result<Optional<StoredConfig>>> history(long version) {
+        return mStore.get(HISTORY + version)
+                .thenApply(
+                        result ->
+                                result.map(
+                                        entry ->
+                                                entry.map(
+                                                        found ->
+                                                                Json.read(
+                                                                        found.value(),
+                                                                        StoredConfig.class))));
+    }
+
+    private CompletableFuture<Result<StoredConfig>> replace(
+            Current current, long expectedVersion, String author, String text, String nonce) {
+        if (current.config().nonces().contains(nonce)) {
+            return done(Result.ok(current.config()));
+        }
+        if (current.config().version() != expectedVersion) {
+            return done(Result.err(conflict(current.config())));
+        }
+        StoredConfig next = current.config().next(author, text, nonce);
+        return mWriter.put(
+                        KEY,
+                        Json.write(next),
+                        current.revision(),
+                        KeyValueStore.FOREVER_MILLIS,
+                        stored -> Json.read(stored, StoredConfig.class).nonces().contains(nonce))
+                .thenCompose(
+                        result ->
+                                result.fold(
+                                        outcome -> onOutcome(outcome, next),
+                                        fault -> done(Result.err(fault))));
+    }
+
+    private CompletableFuture<Result<StoredConfig>> onOutcome(
+            WriteOutcome outcome, StoredConfig next) {
+        if (outcome.applied()) {
+            mStore.put(
+                    HISTORY + next.version(),
+                    Json.write(next),
+                    KeyValueStore.ABSENT,
+                    KeyValueStore.FOREVER_MILLIS);
+            return done(Result.ok(next));
+        }
+        return read().thenApply(
+                        result -> result.flatMap(now -> Result.err(conflict(now.config()))));
+    }
+
+    private static Fault conflict(StoredConfig winner) {
+        String detail =
+                "version " + winner.version() + " of " + winner.author() + " is in force already";
+        return Fault.notRun(FaultCode.CONFLICT, STEP, winner.author(), detail);
+    }
+
+    private static Fault notWritten(Fault fault) {
+        return Fault.notRun(
+                FaultCode.PLATFORM_UNAVAILABLE, STEP, fault.peer(), "not read: " + fault.detail());
+    }
+
+    private static Current current(Optional<KeyValueEntry> entry) {
+        return entry.map(
+                        found ->
+                                new Current(
+                                        Json.read(found.value(), StoredConfig.class),
+                                        found.revision()))
+                .orElseGet(() -> new Current(StoredConfig.none(), KeyValueStore.ABSENT));
+    }
+
+    private static <T> CompletableFuture<T> done(T value) {
+        return CompletableFuture.completedFuture(value);
+    }
+}
--- /dev/null
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/store/LeaseClient.java
@@ -0,0 +1,90 @@
+package org.ebonyrun.daemon.store;
+
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import org.ebonyrun.base.result.Fault;
+import org.ebonyrun.base.result.FaultCode;
+import org.ebonyrun.base.result.Result;
+import org.ebonyrun.core.lease.Lease;
+import org.ebonyrun.core.lease.LeaseHolder;
+import org.ebonyrun.core.lease.LeaseReading;
+import org.ebonyrun.platform.kv.ConditionalWriter;
+import org.ebonyrun.platform.kv.KeyValueEntry;
+import org.ebonyrun.platform.kv.KeyValueStore;
+import org.ebonyrun.platform.kv.WriteOutcome;
+
+/** Takes and extends leases, which are keys with a time to live. Thread safe. */
+public final class LeaseClient {
+    private final KeyValueStore mStore;
+    private final ConditionalWriter mWriter;
+    private final LeaseHolder mSelf;
+
+    private LeaseClient(KeyValueStore store, LeaseHolder self) {
+        mStore = store;
+        mWriter = ConditionalWriter.create(store);
+        mSelf = self;
+    }
+
+    /** Creates a client that takes leases for {@code self}. */
+    public static LeaseClient create(KeyValueStore store, LeaseHolder self) {
+        return new LeaseClient(store, self);
+    }
+
+    /** Takes a lease if it is free, and tells who holds it now. */
+    public CompletableFuture<Result<LeaseReading>> acquire(String key) {
+        return mWriter.put(
+                        key,
+                        Json.write(mSelf),
+                        KeyValueStore.ABSENT,
+                        Lease.TTL_MILLIS,
+                        value -> parse(value).map(mSelf::isSameProcess).orElse(false))
+                .thenCompose(
+                        result ->
+                                result.fold(
+                                        outcome -> onOutcome(key, outcome),
+                                        fault ->
+                                                CompletableFuture.completedFuture(
+                                                        Result.err(fault))));
+    }
+
+    /** Extends a lease; false means that it lapsed or has another holder. */
+    public CompletableFuture<Result<Boolean>> renew(String key, long revision) {
+        return mStore.renew(key, revision, Lease.TTL_MILLIS)
+                .thenApply(result -> result.map(WriteOutcome::applied));
+    }
+
+    /** Gives a lease up, so that another process can take it at once. */
+    public CompletableFuture<Result<WriteOutcome>> release(String key, long revision) {
+        return mStore.delete(key, revision);
+    }
+
+    private CompletableFuture<Result<LeaseReading>> onOutcome(String key, WriteOutcome outcome) {
+        if (outcome.applied()) {
+            return CompletableFuture.completedFuture(
+                    Result.ok(new LeaseReading(mSelf, outcome.revision())));
+        }
+        return mStore.get(key).thenApply(result -> result.flatMap(entry -> reading(key, entry)));
+    }
+
+    private static Result<LeaseReading> reading(String key, Optional<KeyValueEntry> entry) {
+        return entry.flatMap(
+                        found ->
+                                parse(found.value())
+                                        .map(holder -> new LeaseReading(holder, found.revision())))
+                .map(Result::ok)
+                .orElseGet(() -> Result.err(vanished(key)));
+    }
+
+    private static Optional<LeaseHolder> parse(byte[] value) {
+        try {
+            return Optional.of(Json.read(value, LeaseHolder.class));
+        } catch (IllegalArgumentException e) {
+            return Optional.empty();
+        }
+    }
+
+    private static Fault vanished(String key) {
+        return Fault.failed(
+                FaultCode.CONFLICT, "lease.read", key, "the lease lapsed while it was read");
+    }
+}
--- /dev/null
+++ b/ebonyrun-platform/src/main/java/org/ebonyrun/platform/http/HttpReply.java
@@ -0,0 +1,21 @@
+package org.ebonyrun.platform.http;
+
+import java.nio.charset.StandardCharsets;
+
+/**
+ * A whole HTTP response.
+ *
+ * @param status the status code
+ * @param body the body
+ */
+public record HttpReply(int status, byte[] body) {
+    /** Returns the body as UTF-8 text. */
+    public String text() {
+        return new String(body, StandardCharsets.UTF_8);
+    }
+
+    /** Returns whether the status is 2xx. */
+    public boolean isSuccess() {
+        return status / 100 == 2;
+    }
+}
--- /dev/null
+++ b/ebonyrun-platform/src/main/java/org/ebonyrun/platform/http/Responder.java
@@ -0,0 +1,125 @@
+package org.ebonyrun.platform.http;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.TimeUnit;
+import org.glassfish.grizzly.http.io.NIOOutputStream;
+import org.glassfish.grizzly.http.server.Response;
+
+/**
+ * Writes one response from any thread without blocking.
+ *
+ * <p>Thread safe. A caller that reads so slowly that its connection has no room for more is cut
+ * off: the answer ends without its end mark.
+ */
+public final class Responder {
+    private final Response mResponse;
+    private final NIOOutputStream mOut;
+    private boolean mStarted;
+    private boolean mEnded;
+
+    private Responder(Response response) {
+        mResponse = response;
+        mOut = response.getNIOOutputStream();
+    }
+
+    /** Suspends a response, to be written later by the returned responder. */
+    public static Responder suspend(Response response) {
+        response.suspend(-1, TimeUnit.MILLISECONDS);
+        return new Responder(response);
+    }
+
+    /** Sends a whole response; does nothing if one was begun. */
+    public synchronized void whole(int status, String contentType, byte[] body) {
+        if (mStarted || mEnded) {
+            return;
+        }
+        mStarted = true;
+        mResponse.setStatus(status);
+        mResponse.setContentType(contentType);
+        mResponse.setContentLength(body.length);
+        if (write(body)) {
+            finish();
+        }
+    }
+
+    /** Sets a header; has no effect once the response was begun. */
+    public synchronized void header(String name, String value) {
+        if (!mStarted) {
+            mResponse.setHeader(name, value);
+        }
+    }
+
+    /** Begins a response whose body follows in parts. */
+    public synchronized void begin(int status, String contentType) {
+        if (!mStarted) {
+            mStarted = true;
+            mResponse.setStatus(status);
+            mResponse.setContentType(contentType);
+        }
+    }
+
+    /** Returns whether a part of the response was sent. */
+    public synchronized boolean isStarted() {
+        return mStarted;
+    }
+
+    /** Sends a part of the body; returns false if the caller is gone or too slow. */
+    public synchronized boolean part(String text) {
+        if (mEnded || !mOut.canWrite()) {
+            abort();
+            return false;
+        }
+        if (!write(text.getBytes(StandardCharsets.UTF_8))) {
+            return false;
+        }
+        try {
+            mOut.flush();
+            return true;
+        } catch (IOException e) {
+            abort();
+            return false;
+        }
+    }
+
+    /** Ends a response that was sent in parts. */
+    public synchronized void end() {
+        if (!mEnded) {
+            finish();
+        }
+    }
+
+    /** Closes the connection without an end of the response. */
+    public synchronized void abort() {
+        if (mEnded) {
+            return;
+        }
+        mEnded = true;
+        mResponse.getRequest().getContext().getConnection().closeSilently();
+        if (mResponse.isSuspended()) {
+            mResponse.resume();
+        }
+    }
+
+    private boolean write(byte[] bytes) {
+        try {
+            mOut.write(bytes);
+            return true;
+        } catch (IOException | RuntimeException e) {
+            abort();
+            return false;
+        }
+    }
+
+    private void finish() {
+        mEnded = true;
+        try {
+            mOut.close();
+        } catch (IOException ignored) {
+            // The caller is gone; nobody is left to tell.
+        }
+        if (mResponse.isSuspended()) {
+            mResponse.resume();
+        }
+    }
+}
--- /dev/null
+++ b/ebonyrun-platform/src/main/java/org/ebonyrun/platform/http/SseParser.java
@@ -0,0 +1,48 @@
+package org.ebonyrun.platform.http;
+
+import java.io.ByteArrayOutputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.function.Consumer;
+
+/**
+ * Cuts a server-sent event stream into the data of its events.
+ *
+ * <p>Not thread safe; used by one stream. A line above the limit makes the stream invalid, and
+ * {@link #feed} says so.
+ */
+public final class SseParser {
+    private static final int MAX_LINE_BYTES = 1 << 20;
+    private static final String DATA = "data:";
+
+    private final Consumer<String> mSink;
+    private final ByteArrayOutputStream mLine = new ByteArrayOutputStream();
+
+    private SseParser(Consumer<String> sink) {
+        mSink = sink;
+    }
+
+    /** Creates a parser that gives the data of each event to {@code sink}. */
+    public static SseParser create(Consumer<String> sink) {
+        return new SseParser(sink);
+    }
+
+    /** Consumes bytes of the stream; returns false once a line is longer than one mebibyte. */
+    public boolean feed(byte[] bytes) {
+        for (byte b : bytes) {
+            if (b == '\n') {
+                endLine();
+            } else if (b != '\r') {
+                mLine.write(b);
+            }
+        }
+        return mLine.size() <= MAX_LINE_BYTES;
+    }
+
+    private void endLine() {
+        String line = mLine.toString(StandardCharsets.UTF_8);
+        mLine.reset();
+        if (line.startsWith(DATA)) {
+            mSink.accept(line.substring(DATA.length()).strip());
+        }
+    }
+}
--- /dev/null
+++ b/ebonyrun-platform/src/main/java/org/ebonyrun/platform/kv/KeyValueEntry.java
@@ -0,0 +1,10 @@
+package org.ebonyrun.platform.kv;
+
+/**
+ * A stored value.
+ *
+ * @param key the key
+ * @param value the value
+ * @param revision the number of the write that stored it; grows over all keys
+ */
+public record KeyValueEntry(String key, byte[] value, long revision) {}
--- /dev/null
+++ b/ebonyrun-platform/src/main/java/org/ebonyrun/platform/vm/HttpVmDirectory.java
@@ -0,0 +1,55 @@
+package org.ebonyrun.platform.vm;
+
+import com.fasterxml.jackson.core.type.TypeReference;
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
+import java.net.URI;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import org.ebonyrun.base.result.Fault;
+import org.ebonyrun.base.result.FaultCode;
+import org.ebonyrun.base.result.Result;
+import org.ebonyrun.platform.http.HttpCall;
+import org.ebonyrun.platform.http.HttpCaller;
+import org.ebonyrun.platform.http.HttpReply;
+
+/** Reads the list of VMs over HTTP and JSON. Thread safe. */
+public final class HttpVmDirectory implements VmDirectory {
+    private static final long TIMEOUT_MILLIS = 2_000;
+    private static final ObjectMapper JSON =
+            new ObjectMapper().configure(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES, false);
+
+    private final HttpCaller mCaller;
+    private final URI mBase;
+
+    private HttpVmDirectory(HttpCaller caller, URI base) {
+        mCaller = caller;
+        mBase = base;
+    }
+
+    /** Creates an adapter to the list at {@code base}. */
+    public static HttpVmDirectory create(HttpCaller caller, URI base) {
+        return new HttpVmDirectory(caller, base);
+    }
+
+    @Override
+    public CompletableFuture<Result<List<VmRecord>>> list() {
+        HttpCall call = HttpCall.of("GET", URI.create(mBase + "/vms"), TIMEOUT_MILLIS);
+        return mCaller.request(call, "vm-list.GET")
+                .thenApply(result -> result.flatMap(this::decode));
+    }
+
+    private Result<List<VmRecord>> decode(HttpReply reply) {
+        try {
+            return Result.ok(JSON.readValue(reply.body(), new TypeReference<>() {}));
+        } catch (IOException | RuntimeException e) {
+            return Result.err(
+                    Fault.failed(
+                            FaultCode.PLATFORM_UNAVAILABLE,
+                            "vm-list.GET",
+                            mBase.getAuthority(),
+                            "status " + reply.status() + ": " + e.getMessage()));
+        }
+    }
+}
--- /dev/null
+++ b/ebonyrun-platform/src/main/java/org/ebonyrun/platform/vm/VmDirectory.java
@@ -0,0 +1,15 @@
+package org.ebonyrun.platform.vm;
+
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import org.ebonyrun.base.result.Result;
+
+/**
+ * The platform's list of live and leaving VMs, which lags behind reality. Implementations are
+ * thread safe and never block.
+ */
+@FunctionalInterface
+public interface VmDirectory {
+    /** Reads the whole list. */
+    CompletableFuture<Result<List<VmRecord>>> list();
+}
--- /dev/null
+++ b/ebonyrun-platform/src/main/java/org/ebonyrun/platform/vm/package-info.java
@@ -0,0 +1,5 @@
+/** The platform's list of live and leaving VMs. */
+@NullMarked
+package org.ebonyrun.platform.vm;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/ebonyrun-standin/src/main/java/org/ebonyrun/standin/engine/StandinEngine.java
@@ -0,0 +1,301 @@
+package org.ebonyrun.standin.engine;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.net.URI;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
+import org.ebonyrun.base.result.Result;
+import org.ebonyrun.platform.http.BodyReader;
+import org.ebonyrun.platform.http.HttpCall;
+import org.ebonyrun.platform.http.HttpCaller;
+import org.ebonyrun.platform.http.HttpListenerSettings;
+import org.ebonyrun.platform.http.HttpReply;
+import org.ebonyrun.platform.http.HttpServers;
+import org.ebonyrun.platform.http.Responder;
+import org.glassfish.grizzly.http.server.HttpHandler;
+import org.glassfish.grizzly.http.server.HttpServer;
+import org.glassfish.grizzly.http.server.Request;
+import org.glassfish.grizzly.http.server.Response;
+
+/**
+ * A model engine that streams made-up tokens and keeps a log of what it ran.
+ *
+ * <p>The text of an answer is its run id, a colon, the prompt, and a numbered word for each token,
+ * so that a reader can tell whose answer it is and whether it is whole.
+ *
+ * <p>Thread safe.
+ */
+public final class StandinEngine implements AutoCloseable {
+    private static final ObjectMapper JSON = new ObjectMapper();
+    private static final int MAX_BODY_BYTES = 4 << 20;
+    private static final int WORKERS = 2;
+    private static final long FETCH_TIMEOUT_MILLIS = 5_000;
+    private static final int DEFAULT_TOKENS = 16;
+
+    private final EngineSettings mSettings;
+    private final HttpCaller mCaller;
+    private final ScheduledExecutorService mTimer;
+    private final HttpServer mServer;
+    private final AtomicLong mRunIds = new AtomicLong();
+    private final AtomicInteger mRunning = new AtomicInteger();
+    private final AtomicInteger mLoadsToFail = new AtomicInteger();
+    private final ConcurrentLinkedQueue<EngineRun> mLog = new ConcurrentLinkedQueue<>();
+    private final Set<Run> mOpen = ConcurrentHashMap.newKeySet();
+    private volatile long mVersion;
+    private volatile long mHighestFence;
+    private volatile long mFencedOrders;
+
+    private StandinEngine(EngineSettings settings, String host, int port, long version)
+            throws IOException {
+        mSettings = settings;
+        mVersion = version;
+        mCaller = HttpCaller.start();
+        mTimer =
+                Executors.newScheduledThreadPool(
+                        1,
+                        task -> {
+                            Thread thread = new Thread(task, "engine-" + settings.name());
+                            thread.setDaemon(true);
+                            return thread;
+                        });
+        mServer =
+                HttpServers.start(
+                        new HttpListenerSettings(settings.name(), host, port, WORKERS),
+                        Map.of(
+                                "/v1/completions", handler(this::onCompletion),
+                                "/state", handler(this::onState),
+                                "/orders/load", handler(this::onLoad),
+                                "/weights/*", handler(this::onWeights)));
+    }
+
+    /** Handles one request. */
+    @FunctionalInterface
+    private interface Action {
+        void run(Request request, Responder out) throws IOException;
+    }
+
+    /** Starts an engine that has the given version loaded. */
+    public static StandinEngine start(EngineSettings settings, String host, int port, long version)
+            throws IOException {
+        return new StandinEngine(settings, host, port, version);
+    }
+
+    /** Returns the engine's address. */
+    public URI address() {
+        return URI.create("http://127.0.0.1:" + HttpServers.port(mServer));
+    }
+
+    /** Returns what the engine ran, finished or not. */
+    public List<EngineRun> log() {
+        List<EngineRun> runs = new ArrayList<>(mLog);
+        mOpen.forEach(run -> runs.add(run.record(false)));
+        return runs;
+    }
+
+    /** Returns the loaded version. */
+    public long version() {
+        return mVersion;
+    }
+
+    /** Returns how many orders were obeyed although a higher fence had been seen before. */
+    public long fencedOrders() {
+        return mFencedOrders;
+    }
+
+    /** Makes the next loads fail partway. */
+    public void failLoads(int count) {
+        mLoadsToFail.set(count);
+    }
+
+    /** Stops the engine as a crash would: streams break off. */
+    @Override
+    public void close() {
+        mTimer.shutdownNow();
+        mOpen.forEach(Run::breakOff);
+        mServer.shutdownNow();
+        mCaller.close();
+    }
+
+    private HttpHandler handler(Action action) {
+        return new HttpHandler() {
+            @Override
+            public void service(Request request, Response response) throws IOException {
+                action.run(request, Responder.suspend(response));
+            }
+        };
+    }
+
+    private void onState(Request request, Responder out) throws IOException {
+        ObjectNode state = JSON.createObjectNode();
+        state.put("version", mVersion);
+        state.put("slots", mSettings.slots());
+        state.put("running", mRunning.get());
+        state.put("checks_fence", mSettings.checksFence());
+        out.whole(200, "application/json", JSON.writeValueAsBytes(state));
+    }
+
+    private void onWeights(Request request, Responder out) {
+        String version = request.getRequestURI().substring("/weights/".length());
+        boolean has = Long.parseLong(version) == mVersion;
+        out.whole(has ? 200 : 404, "application/octet-stream", new byte[0]);
+    }
+
+    private void onCompletion(Request request, Responder out) {
+        String requestId = request.getHeader("X-Request-Id");
+        BodyReader.read(
+                request,
+                MAX_BODY_BYTES,
+                result -> result.map(body -> begin(String.valueOf(requestId), body, out)));
+    }
+
+    private boolean begin(String requestId, byte[] body, Responder out) {
+        JsonNode tree;
+        try {
+            tree = JSON.readTree(body);
+        } catch (IOException e) {
+            out.whole(400, "application/json", "{\"error\":\"bad json\"}".getBytes());
+            return false;
+        }
+        String prompt = tree.path("prompt").asText();
+        int tokens = tree.path("max_tokens").asInt(DEFAULT_TOKENS);
+        Run run = new Run(requestId, prompt, tokens, out);
+        mOpen.add(run);
+        mRunning.incrementAndGet();
+        out.begin(200, "text/event-stream");
+        run.next();
+        return true;
+    }
+
+    private void onLoad(Request request, Responder out) {
+        BodyReader.read(
+                request,
+                MAX_BODY_BYTES,
+                result ->
+                        result.map(
+                                body -> {
+                                    load(body, out);
+                                    return true;
+                                }));
+    }
+
+    private void load(byte[] body, Responder out) {
+        JsonNode order;
+        try {
+            order = JSON.readTree(body);
+        } catch (IOException e) {
+            out.whole(400, "text/plain", new byte[0]);
+            return;
+        }
+        long fence = order.path("fence").asLong();
+        if (fence < mHighestFence) {
+            if (mSettings.checksFence()) {
+                out.whole(409, "text/plain", "old fence".getBytes(StandardCharsets.UTF_8));
+                return;
+            }
+            mFencedOrders++;
+        }
+        mHighestFence = Math.max(mHighestFence, fence);
+        long version = order.path("version").asLong();
+        URI source = URI.create(order.path("source").asText());
+        mCaller.request(HttpCall.of("GET", source, FETCH_TIMEOUT_MILLIS), "weights.fetch")
+                .thenAccept(result -> onFetched(version, result, out));
+    }
+
+    private void onFetched(long version, Result<HttpReply> result, Responder out) {
+        boolean fetched = result.fold(HttpReply::isSuccess, fault -> false);
+        boolean fails = mLoadsToFail.getAndUpdate(n -> Math.max(0, n - 1)) > 0;
+        if (!fetched || fails || mTimer.isShutdown()) {
+            out.whole(502, "text/plain", "fetch failed".getBytes(StandardCharsets.UTF_8));
+            return;
+        }
+        mTimer.schedule(
+                () -> {
+                    mVersion = version;
+                    out.whole(200, "text/plain", new byte[0]);
+                },
+                mSettings.swapMillis(),
+                TimeUnit.MILLISECONDS);
+    }
+
+    /** One completion. Its state is guarded by its monitor. */
+    private final class Run {
+        private final String mRunId = mSettings.name() + "-" + mRunIds.incrementAndGet();
+        private final String mRequestId;
+        private final String mPrompt;
+        private final int mWanted;
+        private final Responder mOut;
+        private final TreeSet<Long> mVersions = new TreeSet<>();
+        private int mSent;
+
+        Run(String requestId, String prompt, int wanted, Responder out) {
+            mRequestId = requestId;
+            mPrompt = prompt;
+            mWanted = wanted;
+            mOut = out;
+        }
+
+        /** Sends the next event; the stream ends when all tokens are sent or nobody reads. */
+        synchronized void next() {
+            long version = mVersion;
+            int count = Math.min(mSettings.tokensPerChunk(), mWanted - mSent);
+            StringBuilder text = new StringBuilder();
+            if (mSent == 0) {
+                text.append(mRunId).append(':').append(mPrompt);
+            }
+            for (int i = 0; i < count; i++) {
+                text.append(" t").append(mSent + i);
+            }
+            mSent += count;
+            mVersions.add(version);
+            if (!mOut.part(event(text.toString(), count, version))) {
+                end(false);
+            } else if (mSent >= mWanted) {
+                mOut.part("data: [DONE]\n\n");
+                mOut.end();
+                end(true);
+            } else if (!mTimer.isShutdown()) {
+                mTimer.schedule(this::next, mSettings.chunkMillis(), TimeUnit.MILLISECONDS);
+            }
+        }
+
+        void breakOff() {
+            mOut.abort();
+            end(false);
+        }
+
+        synchronized EngineRun record(boolean finished) {
+            return new EngineRun(
+                    mRunId, mRequestId, mPrompt, List.copyOf(mVersions), mSent, finished);
+        }
+
+        private void end(boolean finished) {
+            if (mOpen.remove(this)) {
+                mRunning.decrementAndGet();
+                mLog.add(record(finished));
+            }
+        }
+
+        private String event(String text, int tokens, long version) {
+            ObjectNode event = JSON.createObjectNode();
+            event.put("object", "text_completion");
+            event.putArray("choices").addObject().put("index", 0).put("text", text);
+            event.put("tokens", tokens);
+            event.put("weight_version", version);
+            return "data: " + event + "\n\n";
+        }
+    }
+}
--- /dev/null
+++ b/ebonyrun-standin/src/main/java/org/ebonyrun/standin/engine/StandinService.java
@@ -0,0 +1,104 @@
+package org.ebonyrun.standin.engine;
+
+import java.io.IOException;
+import java.net.URI;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import org.ebonyrun.platform.http.BodyReader;
+import org.ebonyrun.platform.http.HttpListenerSettings;
+import org.ebonyrun.platform.http.HttpServers;
+import org.ebonyrun.platform.http.Responder;
+import org.glassfish.grizzly.http.server.HttpHandler;
+import org.glassfish.grizzly.http.server.HttpServer;
+import org.glassfish.grizzly.http.server.Request;
+import org.glassfish.grizzly.http.server.Response;
+
+/**
+ * A plain service that echoes bodies, scores samples, and keeps a log of what it ran.
+ *
+ * <p>Thread safe.
+ */
+public final class StandinService implements AutoCloseable {
+    private static final int MAX_BODY_BYTES = 4 << 20;
+    private static final int WORKERS = 2;
+    private static final String JSON = "application/json";
+
+    private final List<String> mLog = new CopyOnWriteArrayList<>();
+    private final long mServiceMillis;
+    private final ScheduledExecutorService mTimer;
+    private final HttpServer mServer;
+
+    private StandinService(String name, String host, int port, long serviceMillis)
+            throws IOException {
+        mServiceMillis = serviceMillis;
+        mTimer =
+                Executors.newSingleThreadScheduledExecutor(
+                        task -> {
+                            Thread thread = new Thread(task, "service-" + name);
+                            thread.setDaemon(true);
+                            return thread;
+                        });
+        mServer =
+                HttpServers.start(
+                        new HttpListenerSettings(name, host, port, WORKERS),
+                        Map.of("/*", handler()));
+    }
+
+    /** Starts a service that takes {@code serviceMillis} milliseconds for each request. */
+    public static StandinService start(String name, String host, int port, long serviceMillis)
+            throws IOException {
+        return new StandinService(name, host, port, serviceMillis);
+    }
+
+    /** Returns the service's address. */
+    public URI address() {
+        return URI.create("http://127.0.0.1:" + HttpServers.port(mServer));
+    }
+
+    /** Returns the bodies that were run, in order, those of scoring left out. */
+    public List<String> log() {
+        return List.copyOf(mLog);
+    }
+
+    @Override
+    public void close() {
+        mTimer.shutdownNow();
+        mServer.shutdownNow();
+    }
+
+    private HttpHandler handler() {
+        return new HttpHandler() {
+            @Override
+            public void service(Request request, Response response) {
+                Responder out = Responder.suspend(response);
+                String path = request.getRequestURI();
+                if (!request.getMethod().getMethodString().equals("POST")) {
+                    out.whole(200, JSON, "{}".getBytes(StandardCharsets.UTF_8));
+                    return;
+                }
+                BodyReader.read(
+                        request,
+                        MAX_BODY_BYTES,
+                        result -> result.map(body -> run(path, body, out)));
+            }
+        };
+    }
+
+    private boolean run(String path, byte[] body, Responder out) {
+        boolean scoring = path.equals("/score");
+        if (!scoring) {
+            mLog.add(new String(body, StandardCharsets.UTF_8));
+        }
+        byte[] answer =
+                scoring
+                        ? Integer.toString(body.length % 100).getBytes(StandardCharsets.UTF_8)
+                        : body;
+        mTimer.schedule(() -> out.whole(200, JSON, answer), mServiceMillis, TimeUnit.MILLISECONDS);
+        return true;
+    }
+}
--- /dev/null
+++ b/ebonyrun-standin/src/main/java/org/ebonyrun/standin/platform/KeyValueTable.java
@@ -0,0 +1,102 @@
+package org.ebonyrun.standin.platform;
+
+import java.util.ArrayList;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import org.ebonyrun.platform.kv.KeyValueEntry;
+import org.ebonyrun.platform.kv.KeyValueStore;
+import org.ebonyrun.platform.kv.WriteOutcome;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * The state of a key-value service: conditional writes and keys with a time to live.
+ *
+ * <p>Thread safe: every method holds the table's monitor. Time is passed in.
+ */
+public final class KeyValueTable {
+    private static final long NEVER = Long.MAX_VALUE;
+
+    private final Map<String, Stored> mEntries = new TreeMap<>();
+    private long mRevision;
+
+    /** A value and when it expires, in milliseconds of the caller's clock. */
+    private record Stored(byte[] value, long revision, long expiresAt) {}
+
+    /** Creates an empty table. */
+    public KeyValueTable() {}
+
+    /** Returns an entry, or null if it is absent. */
+    public synchronized @Nullable KeyValueEntry get(String key, long nowMillis) {
+        expire(nowMillis);
+        Stored stored = mEntries.get(key);
+        return stored == null ? null : new KeyValueEntry(key, stored.value(), stored.revision());
+    }
+
+    /** Returns the entries whose keys begin with a prefix. */
+    public synchronized List<KeyValueEntry> list(String prefix, long nowMillis) {
+        expire(nowMillis);
+        List<KeyValueEntry> found = new ArrayList<>();
+        mEntries.forEach(
+                (key, stored) -> {
+                    if (key.startsWith(prefix)) {
+                        found.add(new KeyValueEntry(key, stored.value(), stored.revision()));
+                    }
+                });
+        return found;
+    }
+
+    /** Writes a key if its revision is the expected one. */
+    public synchronized WriteOutcome put(
+            String key, byte[] value, long expected, long ttlMillis, long nowMillis) {
+        expire(nowMillis);
+        if (revision(key) != expected) {
+            return new WriteOutcome(false, revision(key));
+        }
+        long expiresAt = expiry(ttlMillis, nowMillis);
+        mEntries.put(key, new Stored(value, ++mRevision, expiresAt));
+        return new WriteOutcome(true, mRevision);
+    }
+
+    /** Extends a key's time to live if its revision is the expected one. */
+    public synchronized WriteOutcome renew(
+            String key, long expected, long ttlMillis, long nowMillis) {
+        expire(nowMillis);
+        Stored stored = mEntries.get(key);
+        if (stored == null || stored.revision() != expected) {
+            return new WriteOutcome(false, revision(key));
+        }
+        long expiresAt = expiry(ttlMillis, nowMillis);
+        mEntries.put(key, new Stored(stored.value(), expected, expiresAt));
+        return new WriteOutcome(true, expected);
+    }
+
+    /** Deletes a key if its revision is the expected one. */
+    public synchronized WriteOutcome delete(String key, long expected, long nowMillis) {
+        expire(nowMillis);
+        if (revision(key) != expected) {
+            return new WriteOutcome(false, revision(key));
+        }
+        mEntries.remove(key);
+        return new WriteOutcome(true, ++mRevision);
+    }
+
+    private long revision(String key) {
+        Stored stored = mEntries.get(key);
+        return stored == null ? KeyValueStore.ABSENT : stored.revision();
+    }
+
+    private static long expiry(long ttlMillis, long nowMillis) {
+        return ttlMillis == KeyValueStore.FOREVER_MILLIS ? NEVER : nowMillis + ttlMillis;
+    }
+
+    private void expire(long nowMillis) {
+        Iterator<Stored> entries = mEntries.values().iterator();
+        while (entries.hasNext()) {
+            if (entries.next().expiresAt() <= nowMillis) {
+                entries.remove();
+            }
+        }
+    }
+}
--- /dev/null
+++ b/ebonyrun-standin/src/main/java/org/ebonyrun/standin/platform/package-info.java
@@ -0,0 +1,5 @@
+/** A stand-in for the platform: key-value service, VM list and weight store over HTTP. */
+@NullMarked
+package org.ebonyrun.standin.platform;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/ebonyrun-standin/src/main/java/org/ebonyrun/standin/trainer/package-info.java
@@ -0,0 +1,5 @@
+/** A stand-in for a trainer. */
+@NullMarked
+package org.ebonyrun.standin.trainer;
+
+import org.jspecify.annotations.NullMarked;
