Add the operators' client, status against targets, and example settings

Cause: nothing could be operated but the demonstration.

Change: config check|apply|get|history, status, dump, drain, call, step, standin; /admin/status compares each class with its target and says what is missing; examples for both deployments and for daemons as separate processes. The daemon now stays alive: all its threads were daemon threads, so it ended at once.

--- a/ebonyrun-client/src/main/java/org/ebonyrun/client/ClientMain.java
+++ b/ebonyrun-client/src/main/java/org/ebonyrun/client/ClientMain.java
@@ -8,13 +8,28 @@
 import net.sourceforge.argparse4j.inf.ArgumentParserException;
 import net.sourceforge.argparse4j.inf.Namespace;
 import net.sourceforge.argparse4j.inf.Subparsers;
+import org.ebonyrun.client.command.AdminCommand;
+import org.ebonyrun.client.command.CallCommand;
 import org.ebonyrun.client.command.Command;
+import org.ebonyrun.client.command.ConfigCommand;
 import org.ebonyrun.client.command.DemoCommand;
 import org.ebonyrun.client.command.ExitStatus;
+import org.ebonyrun.client.command.StandinCommand;
+import org.ebonyrun.client.command.StatusCommand;
+import org.ebonyrun.client.command.StepCommand;
 
 /** The binary {@code ebonyrun}. Stateless. */
 public final class ClientMain {
-    private static final List<Command> COMMANDS = List.of(new DemoCommand());
+    private static final List<Command> COMMANDS =
+            List.of(
+                    new ConfigCommand(),
+                    new StatusCommand(),
+                    AdminCommand.dump(),
+                    AdminCommand.drain(),
+                    new CallCommand(),
+                    new StepCommand(),
+                    new StandinCommand(),
+                    new DemoCommand());
 
     private ClientMain() {}
 
--- /dev/null
+++ b/ebonyrun-client/src/main/java/org/ebonyrun/client/command/AdminCommand.java
@@ -0,0 +1,53 @@
+package org.ebonyrun.client.command;
+
+import java.io.IOException;
+import net.sourceforge.argparse4j.inf.Namespace;
+import net.sourceforge.argparse4j.inf.Subparser;
+import net.sourceforge.argparse4j.inf.Subparsers;
+
+/**
+ * A command that sends one request to a process and prints its JSON answer.
+ *
+ * <p>Immutable and thread safe.
+ */
+public final class AdminCommand implements Command {
+    private final String mName;
+    private final String mHelp;
+    private final String mMethod;
+    private final String mPath;
+
+    private AdminCommand(String name, String help, String method, String path) {
+        mName = name;
+        mHelp = help;
+        mMethod = method;
+        mPath = path;
+    }
+
+    /** Returns the command that prints a process's state. */
+    public static AdminCommand dump() {
+        return new AdminCommand("dump", "print the state of a process", "GET", "/admin/dump");
+    }
+
+    /** Returns the command that begins a graceful shutdown. */
+    public static AdminCommand drain() {
+        return new AdminCommand(
+                "drain", "let a process refuse new work and finish", "POST", "/admin/drain");
+    }
+
+    @Override
+    public void register(Subparsers parsers) {
+        Subparser parser =
+                parsers.addParser(mName)
+                        .help(mHelp)
+                        .epilog("example: ebonyrun " + mName + " --at http://10.0.0.5:8081");
+        parser.setDefault("command", this);
+        Remote.register(parser);
+    }
+
+    @Override
+    public int run(Namespace options) throws IOException {
+        try (Remote remote = Remote.open(options)) {
+            return Remote.printRaw(remote.ask(mMethod, mPath, new byte[0]), System.out);
+        }
+    }
+}
--- /dev/null
+++ b/ebonyrun-client/src/main/java/org/ebonyrun/client/command/StatusCommand.java
@@ -0,0 +1,90 @@
+package org.ebonyrun.client.command;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.io.IOException;
+import net.sourceforge.argparse4j.inf.Namespace;
+import net.sourceforge.argparse4j.inf.Subparser;
+import net.sourceforge.argparse4j.inf.Subparsers;
+import org.ebonyrun.base.result.Result;
+import org.ebonyrun.daemon.store.Json;
+import org.ebonyrun.platform.http.HttpReply;
+
+/** Shows classes against their targets, endpoints and steps as one entry sees them. Stateless. */
+public final class StatusCommand implements Command {
+    /** Creates the command. */
+    public StatusCommand() {}
+
+    @Override
+    public void register(Subparsers parsers) {
+        Subparser parser =
+                parsers.addParser("status")
+                        .help("show classes, endpoints, steps and weights")
+                        .epilog("example: ebonyrun status --at http://10.0.0.4:8080");
+        parser.setDefault("command", this);
+        Remote.register(parser);
+    }
+
+    @Override
+    public int run(Namespace options) throws IOException {
+        try (Remote remote = Remote.open(options)) {
+            Result<HttpReply> answer = remote.ask("GET", "/admin/status", new byte[0]);
+            boolean table = answer.fold(HttpReply::isSuccess, fault -> false);
+            if (!table || options.getBoolean("json")) {
+                return Remote.printRaw(answer, System.out);
+            }
+            print(Json.tree(answer.orThrow().body()));
+            return ExitStatus.OK;
+        }
+    }
+
+    private static void print(JsonNode state) {
+        System.out.println(
+                state.path("vm").asText()
+                        + " in "
+                        + state.path("failure_domain").asText()
+                        + ", configuration version "
+                        + state.path("config_version").asLong()
+                        + (state.path("draining").asBoolean() ? ", draining" : ""));
+        Table classes = Table.of("CLASS", "CALLS", "IN TIME", "TARGET", "REFUSED", "SHORTFALL");
+        for (JsonNode row : state.path("classes")) {
+            classes.row(
+                    row.path("name").asText(),
+                    row.path("calls").asLong(),
+                    row.path("in_time").asText(),
+                    row.path("target").asText(),
+                    row.path("refused").asLong(),
+                    row.path("shortfall").asText());
+        }
+        print(classes);
+        Table endpoints = Table.of("ENDPOINT", "SERVICE", "USABLE", "RUNNING", "SLOTS", "VERSION");
+        for (JsonNode row : state.path("dispatch").path("endpoints")) {
+            JsonNode load = row.path("load");
+            endpoints.row(
+                    row.path("vm").asText(),
+                    row.path("service").asText(),
+                    row.path("usable").asBoolean(),
+                    load.path("running").asInt(),
+                    load.path("slots").asInt(),
+                    load.path("version").asLong());
+        }
+        print(endpoints);
+        Table steps = Table.of("TRAINER", "STEP", "SLOTS", "DELIVERED", "READY", "STALE");
+        for (JsonNode row : state.path("steps")) {
+            steps.row(
+                    row.path("trainer").asText(),
+                    row.path("step").asLong(),
+                    row.path("slots").asInt(),
+                    row.path("delivered").asInt(),
+                    row.path("ready").asInt(),
+                    row.path("stale").asLong());
+        }
+        print(steps);
+    }
+
+    private static void print(Table table) {
+        if (table.hasRows()) {
+            System.out.println();
+            System.out.print(table);
+        }
+    }
+}
--- a/ebonyrun-core/src/main/java/org/ebonyrun/core/rollout/Step.java
+++ b/ebonyrun-core/src/main/java/org/ebonyrun/core/rollout/Step.java
@@ -474,6 +474,7 @@
                         WorkKind.SAMPLE,
                         mSpec.service(),
                         mSpec.name(),
+                        now,
                         mStartedAt + Nanos.ofMillis(mSpec.trainerIdleMillis()),
                         now + GIVE_UP_NANOS,
                         true,
--- a/ebonyrun-core/src/main/java/org/ebonyrun/core/routing/Work.java
+++ b/ebonyrun-core/src/main/java/org/ebonyrun/core/routing/Work.java
@@ -15,6 +15,7 @@
  * @param kind whose work it is
  * @param service the service that runs it
  * @param className the class of work
+ * @param arrivedAt the monotonic time in nanoseconds at which it arrived
  * @param targetAt the monotonic time in nanoseconds at which the target is missed
  * @param giveUpAt the monotonic time in nanoseconds at which the work is given up
  * @param idempotent whether it may run more than once
@@ -31,6 +32,7 @@
         WorkKind kind,
         ServiceName service,
         ClassName className,
+        long arrivedAt,
         long targetAt,
         long giveUpAt,
         boolean idempotent,
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/DaemonMain.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/DaemonMain.java
@@ -4,6 +4,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
+import java.util.concurrent.CountDownLatch;
 import net.sourceforge.argparse4j.ArgumentParsers;
 import net.sourceforge.argparse4j.impl.Arguments;
 import net.sourceforge.argparse4j.inf.ArgumentParser;
@@ -82,6 +83,10 @@
         try {
             Node node = node(settings);
             Runtime.getRuntime().addShutdownHook(new Thread(() -> drain(node), "drain"));
+            new CountDownLatch(1).await();
+            return EXIT_OK;
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
             return EXIT_OK;
         } catch (IOException e) {
             Logger.error("start failed: {}", e.getMessage());
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/entry/DispatchEffects.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/entry/DispatchEffects.java
@@ -34,6 +34,8 @@
 
     @Override
     public void answered(Work work, Answer answer) {
+        long now = System.nanoTime();
+        mContext.mTargets.onAnswered(work, now - work.arrivedAt(), now);
         CallSink sink = mContext.mSinks.remove(work.id());
         if (sink != null) {
             sink.onAnswer(work, answer);
@@ -60,6 +62,7 @@
             mContext.mRolloutDuty.post((machine, now) -> machine.onSampleFailed(key, now));
             return;
         }
+        mContext.mTargets.onFault(work, fault, System.nanoTime());
         CallSink sink = mContext.mSinks.remove(work.id());
         if (sink != null) {
             sink.onFault(fault);
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/entry/EntryContext.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/entry/EntryContext.java
@@ -25,6 +25,7 @@
 import org.ebonyrun.core.rollout.RolloutMachine;
 import org.ebonyrun.core.routing.Dispatcher;
 import org.ebonyrun.core.routing.LeastLoadChooser;
+import org.ebonyrun.core.routing.TargetMonitor;
 import org.ebonyrun.core.weights.WeightPlanner;
 import org.ebonyrun.daemon.DaemonSettings;
 import org.ebonyrun.daemon.admin.NodeMetrics;
@@ -73,6 +74,7 @@
     final AtomicLong mWorkIds = new AtomicLong();
     final Map<Long, CallSink> mSinks = new ConcurrentHashMap<>();
     final Map<VmId, PeerLink> mByVm = new ConcurrentHashMap<>();
+    final TargetMonitor mTargets = new TargetMonitor();
     final Dispatcher mDispatcher;
     final RolloutMachine mRollout;
     final ConfigMachine mConfig;
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/entry/EntryNode.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/entry/EntryNode.java
@@ -1,16 +1,21 @@
 package org.ebonyrun.daemon.entry;
 
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.IOException;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.ebonyrun.base.time.Nanos;
+import org.ebonyrun.core.routing.TargetMonitor;
 import org.ebonyrun.daemon.DaemonSettings;
 import org.ebonyrun.daemon.admin.AdminHandlers;
 import org.ebonyrun.daemon.admin.AdminSource;
+import org.ebonyrun.daemon.store.Json;
 import org.ebonyrun.platform.http.HttpListenerSettings;
 import org.ebonyrun.platform.http.HttpServers;
+import org.ebonyrun.platform.http.Responder;
 import org.glassfish.grizzly.http.server.HttpHandler;
 import org.glassfish.grizzly.http.server.HttpServer;
 
@@ -27,6 +32,7 @@
         StepApi steps = new StepApi(mContext);
         ConfigApi config = new ConfigApi(mContext);
         Map<String, HttpHandler> handlers = AdminHandlers.of(this);
+        handlers.put("/admin/status", AdminHandlers.handler((request, out) -> status(out)));
         handlers.put(CallApi.PREFIX + "*", AdminHandlers.handler(calls::handle));
         handlers.put(StepApi.PREFIX + "*", AdminHandlers.handler(steps::handle));
         handlers.put(ConfigApi.PREFIX, AdminHandlers.handler(config::handle));
@@ -91,6 +97,29 @@
                         });
     }
 
+    private void status(Responder out) {
+        dump().thenCombine(mContext.mDispatchDuty.query(this::classes), EntryNode::withClasses)
+                .whenComplete(
+                        (state, error) -> {
+                            if (error == null) {
+                                out.whole(200, Faults.JSON, Json.write(state));
+                            } else {
+                                out.whole(503, Faults.JSON, Json.write(Map.of("error", "busy")));
+                            }
+                        });
+    }
+
+    private List<TargetMonitor.ClassStatus> classes() {
+        return mContext.mTargets.status(
+                mContext.mCurrent, mContext.mDispatcher.endpoints(), System.nanoTime());
+    }
+
+    private static Object withClasses(Object dump, List<TargetMonitor.ClassStatus> classes) {
+        ObjectNode state = Json.mapper().valueToTree(dump);
+        state.set("classes", Json.mapper().valueToTree(classes));
+        return state;
+    }
+
     @Override
     public boolean isReady() {
         return !mContext.mDraining && mContext.mCurrent.version() > 0;
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/entry/RolloutEffects.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/entry/RolloutEffects.java
@@ -129,6 +129,7 @@
                         WorkKind.CALL,
                         scorer,
                         SCORING,
+                        now,
                         now + SCORE_NANOS,
                         now + SCORE_NANOS,
                         true,
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/store/Json.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/store/Json.java
@@ -5,12 +5,14 @@
 import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.PropertyNamingStrategies;
 import java.io.IOException;
 
 /** Reads and writes JSON. Stateless and thread safe. */
 public final class Json {
     private static final ObjectMapper MAPPER =
             new ObjectMapper()
+                    .setPropertyNamingStrategy(PropertyNamingStrategies.SNAKE_CASE)
                     .setSerializationInclusion(JsonInclude.Include.NON_NULL)
                     .configure(DeserializationFeature.FAIL_ON_TRAILING_TOKENS, true)
                     .configure(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES, true);
