--- a/ebonyrun-client/src/main/java/org/ebonyrun/client/ClientMain.java
+++ b/ebonyrun-client/src/main/java/org/ebonyrun/client/ClientMain.java
@@ -14,6 +14,7 @@
 import org.ebonyrun.client.command.ConfigCommand;
 import org.ebonyrun.client.command.DemoCommand;
 import org.ebonyrun.client.command.ExitStatus;
+import org.ebonyrun.client.command.FaultsCommand;
 import org.ebonyrun.client.command.StandinCommand;
 import org.ebonyrun.client.command.StatusCommand;
 import org.ebonyrun.client.command.StepCommand;
@@ -29,6 +30,7 @@
                     new CallCommand(),
                     new StepCommand(),
                     new StandinCommand(),
+                    new FaultsCommand(),
                     new DemoCommand());
 
     private ClientMain() {}
--- /dev/null
+++ b/ebonyrun-client/src/main/java/org/ebonyrun/client/command/FaultsCommand.java
@@ -0,0 +1,144 @@
+package org.ebonyrun.client.command;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.stream.Collectors;
+import java.util.stream.LongStream;
+import net.sourceforge.argparse4j.inf.Namespace;
+import net.sourceforge.argparse4j.inf.Subparser;
+import net.sourceforge.argparse4j.inf.Subparsers;
+import org.ebonyrun.standin.fault.FaultMatrix;
+import org.ebonyrun.standin.fault.FaultOutcome;
+import org.ebonyrun.standin.virtual.FaultKind;
+import org.ebonyrun.standin.virtual.PathStep;
+
+/** Runs the fault matrix and a sweep of pairs in virtual time. Stateless. */
+public final class FaultsCommand implements Command {
+    private static final int DEFAULT_PAIRS = 500;
+    private static final int MAX_SHOWN = 20;
+
+    /** Creates the command. */
+    public FaultsCommand() {}
+
+    /** A cell's outcomes, one for each occurrence that was tried. */
+    private record CellResult(FaultMatrix.Cell cell, List<FaultOutcome> outcomes) {
+        boolean isKept() {
+            return outcomes.stream().allMatch(FaultOutcome::isKept);
+        }
+    }
+
+    @Override
+    public void register(Subparsers parsers) {
+        Subparser parser =
+                parsers.addParser("faults")
+                        .help("run every fault at every step, and pairs, in virtual time")
+                        .epilog("example: ebonyrun faults --pairs 1000 --write docs/FAULTS.md");
+        parser.setDefault("command", this);
+        parser.addArgument("--pairs").type(Integer.class).setDefault(DEFAULT_PAIRS);
+        parser.addArgument("--first-pair").type(Long.class).setDefault(0L).help("first seed");
+        parser.addArgument("--write").help("write the matrix to this Markdown file");
+        parser.addArgument("--check").help("fail if this Markdown file differs from the matrix");
+    }
+
+    @Override
+    public int run(Namespace options) throws IOException {
+        List<CellResult> cells =
+                FaultMatrix.possibleCells().parallelStream()
+                        .map(FaultsCommand::runCell)
+                        .collect(Collectors.toList());
+        long first = options.getLong("first_pair");
+        List<FaultOutcome> pairs =
+                LongStream.range(first, first + options.getInt("pairs"))
+                        .parallel()
+                        .mapToObj(FaultMatrix::runPair)
+                        .collect(Collectors.toList());
+        List<String> broken = broken(cells, pairs, first);
+        broken.stream().limit(MAX_SHOWN).forEach(System.out::println);
+        System.out.println(
+                cells.size() + " cells, " + pairs.size() + " pairs, " + broken.size() + " broken");
+        String page = page(cells);
+        if (options.getString("write") != null) {
+            Files.writeString(Path.of(options.getString("write")), page);
+        }
+        boolean stale =
+                options.getString("check") != null
+                        && !Files.readString(Path.of(options.getString("check"))).equals(page);
+        if (stale) {
+            System.out.println(options.getString("check") + " is not what this run gives");
+        }
+        return broken.isEmpty() && !stale ? ExitStatus.OK : ExitStatus.FAILED;
+    }
+
+    private static CellResult runCell(FaultMatrix.Cell cell) {
+        List<FaultOutcome> outcomes = new ArrayList<>();
+        for (int occurrence : FaultMatrix.OCCURRENCES) {
+            outcomes.add(FaultMatrix.run(cell, occurrence));
+        }
+        return new CellResult(cell, outcomes);
+    }
+
+    private static List<String> broken(
+            List<CellResult> cells, List<FaultOutcome> pairs, long firstPair) {
+        List<String> broken = new ArrayList<>();
+        for (CellResult result : cells) {
+            for (FaultOutcome outcome : result.outcomes()) {
+                if (!outcome.isKept()) {
+                    broken.add(result.cell() + " seed " + outcome.seed() + " " + first(outcome));
+                }
+            }
+        }
+        for (int i = 0; i < pairs.size(); i++) {
+            if (!pairs.get(i).isKept()) {
+                long seed = firstPair + i;
+                broken.add("pair " + seed + " " + FaultMatrix.pair(seed) + first(pairs.get(i)));
+            }
+        }
+        return broken;
+    }
+
+    private static List<String> first(FaultOutcome outcome) {
+        return outcome.broken().stream().limit(3).toList();
+    }
+
+    private static String page(List<CellResult> results) {
+        Map<FaultMatrix.Cell, CellResult> byCell = new LinkedHashMap<>();
+        results.forEach(result -> byCell.put(result.cell(), result));
+        StringBuilder text = new StringBuilder();
+        text.append("# Fault matrix\n\n");
+        text.append("Made by `bin/ebonyrun faults --write docs/FAULTS.md`; do not edit.\n\n");
+        text.append("Each cell is a run of every path in virtual time in which the fault strikes");
+        text.append(" the step's first and fourth occurrence, checked against the stand-ins'");
+        text.append(" logs. The cell shows the outcome, how many of the two faults struck (a step");
+        text.append(" may occur less than four times), and the first run's seed.\n\n");
+        text.append("kept: all promises held and work went on. —: the cell can't occur.\n\n");
+        for (FaultKind kind : FaultKind.values()) {
+            text.append("## ").append(kind).append("\n\n");
+            text.append("| path | step | outcome | struck | seed |\n|---|---|---|---|---|\n");
+            for (PathStep step : PathStep.values()) {
+                appendRow(text, new FaultMatrix.Cell(step, kind), byCell);
+            }
+            text.append('\n');
+        }
+        return text.toString();
+    }
+
+    private static void appendRow(
+            StringBuilder text, FaultMatrix.Cell cell, Map<FaultMatrix.Cell, CellResult> byCell) {
+        text.append("| ").append(cell.step().path()).append(" | ").append(cell.step());
+        CellResult result = byCell.get(cell);
+        if (result == null) {
+            text.append(" | — ").append(cell.impossible().orElse("")).append(" | | |\n");
+            return;
+        }
+        int struck = result.outcomes().stream().mapToInt(FaultOutcome::struck).sum();
+        String outcome = result.isKept() ? "kept" : "BROKEN";
+        text.append(" | ").append(struck == 0 ? "did not occur" : outcome);
+        text.append(" | ").append(struck).append(" | ");
+        text.append(result.outcomes().get(0).seed()).append(" |\n");
+    }
+}
--- /dev/null
+++ b/ebonyrun-standin/src/main/java/org/ebonyrun/standin/fault/CallRecord.java
@@ -0,0 +1,14 @@
+package org.ebonyrun.standin.fault;
+
+import org.ebonyrun.standin.virtual.CallEnd;
+import org.ebonyrun.standin.virtual.VirtualCall;
+
+/**
+ * A call in a virtual caller's log.
+ *
+ * @param call the call
+ * @param at when it was sent, in nanoseconds of virtual time
+ * @param tookNanos how long its end took
+ * @param end how it ended
+ */
+public record CallRecord(VirtualCall call, long at, long tookNanos, CallEnd end) {}
--- /dev/null
+++ b/ebonyrun-standin/src/main/java/org/ebonyrun/standin/fault/ConfigLog.java
@@ -0,0 +1,89 @@
+package org.ebonyrun.standin.fault;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.ebonyrun.base.result.FaultCode;
+import org.ebonyrun.base.result.Outcome;
+import org.ebonyrun.base.time.Nanos;
+import org.ebonyrun.standin.virtual.VirtualWorld;
+
+/** Operators who change the configuration, and what they were told. Not thread safe. */
+final class ConfigLog {
+    private static final long RETRY_NANOS = Nanos.ofMillis(1_000);
+    private static final int MAX_TRIES = 8;
+    private static final long SPREAD_NANOS = Nanos.ofMillis(14_000);
+
+    private final VirtualWorld mWorld;
+    private final Map<Long, String> mAccepted = new HashMap<>();
+    private final List<String> mNotInForce = new ArrayList<>();
+    private final List<String> mWrong = new ArrayList<>();
+    private int mNonces;
+
+    ConfigLog(VirtualWorld world) {
+        mWorld = world;
+    }
+
+    /** Applies a text at one entry, on top of the version that is in force there. */
+    void apply(int turn, String text) {
+        apply(turn, text, "nonce-" + mNonces++, MAX_TRIES);
+    }
+
+    /** Repeats the same change while the key-value service is away, as the client does. */
+    private void apply(int turn, String text, String nonce, int triesLeft) {
+        mWorld.applyBalanced(
+                turn,
+                text,
+                nonce,
+                result ->
+                        result.fold(
+                                config -> {
+                                    accepted(config.version(), nonce);
+                                    return true;
+                                },
+                                fault -> {
+                                    if (fault.outcome() == Outcome.FAILED) {
+                                        mWrong.add("operator was told " + fault);
+                                    }
+                                    boolean away = fault.code() == FaultCode.PLATFORM_UNAVAILABLE;
+                                    if (away && triesLeft > 0) {
+                                        Runnable again =
+                                                () -> apply(turn + 1, text, nonce, triesLeft - 1);
+                                        mWorld.time().after(RETRY_NANOS, again);
+                                    }
+                                    return false;
+                                }));
+    }
+
+    /** Returns the highest version that an operator was told is accepted. */
+    long highest() {
+        return mAccepted.keySet().stream().mapToLong(Long::longValue).max().orElse(0);
+    }
+
+    /** Returns versions that two operators were both told are theirs. */
+    List<String> wrong() {
+        return mWrong;
+    }
+
+    /** Returns processes that lacked an accepted version 14 seconds later. */
+    List<String> notInForce() {
+        return mNotInForce;
+    }
+
+    private void accepted(long version, String nonce) {
+        String other = mAccepted.putIfAbsent(version, nonce);
+        if (other != null && !other.equals(nonce)) {
+            mWrong.add("version " + version + " was given to two operators");
+        }
+        mWorld.time()
+                .after(
+                        SPREAD_NANOS,
+                        () ->
+                                mWorld.processesBelow(version)
+                                        .forEach(
+                                                name ->
+                                                        mNotInForce.add(
+                                                                name + " lacks " + version)));
+    }
+}
--- /dev/null
+++ b/ebonyrun-standin/src/main/java/org/ebonyrun/standin/virtual/VirtualDispatch.java
@@ -0,0 +1,56 @@
+package org.ebonyrun.standin.virtual;
+
+import org.ebonyrun.base.id.SampleKey;
+import org.ebonyrun.base.id.VmId;
+import org.ebonyrun.base.result.Fault;
+import org.ebonyrun.core.attempt.AttemptMessage;
+import org.ebonyrun.core.attempt.SampleInfo;
+import org.ebonyrun.core.routing.Answer;
+import org.ebonyrun.core.routing.DispatchOutputs;
+import org.ebonyrun.core.routing.Work;
+
+/** Carries out what a virtual entry's dispatch duty decides. Not thread safe. */
+final class VirtualDispatch implements DispatchOutputs {
+    private final VirtualEntry mEntry;
+
+    VirtualDispatch(VirtualEntry entry) {
+        mEntry = entry;
+    }
+
+    @Override
+    public boolean send(VmId vm, AttemptMessage message) {
+        VirtualLink link = mEntry.mByVm.get(vm);
+        return link != null && link.sendToAgent(message);
+    }
+
+    @Override
+    public void piece(Work work, byte[] data) {}
+
+    @Override
+    public void answered(Work work, Answer answer) {
+        mEntry.callAnswered(work, answer.body(), answer.tokens());
+    }
+
+    @Override
+    public void sampled(Work work, VmId vm, SampleInfo info) {
+        SampleKey key = work.sample();
+        if (key != null) {
+            found(vm, key, info);
+        }
+    }
+
+    @Override
+    public void found(VmId vm, SampleKey key, SampleInfo info) {
+        mEntry.post(() -> mEntry.mRollout.onFinished(vm, key, info, mEntry.now()));
+    }
+
+    @Override
+    public void failed(Work work, Fault fault) {
+        SampleKey key = work.sample();
+        if (key == null) {
+            mEntry.callFailed(work, fault);
+        } else {
+            mEntry.post(() -> mEntry.mRollout.onSampleFailed(key, mEntry.now()));
+        }
+    }
+}
--- /dev/null
+++ b/ebonyrun-standin/src/main/java/org/ebonyrun/standin/virtual/VirtualLeases.java
@@ -0,0 +1,77 @@
+package org.ebonyrun.standin.virtual;
+
+import java.util.function.Supplier;
+import org.ebonyrun.base.result.Result;
+import org.ebonyrun.core.lease.LeaseEvents;
+import org.ebonyrun.core.lease.LeaseOutputs;
+import org.ebonyrun.core.lease.LeaseReading;
+
+/** Takes and extends leases for a duty of a virtual entry. Not thread safe. */
+final class VirtualLeases implements LeaseOutputs {
+    private final VirtualEntry mEntry;
+    private final Supplier<LeaseEvents> mMachine;
+
+    VirtualLeases(VirtualEntry entry, Supplier<LeaseEvents> machine) {
+        mEntry = entry;
+        mMachine = machine;
+    }
+
+    @Override
+    public void acquire(String key) {
+        mEntry.mWorld.act(PathStep.LEASE_ACQUIRE, Parties.ofEntry(mEntry), () -> doAcquire(key));
+    }
+
+    @Override
+    public void renew(String key, long revision) {
+        mEntry.mWorld.act(
+                PathStep.LEASE_RENEW, Parties.ofEntry(mEntry), () -> doRenew(key, revision));
+    }
+
+    private void doAcquire(String key) {
+        Runnable[] next = new Runnable[1];
+        Runnable resume = mEntry.guarded(() -> next[0].run());
+        mEntry.mLeases
+                .acquire(key)
+                .thenAccept(
+                        result -> {
+                            next[0] = () -> onReading(key, result);
+                            resume.run();
+                        });
+    }
+
+    private void onReading(String key, Result<LeaseReading> result) {
+        result.fold(
+                reading -> {
+                    mMachine.get().onLeaseReading(key, reading, mEntry.now());
+                    return true;
+                },
+                fault -> {
+                    mMachine.get().onLeaseUnavailable(key, mEntry.now());
+                    return false;
+                });
+    }
+
+    private void doRenew(String key, long revision) {
+        Runnable[] next = new Runnable[1];
+        Runnable resume = mEntry.guarded(() -> next[0].run());
+        mEntry.mLeases
+                .renew(key, revision)
+                .thenAccept(
+                        result -> {
+                            next[0] = () -> onRenewed(key, result);
+                            resume.run();
+                        });
+    }
+
+    private void onRenewed(String key, Result<Boolean> result) {
+        result.fold(
+                granted -> {
+                    mMachine.get().onLeaseRenewed(key, granted, mEntry.now());
+                    return true;
+                },
+                fault -> {
+                    mMachine.get().onLeaseUnavailable(key, mEntry.now());
+                    return false;
+                });
+    }
+}
--- /dev/null
+++ b/ebonyrun-standin/src/main/java/org/ebonyrun/standin/virtual/VirtualMembership.java
@@ -0,0 +1,52 @@
+package org.ebonyrun.standin.virtual;
+
+import org.ebonyrun.base.id.ServiceName;
+import org.ebonyrun.base.id.VmId;
+import org.ebonyrun.core.membership.MembershipMessage;
+import org.ebonyrun.core.membership.MembershipOutputs;
+import org.ebonyrun.core.membership.Peer;
+
+/** Carries out what a virtual entry's membership duty decides. Not thread safe. */
+final class VirtualMembership implements MembershipOutputs {
+    private final VirtualEntry mEntry;
+
+    VirtualMembership(VirtualEntry entry) {
+        mEntry = entry;
+    }
+
+    @Override
+    public void connect(Peer peer) {
+        mEntry.mWorld.connect(mEntry, peer);
+    }
+
+    @Override
+    public void disconnect(VmId vm) {
+        VirtualLink link = mEntry.mByVm.get(vm);
+        if (link != null) {
+            link.close();
+        }
+    }
+
+    @Override
+    public void heartbeat(VmId vm) {
+        VirtualLink link = mEntry.mByVm.get(vm);
+        if (link != null) {
+            link.sendToAgent(new MembershipMessage.Heartbeat(mEntry.mCurrent.version(), null));
+        }
+    }
+
+    @Override
+    public void usable(Peer peer, boolean usable) {
+        if (peer.endpoint()) {
+            ServiceName service = ServiceName.of(peer.service());
+            mEntry.post(
+                    () ->
+                            mEntry.mDispatcher.onUsable(
+                                    peer.vm(),
+                                    service,
+                                    peer.failureDomain(),
+                                    usable,
+                                    mEntry.now()));
+        }
+    }
+}
--- /dev/null
+++ b/ebonyrun-standin/src/main/java/org/ebonyrun/standin/virtual/VirtualPlanner.java
@@ -0,0 +1,54 @@
+package org.ebonyrun.standin.virtual;
+
+import org.ebonyrun.base.id.ServiceName;
+import org.ebonyrun.base.id.VmId;
+import org.ebonyrun.base.time.Nanos;
+import org.ebonyrun.core.lease.LeaseOutputs;
+import org.ebonyrun.core.weights.PlannerOutputs;
+import org.ebonyrun.core.weights.WeightMessage;
+
+/** Carries out what a virtual entry's weight planner decides. Not thread safe. */
+final class VirtualPlanner implements PlannerOutputs {
+    private final VirtualEntry mEntry;
+    private final LeaseOutputs mLeases;
+
+    VirtualPlanner(VirtualEntry entry) {
+        mEntry = entry;
+        mLeases = new VirtualLeases(entry, () -> entry.mPlanner);
+    }
+
+    @Override
+    public void acquire(String key) {
+        mLeases.acquire(key);
+    }
+
+    @Override
+    public void renew(String key, long revision) {
+        mLeases.renew(key, revision);
+    }
+
+    @Override
+    public boolean order(VmId vm, WeightMessage.LoadOrder order) {
+        VirtualLink link = mEntry.mByVm.get(vm);
+        return link != null && link.sendToAgent(order);
+    }
+
+    @Override
+    public void askLatest(ServiceName service) {
+        mEntry.after(
+                Nanos.ofMillis(2),
+                () ->
+                        mEntry.mPlanner.onLatest(
+                                service, mEntry.mWorld.latest(service), mEntry.now()));
+    }
+
+    @Override
+    public String storeSource(ServiceName service, long version) {
+        return "store/" + version;
+    }
+
+    @Override
+    public String peerSource(VmId vm, ServiceName service, long version) {
+        return vm + "/" + version;
+    }
+}
--- /dev/null
+++ b/ebonyrun-standin/src/main/java/org/ebonyrun/standin/virtual/VirtualRollout.java
@@ -0,0 +1,171 @@
+package org.ebonyrun.standin.virtual;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.function.Consumer;
+import org.ebonyrun.base.id.SampleKey;
+import org.ebonyrun.base.id.ServiceName;
+import org.ebonyrun.base.id.TrainerId;
+import org.ebonyrun.base.id.VmId;
+import org.ebonyrun.base.result.Fault;
+import org.ebonyrun.base.result.FaultCode;
+import org.ebonyrun.base.result.Result;
+import org.ebonyrun.core.attempt.AttemptMessage;
+import org.ebonyrun.core.lease.LeaseHolder;
+import org.ebonyrun.core.lease.LeaseOutputs;
+import org.ebonyrun.core.rollout.RolloutOutputs;
+import org.ebonyrun.core.rollout.StepManifest;
+import org.ebonyrun.core.rollout.StepReply;
+import org.ebonyrun.core.rollout.StepRequest;
+import org.ebonyrun.core.routing.Work;
+import org.jspecify.annotations.Nullable;
+
+/** Carries out what a virtual entry's rollout duty decides. Not thread safe. */
+final class VirtualRollout implements RolloutOutputs {
+    private final VirtualEntry mEntry;
+    private final LeaseOutputs mLeases;
+
+    VirtualRollout(VirtualEntry entry) {
+        mEntry = entry;
+        mLeases = new VirtualLeases(entry, () -> entry.mRollout);
+    }
+
+    @Override
+    public void acquire(String key) {
+        mLeases.acquire(key);
+    }
+
+    @Override
+    public void renew(String key, long revision) {
+        mLeases.renew(key, revision);
+    }
+
+    @Override
+    public void storeManifest(StepManifest manifest) {
+        mEntry.mWorld.act(PathStep.MANIFEST_STORE, Parties.ofEntry(mEntry), () -> store(manifest));
+    }
+
+    private void store(StepManifest manifest) {
+        Runnable[] next = new Runnable[1];
+        Runnable resume = mEntry.guarded(() -> next[0].run());
+        mEntry.mManifests
+                .store(manifest)
+                .thenAccept(
+                        result -> {
+                            next[0] =
+                                    () ->
+                                            mEntry.mRollout.onManifestStored(
+                                                    manifest, fault(result), mEntry.now());
+                            resume.run();
+                        });
+    }
+
+    @Override
+    public void loadManifest(TrainerId trainer, long step) {
+        Runnable[] next = new Runnable[1];
+        Runnable resume = mEntry.guarded(() -> next[0].run());
+        mEntry.mManifests
+                .load(trainer, step)
+                .thenAccept(
+                        result -> {
+                            next[0] = () -> loaded(trainer, step, result);
+                            resume.run();
+                        });
+    }
+
+    private void loaded(TrainerId trainer, long step, Result<Optional<StepManifest>> result) {
+        StepManifest manifest =
+                result.<@Nullable StepManifest>fold(found -> found.orElse(null), fault -> null);
+        mEntry.mRollout.onManifestLoaded(trainer, step, manifest, fault(result), mEntry.now());
+    }
+
+    private static <T> Optional<Fault> fault(Result<T> result) {
+        return result.fold(value -> Optional.empty(), Optional::of);
+    }
+
+    @Override
+    public void deleteManifest(TrainerId trainer, long step, int slots) {
+        mEntry.mManifests.delete(trainer, step);
+    }
+
+    @Override
+    public void submit(Work work) {
+        mEntry.post(() -> mEntry.mDispatcher.submit(work, mEntry.now()));
+    }
+
+    @Override
+    public void cancel(long workId) {
+        mEntry.post(() -> mEntry.mDispatcher.cancel(workId));
+    }
+
+    @Override
+    public void abandon(long workId) {
+        mEntry.post(() -> mEntry.mDispatcher.abandon(workId));
+    }
+
+    @Override
+    public void setMinVersion(TrainerId trainer, long version) {
+        mEntry.post(() -> mEntry.mDispatcher.setMinVersion(trainer, version, mEntry.now()));
+    }
+
+    @Override
+    public boolean send(VmId vm, AttemptMessage message) {
+        VirtualLink link = mEntry.mByVm.get(vm);
+        return link != null && link.sendToAgent(message);
+    }
+
+    @Override
+    public void broadcast(ServiceName service, AttemptMessage message) {
+        for (VirtualLink link : List.copyOf(mEntry.mByVm.values())) {
+            if (link.mAgent.mService.equals(service)) {
+                link.sendToAgent(message);
+            }
+        }
+    }
+
+    @Override
+    public void score(ServiceName scorer, SampleKey key, byte[] content) {
+        mEntry.post(() -> mEntry.mRollout.onScored(key, "1", mEntry.now()));
+    }
+
+    @Override
+    public void forward(LeaseHolder owner, long requestId, StepRequest request) {
+        Consumer<StepReply> back = mEntry.mReplies.get(requestId);
+        Consumer<StepReply> sink =
+                reply -> {
+                    if (back != null) {
+                        back.accept(reply);
+                    }
+                };
+        Fault gone =
+                Fault.unknown(FaultCode.OWNER_UNAVAILABLE, "step.forward", "", "owner is gone");
+        mEntry.mWorld.forward(
+                mEntry,
+                owner,
+                request,
+                sink,
+                () -> {
+                    mEntry.mRollout.onOwnerUnreachable(request.trainer(), mEntry.now());
+                    sink.accept(StepReply.failed(gone.withRetryAfterMillis(300)));
+                });
+    }
+
+    @Override
+    public void reply(long requestId, StepReply reply) {
+        Consumer<StepReply> sink = mEntry.mReplies.remove(requestId);
+        if (sink != null) {
+            sink.accept(reply);
+        }
+    }
+
+    @Override
+    public void idle(TrainerId trainer, long nanos) {}
+
+    @Override
+    public void delivered(TrainerId trainer, long age) {}
+
+    @Override
+    public long nextWorkId() {
+        return mEntry.nextId();
+    }
+}
--- /dev/null
+++ b/ebonyrun-standin/src/main/java/org/ebonyrun/standin/virtual/package-info.java
@@ -0,0 +1,5 @@
+/** The real decision code on fakes in virtual time, for fault tests and policy experiments. */
+@NullMarked
+package org.ebonyrun.standin.virtual;
+
+import org.jspecify.annotations.NullMarked;
