--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/agent/AgentNode.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/agent/AgentNode.java
@@ -48,12 +48,11 @@
 import org.ebonyrun.daemon.link.LinkEvents;
 import org.ebonyrun.daemon.link.PeerLink;
 import org.ebonyrun.daemon.link.WireTypes;
+import org.ebonyrun.daemon.store.FenceStore;
 import org.ebonyrun.platform.http.HttpCaller;
 import org.ebonyrun.platform.http.HttpListenerSettings;
 import org.ebonyrun.platform.http.HttpServers;
 import org.ebonyrun.platform.kv.HttpKeyValueStore;
-import org.ebonyrun.platform.kv.KeyValueEntry;
-import org.ebonyrun.platform.kv.KeyValueStore;
 import org.glassfish.grizzly.http.server.HttpServer;
 
 /**
@@ -76,7 +75,7 @@
     private final NodeMetrics mMetrics = new NodeMetrics();
     private final HttpCaller mCaller;
     private final EndpointAdapter mAdapter;
-    private final KeyValueStore mStore;
+    private final FenceStore mFences;
     private final LinkBook mBook;
     private final LinkTransport mTransport;
     private final AttemptMachine mAttempts;
@@ -101,7 +100,9 @@
                 settings.engine()
                         ? EngineAdapter.create(mCaller, endpoint, events)
                         : PlainAdapter.create(mCaller, endpoint, events);
-        mStore = HttpKeyValueStore.create(mCaller, settings.platform().keyValue());
+        mFences =
+                FenceStore.create(
+                        HttpKeyValueStore.create(mCaller, settings.platform().keyValue()));
         MonotonicClock clock = MonotonicClock.system();
         AttemptLimits limits =
                 new AttemptLimits(
@@ -247,12 +248,13 @@
     /** Reads the newest fence, again and again until the key-value service answers. */
     private void learnFloor() {
         ServiceName service = requireNonNull(mSettings.service());
-        mStore.get(WeightPlanner.leaseKey(service))
+        mFences.read(WeightPlanner.leaseKey(service))
                 .thenAccept(
                         result ->
                                 result.fold(
-                                        entry -> {
-                                            onFloor(entry);
+                                        fence -> {
+                                            mSwapDuty.post(
+                                                    (machine, now) -> machine.onFloor(fence));
                                             return true;
                                         },
                                         fault -> {
@@ -261,11 +263,6 @@
                                         }));
     }
 
-    private void onFloor(Optional<KeyValueEntry> entry) {
-        long fence = entry.map(KeyValueEntry::revision).orElse(0L);
-        mSwapDuty.post((machine, now) -> machine.onFloor(fence));
-    }
-
     private void retryFloor() {
         if (!mTimer.isShutdown()) {
             mTimer.schedule(this::learnFloor, STATE_MILLIS, TimeUnit.MILLISECONDS);
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/store/LeaseClient.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/store/LeaseClient.java
@@ -13,15 +13,22 @@
 import org.ebonyrun.platform.kv.KeyValueStore;
 import org.ebonyrun.platform.kv.WriteOutcome;
 
-/** Takes and extends leases, which are keys with a time to live. Thread safe. */
+/**
+ * Takes and extends leases, which are keys with a time to live. The fence of a lease is recorded
+ * for good before its holder hears of it.
+ *
+ * <p>Thread safe.
+ */
 public final class LeaseClient {
     private final KeyValueStore mStore;
     private final ConditionalWriter mWriter;
+    private final FenceStore mFences;
     private final LeaseHolder mSelf;
 
     private LeaseClient(KeyValueStore store, LeaseHolder self) {
         mStore = store;
         mWriter = ConditionalWriter.create(store);
+        mFences = FenceStore.create(store);
         mSelf = self;
     }
 
@@ -60,10 +67,26 @@
 
     private CompletableFuture<Result<LeaseReading>> onOutcome(String key, WriteOutcome outcome) {
         if (outcome.applied()) {
-            return CompletableFuture.completedFuture(
-                    Result.ok(new LeaseReading(mSelf, outcome.revision())));
+            return recorded(key, new LeaseReading(mSelf, outcome.revision()));
         }
-        return mStore.get(key).thenApply(result -> result.flatMap(entry -> reading(key, entry)));
+        return mStore.get(key)
+                .thenCompose(
+                        result ->
+                                result.flatMap(entry -> reading(key, entry))
+                                        .fold(
+                                                reading -> recorded(key, reading),
+                                                fault ->
+                                                        CompletableFuture.completedFuture(
+                                                                Result.err(fault))));
+    }
+
+    /** Records the fence if the lease is ours. */
+    private CompletableFuture<Result<LeaseReading>> recorded(String key, LeaseReading reading) {
+        if (!reading.holder().isSameProcess(mSelf)) {
+            return CompletableFuture.completedFuture(Result.ok(reading));
+        }
+        return mFences.record(key, reading.revision())
+                .thenApply(result -> result.map(ignored -> reading));
     }
 
     private static Result<LeaseReading> reading(String key, Optional<KeyValueEntry> entry) {
--- a/ebonyrun-standin/src/main/java/org/ebonyrun/standin/fault/ConfigLog.java
+++ b/ebonyrun-standin/src/main/java/org/ebonyrun/standin/fault/ConfigLog.java
@@ -2,11 +2,14 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.ebonyrun.base.result.FaultCode;
 import org.ebonyrun.base.result.Outcome;
 import org.ebonyrun.base.time.Nanos;
+import org.ebonyrun.daemon.store.ConfigStore;
 import org.ebonyrun.standin.virtual.VirtualWorld;
 
 /** Operators who change the configuration, and what they were told. Not thread safe. */
@@ -19,6 +22,7 @@
     private final Map<Long, String> mAccepted = new HashMap<>();
     private final List<String> mNotInForce = new ArrayList<>();
     private final List<String> mWrong = new ArrayList<>();
+    private final Set<String> mRefused = new HashSet<>();
     private int mNonces;
 
     ConfigLog(VirtualWorld world) {
@@ -46,6 +50,9 @@
                                     if (fault.outcome() == Outcome.FAILED) {
                                         mWrong.add("operator was told " + fault);
                                     }
+                                    if (fault.code() == FaultCode.CONFLICT) {
+                                        mRefused.add(nonce);
+                                    }
                                     boolean away = fault.code() == FaultCode.PLATFORM_UNAVAILABLE;
                                     if (away && triesLeft > 0) {
                                         Runnable again =
@@ -61,9 +68,33 @@
         return mAccepted.keySet().stream().mapToLong(Long::longValue).max().orElse(0);
     }
 
-    /** Returns versions that two operators were both told are theirs. */
+    /** Returns what operators were told that is not true. */
     List<String> wrong() {
-        return mWrong;
+        List<String> wrong = new ArrayList<>(mWrong);
+        ConfigStore.create(mWorld.store())
+                .read()
+                .thenAccept(
+                        result ->
+                                result.map(
+                                        current -> {
+                                            compare(current.config().nonces(), wrong);
+                                            return true;
+                                        }));
+        mWorld.time().runUntil(mWorld.time().now() + SPREAD_NANOS);
+        return wrong;
+    }
+
+    private void compare(List<String> stored, List<String> wrong) {
+        for (String nonce : mAccepted.values()) {
+            if (!stored.contains(nonce)) {
+                wrong.add(nonce + " was called accepted but is not stored");
+            }
+        }
+        for (String nonce : mRefused) {
+            if (stored.contains(nonce)) {
+                wrong.add(nonce + " was called refused but is stored");
+            }
+        }
     }
 
     /** Returns processes that lacked an accepted version 14 seconds later. */
--- a/ebonyrun-standin/src/main/java/org/ebonyrun/standin/fault/FaultAudit.java
+++ b/ebonyrun-standin/src/main/java/org/ebonyrun/standin/fault/FaultAudit.java
@@ -20,7 +20,8 @@
  * <p>Not thread safe; used after a run.
  */
 final class FaultAudit {
-    private static final int MIN_STEPS = 3;
+    static final int MIN_STEPS = 3;
+
     private static final double MIN_ANSWERED = 0.5;
 
     private final VirtualWorld mWorld;
@@ -79,9 +80,7 @@
                 expect(
                         run.versions().equals(sample.versions()),
                         "1 " + slot + " names " + sample.versions() + " of " + run.versions());
-                expect(
-                        run.text().equals(sample.text()) && run.isFinished(),
-                        "4 " + slot + " is not whole");
+                expect(isWhole(run, sample.text()), "4 " + slot + " is not whole");
             }
         }
         Map<Long, Integer> counts = new HashMap<>();
@@ -102,11 +101,7 @@
                 VirtualRun run = mRuns.get(runId(end.text()));
                 boolean own = run != null && run.prompt().equals(prompt);
                 expect(own, "4 " + prompt + " got " + end.text());
-                boolean whole =
-                        run != null
-                                && run.isFinished()
-                                && end.tokens() == record.call().request().tokens();
-                expect(whole, "4 " + prompt + " got a part");
+                expect(run != null && isWhole(run, end.text()), "4 " + prompt + " got a part");
             } else if (end.isNotRun()) {
                 expect(
                         !mRunsByPrompt.containsKey(prompt),
@@ -152,6 +147,10 @@
                 "progress: only " + answered + " of " + mCalls.size() + " calls answered");
     }
 
+    private static boolean isWhole(VirtualRun run, String text) {
+        return run.isFinished() && run.text(FaultScenario.TOKENS_PER_PIECE).equals(text);
+    }
+
     private static String runId(String text) {
         return text.substring(0, Math.max(0, text.indexOf(':')));
     }
--- a/ebonyrun-standin/src/main/java/org/ebonyrun/standin/fault/FaultScenario.java
+++ b/ebonyrun-standin/src/main/java/org/ebonyrun/standin/fault/FaultScenario.java
@@ -27,6 +27,7 @@
     static final String ENGINES = "model-servers";
     static final String PLAIN = "queue-app";
     static final long STALENESS = 2;
+    static final int TOKENS_PER_PIECE = EngineModel.smallEngine(true).tokensPerPiece();
 
     private static final ClassName LOOKUP = ClassName.of("lookup");
     private static final ClassName SYNC = ClassName.of("sync");
@@ -94,7 +95,8 @@
                                 2,
                                 10,
                                 number -> 30 + number * 7 % 40,
-                                600));
+                                600,
+                                true));
     }
 
     /** Runs the scenario under a plan and checks every promise. */
@@ -116,10 +118,19 @@
         at(14_000, () -> mConfigs.apply(1, CONFIG.formatted(1_300)));
         at(16_000, () -> drain(mWorld.agents().get(3)));
         at(21_000, () -> drain(mWorld.entries().get(2)));
-        at(Nanos.toMillis(LOAD_END), mTrainer::stop);
+        at(Nanos.toMillis(LOAD_END), this::stopTrainer);
         mWorld.time().runUntil(start + RUN_END);
     }
 
+    /** Stops the trainer once it has completed enough steps to judge. */
+    private void stopTrainer() {
+        if (mTrainer.idleNanos().size() >= FaultAudit.MIN_STEPS) {
+            mTrainer.stop();
+        } else {
+            at(Nanos.toMillis(RETRY_NANOS), this::stopTrainer);
+        }
+    }
+
     private FaultOutcome audit() {
         List<String> broken = new FaultAudit(mWorld, mTrainer, mCalls, mConfigs, mPlan).check();
         int answered = (int) mCalls.stream().filter(call -> call.end().text() != null).count();
--- a/ebonyrun-standin/src/main/java/org/ebonyrun/standin/virtual/VirtualAgent.java
+++ b/ebonyrun-standin/src/main/java/org/ebonyrun/standin/virtual/VirtualAgent.java
@@ -26,7 +26,7 @@
 import org.ebonyrun.core.weights.WeightMessage;
 import org.ebonyrun.core.weights.WeightPlanner;
 import org.ebonyrun.daemon.agent.EndpointEvents;
-import org.ebonyrun.platform.kv.KeyValueEntry;
+import org.ebonyrun.daemon.store.FenceStore;
 import org.jspecify.annotations.Nullable;
 
 /** An agent's decision code beside a virtual endpoint. Not thread safe. */
@@ -174,23 +174,21 @@
     private void learnFloor() {
         Runnable again = guarded(() -> after(STATE_NANOS, this::learnFloor));
         SwapMachine swap = mSwap;
-        mWorld.mStore
-                .get(WeightPlanner.leaseKey(mService))
+        FenceStore.create(mWorld.mStore)
+                .read(WeightPlanner.leaseKey(mService))
                 .thenAccept(
                         result ->
                                 result.fold(
-                                        entry -> floor(swap, entry),
+                                        fence -> {
+                                            swap.onFloor(fence);
+                                            return true;
+                                        },
                                         fault -> {
                                             again.run();
                                             return false;
                                         }));
     }
 
-    private static boolean floor(SwapMachine swap, Optional<KeyValueEntry> entry) {
-        swap.onFloor(entry.map(KeyValueEntry::revision).orElse(0L));
-        return true;
-    }
-
     private void send(long number, Message message) {
         @Nullable VirtualLink link = mLinks.get(number);
         if (link != null) {
--- a/ebonyrun-standin/src/main/java/org/ebonyrun/standin/virtual/VirtualEngine.java
+++ b/ebonyrun-standin/src/main/java/org/ebonyrun/standin/virtual/VirtualEngine.java
@@ -215,7 +215,7 @@
         if (!mModel.plain()) {
             run.mVersions.add(mVersion);
         }
-        String text = first ? run.text() : "";
+        String text = (first ? run.head() : "") + run.words(run.mSent - count, run.mSent);
         mEvents.onPiece(
                 run.mAttempt,
                 text.getBytes(StandardCharsets.UTF_8),
--- a/ebonyrun-standin/src/main/java/org/ebonyrun/standin/virtual/VirtualRun.java
+++ b/ebonyrun-standin/src/main/java/org/ebonyrun/standin/virtual/VirtualRun.java
@@ -47,8 +47,26 @@
         return List.copyOf(mVersions);
     }
 
-    /** Returns the whole answer's text. */
-    public String text() {
-        return mRunId + ":" + mRequest.prompt() + " " + mRequest.tokens();
+    /** Returns the beginning of the answer: whose it is. */
+    String head() {
+        return mRunId + ":" + mRequest.prompt();
+    }
+
+    /** Returns the text of the tokens of one piece. */
+    String words(int from, int to) {
+        return " " + from + "-" + to;
+    }
+
+    /**
+     * Returns the whole answer's text.
+     *
+     * @param tokensPerPiece tokens in each piece of the stream
+     */
+    public String text(int tokensPerPiece) {
+        StringBuilder text = new StringBuilder(head());
+        for (int from = 0; from < mRequest.tokens(); from += tokensPerPiece) {
+            text.append(words(from, Math.min(mRequest.tokens(), from + tokensPerPiece)));
+        }
+        return text.toString();
     }
 }
--- a/ebonyrun-standin/src/main/java/org/ebonyrun/standin/virtual/VirtualTrainer.java
+++ b/ebonyrun-standin/src/main/java/org/ebonyrun/standin/virtual/VirtualTrainer.java
@@ -54,6 +54,7 @@
      * @param promptTokens tokens of each prompt
      * @param tokens gives the tokens of a group's samples, by a running number
      * @param trainMillis time that it trains on a step, in milliseconds
+     * @param trainsWhilePulling whether it publishes a version after each answer with samples
      */
     public record Plan(
             TrainerId trainer,
@@ -63,7 +64,8 @@
             int samplesPerGroup,
             int promptTokens,
             IntUnaryOperator tokens,
-            long trainMillis) {
+            long trainMillis,
+            boolean trainsWhilePulling) {
         /** Returns the number of samples in a step. */
         public int samples() {
             return groups * samplesPerGroup;
@@ -209,6 +211,9 @@
                             sample.versions().values(),
                             mVersion));
         }
+        if (mPlan.trainsWhilePulling() && !reply.samples().isEmpty()) {
+            publishNext();
+        }
         mCursor = reply.cursor();
         if (reply.complete()) {
             mIdleNanos.add(mWorld.mTime.now() - mStepBegan);
@@ -219,8 +224,12 @@
     }
 
     private void trained() {
+        publishNext();
+        nextStep();
+    }
+
+    private void publishNext() {
         mVersion = Math.max(mVersion + 1, mWorld.latest(mPlan.service()) + 1);
         mWorld.publish(mPlan.service(), mVersion);
-        nextStep();
     }
 }
