--- a/ebonyrun-base/src/main/java/org/ebonyrun/base/wire/FrameFilter.java
+++ b/ebonyrun-base/src/main/java/org/ebonyrun/base/wire/FrameFilter.java
@@ -1,6 +1,7 @@
 package org.ebonyrun.base.wire;
 
 import java.io.IOException;
+import java.util.concurrent.atomic.LongAdder;
 import org.glassfish.grizzly.Buffer;
 import org.glassfish.grizzly.Connection;
 import org.glassfish.grizzly.Grizzly;
@@ -24,6 +25,8 @@
     private final LinkListener mListener;
     private final int mMaxFrameBytes;
     private final int mMaxPendingBytes;
+    private final LongAdder mReceived = new LongAdder();
+    private final LongAdder mSent = new LongAdder();
     private final Attribute<GrizzlyLink> mLink =
             Grizzly.DEFAULT_ATTRIBUTE_BUILDER.createAttribute("ebonyrun.link." + hashCode());
 
@@ -39,7 +42,7 @@
         synchronized (connection) {
             GrizzlyLink link = mLink.get(connection);
             if (link == null) {
-                GrizzlyLink created = new GrizzlyLink(connection, mCodec, mMaxPendingBytes);
+                GrizzlyLink created = new GrizzlyLink(connection, mCodec, mMaxPendingBytes, mSent);
                 mLink.set(connection, created);
                 mListener.onOpen(created);
                 connection.addCloseListener((closed, type) -> mListener.onClose(created));
@@ -49,6 +52,14 @@
         }
     }
 
+    long bytesReceived() {
+        return mReceived.sum();
+    }
+
+    long bytesSent() {
+        return mSent.sum();
+    }
+
     @Override
     public NextAction handleAccept(FilterChainContext ctx) throws IOException {
         link(ctx.getConnection());
@@ -72,6 +83,7 @@
             buffer.position(buffer.position() + HEADER_BYTES);
             byte[] frame = new byte[length];
             buffer.get(frame);
+            mReceived.add(HEADER_BYTES + length);
             if (!deliver(link, frame)) {
                 return ctx.getStopAction();
             }
--- a/ebonyrun-base/src/main/java/org/ebonyrun/base/wire/GrizzlyLink.java
+++ b/ebonyrun-base/src/main/java/org/ebonyrun/base/wire/GrizzlyLink.java
@@ -3,6 +3,7 @@
 import java.net.SocketAddress;
 import java.nio.ByteBuffer;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.LongAdder;
 import org.glassfish.grizzly.Buffer;
 import org.glassfish.grizzly.Connection;
 import org.glassfish.grizzly.EmptyCompletionHandler;
@@ -21,9 +22,11 @@
     private final MessageCodec mCodec;
     private final int mMaxPendingBytes;
     private final AtomicInteger mPendingBytes = new AtomicInteger();
+    private final LongAdder mSent;
     private final String mPeer;
 
-    GrizzlyLink(Connection<?> connection, MessageCodec codec, int maxPendingBytes) {
+    GrizzlyLink(Connection<?> connection, MessageCodec codec, int maxPendingBytes, LongAdder sent) {
+        mSent = sent;
         mConnection = connection;
         mCodec = codec;
         mMaxPendingBytes = maxPendingBytes;
@@ -44,6 +47,7 @@
         frame.putInt(body.length).put(body).flip();
         int size = frame.remaining();
         mPendingBytes.addAndGet(size);
+        mSent.add(size);
         Buffer buffer = Buffers.wrap(MemoryManager.DEFAULT_MEMORY_MANAGER, frame);
         Writeable<SocketAddress> writeable = writeable();
         writeable.write(
--- a/ebonyrun-base/src/main/java/org/ebonyrun/base/wire/LinkTransport.java
+++ b/ebonyrun-base/src/main/java/org/ebonyrun/base/wire/LinkTransport.java
@@ -10,6 +10,7 @@
 import org.glassfish.grizzly.nio.transport.TCPNIOTransport;
 import org.glassfish.grizzly.nio.transport.TCPNIOTransportBuilder;
 import org.glassfish.grizzly.strategies.SameThreadIOStrategy;
+import org.glassfish.grizzly.threadpool.ThreadPoolConfig;
 
 /**
  * Opens and accepts links over TCP.
@@ -33,8 +34,12 @@
         mFilter = filter;
     }
 
-    /** Creates and starts a transport whose links report to {@code listener}. */
-    public static LinkTransport start(MessageCodec codec, LinkListener listener)
+    /**
+     * Creates and starts a transport whose links report to {@code listener}.
+     *
+     * @param name the name of the transport's threads
+     */
+    public static LinkTransport start(String name, MessageCodec codec, LinkListener listener)
             throws IOException {
         FrameFilter filter = new FrameFilter(codec, listener, MAX_FRAME_BYTES, MAX_PENDING_BYTES);
         TCPNIOTransport transport =
@@ -46,6 +51,7 @@
                                         .build())
                         .setIOStrategy(SameThreadIOStrategy.getInstance())
                         .setSelectorRunnersCount(SELECTOR_THREADS)
+                        .setSelectorThreadPoolConfig(pool(name))
                         .setTcpNoDelay(true)
                         .setReuseAddress(true)
                         .build();
@@ -80,6 +86,24 @@
         return answer;
     }
 
+    /** Returns how many bytes were received on all links. */
+    public long bytesReceived() {
+        return mFilter.bytesReceived();
+    }
+
+    /** Returns how many bytes were sent on all links. */
+    public long bytesSent() {
+        return mFilter.bytesSent();
+    }
+
+    private static ThreadPoolConfig pool(String name) {
+        return ThreadPoolConfig.defaultConfig()
+                .setPoolName(name)
+                .setCorePoolSize(SELECTOR_THREADS)
+                .setMaxPoolSize(SELECTOR_THREADS)
+                .setDaemon(true);
+    }
+
     @Override
     public void close() {
         try {
--- /dev/null
+++ b/ebonyrun-bench/src/main/java/org/ebonyrun/bench/ControlBench.java
@@ -0,0 +1,124 @@
+package org.ebonyrun.bench;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import java.util.concurrent.TimeUnit;
+import org.ebonyrun.base.id.FailureDomain;
+import org.ebonyrun.base.id.ServiceName;
+import org.ebonyrun.base.id.VmId;
+import org.ebonyrun.core.lease.LeaseHolder;
+import org.ebonyrun.core.lease.LeaseReading;
+import org.ebonyrun.core.membership.MembershipMachine;
+import org.ebonyrun.core.membership.MembershipOutputs;
+import org.ebonyrun.core.membership.Peer;
+import org.ebonyrun.core.weights.PlannerOutputs;
+import org.ebonyrun.core.weights.WeightMessage;
+import org.ebonyrun.core.weights.WeightPlanner;
+import org.openjdk.jmh.annotations.Benchmark;
+import org.openjdk.jmh.annotations.BenchmarkMode;
+import org.openjdk.jmh.annotations.Mode;
+import org.openjdk.jmh.annotations.OutputTimeUnit;
+import org.openjdk.jmh.annotations.Param;
+import org.openjdk.jmh.annotations.Scope;
+import org.openjdk.jmh.annotations.Setup;
+import org.openjdk.jmh.annotations.State;
+
+/** Time of control work, against the size of the fleet. */
+@State(Scope.Thread)
+@BenchmarkMode(Mode.AverageTime)
+@OutputTimeUnit(TimeUnit.MICROSECONDS)
+public class ControlBench {
+    private static final ServiceName SERVICE = ServiceName.of("models");
+    private static final int SUBSET = 64;
+
+    /** VMs in the platform's list. */
+    @Param({"400", "1600", "6600"})
+    public int mFleet;
+
+    private final List<Peer> mPeers = new ArrayList<>();
+    private MembershipMachine mMembership;
+    private WeightPlanner mPlanner;
+    private long mVersion = 1;
+
+    /** Makes the fleet known. */
+    @Setup
+    public void setUp() {
+        for (int i = 0; i < mFleet; i++) {
+            FailureDomain domain = FailureDomain.of("hall-" + i % 8);
+            mPeers.add(new Peer(VmId.of("vm-" + i), true, "models", domain, "10.0.0.1", 1, false));
+        }
+        mMembership =
+                MembershipMachine.create(
+                        VmId.of("self"),
+                        FailureDomain.of("hall-0"),
+                        SUBSET,
+                        new Random(1),
+                        new NoMembership());
+        LeaseHolder self = new LeaseHolder(VmId.of("self"), 1, "10.0.0.1", 1);
+        mPlanner = WeightPlanner.create(self, new NoPlanner());
+        mPlanner.onServices(List.of(SERVICE));
+        mPeers.forEach(peer -> mPlanner.onVersion(peer.vm(), SERVICE, 1, true));
+        mPlanner.onTick(0);
+        mPlanner.onLeaseReading(WeightPlanner.leaseKey(SERVICE), new LeaseReading(self, 3), 0);
+    }
+
+    /** Handles a reading of the platform's list. */
+    @Benchmark
+    public void readList() {
+        mMembership.onList(mPeers, 0);
+    }
+
+    /** Handles the report of one endpoint that has loaded its version, among all. */
+    @Benchmark
+    public void loadResult() {
+        mPlanner.onLatest(SERVICE, ++mVersion, 0);
+        mPlanner.onResult(
+                mPeers.get((int) (mVersion % mFleet)).vm(),
+                SERVICE,
+                new WeightMessage.LoadResult(mVersion, null),
+                0);
+    }
+
+    /** Does nothing. */
+    private static final class NoMembership implements MembershipOutputs {
+        @Override
+        public void connect(Peer peer) {}
+
+        @Override
+        public void disconnect(VmId vm) {}
+
+        @Override
+        public void heartbeat(VmId vm) {}
+
+        @Override
+        public void usable(Peer peer, boolean usable) {}
+    }
+
+    /** Takes every order and does nothing. */
+    private static final class NoPlanner implements PlannerOutputs {
+        @Override
+        public boolean order(VmId vm, WeightMessage.LoadOrder order) {
+            return true;
+        }
+
+        @Override
+        public void askLatest(ServiceName service) {}
+
+        @Override
+        public String storeSource(ServiceName service, long version) {
+            return "";
+        }
+
+        @Override
+        public String peerSource(VmId vm, ServiceName service, long version) {
+            return "";
+        }
+
+        @Override
+        public void acquire(String key) {}
+
+        @Override
+        public void renew(String key, long revision) {}
+    }
+}
--- /dev/null
+++ b/ebonyrun-bench/src/main/java/org/ebonyrun/bench/EmulatedAgents.java
@@ -0,0 +1,107 @@
+package org.ebonyrun.bench;
+
+import java.io.IOException;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.ebonyrun.base.id.FailureDomain;
+import org.ebonyrun.base.id.VmId;
+import org.ebonyrun.base.wire.Link;
+import org.ebonyrun.base.wire.LinkListener;
+import org.ebonyrun.base.wire.LinkTransport;
+import org.ebonyrun.base.wire.Message;
+import org.ebonyrun.core.attempt.AttemptMessage;
+import org.ebonyrun.core.attempt.EndpointLoad;
+import org.ebonyrun.core.attempt.WeightVersions;
+import org.ebonyrun.core.membership.MembershipMessage;
+import org.ebonyrun.daemon.link.WireTypes;
+
+/**
+ * Many agents behind one port: each link is an agent of its own that sends heartbeats at the real
+ * rate and answers every offer at once. Thread safe.
+ */
+final class EmulatedAgents implements LinkListener, AutoCloseable {
+    static final String SERVICE = "models";
+
+    private static final long HEARTBEAT_MILLIS = 250;
+    private static final EndpointLoad LOAD = new EndpointLoad(8, 0, 0, 8, 0, false, false);
+    private static final byte[] ANSWER = "{}".getBytes(java.nio.charset.StandardCharsets.UTF_8);
+
+    private final int mCount;
+    private final AtomicInteger mNext = new AtomicInteger();
+    private final Map<Link, VmId> mLinks = new ConcurrentHashMap<>();
+    private final ScheduledExecutorService mTimer = Executors.newSingleThreadScheduledExecutor();
+    private final LinkTransport mTransport;
+    private final int mPort;
+    private volatile long mConfigVersion;
+
+    EmulatedAgents(int count) throws IOException {
+        mCount = count;
+        mTransport = LinkTransport.start("emulated", WireTypes.codec(), this);
+        mPort = mTransport.listen("127.0.0.1", 0);
+        mTimer.scheduleAtFixedRate(
+                this::heartbeat, HEARTBEAT_MILLIS, HEARTBEAT_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    int port() {
+        return mPort;
+    }
+
+    int connected() {
+        return mLinks.size();
+    }
+
+    static VmId vm(int index) {
+        return VmId.of("vm-" + index);
+    }
+
+    static FailureDomain domain(int index) {
+        return FailureDomain.of("hall-" + index % 8);
+    }
+
+    @Override
+    public void onOpen(Link link) {
+        int index = Math.floorMod(mNext.getAndIncrement(), mCount);
+        mLinks.put(link, vm(index));
+        link.send(
+                new MembershipMessage.Hello(
+                        vm(index), "endpoint", SERVICE, domain(index), index, ""));
+    }
+
+    @Override
+    public void onMessage(Link link, Message message) {
+        if (message instanceof AttemptMessage.Offer offer) {
+            link.send(new AttemptMessage.Piece(offer.id(), 0, ANSWER));
+            link.send(
+                    new AttemptMessage.Done(
+                            offer.id(),
+                            1,
+                            200,
+                            "application/json",
+                            0,
+                            WeightVersions.none(),
+                            LOAD));
+        } else if (message instanceof MembershipMessage.Heartbeat beat) {
+            mConfigVersion = Math.max(mConfigVersion, beat.configVersion());
+        }
+    }
+
+    @Override
+    public void onClose(Link link) {
+        mLinks.remove(link);
+    }
+
+    @Override
+    public void close() {
+        mTimer.shutdownNow();
+        mTransport.close();
+    }
+
+    private void heartbeat() {
+        Message beat = new MembershipMessage.Heartbeat(mConfigVersion, LOAD);
+        mLinks.keySet().forEach(link -> link.send(beat));
+    }
+}
--- /dev/null
+++ b/ebonyrun-bench/src/main/java/org/ebonyrun/bench/EntryBench.java
@@ -0,0 +1,205 @@
+package org.ebonyrun.bench;
+
+import java.io.IOException;
+import java.lang.management.ManagementFactory;
+import java.lang.management.ThreadMXBean;
+import java.net.URI;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.concurrent.Semaphore;
+import java.util.concurrent.TimeUnit;
+import org.ebonyrun.base.id.FailureDomain;
+import org.ebonyrun.base.id.VmId;
+import org.ebonyrun.daemon.DaemonSettings;
+import org.ebonyrun.daemon.entry.EntryNode;
+import org.ebonyrun.platform.http.HttpCall;
+import org.ebonyrun.platform.http.HttpCaller;
+import org.ebonyrun.platform.http.HttpReply;
+import org.ebonyrun.platform.vm.VmRecord;
+import org.ebonyrun.standin.platform.StandinPlatform;
+
+/**
+ * Runs a real entry over loopback against emulated agents and reads the processor time of its
+ * threads, the bytes on its links and its heap, against the number of agents and of calls.
+ */
+final class EntryBench {
+    private static final String HOST = "127.0.0.1";
+    private static final long SETTLE_MILLIS = 3_000;
+    private static final long MEASURE_MILLIS = 5_000;
+    private static final long TIMEOUT_MILLIS = 5_000;
+    private static final int OPEN_CALLS = 32;
+    private static final List<String> THREADS =
+            List.of("dispatch", "rollout", "config", "membership", "weights", "links", "entry");
+    private static final String CONFIG =
+            """
+            services:
+              models: {kind: plain}
+            classes:
+              lookup:
+                service: models
+                kind: background
+                lateness: {quantile: 0.9, within: 2s}
+            """;
+
+    private EntryBench() {}
+
+    /**
+     * What one run measured.
+     *
+     * @param agents agents that the entry is connected to
+     * @param callsPerSecond calls that were answered in a second
+     * @param cpuShare processor time of the entry's threads, in cores
+     * @param bytesPerSecond bytes on the entry's links, both ways
+     * @param heapBytes live heap of the process after a collection
+     */
+    record Reading(
+            int agents,
+            double callsPerSecond,
+            double cpuShare,
+            double bytesPerSecond,
+            long heapBytes) {
+        @Override
+        public String toString() {
+            return String.format(
+                    Locale.ROOT,
+                    "| %d | %.0f | %.3f%% | %.0f | %.1f |",
+                    agents,
+                    callsPerSecond,
+                    cpuShare * 100,
+                    bytesPerSecond,
+                    heapBytes / 1e6);
+        }
+    }
+
+    /** Measures an entry with the given number of agents, under load or idle. */
+    static Reading run(int agents, boolean load) throws IOException, InterruptedException {
+        try (StandinPlatform platform = StandinPlatform.start(HOST, 0);
+                EmulatedAgents emulated = new EmulatedAgents(agents);
+                HttpCaller caller = HttpCaller.start()) {
+            for (int i = 0; i < agents; i++) {
+                platform.putVm(
+                        new VmRecord(
+                                EmulatedAgents.vm(i),
+                                VmRecord.ROLE_ENDPOINT,
+                                EmulatedAgents.SERVICE,
+                                EmulatedAgents.domain(i),
+                                HOST,
+                                emulated.port(),
+                                false));
+            }
+            try (EntryNode entry = EntryNode.start(settings(platform.address(), agents))) {
+                URI address = URI.create("http://" + HOST + ":" + entry.httpPort());
+                apply(caller, address);
+                while (emulated.connected() < agents) {
+                    TimeUnit.MILLISECONDS.sleep(50);
+                }
+                return measure(entry, caller, address, agents, load);
+            }
+        }
+    }
+
+    private static Reading measure(
+            EntryNode entry, HttpCaller caller, URI address, int agents, boolean load)
+            throws InterruptedException {
+        Semaphore open = new Semaphore(OPEN_CALLS);
+        long[] answered = new long[1];
+        offer(caller, address, open, answered, load, SETTLE_MILLIS);
+        long cpu = cpuNanos();
+        long bytes = entry.linkBytes();
+        long before = answered[0];
+        long begin = System.nanoTime();
+        offer(caller, address, open, answered, load, MEASURE_MILLIS);
+        double seconds = (System.nanoTime() - begin) / 1e9;
+        double cpuShare = (cpuNanos() - cpu) / 1e9 / seconds;
+        double byteRate = (entry.linkBytes() - bytes) / seconds;
+        System.gc();
+        Runtime runtime = Runtime.getRuntime();
+        long heap = runtime.totalMemory() - runtime.freeMemory();
+        return new Reading(agents, (answered[0] - before) / seconds, cpuShare, byteRate, heap);
+    }
+
+    private static void offer(
+            HttpCaller caller,
+            URI address,
+            Semaphore open,
+            long[] answered,
+            boolean load,
+            long millis)
+            throws InterruptedException {
+        if (!load) {
+            TimeUnit.MILLISECONDS.sleep(millis);
+            return;
+        }
+        HttpCall call =
+                HttpCall.json(
+                        "POST",
+                        URI.create(address + "/v1/calls/lookup"),
+                        "{}".getBytes(StandardCharsets.UTF_8),
+                        TIMEOUT_MILLIS);
+        long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(millis);
+        while (System.nanoTime() < end) {
+            open.acquire();
+            caller.request(call, "bench.call")
+                    .thenAccept(
+                            result -> {
+                                if (result.fold(HttpReply::isSuccess, fault -> false)) {
+                                    answered[0]++;
+                                }
+                                open.release();
+                            });
+        }
+    }
+
+    private static long cpuNanos() {
+        ThreadMXBean threads = ManagementFactory.getThreadMXBean();
+        long sum = 0;
+        for (long id : threads.getAllThreadIds()) {
+            var info = threads.getThreadInfo(id);
+            boolean ours =
+                    info != null && THREADS.stream().anyMatch(info.getThreadName()::startsWith);
+            if (ours) {
+                sum += Math.max(0, threads.getThreadCpuTime(id));
+            }
+        }
+        return sum;
+    }
+
+    private static void apply(HttpCaller caller, URI address) {
+        URI uri = URI.create(address + "/admin/config?author=bench&expect=0");
+        byte[] text = CONFIG.getBytes(StandardCharsets.UTF_8);
+        caller.request(HttpCall.json("PUT", uri, text, TIMEOUT_MILLIS), "bench.config")
+                .join()
+                .orThrow();
+    }
+
+    private static DaemonSettings settings(URI platform, int agents) {
+        return new DaemonSettings(
+                DaemonSettings.ROLE_ENTRY,
+                VmId.of("entry"),
+                FailureDomain.of("hall-0"),
+                new DaemonSettings.Listen(HOST, 0),
+                new DaemonSettings.Listen(HOST, 0),
+                new DaemonSettings.Platform(platform, platform, platform),
+                null,
+                null,
+                false,
+                1 << 20,
+                32L << 20,
+                agents,
+                TIMEOUT_MILLIS);
+    }
+
+    /** Returns the readings for several numbers of agents. */
+    static List<Reading> sweep(int[] agents, boolean load)
+            throws IOException, InterruptedException {
+        List<Reading> readings = new ArrayList<>();
+        for (int count : agents) {
+            Reading reading = run(count, load);
+            System.out.println(reading);
+            readings.add(reading);
+        }
+        return readings;
+    }
+}
--- /dev/null
+++ b/ebonyrun-bench/src/main/java/org/ebonyrun/bench/Fit.java
@@ -0,0 +1,41 @@
+package org.ebonyrun.bench;
+
+import static com.google.common.base.Preconditions.checkArgument;
+
+import java.util.List;
+import java.util.Locale;
+
+/**
+ * A straight line through measured points, by least squares.
+ *
+ * @param intercept the value at zero
+ * @param slope the growth for each unit
+ * @param slopeError the standard error of the slope
+ */
+public record Fit(double intercept, double slope, double slopeError) {
+    /** One measured point. */
+    public record Point(double x, double y) {}
+
+    /** Fits a line through at least three points. */
+    public static Fit of(List<Point> points) {
+        int n = points.size();
+        checkArgument(n >= 3, "a fit needs three points: %s", n);
+        double meanX = points.stream().mapToDouble(Point::x).average().orElse(0);
+        double meanY = points.stream().mapToDouble(Point::y).average().orElse(0);
+        double sxx = points.stream().mapToDouble(p -> (p.x() - meanX) * (p.x() - meanX)).sum();
+        double sxy = points.stream().mapToDouble(p -> (p.x() - meanX) * (p.y() - meanY)).sum();
+        double slope = sxy / sxx;
+        double intercept = meanY - slope * meanX;
+        double residual =
+                points.stream()
+                        .mapToDouble(p -> Math.pow(p.y() - intercept - slope * p.x(), 2))
+                        .sum();
+        return new Fit(intercept, slope, Math.sqrt(residual / (n - 2) / sxx));
+    }
+
+    @Override
+    public String toString() {
+        return String.format(
+                Locale.ROOT, "%.4g + %.4g x (slope ± %.2g)", intercept, slope, slopeError);
+    }
+}
--- /dev/null
+++ b/ebonyrun-bench/src/main/java/org/ebonyrun/bench/OverheadBench.java
@@ -0,0 +1,140 @@
+package org.ebonyrun.bench;
+
+import java.io.IOException;
+import java.net.URI;
+import java.nio.charset.StandardCharsets;
+import java.util.Locale;
+import java.util.concurrent.TimeUnit;
+import org.HdrHistogram.Histogram;
+import org.ebonyrun.base.id.FailureDomain;
+import org.ebonyrun.base.id.ServiceName;
+import org.ebonyrun.base.id.VmId;
+import org.ebonyrun.daemon.DaemonSettings;
+import org.ebonyrun.daemon.agent.AgentNode;
+import org.ebonyrun.daemon.entry.EntryNode;
+import org.ebonyrun.platform.http.HttpCall;
+import org.ebonyrun.platform.http.HttpCaller;
+import org.ebonyrun.platform.http.HttpReply;
+import org.ebonyrun.platform.vm.VmRecord;
+import org.ebonyrun.standin.engine.StandinService;
+import org.ebonyrun.standin.platform.StandinPlatform;
+
+/** Compares a call through entry and agent with the same call at the stand-in, in turn. */
+final class OverheadBench {
+    private static final String HOST = "127.0.0.1";
+    private static final String SERVICE = "models";
+    private static final int WARM_UP = 3_000;
+    private static final int CALLS = 5_000;
+    private static final long TIMEOUT_MILLIS = 5_000;
+    private static final int SIGNIFICANT_DIGITS = 3;
+    private static final String CONFIG =
+            """
+            services:
+              models: {kind: plain}
+            classes:
+              lookup:
+                service: models
+                kind: background
+                lateness: {quantile: 0.9, within: 2s}
+            """;
+
+    private OverheadBench() {}
+
+    /** Runs the comparison and prints it. */
+    static void run() throws IOException, InterruptedException {
+        try (StandinPlatform platform = StandinPlatform.start(HOST, 0);
+                StandinService service = StandinService.start("service", HOST, 0, 0);
+                HttpCaller caller = HttpCaller.start();
+                AgentNode agent = AgentNode.start(agent(platform.address(), service.address()));
+                EntryNode entry = EntryNode.start(entry(platform.address()))) {
+            platform.putVm(
+                    new VmRecord(
+                            VmId.of("vm-1"),
+                            VmRecord.ROLE_ENDPOINT,
+                            SERVICE,
+                            FailureDomain.of("hall-0"),
+                            HOST,
+                            agent.linkPort(),
+                            false));
+            URI address = URI.create("http://" + HOST + ":" + entry.httpPort());
+            URI config = URI.create(address + "/admin/config?author=bench&expect=0");
+            byte[] text = CONFIG.getBytes(StandardCharsets.UTF_8);
+            caller.request(HttpCall.json("PUT", config, text, TIMEOUT_MILLIS), "config")
+                    .join()
+                    .orThrow();
+            compare(caller, URI.create(address + "/v1/calls/lookup"), service.address());
+        }
+    }
+
+    private static void compare(HttpCaller caller, URI through, URI direct)
+            throws InterruptedException {
+        while (!call(caller, through)) {
+            TimeUnit.MILLISECONDS.sleep(50);
+        }
+        Histogram throughMicros = new Histogram(SIGNIFICANT_DIGITS);
+        Histogram directMicros = new Histogram(SIGNIFICANT_DIGITS);
+        for (int i = 0; i < WARM_UP + CALLS; i++) {
+            long begin = System.nanoTime();
+            call(caller, through);
+            long middle = System.nanoTime();
+            call(caller, direct);
+            long end = System.nanoTime();
+            if (i >= WARM_UP) {
+                throughMicros.recordValue((middle - begin) / 1_000);
+                directMicros.recordValue((end - middle) / 1_000);
+            }
+        }
+        print("through entry and agent", throughMicros);
+        print("at the stand-in", directMicros);
+        long median =
+                throughMicros.getValueAtPercentile(50) - directMicros.getValueAtPercentile(50);
+        System.out.println("overhead at the median: " + median + " us");
+    }
+
+    private static void print(String name, Histogram micros) {
+        System.out.printf(
+                Locale.ROOT,
+                "| %s | %d | %d |%n",
+                name,
+                micros.getValueAtPercentile(50),
+                micros.getValueAtPercentile(99));
+    }
+
+    private static boolean call(HttpCaller caller, URI uri) {
+        byte[] body = "{}".getBytes(StandardCharsets.UTF_8);
+        return caller.request(HttpCall.json("POST", uri, body, TIMEOUT_MILLIS), "bench.call")
+                .join()
+                .fold(HttpReply::isSuccess, fault -> false);
+    }
+
+    private static DaemonSettings entry(URI platform) {
+        return settings(DaemonSettings.ROLE_ENTRY, "entry", platform, null, null);
+    }
+
+    private static DaemonSettings agent(URI platform, URI endpoint) {
+        return settings(
+                DaemonSettings.ROLE_ENDPOINT, "vm-1", platform, ServiceName.of(SERVICE), endpoint);
+    }
+
+    private static DaemonSettings settings(
+            String role,
+            String vm,
+            URI platform,
+            @org.jspecify.annotations.Nullable ServiceName service,
+            @org.jspecify.annotations.Nullable URI endpoint) {
+        return new DaemonSettings(
+                role,
+                VmId.of(vm),
+                FailureDomain.of("hall-0"),
+                new DaemonSettings.Listen(HOST, 0),
+                new DaemonSettings.Listen(HOST, 0),
+                new DaemonSettings.Platform(platform, platform, platform),
+                service,
+                endpoint,
+                false,
+                1 << 20,
+                32L << 20,
+                64,
+                TIMEOUT_MILLIS);
+    }
+}
--- a/ebonyrun-core/src/main/java/org/ebonyrun/core/config/ConfigParser.java
+++ b/ebonyrun-core/src/main/java/org/ebonyrun/core/config/ConfigParser.java
@@ -73,10 +73,10 @@
         checkKeys(root, ROOT_KEYS);
         root.get("services").children().forEach(this::readService);
         root.get("classes").children().forEach(this::readClass);
-        if (mServices.isEmpty()) {
+        if (root.get("services").children().isEmpty()) {
             root.get("services").problem("needs at least one service");
         }
-        if (mClasses.isEmpty()) {
+        if (root.get("classes").children().isEmpty()) {
             root.get("classes").problem("needs at least one class");
         }
     }
--- a/ebonyrun-core/src/main/java/org/ebonyrun/core/membership/MembershipMachine.java
+++ b/ebonyrun-core/src/main/java/org/ebonyrun/core/membership/MembershipMachine.java
@@ -19,7 +19,8 @@
  * <p>Invariants: a peer is usable only while its link is open, it was heard of within {@link
  * #SUSPECT_NANOS}, and neither it nor the list says that it is leaving. A list that can't be read
  * changes nothing. A peer that the list has dropped keeps its link while it is heard, because the
- * list lags; it goes when both are silent.
+ * list lags; it goes when both are silent. A connection whose peer does not introduce itself as the
+ * wanted VM, for example because its address was given to another, is tried again after a while.
  *
  * <p>Not thread safe; confined to the membership duty.
  */
@@ -30,6 +31,7 @@
     /** Silence after which a link is closed, in nanoseconds. */
     public static final long LOST_NANOS = Nanos.ofMillis(10_000);
 
+    private static final long CONNECT_NANOS = Nanos.ofMillis(5_000);
     private static final long HEARTBEAT_NANOS = Nanos.ofMillis(500);
     private static final long MIN_BACKOFF_NANOS = Nanos.ofMillis(100);
     private static final long MAX_BACKOFF_NANOS = Nanos.ofMillis(5_000);
@@ -71,6 +73,7 @@
         private long mHeardAt;
         private long mNextHeartbeat;
         private long mNextConnect;
+        private long mConnectingSince;
         private long mBackoff = MIN_BACKOFF_NANOS;
         private boolean mUsable;
 
@@ -222,12 +225,17 @@
         if (tracked.mLink == LinkState.OPEN && silent) {
             mOutputs.disconnect(vm);
         }
+        boolean stuck = now - tracked.mConnectingSince >= CONNECT_NANOS;
+        if (tracked.mLink == LinkState.CONNECTING && stuck) {
+            onDisconnected(vm, now);
+        }
         if (!tracked.mListed && tracked.mLink == LinkState.CLOSED) {
             forget(tracked);
             return;
         }
         if (tracked.mLink == LinkState.CLOSED && now - tracked.mNextConnect >= 0) {
             tracked.mLink = LinkState.CONNECTING;
+            tracked.mConnectingSince = now;
             mOutputs.connect(tracked.mPeer);
         }
         if (tracked.mLink == LinkState.OPEN && now - tracked.mNextHeartbeat >= 0) {
--- a/ebonyrun-core/src/main/java/org/ebonyrun/core/settings/SettingsNode.java
+++ b/ebonyrun-core/src/main/java/org/ebonyrun/core/settings/SettingsNode.java
@@ -70,9 +70,12 @@
         return mPath;
     }
 
-    /** Adds a problem at this value. */
+    /** Adds a problem at this value; the same problem is added once. */
     public void problem(String message) {
-        mProblems.add(new Problem(mFile, mLine, mPath, message));
+        Problem problem = new Problem(mFile, mLine, mPath, message);
+        if (!mProblems.contains(problem)) {
+            mProblems.add(problem);
+        }
     }
 
     /** Returns the child with the given key; absent if there is none. */
@@ -95,7 +98,10 @@
             String key = ((ScalarNode) scalarKey(tuple)).getValue();
             int line = tuple.getKeyNode().getStartMark().getLine() + 1;
             Node value = tuple.getValueNode();
-            children.put(key, new SettingsNode(mFile, join(key), value, line, mProblems));
+            SettingsNode child = new SettingsNode(mFile, join(key), value, line, mProblems);
+            if (children.put(key, child) != null) {
+                child.problem("is given twice");
+            }
         }
         return children;
     }
--- /dev/null
+++ b/ebonyrun-core/src/test/java/org/ebonyrun/core/membership/MembershipMachineTest.java
@@ -0,0 +1,115 @@
+package org.ebonyrun.core.membership;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.contains;
+import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.is;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import org.ebonyrun.base.id.FailureDomain;
+import org.ebonyrun.base.id.VmId;
+import org.ebonyrun.base.time.Nanos;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+class MembershipMachineTest {
+    private static final VmId VM = VmId.of("vm");
+    private static final FailureDomain DOMAIN = FailureDomain.of("hall-a");
+    private static final long SECOND = Nanos.PER_SECOND;
+
+    private final List<String> mActions = new ArrayList<>();
+    private final MembershipMachine mMachine =
+            MembershipMachine.create(
+                    VmId.of("self"),
+                    DOMAIN,
+                    8,
+                    new Random(1),
+                    new MembershipOutputs() {
+                        @Override
+                        public void connect(Peer peer) {
+                            mActions.add("connect");
+                        }
+
+                        @Override
+                        public void disconnect(VmId vm) {
+                            mActions.add("disconnect");
+                        }
+
+                        @Override
+                        public void heartbeat(VmId vm) {}
+
+                        @Override
+                        public void usable(Peer peer, boolean usable) {
+                            mActions.add(usable ? "usable" : "unusable");
+                        }
+                    });
+
+    @BeforeEach
+    void connectOne() {
+        mMachine.onList(List.of(peer(false)), 0);
+        mMachine.onConnected(VM, 0);
+        assertThat(mActions, contains("connect", "usable"));
+        mActions.clear();
+    }
+
+    @Test
+    void aSilentPeerGetsNoNewWorkAndLosesItsLinkLater() {
+        mMachine.onTick(2 * SECOND);
+        assertThat(mActions, contains("unusable"));
+        mMachine.onHeard(VM, false, 3 * SECOND);
+        assertThat(mActions, contains("unusable", "usable"));
+        mActions.clear();
+        mMachine.onTick(13 * SECOND);
+        assertThat(mActions, contains("disconnect", "unusable"));
+    }
+
+    @Test
+    void aPeerThatSaysItLeavesGetsNoNewWork() {
+        mMachine.onHeard(VM, true, SECOND);
+        mMachine.onHeard(VM, false, SECOND);
+        assertThat(mActions, contains("unusable"));
+    }
+
+    @Test
+    void aPeerThatTheListCallsLeavingGetsNoNewWork() {
+        mMachine.onList(List.of(peer(true)), SECOND);
+        assertThat(mActions, contains("unusable"));
+    }
+
+    @Test
+    void aPeerThatTheListDropsStaysWhileItIsHeard() {
+        mMachine.onList(List.of(), SECOND);
+        mMachine.onHeard(VM, false, SECOND);
+        assertThat(mActions, empty());
+        assertThat(mMachine.peer(VM) != null, is(true));
+        mMachine.onDisconnected(VM, 2 * SECOND);
+        mMachine.onTick(3 * SECOND);
+        assertThat(mMachine.peer(VM) == null, is(true));
+    }
+
+    @Test
+    void reconnectsWithGrowingPauses() {
+        mMachine.onDisconnected(VM, SECOND);
+        mMachine.onTick(SECOND);
+        assertThat(mActions, contains("unusable"));
+        mMachine.onTick(2 * SECOND);
+        assertThat(mActions, contains("unusable", "connect"));
+    }
+
+    @Test
+    void triesAgainWhenAnotherVmAnswersAtTheAddress() {
+        mMachine.onDisconnected(VM, SECOND);
+        mMachine.onTick(2 * SECOND);
+        mMachine.onConnected(VmId.of("stranger"), 2 * SECOND);
+        mActions.clear();
+        mMachine.onTick(7 * SECOND);
+        mMachine.onTick(8 * SECOND);
+        assertThat(mActions, contains("connect"));
+    }
+
+    private static Peer peer(boolean leaving) {
+        return new Peer(VM, true, "models", DOMAIN, "10.0.0.1", 1, leaving);
+    }
+}
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/agent/AgentNode.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/agent/AgentNode.java
@@ -127,7 +127,7 @@
                         new SecureRandom().nextLong(),
                         settings.engine() ? endpoint.toString() : "");
         mBook = LinkBook.create(hello, new Links());
-        mTransport = LinkTransport.start(WireTypes.codec(), mBook);
+        mTransport = LinkTransport.start("links", WireTypes.codec(), mBook);
         mLinkPort = mTransport.listen(settings.linkListen().host(), settings.linkListen().port());
         mHttp =
                 HttpServers.start(
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/entry/EntryContext.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/entry/EntryContext.java
@@ -111,7 +111,7 @@
                         });
         mReplies = new StepReplies(this);
         mBook = LinkBook.create(hello(settings), new EntryLinks(this));
-        mTransport = LinkTransport.start(WireTypes.codec(), mBook);
+        mTransport = LinkTransport.start("links", WireTypes.codec(), mBook);
         mLinkPort = mTransport.listen(settings.linkListen().host(), settings.linkListen().port());
         LeaseHolder self =
                 new LeaseHolder(
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/entry/EntryNode.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/entry/EntryNode.java
@@ -60,6 +60,11 @@
         return mContext.mLinkPort;
     }
 
+    /** Returns how many bytes its links have carried, both ways. */
+    public long linkBytes() {
+        return mContext.mTransport.bytesReceived() + mContext.mTransport.bytesSent();
+    }
+
     /** Returns the port for HTTP. */
     public int httpPort() {
         return HttpServers.port(mHttp);
--- a/ebonyrun-platform/src/main/java/org/ebonyrun/platform/http/HttpCaller.java
+++ b/ebonyrun-platform/src/main/java/org/ebonyrun/platform/http/HttpCaller.java
@@ -22,6 +22,7 @@
 import org.glassfish.grizzly.nio.transport.TCPNIOTransport;
 import org.glassfish.grizzly.nio.transport.TCPNIOTransportBuilder;
 import org.glassfish.grizzly.strategies.SameThreadIOStrategy;
+import org.glassfish.grizzly.threadpool.ThreadPoolConfig;
 
 /**
  * An asynchronous HTTP client with kept-alive connections.
@@ -70,6 +71,12 @@
                                         .build())
                         .setIOStrategy(SameThreadIOStrategy.getInstance())
                         .setSelectorRunnersCount(1)
+                        .setSelectorThreadPoolConfig(
+                                ThreadPoolConfig.defaultConfig()
+                                        .setPoolName("http-client")
+                                        .setCorePoolSize(1)
+                                        .setMaxPoolSize(1)
+                                        .setDaemon(true))
                         .setTcpNoDelay(true)
                         .build();
         transport.start();
