--- a/ebonyrun-core/src/main/java/org/ebonyrun/core/attempt/AttemptMachine.java
+++ b/ebonyrun-core/src/main/java/org/ebonyrun/core/attempt/AttemptMachine.java
@@ -1,5 +1,7 @@
 package org.ebonyrun.core.attempt;
 
+import static java.util.Objects.requireNonNull;
+
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
@@ -14,6 +16,7 @@
 import org.ebonyrun.base.result.Fault;
 import org.ebonyrun.base.result.FaultCode;
 import org.ebonyrun.base.time.Nanos;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Decides what an agent does with the attempts that entries offer to its endpoint.
@@ -27,13 +30,14 @@
  */
 public final class AttemptMachine implements Ticking {
     private static final long MIN_RETRY_MILLIS = 50;
+    private static final long URGENT_NANOS = Nanos.ofMillis(5_000);
 
     private final VmId mSelf;
     private final AttemptOutputs mOutputs;
-    private final QueueOrder mOrder;
+    private final AttemptPolicy mPolicy;
+    private final SampleAdmission mAdmission;
     private final SeenAttempts mSeen = new SeenAttempts();
     private final ServiceTimes mTimes = new ServiceTimes();
-    private final CallReserve mReserve = new CallReserve();
     private final SampleStore mStore = new SampleStore();
     private final Map<AttemptId, Attempt> mAttempts = new LinkedHashMap<>();
     private final TreeMap<QueueOrder.QueuedWork, Attempt> mQueue;
@@ -44,17 +48,19 @@
     private boolean mSwapping;
     private boolean mReachable = true;
     private boolean mDraining;
+    private long mUrgentUntil;
     private int mRunning;
     private long mDuplicates;
     private long mUnknownEvents;
 
     private AttemptMachine(
-            VmId self, AttemptLimits limits, QueueOrder order, AttemptOutputs outputs) {
+            VmId self, AttemptLimits limits, AttemptPolicy policy, AttemptOutputs outputs) {
         mSelf = self;
         mLimits = limits;
-        mOrder = order;
+        mPolicy = policy;
+        mAdmission = policy.admission().get();
         mOutputs = outputs;
-        mQueue = new TreeMap<>(mOrder.comparator());
+        mQueue = new TreeMap<>(policy.order().comparator());
     }
 
     /** The step that a sample belongs to. */
@@ -65,8 +71,8 @@
 
     /** Creates a machine for one endpoint. */
     public static AttemptMachine create(
-            VmId self, AttemptLimits limits, QueueOrder order, AttemptOutputs outputs) {
-        return new AttemptMachine(self, limits, order, outputs);
+            VmId self, AttemptLimits limits, AttemptPolicy policy, AttemptOutputs outputs) {
+        return new AttemptMachine(self, limits, policy, outputs);
     }
 
     /** Handles a message of an entry. */
@@ -110,6 +116,7 @@
             return;
         }
         attempt.mTokens += tokens;
+        mAdmission.onTokens(attempt.mJob.kind(), tokens);
         if (version > 0) {
             attempt.mVersions.add(version);
             mVersion = Math.max(mVersion, version);
@@ -202,7 +209,8 @@
                 sampleRoom(now),
                 mVersion,
                 mSwapping,
-                mDraining);
+                mDraining,
+                urgentRoom());
     }
 
     /** Returns the state for a dump. */
@@ -236,7 +244,7 @@
 
     @Override
     public void onTick(long now) {
-        mReserve.onCalls(openCalls(), now);
+        mAdmission.onCalls(openCalls(), now);
         for (Attempt attempt : List.copyOf(mAttempts.values())) {
             if (now - attempt.mGiveUpAt >= 0) {
                 giveUp(attempt, now);
@@ -260,11 +268,11 @@
         Attempt attempt = new Attempt(offer.id(), job, link, mArrivals++, service, now);
         mAttempts.put(offer.id(), attempt);
         mQueue.put(attempt.mQueued, attempt);
-        mReserve.onCalls(openCalls(), now);
+        mAdmission.onCalls(openCalls(), now);
         pump(now);
     }
 
-    private @org.jspecify.annotations.Nullable Fault refusal(long link, Job job, long now) {
+    private @Nullable Fault refusal(long link, Job job, long now) {
         if (mDraining) {
             return notRun(FaultCode.DRAINING, "the endpoint is leaving");
         }
@@ -281,44 +289,79 @@
         if (mQueue.size() >= mLimits.maxQueued()) {
             return notRun(FaultCode.OVERLOADED, "the queue is full");
         }
-        long wait = predictedWaitMillis(job);
-        if (wait > 0 && wait + mTimes.medianMillis(job.className()) > job.targetMillis()) {
+        int ahead = callsAhead(now);
+        int slots = callSlots(now);
+        if (mPolicy.refusesLate()
+                && ahead > 0
+                && predictedMillis(job, ahead, slots) > job.targetMillis()) {
+            double wait = ahead * mTimes.meanMillis(job.className()) / slots;
             return notRun(FaultCode.OVERLOADED, "the target would be missed")
-                    .withRetryAfterMillis(Math.max(MIN_RETRY_MILLIS, wait));
+                    .withRetryAfterMillis(Math.max(MIN_RETRY_MILLIS, (long) wait));
         }
         return null;
     }
 
-    private @org.jspecify.annotations.Nullable Fault sampleRefusal(
-            long link, Job job, SampleKey key, long now) {
+    private @Nullable Fault sampleRefusal(long link, Job job, SampleKey key, long now) {
         StepKey step = new StepKey(key.trainer(), key.step());
         StepOwner owner = mOwners.get(step);
         if (owner != null && job.fence() < owner.fence()) {
             return notRun(FaultCode.FENCED, "fence " + job.fence() + " is below " + owner.fence());
         }
         mOwners.put(step, new StepOwner(link, job.fence()));
-        if (sampleRoom(now) <= 0) {
+        int room = sampleRoom(now);
+        if (job.isUrgentSample()) {
+            room = Math.max(room, urgentRoom());
+            mUrgentUntil = now + URGENT_NANOS;
+        }
+        if (room <= 0) {
             return notRun(FaultCode.OVERLOADED, "no room for samples");
         }
         return null;
     }
 
-    private long predictedWaitMillis(Job job) {
-        int ahead = mRunning + mQueue.size() - mLimits.slots();
-        if (ahead < 0) {
-            return 0;
-        }
-        return (ahead + 1) * mTimes.medianMillis(job.className()) / Math.max(1, mLimits.slots());
+    /** Returns how many calls must end before one more can start; zero if it starts at once. */
+    private int callsAhead(long now) {
+        return Math.max(0, openCalls() - callSlots(now) + 1);
+    }
+
+    /**
+     * Returns the slots that samples leave to calls. While urgent samples come, they are taken to
+     * fill their part.
+     */
+    private int callSlots(long now) {
+        int samples = mAttempts.size() - openCalls();
+        int urgent = now < mUrgentUntil ? mAdmission.urgentRoom(mLimits.slots(), 0) : 0;
+        return Math.max(1, mLimits.slots() - Math.max(samples, urgent));
+    }
+
+    /**
+     * Predicts the quantile of a call's time to its end when others are ahead of it: the mean wait,
+     * the mean service, and the deviation of both together, in which that of the wait shrinks with
+     * the number of slots that work it off.
+     */
+    private double predictedMillis(Job job, int ahead, int callSlots) {
+        double mean = mTimes.meanMillis(job.className());
+        double quantile = mTimes.quantileMillis(job.className(), job.targetQuantile());
+        double wait = ahead * mean / callSlots;
+        double deviation = Math.max(0, quantile - mean);
+        double widening = Math.sqrt(1 + (double) ahead / (callSlots * callSlots));
+        return wait + mean + deviation * widening;
     }
 
     private int sampleRoom(long now) {
-        if (mDraining || !mReachable || mSwapping || mStore.bytes() >= mLimits.maxHeldBytes()) {
-            return 0;
-        }
         int calls = openCalls();
-        int samples = mAttempts.size() - calls;
-        int reserved = Math.max(calls, mReserve.slots(mLimits.slots(), now));
-        return Math.max(0, mLimits.slots() - reserved - samples);
+        return takesSamples()
+                ? mAdmission.room(mLimits.slots(), calls, mAttempts.size() - calls, now)
+                : 0;
+    }
+
+    private int urgentRoom() {
+        int samples = mAttempts.size() - openCalls();
+        return takesSamples() ? mAdmission.urgentRoom(mLimits.slots(), samples) : 0;
+    }
+
+    private boolean takesSamples() {
+        return !mDraining && mReachable && !mSwapping && mStore.bytes() < mLimits.maxHeldBytes();
     }
 
     private int openCalls() {
@@ -366,7 +409,7 @@
                 now);
     }
 
-    private @org.jspecify.annotations.Nullable Attempt remove(AttemptId id) {
+    private @Nullable Attempt remove(AttemptId id) {
         Attempt attempt = mAttempts.remove(id);
         if (attempt == null) {
             return null;
@@ -380,7 +423,7 @@
     }
 
     private void finishSample(Attempt attempt, long now) {
-        SampleKey key = java.util.Objects.requireNonNull(attempt.mJob.sample());
+        SampleKey key = requireNonNull(attempt.mJob.sample());
         byte[] content = attempt.mContent.toByteArray();
         SampleInfo info = new SampleInfo(content.length, attempt.mTokens, attempt.versions());
         SampleStore.Stored stored = mStore.add(key, info, content);
--- a/ebonyrun-core/src/main/java/org/ebonyrun/core/attempt/DecayingQuantile.java
+++ b/ebonyrun-core/src/main/java/org/ebonyrun/core/attempt/DecayingQuantile.java
@@ -46,11 +46,16 @@
 
     /** Returns a quantile in milliseconds, or the fallback while nothing is known. */
     public long quantile(double q, long fallbackMillis) {
-        if (count() == 0) {
-            return fallbackMillis;
-        }
-        IntCountsHistogram window = mNewer.getTotalCount() * 2 >= mWindow ? mNewer : merged();
-        return window.getValueAtPercentile(q * 100);
+        return count() == 0 ? fallbackMillis : window().getValueAtPercentile(q * 100);
+    }
+
+    /** Returns the mean in milliseconds, or the fallback while nothing is known. */
+    public double mean(double fallbackMillis) {
+        return count() == 0 ? fallbackMillis : window().getMean();
+    }
+
+    private IntCountsHistogram window() {
+        return mNewer.getTotalCount() * 2 >= mWindow ? mNewer : merged();
     }
 
     private IntCountsHistogram merged() {
--- a/ebonyrun-core/src/main/java/org/ebonyrun/core/attempt/Job.java
+++ b/ebonyrun-core/src/main/java/org/ebonyrun/core/attempt/Job.java
@@ -13,6 +13,7 @@
  *
  * @param kind whose work it is
  * @param className the class of work
+ * @param targetQuantile the share of work of the class that must meet the target; zero for samples
  * @param targetMillis time left until the target is missed, in milliseconds; may be negative
  * @param timeoutMillis time left until the work is given up, in milliseconds
  * @param idempotent whether the work may run more than once
@@ -26,6 +27,7 @@
 public record Job(
         WorkKind kind,
         ClassName className,
+        double targetQuantile,
         long targetMillis,
         long timeoutMillis,
         boolean idempotent,
@@ -35,6 +37,11 @@
         long minVersion,
         @Nullable SampleKey sample,
         long fence) {
+    /** Returns whether this is a sample whose target has passed. */
+    public boolean isUrgentSample() {
+        return kind == WorkKind.SAMPLE && targetMillis <= 0;
+    }
+
     /** Checks that a sample has a slot and a call has none. */
     public Job {
         checkArgument(
--- /dev/null
+++ b/ebonyrun-core/src/main/java/org/ebonyrun/core/attempt/SampleAdmission.java
@@ -0,0 +1,53 @@
+package org.ebonyrun.core.attempt;
+
+import java.util.function.IntBinaryOperator;
+
+/**
+ * Decides how many samples an endpoint may start beside its calls.
+ *
+ * <p>Implementations are not thread safe; confined to the attempt duty.
+ */
+public interface SampleAdmission {
+    /**
+     * Returns how many more samples may start.
+     *
+     * @param slots how many attempts run at once
+     * @param calls calls that run or wait
+     * @param samples samples that run or wait
+     */
+    int room(int slots, int calls, int samples, long now);
+
+    /**
+     * Returns how many more samples whose target has passed may start.
+     *
+     * @param samples samples that run or wait
+     */
+    default int urgentRoom(int slots, int samples) {
+        return 0;
+    }
+
+    /** Takes note of the number of calls that run or wait. */
+    default void onCalls(int calls, long now) {}
+
+    /** Takes note of generated tokens. */
+    default void onTokens(WorkKind kind, int tokens) {}
+
+    /** Returns the rule that keeps slots for the calls that may come, learned from recent ones. */
+    static SampleAdmission callReserve() {
+        return new ReservedAdmission();
+    }
+
+    /** Returns the rule that gives every free slot to samples. */
+    static SampleAdmission freeSlots() {
+        return stateless((slots, busy) -> slots - busy);
+    }
+
+    /** Returns the rule that gives free slots to whoever has generated fewer tokens. */
+    static SampleAdmission tokenCounter() {
+        return new TokenCounterAdmission();
+    }
+
+    private static SampleAdmission stateless(IntBinaryOperator room) {
+        return (slots, calls, samples, now) -> Math.max(0, room.applyAsInt(slots, calls + samples));
+    }
+}
--- a/ebonyrun-core/src/main/java/org/ebonyrun/core/attempt/ServiceTimes.java
+++ b/ebonyrun-core/src/main/java/org/ebonyrun/core/attempt/ServiceTimes.java
@@ -25,6 +25,12 @@
         return quantileMillis(name, MEDIAN);
     }
 
+    /** Returns the mean service time in milliseconds; zero while nothing is known. */
+    public double meanMillis(ClassName name) {
+        DecayingQuantile known = mByClass.get(name);
+        return known == null ? 0 : known.mean(0);
+    }
+
     /** Returns a quantile of the service time in milliseconds; zero while nothing is known. */
     public long quantileMillis(ClassName name, double q) {
         DecayingQuantile known = mByClass.get(name);
--- a/ebonyrun-core/src/main/java/org/ebonyrun/core/membership/MembershipMachine.java
+++ b/ebonyrun-core/src/main/java/org/ebonyrun/core/membership/MembershipMachine.java
@@ -1,7 +1,6 @@
 package org.ebonyrun.core.membership;
 
 import java.util.ArrayList;
-import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -26,13 +25,13 @@
  */
 public final class MembershipMachine implements Ticking {
     /** Silence after which a peer gets no new work, in nanoseconds. */
-    public static final long SUSPECT_NANOS = Nanos.ofMillis(2_000);
+    public static final long SUSPECT_NANOS = Nanos.ofMillis(3_000);
 
     /** Silence after which a link is closed, in nanoseconds. */
     public static final long LOST_NANOS = Nanos.ofMillis(10_000);
 
     private static final long CONNECT_NANOS = Nanos.ofMillis(5_000);
-    private static final long HEARTBEAT_NANOS = Nanos.ofMillis(500);
+    private static final long HEARTBEAT_NANOS = Nanos.ofMillis(1_000);
     private static final long MIN_BACKOFF_NANOS = Nanos.ofMillis(100);
     private static final long MAX_BACKOFF_NANOS = Nanos.ofMillis(5_000);
 
@@ -42,7 +41,7 @@
     private final RandomGenerator mRandom;
     private final MembershipOutputs mOutputs;
     private final Map<VmId, Tracked> mTracked = new HashMap<>();
-    private int mListed;
+    private List<Peer> mLastList = List.of();
 
     private MembershipMachine(
             VmId self,
@@ -97,8 +96,12 @@
     }
 
     /** Handles a fresh reading of the platform's list. */
-    public void onList(Collection<Peer> peers, long now) {
-        mListed = peers.size();
+    public void onList(List<Peer> peers, long now) {
+        if (peers.equals(mLastList)) {
+            onTick(now);
+            return;
+        }
+        mLastList = List.copyOf(peers);
         Map<VmId, Peer> wanted = new HashMap<>();
         Map<String, List<Peer>> groups =
                 peers.stream()
@@ -183,7 +186,7 @@
 
     /** Returns the number of VMs in the newest list. */
     public int listed() {
-        return mListed;
+        return mLastList.size();
     }
 
     /**
--- a/ebonyrun-core/src/main/java/org/ebonyrun/core/rollout/RolloutMachine.java
+++ b/ebonyrun-core/src/main/java/org/ebonyrun/core/rollout/RolloutMachine.java
@@ -30,20 +30,29 @@
 public final class RolloutMachine implements Ticking, LeaseEvents {
     private final LeaseHolder mSelf;
     private final CompletionBodies mBodies;
+    private final StragglerPolicy mStragglers;
     private final RolloutOutputs mOutputs;
     private final Map<TrainerId, TrainerSteps> mTrainers = new HashMap<>();
     private OperatorConfig mConfig = OperatorConfig.empty();
 
-    private RolloutMachine(LeaseHolder self, CompletionBodies bodies, RolloutOutputs outputs) {
+    private RolloutMachine(
+            LeaseHolder self,
+            CompletionBodies bodies,
+            StragglerPolicy stragglers,
+            RolloutOutputs outputs) {
         mSelf = self;
         mBodies = bodies;
+        mStragglers = stragglers;
         mOutputs = outputs;
     }
 
     /** Creates a machine that owns no step. */
     public static RolloutMachine create(
-            LeaseHolder self, CompletionBodies bodies, RolloutOutputs outputs) {
-        return new RolloutMachine(self, bodies, outputs);
+            LeaseHolder self,
+            CompletionBodies bodies,
+            StragglerPolicy stragglers,
+            RolloutOutputs outputs) {
+        return new RolloutMachine(self, bodies, stragglers, outputs);
     }
 
     /** Adopts a configuration. */
@@ -199,7 +208,7 @@
 
     private TrainerSteps trainer(TrainerId id) {
         return mTrainers.computeIfAbsent(
-                id, key -> new TrainerSteps(key, mSelf, mBodies, mOutputs));
+                id, key -> new TrainerSteps(key, mSelf, mBodies, mStragglers, mOutputs));
     }
 
     private @Nullable Step step(TrainerId trainer, long step) {
--- a/ebonyrun-core/src/main/java/org/ebonyrun/core/rollout/Slot.java
+++ b/ebonyrun-core/src/main/java/org/ebonyrun/core/rollout/Slot.java
@@ -26,6 +26,8 @@
     final int mGroup;
     Phase mPhase = Phase.PENDING;
     long mWorkId;
+    long mSecondWorkId;
+    long mSubmittedAt;
     @Nullable VmId mVm;
     @Nullable SampleInfo mInfo;
     @Nullable String mScore;
@@ -39,6 +41,7 @@
     /** Forgets a finished sample, so that the slot runs again. */
     void reset() {
         mPhase = Phase.PENDING;
+        mSecondWorkId = 0;
         mVm = null;
         mInfo = null;
         mScore = null;
--- a/ebonyrun-core/src/main/java/org/ebonyrun/core/rollout/Step.java
+++ b/ebonyrun-core/src/main/java/org/ebonyrun/core/rollout/Step.java
@@ -13,6 +13,7 @@
 import org.ebonyrun.base.result.FaultCode;
 import org.ebonyrun.base.time.Nanos;
 import org.ebonyrun.core.attempt.AttemptMessage;
+import org.ebonyrun.core.attempt.DecayingQuantile;
 import org.ebonyrun.core.attempt.SampleInfo;
 import org.ebonyrun.core.attempt.WorkKind;
 import org.ebonyrun.core.config.ClassSpec;
@@ -34,11 +35,14 @@
     private static final long FETCH_NANOS = Nanos.ofMillis(3_000);
     private static final long RETRY_NANOS = Nanos.ofMillis(500);
     private static final int MAX_ANSWER_BYTES = 4 << 20;
+    private static final double MEDIAN = 0.5;
     private static final String COMPLETIONS = "/v1/completions";
     private static final String JSON = "application/json";
 
     private final StepManifest mManifest;
     private final CompletionBodies mBodies;
+    private final StragglerPolicy mStragglers;
+    private final DecayingQuantile mDurations = DecayingQuantile.create(256);
     private final RolloutOutputs mOutputs;
     private final long mFence;
     private final long mStartedAt;
@@ -48,17 +52,20 @@
     private @Nullable OpenPull mPull;
     private boolean mClosed;
     private long mStale;
+    private long mRepeated;
 
     Step(
             StepManifest manifest,
             ClassSpec spec,
             CompletionBodies bodies,
+            StragglerPolicy stragglers,
             RolloutOutputs outputs,
             long fence,
             long now) {
         mManifest = manifest;
         mSpec = spec;
         mBodies = bodies;
+        mStragglers = stragglers;
         mOutputs = outputs;
         mFence = fence;
         mStartedAt = now;
@@ -140,18 +147,15 @@
         if (slot == null) {
             return;
         }
-        boolean filled =
-                slot.mPhase == Slot.Phase.READY
-                        || slot.mPhase == Slot.Phase.SCORING
-                        || slot.mPhase == Slot.Phase.DELIVERED;
-        if (filled) {
+        if (isFilled(slot)) {
             if (!vm.equals(slot.mVm) || slot.mPhase == Slot.Phase.DELIVERED) {
                 mOutputs.release(vm, List.of(key));
             }
             return;
         }
         if (slot.mPhase == Slot.Phase.SUBMITTED) {
-            mOutputs.cancel(slot.mWorkId);
+            mDurations.add(Nanos.toMillis(now - slot.mSubmittedAt));
+            cancelWork(slot);
         }
         slot.mVm = vm;
         slot.mInfo = info;
@@ -171,6 +175,7 @@
     void onFailed(SampleKey key, long now) {
         Slot slot = slot(key);
         if (slot != null && slot.mPhase == Slot.Phase.SUBMITTED) {
+            cancelWork(slot);
             slot.reset();
             slot.mRetryAt = now + RETRY_NANOS;
         }
@@ -245,7 +250,7 @@
         mClosed = true;
         for (Slot slot : mSlots) {
             if (slot.mPhase == Slot.Phase.SUBMITTED) {
-                mOutputs.cancel(slot.mWorkId);
+                cancelWork(slot);
             }
         }
         mOutputs.broadcast(
@@ -260,6 +265,7 @@
         for (Slot slot : mSlots) {
             if (slot.mPhase == Slot.Phase.SUBMITTED) {
                 mOutputs.abandon(slot.mWorkId);
+                mOutputs.abandon(slot.mSecondWorkId);
             }
         }
         refusePull("another entry owns the step now", FaultCode.OWNER_UNAVAILABLE);
@@ -285,6 +291,7 @@
                 mOutputs.send(slot.mVm, new AttemptMessage.FetchSample(key(slot)));
             }
         }
+        repeatStragglers(now);
         tickPull(now);
     }
 
@@ -299,6 +306,7 @@
                 phases.getOrDefault(Slot.Phase.READY, 0),
                 phases.getOrDefault(Slot.Phase.SUBMITTED, 0),
                 mStale,
+                mRepeated,
                 mVersion,
                 Nanos.toMillis(now - mStartedAt));
     }
@@ -324,7 +332,7 @@
         for (int i = has.nextSetBit(0); i >= 0 && i < mSlots.size(); i = has.nextSetBit(i + 1)) {
             Slot slot = mSlots.get(i);
             if (slot.mPhase == Slot.Phase.SUBMITTED) {
-                mOutputs.cancel(slot.mWorkId);
+                cancelWork(slot);
             }
             if (slot.mPhase != Slot.Phase.DELIVERED && slot.mVm != null) {
                 releases.computeIfAbsent(slot.mVm, vm -> new ArrayList<>()).add(key(slot));
@@ -466,14 +474,46 @@
 
     private void submit(Slot slot, long now) {
         slot.mPhase = Slot.Phase.SUBMITTED;
-        slot.mWorkId = mOutputs.nextWorkId();
+        slot.mSubmittedAt = now;
+        slot.mWorkId = submitWork(slot, now);
+    }
+
+    /** Starts second attempts of slow slots in the tail; whichever finishes first stays. */
+    private void repeatStragglers(long now) {
+        int unfinished = 0;
+        for (Slot slot : mSlots) {
+            if (!isFilled(slot)) {
+                unfinished++;
+            }
+        }
+        long typical = mDurations.quantile(MEDIAN, 0);
+        for (Slot slot : mSlots) {
+            boolean single = slot.mPhase == Slot.Phase.SUBMITTED && slot.mSecondWorkId == 0;
+            long age = Nanos.toMillis(now - slot.mSubmittedAt);
+            if (single && mStragglers.shouldRepeat(age, typical, unfinished, mSlots.size())) {
+                mRepeated++;
+                slot.mSecondWorkId = submitWork(slot, now);
+            }
+        }
+    }
+
+    private void cancelWork(Slot slot) {
+        mOutputs.cancel(slot.mWorkId);
+        if (slot.mSecondWorkId != 0) {
+            mOutputs.cancel(slot.mSecondWorkId);
+        }
+    }
+
+    private long submitWork(Slot slot, long now) {
+        long id = mOutputs.nextWorkId();
         PromptGroup group = mManifest.groups().get(slot.mGroup);
         mOutputs.submit(
                 new Work(
-                        slot.mWorkId,
+                        id,
                         WorkKind.SAMPLE,
                         mSpec.service(),
                         mSpec.name(),
+                        0,
                         now,
                         mStartedAt + Nanos.ofMillis(mSpec.trainerIdleMillis()),
                         now + GIVE_UP_NANOS,
@@ -485,6 +525,13 @@
                         group.prompt().hashCode(),
                         key(slot),
                         mFence));
+        return id;
+    }
+
+    private static boolean isFilled(Slot slot) {
+        return slot.mPhase == Slot.Phase.READY
+                || slot.mPhase == Slot.Phase.SCORING
+                || slot.mPhase == Slot.Phase.DELIVERED;
     }
 
     private AttemptMessage heldQuery() {
--- a/ebonyrun-core/src/main/java/org/ebonyrun/core/rollout/StepDump.java
+++ b/ebonyrun-core/src/main/java/org/ebonyrun/core/rollout/StepDump.java
@@ -12,6 +12,7 @@
  * @param ready finished samples
  * @param submitted samples that run or wait for room
  * @param stale samples that were run again because of their age
+ * @param repeated second attempts that were started for slow samples
  * @param version the trainer's version by its newest pull
  * @param ageMillis time since this process began to own the step, in milliseconds
  */
@@ -23,5 +24,6 @@
         int ready,
         int submitted,
         long stale,
+        long repeated,
         long version,
         long ageMillis) {}
--- a/ebonyrun-core/src/main/java/org/ebonyrun/core/rollout/TrainerSteps.java
+++ b/ebonyrun-core/src/main/java/org/ebonyrun/core/rollout/TrainerSteps.java
@@ -33,6 +33,7 @@
     private final TrainerId mTrainer;
     private final Lease mLease;
     private final CompletionBodies mBodies;
+    private final StragglerPolicy mStragglers;
     private final RolloutOutputs mOutputs;
     private final Map<Long, Step> mSteps = new HashMap<>();
     private final Map<Long, List<Parked>> mStoring = new HashMap<>();
@@ -40,10 +41,15 @@
     private final List<Parked> mParked = new ArrayList<>();
 
     TrainerSteps(
-            TrainerId trainer, LeaseHolder self, CompletionBodies bodies, RolloutOutputs outputs) {
+            TrainerId trainer,
+            LeaseHolder self,
+            CompletionBodies bodies,
+            StragglerPolicy stragglers,
+            RolloutOutputs outputs) {
         mTrainer = trainer;
         mLease = Lease.create("owner/" + trainer, self, outputs);
         mBodies = bodies;
+        mStragglers = stragglers;
         mOutputs = outputs;
     }
 
@@ -282,7 +288,7 @@
         if (spec == null) {
             return null;
         }
-        Step step = new Step(manifest, spec, mBodies, mOutputs, mLease.fence(), now);
+        Step step = new Step(manifest, spec, mBodies, mStragglers, mOutputs, mLease.fence(), now);
         mSteps.put(manifest.step(), step);
         return step;
     }
--- a/ebonyrun-core/src/main/java/org/ebonyrun/core/routing/Dispatcher.java
+++ b/ebonyrun-core/src/main/java/org/ebonyrun/core/routing/Dispatcher.java
@@ -331,7 +331,7 @@
     private void place(Dispatched dispatched, @Nullable Fault last, long now) {
         Work work = dispatched.mWork;
         while (true) {
-            List<EndpointView> candidates = candidates(dispatched, 0);
+            List<EndpointView> candidates = candidates(dispatched, 0, now);
             EndpointView view = mChooser.choose(work, candidates).orElse(null);
             if (view == null) {
                 fail(dispatched, last != null ? last : noEndpoint(work));
@@ -355,7 +355,7 @@
                 continue;
             }
             long minVersion = minVersion(work);
-            List<EndpointView> candidates = candidates(dispatched, minVersion);
+            List<EndpointView> candidates = candidates(dispatched, minVersion, now);
             EndpointView view = mChooser.choose(work, candidates).orElse(null);
             if (view == null) {
                 dispatched.mRefusedBy.clear();
@@ -366,7 +366,7 @@
         }
     }
 
-    private List<EndpointView> candidates(Dispatched dispatched, long minVersion) {
+    private List<EndpointView> candidates(Dispatched dispatched, long minVersion, long now) {
         Work work = dispatched.mWork;
         List<EndpointView> candidates = new ArrayList<>();
         for (EndpointView view : mEndpoints.values()) {
@@ -375,7 +375,7 @@
                             && view.service().equals(work.service())
                             && !dispatched.mRefusedBy.contains(view.vm());
             boolean fresh = view.load().version() >= minVersion;
-            boolean room = !work.isSample() || view.sampleRoom() > 0;
+            boolean room = !work.isSample() || view.sampleRoom(now - work.targetAt() >= 0) > 0;
             if (fits && fresh && room) {
                 candidates.add(view);
             }
@@ -390,6 +390,7 @@
                 new Job(
                         work.kind(),
                         work.className(),
+                        work.targetQuantile(),
                         Nanos.toMillis(work.targetAt() - now),
                         Nanos.toMillis(work.giveUpAt() - now),
                         work.idempotent(),
--- a/ebonyrun-core/src/main/java/org/ebonyrun/core/routing/EndpointView.java
+++ b/ebonyrun-core/src/main/java/org/ebonyrun/core/routing/EndpointView.java
@@ -66,6 +66,16 @@
         return mLoad.sampleRoom() - mCallsSince - mSamplesSince;
     }
 
+    /**
+     * Returns how many samples would be taken, by what is known here.
+     *
+     * @param urgent whether the target of the samples has passed
+     */
+    public int sampleRoom(boolean urgent) {
+        int urgentRoom = mLoad.urgentRoom() - mSamplesSince;
+        return urgent ? Math.max(sampleRoom(), urgentRoom) : sampleRoom();
+    }
+
     void setUsable(boolean usable) {
         mUsable = usable;
     }
--- a/ebonyrun-core/src/main/java/org/ebonyrun/core/routing/LeastLoadChooser.java
+++ b/ebonyrun-core/src/main/java/org/ebonyrun/core/routing/LeastLoadChooser.java
@@ -8,32 +8,51 @@
 import org.ebonyrun.base.id.FailureDomain;
 
 /**
- * Chooses the endpoint with the most room, which is where the work starts soonest; among equals one
- * in the entry's own failure domain, then the one that rendezvous hashing gives to work with the
- * same prompt prefix.
+ * Chooses the endpoint with the most room, which is where the work starts soonest. Samples may go
+ * to an endpoint with a little less room to stay with those of the same prompt prefix, by
+ * rendezvous hashing. Among equals the entry's own failure domain comes first.
  *
  * <p>Immutable and thread safe.
  */
 public final class LeastLoadChooser implements EndpointChooser {
+    /** Room that a sample gives up to meet its prompt prefix, in slots. */
+    public static final int AFFINITY_SLACK = 2;
+
     private final FailureDomain mDomain;
+    private final int mSlack;
 
-    private LeastLoadChooser(FailureDomain domain) {
+    private LeastLoadChooser(FailureDomain domain, int slack) {
         mDomain = domain;
+        mSlack = slack;
     }
 
     /** Creates a chooser for an entry in the given failure domain. */
     public static LeastLoadChooser create(FailureDomain domain) {
-        return new LeastLoadChooser(domain);
+        return new LeastLoadChooser(domain, AFFINITY_SLACK);
+    }
+
+    /** Creates a chooser whose samples give up at most {@code slack} slots for their prefix. */
+    public static LeastLoadChooser withSlack(FailureDomain domain, int slack) {
+        return new LeastLoadChooser(domain, slack);
     }
 
     @Override
     public Optional<EndpointView> choose(Work work, List<EndpointView> candidates) {
-        Comparator<EndpointView> byRoom =
-                Comparator.comparingInt(view -> work.isSample() ? view.sampleRoom() : view.free());
+        if (work.isSample()) {
+            return chooseForSample(work, candidates);
+        }
         return candidates.stream()
                 .max(
-                        byRoom.thenComparing(view -> view.failureDomain().equals(mDomain))
-                                .thenComparingLong(view -> affinity(work, view)));
+                        Comparator.comparingInt(EndpointView::free)
+                                .thenComparing(view -> view.failureDomain().equals(mDomain))
+                                .thenComparing(EndpointView::vm));
+    }
+
+    private Optional<EndpointView> chooseForSample(Work work, List<EndpointView> candidates) {
+        int most = candidates.stream().mapToInt(EndpointView::sampleRoom).max().orElse(0);
+        return candidates.stream()
+                .filter(view -> view.sampleRoom() >= most - mSlack)
+                .max(Comparator.comparingLong(view -> affinity(work, view)));
     }
 
     private static long affinity(Work work, EndpointView view) {
--- a/ebonyrun-core/src/main/java/org/ebonyrun/core/routing/Work.java
+++ b/ebonyrun-core/src/main/java/org/ebonyrun/core/routing/Work.java
@@ -15,6 +15,7 @@
  * @param kind whose work it is
  * @param service the service that runs it
  * @param className the class of work
+ * @param targetQuantile the share of work of the class that must meet the target; zero for samples
  * @param arrivedAt the monotonic time in nanoseconds at which it arrived
  * @param targetAt the monotonic time in nanoseconds at which the target is missed
  * @param giveUpAt the monotonic time in nanoseconds at which the work is given up
@@ -32,6 +33,7 @@
         WorkKind kind,
         ServiceName service,
         ClassName className,
+        double targetQuantile,
         long arrivedAt,
         long targetAt,
         long giveUpAt,
--- a/ebonyrun-core/src/main/java/org/ebonyrun/core/weights/WeightPlanner.java
+++ b/ebonyrun-core/src/main/java/org/ebonyrun/core/weights/WeightPlanner.java
@@ -1,11 +1,9 @@
 package org.ebonyrun.core.weights;
 
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.TreeMap;
 import org.ebonyrun.base.duty.Ticking;
 import org.ebonyrun.base.id.ServiceName;
 import org.ebonyrun.base.id.VmId;
@@ -40,7 +38,6 @@
     private static final long POLL_NANOS = Nanos.ofMillis(500);
     private static final long ORDER_NANOS = Nanos.ofMillis(30_000);
     private static final long BACKOFF_NANOS = Nanos.ofMillis(1_000);
-    private static final String STORE = "";
 
     private final LeaseHolder mSelf;
     private final PlannerOutputs mOutputs;
@@ -55,8 +52,7 @@
     private static final class Plan {
         private final ServiceName mService;
         private final Lease mLease;
-        private final Map<VmId, Replica> mReplicas = new TreeMap<>();
-        private long mLatest;
+        private final RolloutPlan mRollout = new RolloutPlan();
         private long mNextPoll;
 
         Plan(ServiceName service, Lease lease) {
@@ -65,16 +61,6 @@
         }
     }
 
-    /** One endpoint of a roll-out. Confined to the weight duty. */
-    private static final class Replica {
-        private long mVersion;
-        private long mOrdered;
-        private String mSource = STORE;
-        private long mOrderedUntil;
-        private long mNotBefore;
-        private long mFailures;
-    }
-
     /** Creates a planner without services. */
     public static WeightPlanner create(LeaseHolder self, PlannerOutputs outputs) {
         return new WeightPlanner(self, outputs);
@@ -100,14 +86,10 @@
         if (plan == null) {
             return;
         }
-        if (!usable) {
-            plan.mReplicas.remove(vm);
-            return;
-        }
-        Replica replica = plan.mReplicas.computeIfAbsent(vm, key -> new Replica());
-        replica.mVersion = version;
-        if (version >= replica.mOrdered) {
-            replica.mOrdered = 0;
+        if (usable) {
+            plan.mRollout.onVersion(vm, version);
+        } else {
+            plan.mRollout.remove(vm);
         }
     }
 
@@ -115,7 +97,7 @@
     public void onLatest(ServiceName service, long version, long now) {
         Plan plan = mPlans.get(service);
         if (plan != null) {
-            plan.mLatest = Math.max(plan.mLatest, version);
+            plan.mRollout.onLatest(version);
             order(plan, now);
         }
     }
@@ -123,16 +105,13 @@
     /** Handles the end of an order. */
     public void onResult(VmId vm, ServiceName service, WeightMessage.LoadResult result, long now) {
         Plan plan = mPlans.get(service);
-        Replica replica = plan == null ? null : plan.mReplicas.get(vm);
-        if (plan == null || replica == null || replica.mOrdered != result.version()) {
+        if (plan == null || !plan.mRollout.isLoading(vm, result.version())) {
             return;
         }
-        replica.mOrdered = 0;
         if (result.fault() == null) {
-            replica.mVersion = result.version();
+            plan.mRollout.onLoaded(vm, result.version());
         } else {
-            replica.mFailures++;
-            replica.mNotBefore = now + BACKOFF_NANOS;
+            plan.mRollout.onFailed(vm, now + BACKOFF_NANOS);
         }
         order(plan, now);
     }
@@ -185,17 +164,14 @@
     public List<PlanDump> dump(long now) {
         List<PlanDump> plans = new ArrayList<>();
         for (Plan plan : mPlans.values()) {
-            Map<VmId, Long> versions = new TreeMap<>();
-            plan.mReplicas.forEach((vm, replica) -> versions.put(vm, replica.mVersion));
-            long failures = plan.mReplicas.values().stream().mapToLong(r -> r.mFailures).sum();
             plans.add(
                     new PlanDump(
                             plan.mService,
                             plan.mLease.isHeld(now),
                             plan.mLease.fence(),
-                            plan.mLatest,
-                            failures,
-                            versions));
+                            plan.mRollout.latest(),
+                            plan.mRollout.failures(),
+                            plan.mRollout.versions()));
         }
         return plans;
     }
@@ -222,71 +198,30 @@
         if (!plan.mLease.isHeld(now)) {
             return;
         }
-        expireOrders(plan, now);
-        int allowed = Math.max(1, (int) (plan.mReplicas.size() * MAX_SWAPPING_SHARE));
-        long swapping = plan.mReplicas.values().stream().filter(r -> r.mOrdered > 0).count();
-        List<Map.Entry<VmId, Replica>> behind = new ArrayList<>();
-        for (Map.Entry<VmId, Replica> entry : plan.mReplicas.entrySet()) {
-            Replica replica = entry.getValue();
-            boolean due = now - replica.mNotBefore >= 0 && replica.mOrdered == 0;
-            if (due && replica.mVersion < plan.mLatest) {
-                behind.add(entry);
-            }
-        }
-        behind.sort(Comparator.comparingLong(entry -> entry.getValue().mVersion));
-        for (Map.Entry<VmId, Replica> entry : behind) {
-            if (swapping >= allowed) {
+        RolloutPlan rollout = plan.mRollout;
+        rollout.expire(now);
+        int allowed = Math.max(1, (int) (rollout.size() * MAX_SWAPPING_SHARE));
+        while (rollout.loading() < allowed) {
+            VmId vm = rollout.nextBehind();
+            String source = rollout.source();
+            if (vm == null || source == null) {
                 return;
             }
-            String source = source(plan);
-            if (source != null && order(plan, entry.getKey(), entry.getValue(), source, now)) {
-                swapping++;
+            if (mOutputs.order(vm, loadOrder(plan, source))) {
+                rollout.onOrdered(vm, source, now + ORDER_NANOS);
+            } else {
+                rollout.onFailed(vm, now + BACKOFF_NANOS);
             }
         }
     }
 
-    private boolean order(Plan plan, VmId vm, Replica replica, String from, long now) {
+    private WeightMessage.LoadOrder loadOrder(Plan plan, String from) {
+        long version = plan.mRollout.latest();
         String source =
-                from.equals(STORE)
-                        ? mOutputs.storeSource(plan.mService, plan.mLatest)
-                        : mOutputs.peerSource(VmId.of(from), plan.mService, plan.mLatest);
-        WeightMessage.LoadOrder order =
-                new WeightMessage.LoadOrder(plan.mLatest, plan.mLease.fence(), source);
-        if (!mOutputs.order(vm, order)) {
-            replica.mNotBefore = now + BACKOFF_NANOS;
-            return false;
-        }
-        replica.mOrdered = plan.mLatest;
-        replica.mSource = from;
-        replica.mOrderedUntil = now + ORDER_NANOS;
-        return true;
-    }
-
-    private static void expireOrders(Plan plan, long now) {
-        for (Replica replica : plan.mReplicas.values()) {
-            if (replica.mOrdered > 0 && now - replica.mOrderedUntil >= 0) {
-                replica.mOrdered = 0;
-                replica.mFailures++;
-            }
-        }
-    }
-
-    /** Returns a VM to copy from, the store, or null while every source is busy. */
-    private static @Nullable String source(Plan plan) {
-        Map<String, Integer> copies = new HashMap<>();
-        for (Replica replica : plan.mReplicas.values()) {
-            if (replica.mOrdered > 0) {
-                copies.merge(replica.mSource, 1, Integer::sum);
-            }
-        }
-        for (Map.Entry<VmId, Replica> entry : plan.mReplicas.entrySet()) {
-            String vm = entry.getKey().value();
-            boolean has = entry.getValue().mVersion >= plan.mLatest;
-            if (has && copies.getOrDefault(vm, 0) < MAX_COPIES) {
-                return vm;
-            }
-        }
-        return copies.getOrDefault(STORE, 0) < MAX_STORE_FETCHES ? STORE : null;
+                from.equals(RolloutPlan.STORE)
+                        ? mOutputs.storeSource(plan.mService, version)
+                        : mOutputs.peerSource(VmId.of(from), plan.mService, version);
+        return new WeightMessage.LoadOrder(version, plan.mLease.fence(), source);
     }
 
     private @Nullable Plan byKey(String key) {
--- /dev/null
+++ b/ebonyrun-core/src/test/java/org/ebonyrun/core/membership/HeartbeatPolicyTest.java
@@ -0,0 +1,38 @@
+package org.ebonyrun.core.membership;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+
+import org.ebonyrun.base.time.Nanos;
+import org.ebonyrun.core.attempt.EndpointLoad;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+class HeartbeatPolicyTest {
+    private final HeartbeatPolicy mPolicy = new HeartbeatPolicy();
+
+    @BeforeEach
+    void sendOne() {
+        assertThat(mPolicy.isDue(load(2, 1, false), 0), is(true));
+    }
+
+    @ParameterizedTest
+    @CsvSource({
+        "2, 1, false, 999, false",
+        "2, 1, false, 1000, true",
+        "3, 1, false, 499, false",
+        "3, 1, false, 500, true",
+        "2, 2, false, 1, true",
+        "2, 1, true, 1, true"
+    })
+    void sendsChangesSoonAndTheRestSeldom(
+            int running, long version, boolean leaving, long millis, boolean due) {
+        boolean sent = mPolicy.isDue(load(running, version, leaving), Nanos.ofMillis(millis));
+        assertThat(sent, is(due));
+    }
+
+    private static EndpointLoad load(int running, long version, boolean leaving) {
+        return new EndpointLoad(8, running, 0, 4, version, false, leaving, 0);
+    }
+}
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/agent/AgentNode.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/agent/AgentNode.java
@@ -28,13 +28,14 @@
 import org.ebonyrun.core.attempt.AttemptMachine;
 import org.ebonyrun.core.attempt.AttemptMessage;
 import org.ebonyrun.core.attempt.AttemptOutputs;
+import org.ebonyrun.core.attempt.AttemptPolicy;
 import org.ebonyrun.core.attempt.EndpointLoad;
 import org.ebonyrun.core.attempt.Job;
-import org.ebonyrun.core.attempt.QueueOrder;
 import org.ebonyrun.core.config.ConfigMachine;
 import org.ebonyrun.core.config.ConfigMessage;
 import org.ebonyrun.core.config.ConfigOutputs;
 import org.ebonyrun.core.config.OperatorConfig;
+import org.ebonyrun.core.membership.HeartbeatPolicy;
 import org.ebonyrun.core.membership.MembershipMessage;
 import org.ebonyrun.core.weights.SwapMachine;
 import org.ebonyrun.core.weights.SwapOutputs;
@@ -72,6 +73,7 @@
     private static final int INITIAL_SLOTS = 0;
 
     private final DaemonSettings mSettings;
+    private final HeartbeatPolicy mHeartbeats = new HeartbeatPolicy();
     private final NodeMetrics mMetrics = new NodeMetrics();
     private final HttpCaller mCaller;
     private final EndpointAdapter mAdapter;
@@ -109,7 +111,7 @@
                         INITIAL_SLOTS, AttemptLimits.DEFAULT_QUEUED, settings.maxHeldBytes());
         mAttempts =
                 AttemptMachine.create(
-                        settings.vm(), limits, QueueOrder.leastLaxity(), new AttemptEffects());
+                        settings.vm(), limits, AttemptPolicy.standard(), new AttemptEffects());
         mConfig = ConfigMachine.create(new ConfigEffects());
         mSwap = SwapMachine.create(settings.vm(), new SwapEffects());
         mAttemptDuty = Duty.start("attempt", RING, MachineHandler.of(mAttempts), clock, TICK_NANOS);
@@ -236,15 +238,28 @@
         return state;
     }
 
+    /** Sends a heartbeat to every entry if one is due. */
     private void heartbeat() {
         mAttemptDuty.offer(
                 (machine, now) -> {
                     EndpointLoad load = machine.load(now);
-                    Message beat = new MembershipMessage.Heartbeat(mConfigVersion, load);
-                    mBook.introduced().forEach(peer -> peer.link().send(beat));
+                    if (mHeartbeats.isDue(load, now)) {
+                        Message beat = new MembershipMessage.Heartbeat(mConfigVersion, load);
+                        mBook.introduced().forEach(peer -> peer.link().send(beat));
+                    }
                 });
     }
 
+    /** Sends a heartbeat to one entry, due or not. */
+    private void greet(PeerLink peer) {
+        mAttemptDuty.offer(
+                (machine, now) ->
+                        peer.link()
+                                .send(
+                                        new MembershipMessage.Heartbeat(
+                                                mConfigVersion, machine.load(now))));
+    }
+
     /** Reads the newest fence, again and again until the key-value service answers. */
     private void learnFloor() {
         ServiceName service = requireNonNull(mSettings.service());
@@ -309,7 +324,7 @@
     private final class Links implements LinkEvents {
         @Override
         public void onPeer(PeerLink peer) {
-            heartbeat();
+            greet(peer);
         }
 
         @Override
@@ -361,7 +376,6 @@
         @Override
         public void adopted(OperatorConfig config, String text) {
             mConfigVersion = config.version();
-            heartbeat();
         }
     }
 
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/entry/CallApi.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/entry/CallApi.java
@@ -194,6 +194,7 @@
                 WorkKind.CALL,
                 spec.service(),
                 spec.name(),
+                spec.latenessQuantile(),
                 arrival,
                 arrival + Nanos.ofMillis(spec.latenessMillis()),
                 arrival + Nanos.ofMillis(timeout),
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/entry/EntryContext.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/entry/EntryContext.java
@@ -23,6 +23,7 @@
 import org.ebonyrun.core.membership.MembershipMachine;
 import org.ebonyrun.core.membership.MembershipMessage;
 import org.ebonyrun.core.rollout.RolloutMachine;
+import org.ebonyrun.core.rollout.StragglerPolicy;
 import org.ebonyrun.core.routing.Dispatcher;
 import org.ebonyrun.core.routing.LeastLoadChooser;
 import org.ebonyrun.core.routing.TargetMonitor;
@@ -122,7 +123,12 @@
                         mIncarnation,
                         LeastLoadChooser.create(settings.failureDomain()),
                         new DispatchEffects(this));
-        mRollout = RolloutMachine.create(self, Completions::sampleBody, new RolloutEffects(this));
+        mRollout =
+                RolloutMachine.create(
+                        self,
+                        Completions::sampleBody,
+                        StragglerPolicy.tail(),
+                        new RolloutEffects(this));
         mConfig = ConfigMachine.create(new ConfigEffects(this));
         mMembership =
                 MembershipMachine.create(
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/entry/RolloutEffects.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/entry/RolloutEffects.java
@@ -129,6 +129,7 @@
                         WorkKind.CALL,
                         scorer,
                         SCORING,
+                        0,
                         now,
                         now + SCORE_NANOS,
                         now + SCORE_NANOS,
--- /dev/null
+++ b/ebonyrun-standin/src/main/java/org/ebonyrun/standin/experiment/Deployment.java
@@ -0,0 +1,94 @@
+package org.ebonyrun.standin.experiment;
+
+import java.util.List;
+import org.ebonyrun.standin.virtual.EngineModel;
+
+/**
+ * A deployment of the brief, as the experiment plays it.
+ *
+ * @param name its name
+ * @param engines the engine service and how many samplers it has
+ * @param engineCount samplers
+ * @param domains failure domains
+ * @param callTargetMillis lateness target of calls, in milliseconds
+ * @param stalenessVersions staleness bound of its trainers
+ * @param trainerIdleMillis tolerated idle time, in milliseconds
+ * @param trainers how many trainers share the engines
+ */
+public record Deployment(
+        String name,
+        String engines,
+        int engineCount,
+        List<String> domains,
+        long callTargetMillis,
+        long stalenessVersions,
+        long trainerIdleMillis,
+        int trainers) {
+    /** Slots of each engine. */
+    public static final int SLOTS = 8;
+
+    /** Mean tokens of a call's answer. */
+    public static final int CALL_TOKENS = 30;
+
+    /** Mean tokens of a sample. */
+    public static final int SAMPLE_TOKENS = 200;
+
+    /** Tokens of a prompt. */
+    public static final int PROMPT_TOKENS = 400;
+
+    private static final long TOKEN_MICROS = 4_000;
+    private static final double BATCH_SLOWDOWN = 0.6;
+    private static final long PREFILL_MICROS = 150;
+
+    /** Returns the deployment of Carpatica. */
+    public static Deployment carpatica() {
+        return new Deployment(
+                "carpatica",
+                "model-servers",
+                6,
+                List.of("hall-a", "hall-b", "hall-c"),
+                800,
+                1,
+                20_000,
+                2);
+    }
+
+    /** Returns the deployment of Tavua. */
+    public static Deployment tavua() {
+        return new Deployment(
+                "tavua",
+                "draft-models",
+                6,
+                List.of("lautoka-hall", "nadi-hall", "tavua-hall"),
+                1_500,
+                4,
+                5_000,
+                2);
+    }
+
+    /** Returns the model of its engines. */
+    EngineModel engineModel() {
+        return new EngineModel(
+                false, SLOTS, TOKEN_MICROS, BATCH_SLOWDOWN, PREFILL_MICROS, 16, 8, 1_000, true);
+    }
+
+    /** Returns the tokens that all engines together generate in a second when full. */
+    double capacity() {
+        return engineCount * SLOTS * 1e6 / (TOKEN_MICROS * (1 + BATCH_SLOWDOWN));
+    }
+
+    /** Returns the operators' configuration. */
+    String config() {
+        StringBuilder text = new StringBuilder();
+        text.append("services: {").append(engines).append(": {kind: engine}}\nclasses:\n");
+        text.append("  lookup: {service: ").append(engines).append(", kind: interactive, ");
+        text.append("lateness: {quantile: 0.99, within: ").append(callTargetMillis);
+        text.append("ms}}\n");
+        for (int i = 0; i < trainers; i++) {
+            text.append("  rollout-").append(i).append(": {service: ").append(engines);
+            text.append(", kind: rollout, staleness: ").append(stalenessVersions);
+            text.append(" versions, trainer_idle: ").append(trainerIdleMillis).append("ms}\n");
+        }
+        return text.toString();
+    }
+}
--- /dev/null
+++ b/ebonyrun-standin/src/main/java/org/ebonyrun/standin/experiment/Policies.java
@@ -0,0 +1,67 @@
+package org.ebonyrun.standin.experiment;
+
+import java.util.List;
+import org.ebonyrun.core.attempt.AttemptPolicy;
+import org.ebonyrun.core.attempt.QueueOrder;
+import org.ebonyrun.core.attempt.SampleAdmission;
+import org.ebonyrun.core.rollout.StragglerPolicy;
+import org.ebonyrun.core.routing.LeastLoadChooser;
+import org.ebonyrun.core.routing.RoundRobinChooser;
+import org.ebonyrun.standin.virtual.PolicyChoice;
+
+/** The policies that are compared. Stateless and thread safe. */
+public final class Policies {
+    private Policies() {}
+
+    /** Returns ours and the baselines, ours first. */
+    public static List<PolicyChoice> compared() {
+        return List.of(PolicyChoice.standard(), arrival(), staticPriority(), tokenCounter());
+    }
+
+    /** Returns ours with one idea switched off each. */
+    public static List<PolicyChoice> ablations() {
+        AttemptPolicy standard = AttemptPolicy.standard();
+        AttemptPolicy noReserve =
+                new AttemptPolicy(standard.order(), SampleAdmission::freeSlots, true);
+        AttemptPolicy noRefusal = new AttemptPolicy(standard.order(), standard.admission(), false);
+        AttemptPolicy noLaxity =
+                new AttemptPolicy(QueueOrder.arrival(), standard.admission(), true);
+        return List.of(
+                PolicyChoice.standard(),
+                ours("without call reserve", noReserve, StragglerPolicy.tail(), 2),
+                ours("without early refusal", noRefusal, StragglerPolicy.tail(), 2),
+                ours("without least laxity", noLaxity, StragglerPolicy.tail(), 2),
+                ours("without second attempts", standard, StragglerPolicy.never(), 2),
+                ours("without prefix affinity", standard, StragglerPolicy.tail(), 0));
+    }
+
+    private static PolicyChoice ours(
+            String name, AttemptPolicy attempts, StragglerPolicy stragglers, int slack) {
+        return new PolicyChoice(
+                name, attempts, domain -> LeastLoadChooser.withSlack(domain, slack), stragglers);
+    }
+
+    private static PolicyChoice arrival() {
+        return new PolicyChoice(
+                "arrival, round robin",
+                new AttemptPolicy(QueueOrder.arrival(), SampleAdmission::freeSlots, false),
+                domain -> new RoundRobinChooser(),
+                StragglerPolicy.never());
+    }
+
+    private static PolicyChoice staticPriority() {
+        return new PolicyChoice(
+                "static priority, least load",
+                new AttemptPolicy(QueueOrder.callsFirst(), SampleAdmission::freeSlots, false),
+                domain -> LeastLoadChooser.withSlack(domain, 0),
+                StragglerPolicy.never());
+    }
+
+    private static PolicyChoice tokenCounter() {
+        return new PolicyChoice(
+                "token counter",
+                new AttemptPolicy(QueueOrder.arrival(), SampleAdmission::tokenCounter, false),
+                domain -> LeastLoadChooser.withSlack(domain, 0),
+                StragglerPolicy.never());
+    }
+}
--- a/ebonyrun-standin/src/main/java/org/ebonyrun/standin/virtual/VirtualEntry.java
+++ b/ebonyrun-standin/src/main/java/org/ebonyrun/standin/virtual/VirtualEntry.java
@@ -117,7 +117,12 @@
                         incarnation,
                         mWorld.mPolicy.chooser().apply(mDomain),
                         new VirtualDispatch(this));
-        mRollout = RolloutMachine.create(mSelf, VirtualEntry::body, new VirtualRollout(this));
+        mRollout =
+                RolloutMachine.create(
+                        mSelf,
+                        VirtualEntry::body,
+                        mWorld.mPolicy.stragglers(),
+                        new VirtualRollout(this));
         mMembership =
                 MembershipMachine.create(
                         mVm, mDomain, SUBSET, new Random(incarnation), new VirtualMembership(this));
@@ -289,6 +294,7 @@
                         WorkKind.CALL,
                         spec.service(),
                         spec.name(),
+                        spec.latenessQuantile(),
                         now(),
                         now() + Nanos.ofMillis(spec.latenessMillis()),
                         now() + Nanos.ofMillis(timeout),
--- a/ebonyrun-standin/src/main/java/org/ebonyrun/standin/virtual/VirtualRun.java
+++ b/ebonyrun-standin/src/main/java/org/ebonyrun/standin/virtual/VirtualRun.java
@@ -32,6 +32,11 @@
         return mSent;
     }
 
+    /** Returns whether the run was stopped before its end. */
+    public boolean isStopped() {
+        return mStopped;
+    }
+
     /** Returns whether the whole answer was produced. */
     public boolean isFinished() {
         return mFinished;
