Guard the key-value service, expire orphans, prove the HTTP edge on sockets

Cause: an outage piled calls up at every process; samples of an owner that never came back were held for ever, as was the lease of a trainer that went away; the HTTP edge and life cycle were untested on real sockets.

--- a/ebonyrun-core/src/main/java/org/ebonyrun/core/attempt/AttemptMachine.java
+++ b/ebonyrun-core/src/main/java/org/ebonyrun/core/attempt/AttemptMachine.java
@@ -30,6 +30,7 @@
  */
 public final class AttemptMachine implements Ticking {
     private static final long MIN_RETRY_MILLIS = 50;
+    private static final long ORPHAN_NANOS = Nanos.ofMillis(1_800_000);
     private static final long URGENT_NANOS = Nanos.ofMillis(5_000);
 
     private final VmId mSelf;
@@ -66,8 +67,8 @@
     /** The step that a sample belongs to. */
     private record StepKey(TrainerId trainer, long step) {}
 
-    /** The link of the entry that owns a step, by the highest fence seen. */
-    private record StepOwner(long link, long fence) {}
+    /** The link of the entry that owns a step, by the highest fence seen, and when it was heard. */
+    private record StepOwner(long link, long fence, long heardAt) {}
 
     /** Creates a machine for one endpoint. */
     public static AttemptMachine create(
@@ -82,11 +83,11 @@
         } else if (message instanceof AttemptMessage.CancelAttempt cancel) {
             onCancel(cancel.id(), now);
         } else if (message instanceof AttemptMessage.FetchSample fetch) {
-            onFetch(link, fetch.key());
+            onFetch(link, fetch.key(), now);
         } else if (message instanceof AttemptMessage.ReleaseSamples release) {
             release.keys().forEach(mStore::release);
         } else if (message instanceof AttemptMessage.HeldQuery query) {
-            onHeldQuery(link, query);
+            onHeldQuery(link, query, now);
         } else if (message instanceof AttemptMessage.CloseStep close) {
             onCloseStep(close, now);
         } else {
@@ -250,9 +251,22 @@
                 giveUp(attempt, now);
             }
         }
+        releaseOrphans(now);
         pump(now);
     }
 
+    /** Releases what is held of steps whose owners have been silent for long; it can run again. */
+    private void releaseOrphans(long now) {
+        for (Map.Entry<StepKey, StepOwner> entry : List.copyOf(mOwners.entrySet())) {
+            if (now - entry.getValue().heardAt() >= ORPHAN_NANOS) {
+                StepKey step = entry.getKey();
+                mOwners.remove(step);
+                mStore.ofStep(step.trainer(), step.step())
+                        .forEach(held -> mStore.release(held.key()));
+            }
+        }
+    }
+
     private void onOffer(long link, AttemptMessage.Offer offer, long now) {
         if (!mSeen.add(offer.id())) {
             mDuplicates++;
@@ -307,7 +321,7 @@
         if (owner != null && job.fence() < owner.fence()) {
             return notRun(FaultCode.FENCED, "fence " + job.fence() + " is below " + owner.fence());
         }
-        mOwners.put(step, new StepOwner(link, job.fence()));
+        mOwners.put(step, new StepOwner(link, job.fence(), now));
         int room = sampleRoom(now);
         if (job.isUrgentSample()) {
             room = Math.max(room, urgentRoom());
@@ -458,7 +472,10 @@
         mOutputs.send(link, new AttemptMessage.Refused(id, fault, load(now)));
     }
 
-    private void onFetch(long link, SampleKey key) {
+    private void onFetch(long link, SampleKey key, long now) {
+        StepKey step = new StepKey(key.trainer(), key.step());
+        mOwners.computeIfPresent(
+                step, (ignored, owner) -> new StepOwner(owner.link(), owner.fence(), now));
         SampleStore.Stored stored = mStore.get(key);
         mOutputs.send(
                 link,
@@ -467,13 +484,13 @@
                         : new AttemptMessage.SampleContent(key, stored.content(), stored.info()));
     }
 
-    private void onHeldQuery(long link, AttemptMessage.HeldQuery query) {
+    private void onHeldQuery(long link, AttemptMessage.HeldQuery query, long now) {
         StepKey step = new StepKey(query.trainer(), query.step());
         StepOwner owner = mOwners.get(step);
         if (owner != null && query.fence() < owner.fence()) {
             return;
         }
-        mOwners.put(step, new StepOwner(link, query.fence()));
+        mOwners.put(step, new StepOwner(link, query.fence(), now));
         List<SampleKey> running = new ArrayList<>();
         for (Attempt attempt : mAttempts.values()) {
             SampleKey key = attempt.mJob.sample();
--- a/ebonyrun-core/src/main/java/org/ebonyrun/core/rollout/Step.java
+++ b/ebonyrun-core/src/main/java/org/ebonyrun/core/rollout/Step.java
@@ -31,6 +31,7 @@
  */
 final class Step {
     private static final long GIVE_UP_NANOS = Nanos.ofMillis(600_000);
+    private static final long FORGOTTEN_NANOS = Nanos.ofMillis(1_800_000);
     private static final long ADOPTION_NANOS = Nanos.ofMillis(3_000);
     private static final long FETCH_NANOS = Nanos.ofMillis(3_000);
     private static final long RETRY_NANOS = Nanos.ofMillis(500);
@@ -49,6 +50,7 @@
     private final List<Slot> mSlots = new ArrayList<>();
     private ClassSpec mSpec;
     private long mVersion;
+    private long mPulledAt;
     private @Nullable OpenPull mPull;
     private boolean mClosed;
     private long mStale;
@@ -69,6 +71,7 @@
         mOutputs = outputs;
         mFence = fence;
         mStartedAt = now;
+        mPulledAt = now;
         mVersion = manifest.version();
         int index = 0;
         for (int group = 0; group < manifest.groups().size(); group++) {
@@ -90,8 +93,9 @@
         return mClosed;
     }
 
-    boolean hasOpenPull() {
-        return mPull != null;
+    /** Returns whether the trainer has not asked for the step for long. */
+    boolean isForgotten(long now) {
+        return mPull == null && now - mPulledAt >= FORGOTTEN_NANOS;
     }
 
     void onSpec(ClassSpec spec) {
@@ -231,6 +235,7 @@
             return;
         }
         mVersion = pull.mVersion;
+        mPulledAt = now;
         mOutputs.setMinVersion(mManifest.trainer(), minVersion());
         acknowledge(pull.mCursor);
         if (pull.mCursor.count() == mSlots.size()) {
--- a/ebonyrun-core/src/main/java/org/ebonyrun/core/rollout/TrainerSteps.java
+++ b/ebonyrun-core/src/main/java/org/ebonyrun/core/rollout/TrainerSteps.java
@@ -22,7 +22,9 @@
 /**
  * The steps of one trainer as one entry sees them: owned here, owned elsewhere, or not known yet.
  *
- * <p>Invariant: steps are in memory only while this process holds the trainer's lease.
+ * <p>Invariant: steps are in memory only while this process holds the trainer's lease. A step for
+ * which the trainer has not asked for half an hour is put away; its manifest stays, and a later
+ * pull takes it up again.
  *
  * <p>Not thread safe; confined to the rollout duty.
  */
@@ -165,6 +167,10 @@
         }
         for (Step step : List.copyOf(mSteps.values())) {
             step.onTick(now);
+            if (step.isForgotten(now)) {
+                step.abandon();
+                mSteps.remove(step.manifest().step());
+            }
         }
         expireParked(now);
         retryParked(config, now);
--- a/ebonyrun-core/src/test/java/org/ebonyrun/core/attempt/AttemptMachineTest.java
+++ b/ebonyrun-core/src/test/java/org/ebonyrun/core/attempt/AttemptMachineTest.java
@@ -117,6 +117,15 @@
         assertThat(lastContent().content(), is(BODY));
     }
 
+    @Test
+    void releasesTheSamplesOfAnOwnerThatStaysSilent() {
+        finishSample(1, 0);
+        mMachine.onTick(Nanos.ofMillis(1_799_000));
+        assertThat(mMachine.dump(0).held(), is(1));
+        mMachine.onTick(Nanos.ofMillis(1_801_000));
+        assertThat(mMachine.dump(0).held(), is(0));
+    }
+
     @Test
     void refusesSamplesOfAnOldOwner() {
         mMachine.onMessage(LINK, new AttemptMessage.HeldQuery(TRAINER, 1, 8), 0);
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/entry/EntryContext.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/entry/EntryContext.java
@@ -38,6 +38,7 @@
 import org.ebonyrun.daemon.store.LeaseClient;
 import org.ebonyrun.daemon.store.ManifestStore;
 import org.ebonyrun.platform.http.HttpCaller;
+import org.ebonyrun.platform.kv.GuardedStore;
 import org.ebonyrun.platform.kv.HttpKeyValueStore;
 import org.ebonyrun.platform.kv.KeyValueStore;
 import org.ebonyrun.platform.vm.HttpVmDirectory;
@@ -95,9 +96,12 @@
         mSettings = settings;
         mCaller = HttpCaller.start();
         KeyValueStore store =
-                new CountedStore(
-                        HttpKeyValueStore.create(mCaller, settings.platform().keyValue()),
-                        mMetrics);
+                GuardedStore.create(
+                        new CountedStore(
+                                HttpKeyValueStore.create(mCaller, settings.platform().keyValue()),
+                                mMetrics),
+                        MonotonicClock.system(),
+                        new Random(mIncarnation));
         mDirectory = HttpVmDirectory.create(mCaller, settings.platform().vms());
         mWeights = HttpWeightStore.create(mCaller, settings.platform().weights());
         mManifests = ManifestStore.create(store);
--- /dev/null
+++ b/ebonyrun-platform/src/main/java/org/ebonyrun/platform/kv/CircuitBreaker.java
@@ -0,0 +1,78 @@
+package org.ebonyrun.platform.kv;
+
+import static com.google.common.base.Preconditions.checkArgument;
+
+import java.util.random.RandomGenerator;
+import org.ebonyrun.base.time.Nanos;
+
+/**
+ * Decides whether a call to a service may be made, from how the last ones ended.
+ *
+ * <p>Closed: all calls pass. After {@value #FAILURES_TO_OPEN} failures in a row it opens: no call
+ * passes until a pause is over, which doubles with each failed probe and has jitter, so that the
+ * processes of a fleet don't come back together. Then one call passes as a probe; its success
+ * closes the circuit.
+ *
+ * <p>Not thread safe; its owner guards it.
+ */
+public final class CircuitBreaker {
+    /** Failures in a row that open the circuit. */
+    public static final int FAILURES_TO_OPEN = 5;
+
+    private static final long MIN_PAUSE_NANOS = Nanos.ofMillis(500);
+    private static final long MAX_PAUSE_NANOS = Nanos.ofMillis(8_000);
+
+    private final RandomGenerator mRandom;
+    private int mFailures;
+    private long mPause = MIN_PAUSE_NANOS;
+    private long mProbeAt;
+    private boolean mProbing;
+
+    private CircuitBreaker(RandomGenerator random) {
+        mRandom = random;
+    }
+
+    /** Creates a closed circuit. */
+    public static CircuitBreaker create(RandomGenerator random) {
+        return new CircuitBreaker(random);
+    }
+
+    /** Returns whether the circuit is open. */
+    public boolean isOpen() {
+        return mFailures >= FAILURES_TO_OPEN;
+    }
+
+    /** Returns whether a call may be made now; one that may is expected to report its end. */
+    public boolean tryCall(long now) {
+        if (!isOpen()) {
+            return true;
+        }
+        if (mProbing || now - mProbeAt < 0) {
+            return false;
+        }
+        mProbing = true;
+        return true;
+    }
+
+    /** Takes note of a call that was answered. */
+    public void onSuccess() {
+        mFailures = 0;
+        mProbing = false;
+        mPause = MIN_PAUSE_NANOS;
+    }
+
+    /** Takes note of a call that was not answered. */
+    public void onFailure(long now) {
+        checkArgument(mFailures >= 0, "failures are negative: %s", mFailures);
+        boolean wasOpen = isOpen();
+        mFailures++;
+        if (!isOpen()) {
+            return;
+        }
+        if (wasOpen && mProbing) {
+            mPause = Math.min(MAX_PAUSE_NANOS, mPause * 2);
+        }
+        mProbing = false;
+        mProbeAt = now + mPause / 2 + (long) (mRandom.nextDouble() * mPause);
+    }
+}
--- /dev/null
+++ b/ebonyrun-standin/src/test/java/org/ebonyrun/standin/loopback/LoopbackFleet.java
@@ -0,0 +1,140 @@
+package org.ebonyrun.standin.loopback;
+
+import java.io.IOException;
+import java.net.URI;
+import java.nio.charset.StandardCharsets;
+import java.util.Map;
+import org.ebonyrun.base.id.FailureDomain;
+import org.ebonyrun.base.id.ServiceName;
+import org.ebonyrun.base.id.VmId;
+import org.ebonyrun.base.result.Result;
+import org.ebonyrun.daemon.DaemonSettings;
+import org.ebonyrun.daemon.agent.AgentNode;
+import org.ebonyrun.daemon.entry.EntryNode;
+import org.ebonyrun.platform.http.HttpCall;
+import org.ebonyrun.platform.http.HttpCaller;
+import org.ebonyrun.platform.http.HttpReply;
+import org.ebonyrun.platform.vm.VmRecord;
+import org.ebonyrun.standin.engine.EngineSettings;
+import org.ebonyrun.standin.engine.StandinEngine;
+import org.ebonyrun.standin.platform.StandinPlatform;
+
+/** One entry, two engines with their agents, and a platform on loopback. Used by one test. */
+final class LoopbackFleet implements AutoCloseable {
+    static final String HOST = "127.0.0.1";
+
+    private static final long TIMEOUT_MILLIS = 20_000;
+    private static final String CONFIG =
+            """
+            services: {models: {kind: engine}}
+            classes:
+              lookup:
+                service: models
+                kind: interactive
+                lateness: {quantile: 0.99, within: 5s}
+              rollout: {service: models, kind: rollout, staleness: 2 versions, trainer_idle: 5s}
+            """;
+
+    final HttpCaller mCaller = HttpCaller.start();
+    final StandinPlatform mPlatform = StandinPlatform.start(HOST, 0);
+    final StandinEngine[] mEngines = new StandinEngine[2];
+    final AgentNode[] mAgents = new AgentNode[2];
+    final EntryNode mEntry;
+
+    LoopbackFleet() throws IOException {
+        mPlatform.publish("models", 1);
+        for (int i = 0; i < mEngines.length; i++) {
+            EngineSettings engine = new EngineSettings("engine" + i, 4, 2, 5, 20, true);
+            mEngines[i] = StandinEngine.start(engine, HOST, 0, 1);
+            startAgent(i);
+        }
+        mEntry = EntryNode.start(settings("entry", "entry-1", null, null));
+        String query = "/admin/config?author=test&expect=0";
+        HttpReply reply = ask("PUT", query, Map.of(), CONFIG).orThrow();
+        if (!reply.isSuccess()) {
+            throw new IllegalStateException(reply.text());
+        }
+        awaitUsable(2);
+    }
+
+    /** Starts the agent of an engine, again after a crash. */
+    void startAgent(int index) throws IOException {
+        String vm = "sampler-" + index;
+        mAgents[index] =
+                AgentNode.start(
+                        settings(
+                                "endpoint",
+                                vm,
+                                ServiceName.of("models"),
+                                mEngines[index].address()));
+        mPlatform.putVm(
+                new VmRecord(
+                        VmId.of(vm),
+                        VmRecord.ROLE_ENDPOINT,
+                        "models",
+                        FailureDomain.of("hall-a"),
+                        HOST,
+                        mAgents[index].linkPort(),
+                        false));
+    }
+
+    /** Asks the entry for its state until it sees a number of usable endpoints. */
+    void awaitUsable(int count) {
+        String usable = "\"usable\":true,\"free\"";
+        int seen = -1;
+        while (seen != count) {
+            String dump = ask("GET", "/admin/dump", Map.of(), "").fold(HttpReply::text, f -> "");
+            seen = dump.split(usable, -1).length - 1;
+        }
+    }
+
+    URI address() {
+        return URI.create("http://" + HOST + ":" + mEntry.httpPort());
+    }
+
+    Result<HttpReply> call(String body) {
+        return ask("POST", "/v1/calls/lookup", Map.of("Content-Type", "application/json"), body);
+    }
+
+    Result<HttpReply> ask(String method, String path, Map<String, String> headers, String body) {
+        return mCaller.request(request(method, path, headers, body), "test").join();
+    }
+
+    HttpCall request(String method, String path, Map<String, String> headers, String body) {
+        byte[] bytes = body.getBytes(StandardCharsets.UTF_8);
+        return new HttpCall(method, URI.create(address() + path), headers, bytes, TIMEOUT_MILLIS);
+    }
+
+    @Override
+    public void close() {
+        mEntry.close();
+        for (int i = 0; i < mAgents.length; i++) {
+            mAgents[i].close();
+            mEngines[i].close();
+        }
+        mPlatform.close();
+        mCaller.close();
+    }
+
+    private DaemonSettings settings(
+            String role,
+            String vm,
+            @org.jspecify.annotations.Nullable ServiceName service,
+            @org.jspecify.annotations.Nullable URI endpoint) {
+        URI platform = mPlatform.address();
+        return new DaemonSettings(
+                role,
+                VmId.of(vm),
+                FailureDomain.of("hall-a"),
+                new DaemonSettings.Listen(HOST, 0),
+                new DaemonSettings.Listen(HOST, 0),
+                new DaemonSettings.Platform(platform, platform, platform),
+                service,
+                endpoint,
+                true,
+                64 * 1024,
+                1 << 20,
+                8,
+                TIMEOUT_MILLIS);
+    }
+}
--- /dev/null
+++ b/ebonyrun-standin/src/test/java/org/ebonyrun/standin/loopback/NodeLifeTest.java
@@ -0,0 +1,136 @@
+package org.ebonyrun.standin.loopback;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.containsString;
+import static org.hamcrest.Matchers.is;
+
+import java.io.IOException;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
+import org.ebonyrun.base.result.Result;
+import org.ebonyrun.platform.http.HttpListener;
+import org.ebonyrun.platform.http.HttpReply;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** Kills, drains and restarts nodes in the middle of streams, over real sockets. */
+@Timeout(60)
+class NodeLifeTest {
+    private static final Map<String, String> JSON = Map.of("Content-Type", "application/json");
+    private static final String LONG_STREAM =
+            "{\"prompt\":\"long\",\"max_tokens\":200,\"stream\":true}";
+
+    /** Collects a stream and tells when its first piece has come. */
+    private static final class Stream implements HttpListener {
+        private final CountDownLatch mBegun = new CountDownLatch(1);
+        private final CompletableFuture<String> mEnd = new CompletableFuture<>();
+        private final StringBuilder mText = new StringBuilder();
+
+        @Override
+        public void onHead(int status) {}
+
+        @Override
+        public void onData(byte[] data) {
+            mText.append(new String(data, java.nio.charset.StandardCharsets.UTF_8));
+            mBegun.countDown();
+        }
+
+        @Override
+        public void onEnd() {
+            mEnd.complete(mText.toString());
+        }
+
+        @Override
+        public void onFailure(boolean sent, String detail) {
+            mEnd.complete(mText + "FAILED " + detail);
+        }
+    }
+
+    @Test
+    void aStreamThatBreaksOffIsNeverAShortSuccess() throws Exception {
+        try (LoopbackFleet fleet = new LoopbackFleet()) {
+            Stream stream = new Stream();
+            fleet.mCaller.send(
+                    fleet.request("POST", "/v1/calls/lookup", JSON, LONG_STREAM), stream);
+            stream.mBegun.await();
+            fleet.mAgents[0].close();
+            fleet.mAgents[1].close();
+            String text = stream.mEnd.join();
+            assertThat(text, containsString("event: error"));
+            assertThat(text.contains("[DONE]"), is(false));
+        }
+    }
+
+    @Test
+    void aDrainingAgentFinishesItsStreamAndGetsNothingNew() throws Exception {
+        try (LoopbackFleet fleet = new LoopbackFleet()) {
+            Stream stream = new Stream();
+            fleet.mCaller.send(
+                    fleet.request("POST", "/v1/calls/lookup", JSON, LONG_STREAM), stream);
+            stream.mBegun.await();
+            fleet.mAgents[0].drain();
+            fleet.mAgents[1].drain();
+            Result<HttpReply> refused = fleet.call("{\"prompt\":\"late\"}");
+            assertThat(refused.orThrow().text(), containsString("\"outcome\":\"not-run\""));
+            assertThat(stream.mEnd.join(), containsString("[DONE]"));
+            boolean ran = false;
+            for (var engine : fleet.mEngines) {
+                ran |= engine.log().stream().anyMatch(run -> run.prompt().equals("late"));
+            }
+            assertThat(ran, is(false));
+        }
+    }
+
+    @Test
+    void aStepSurvivesTheLossOfAnAgentThatHoldsItsSamples() throws Exception {
+        try (LoopbackFleet fleet = new LoopbackFleet()) {
+            String step = "/v1/trainers/t/steps/1";
+            String body =
+                    "{\"class\":\"rollout\",\"version\":1,\"groups\":"
+                            + "[{\"prompt\":\"p\",\"samples\":6,\"max_tokens\":8}]}";
+            fleet.ask("PUT", step, JSON, body).orThrow();
+            awaitReady(fleet, 6);
+            fleet.mAgents[0].close();
+            fleet.startAgent(0);
+            fleet.awaitUsable(2);
+            String cursor = "";
+            int samples = 0;
+            boolean complete = false;
+            while (!complete) {
+                String pull = "{\"cursor\":\"" + cursor + "\",\"version\":1,\"wait_ms\":1000}";
+                String answer = fleet.ask("POST", step + "/pull", JSON, pull).orThrow().text();
+                samples += answer.split("\"slot\":", -1).length - 1;
+                cursor = answer.replaceAll("(?s).*\"cursor\":\"([^\"]*)\".*", "$1");
+                complete = answer.contains("\"complete\":true");
+            }
+            assertThat(samples, is(6));
+        }
+    }
+
+    @Test
+    void configurationSurvivesAnOutageOfThePlatform() throws IOException {
+        try (LoopbackFleet fleet = new LoopbackFleet()) {
+            fleet.mPlatform.setDown(true);
+            HttpReply reply = fleet.call("{\"prompt\":\"on\",\"max_tokens\":2}").orThrow();
+            assertThat(reply.text(), containsString(":on t0 t1"));
+            HttpReply refused =
+                    fleet.ask(
+                                    "PUT",
+                                    "/v1/trainers/t/steps/1",
+                                    JSON,
+                                    "{\"class\":\"rollout\","
+                                            + "\"version\":1,\"groups\":[{\"prompt\":\"p\","
+                                            + "\"samples\":1,\"max_tokens\":1}]}")
+                            .orThrow();
+            assertThat(refused.status(), is(503));
+        }
+    }
+
+    private static void awaitReady(LoopbackFleet fleet, int count) {
+        String dump = "";
+        while (!dump.contains("\"ready\":" + count)) {
+            dump = fleet.ask("GET", "/admin/dump", Map.of(), "").orThrow().text();
+        }
+    }
+}
