--- a/ebonyrun-bench/src/main/java/org/ebonyrun/bench/BenchMain.java
+++ b/ebonyrun-bench/src/main/java/org/ebonyrun/bench/BenchMain.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.util.List;
+import java.util.function.Function;
 import org.openjdk.jmh.runner.Runner;
 import org.openjdk.jmh.runner.RunnerException;
 import org.openjdk.jmh.runner.options.OptionsBuilder;
@@ -49,7 +50,7 @@
     private static void print(
             String what,
             List<EntryBench.Reading> readings,
-            java.util.function.Function<EntryBench.Reading, Fit.Point> point) {
+            Function<EntryBench.Reading, Fit.Point> point) {
         System.out.println(what + ": " + Fit.of(readings.stream().map(point).toList()));
     }
 
--- a/ebonyrun-bench/src/main/java/org/ebonyrun/bench/EmulatedAgents.java
+++ b/ebonyrun-bench/src/main/java/org/ebonyrun/bench/EmulatedAgents.java
@@ -1,6 +1,7 @@
 package org.ebonyrun.bench;
 
 import java.io.IOException;
+import java.nio.charset.StandardCharsets;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.Executors;
@@ -30,7 +31,7 @@
 
     private static final long HEARTBEAT_MILLIS = Nanos.toMillis(HeartbeatPolicy.CHANGED_NANOS);
     private static final EndpointLoad LOAD = new EndpointLoad(8, 0, 0, 8, 0, false, false, 0);
-    private static final byte[] ANSWER = "{}".getBytes(java.nio.charset.StandardCharsets.UTF_8);
+    private static final byte[] ANSWER = "{}".getBytes(StandardCharsets.UTF_8);
 
     private final int mCount;
     private final AtomicInteger mNext = new AtomicInteger();
--- a/ebonyrun-bench/src/main/java/org/ebonyrun/bench/EntryBench.java
+++ b/ebonyrun-bench/src/main/java/org/ebonyrun/bench/EntryBench.java
@@ -10,14 +10,12 @@
 import java.util.Locale;
 import java.util.concurrent.Semaphore;
 import java.util.concurrent.TimeUnit;
-import org.ebonyrun.base.id.FailureDomain;
-import org.ebonyrun.base.id.VmId;
-import org.ebonyrun.daemon.DaemonSettings;
 import org.ebonyrun.daemon.entry.EntryNode;
 import org.ebonyrun.platform.http.HttpCall;
 import org.ebonyrun.platform.http.HttpCaller;
 import org.ebonyrun.platform.http.HttpReply;
 import org.ebonyrun.platform.vm.VmRecord;
+import org.ebonyrun.standin.loopback.LoopbackSettings;
 import org.ebonyrun.standin.platform.StandinPlatform;
 
 /**
@@ -89,7 +87,10 @@
                                 emulated.port(),
                                 false));
             }
-            try (EntryNode entry = EntryNode.start(settings(platform.address(), agents))) {
+            try (EntryNode entry =
+                    EntryNode.start(
+                            new LoopbackSettings(platform.address(), agents)
+                                    .entry("entry", EmulatedAgents.domain(0)))) {
                 URI address = URI.create("http://" + HOST + ":" + entry.httpPort());
                 apply(caller, address);
                 while (emulated.connected() < agents) {
@@ -174,23 +175,6 @@
                 .orThrow();
     }
 
-    private static DaemonSettings settings(URI platform, int agents) {
-        return new DaemonSettings(
-                DaemonSettings.ROLE_ENTRY,
-                VmId.of("entry"),
-                FailureDomain.of("hall-0"),
-                new DaemonSettings.Listen(HOST, 0),
-                new DaemonSettings.Listen(HOST, 0),
-                new DaemonSettings.Platform(platform, platform, platform),
-                null,
-                null,
-                false,
-                1 << 20,
-                32L << 20,
-                agents,
-                TIMEOUT_MILLIS);
-    }
-
     /** Returns the readings for several numbers of agents. */
     static List<Reading> sweep(int[] agents, boolean load)
             throws IOException, InterruptedException {
--- a/ebonyrun-bench/src/main/java/org/ebonyrun/bench/OverheadBench.java
+++ b/ebonyrun-bench/src/main/java/org/ebonyrun/bench/OverheadBench.java
@@ -7,9 +7,7 @@
 import java.util.concurrent.TimeUnit;
 import org.HdrHistogram.Histogram;
 import org.ebonyrun.base.id.FailureDomain;
-import org.ebonyrun.base.id.ServiceName;
 import org.ebonyrun.base.id.VmId;
-import org.ebonyrun.daemon.DaemonSettings;
 import org.ebonyrun.daemon.agent.AgentNode;
 import org.ebonyrun.daemon.entry.EntryNode;
 import org.ebonyrun.platform.http.HttpCall;
@@ -17,12 +15,15 @@
 import org.ebonyrun.platform.http.HttpReply;
 import org.ebonyrun.platform.vm.VmRecord;
 import org.ebonyrun.standin.engine.StandinService;
+import org.ebonyrun.standin.loopback.LoopbackSettings;
 import org.ebonyrun.standin.platform.StandinPlatform;
 
 /** Compares a call through entry and agent with the same call at the stand-in, in turn. */
 final class OverheadBench {
     private static final String HOST = "127.0.0.1";
     private static final String SERVICE = "models";
+    private static final FailureDomain DOMAIN = FailureDomain.of("hall-0");
+    private static final int SUBSET = 64;
     private static final int WARM_UP = 3_000;
     private static final int CALLS = 5_000;
     private static final long TIMEOUT_MILLIS = 5_000;
@@ -45,14 +46,20 @@
         try (StandinPlatform platform = StandinPlatform.start(HOST, 0);
                 StandinService service = StandinService.start("service", HOST, 0, 0);
                 HttpCaller caller = HttpCaller.start();
-                AgentNode agent = AgentNode.start(agent(platform.address(), service.address()));
-                EntryNode entry = EntryNode.start(entry(platform.address()))) {
+                AgentNode agent =
+                        AgentNode.start(
+                                new LoopbackSettings(platform.address(), SUBSET)
+                                        .agent("vm-1", DOMAIN, SERVICE, service.address(), false));
+                EntryNode entry =
+                        EntryNode.start(
+                                new LoopbackSettings(platform.address(), SUBSET)
+                                        .entry("entry", DOMAIN))) {
             platform.putVm(
                     new VmRecord(
                             VmId.of("vm-1"),
                             VmRecord.ROLE_ENDPOINT,
                             SERVICE,
-                            FailureDomain.of("hall-0"),
+                            DOMAIN,
                             HOST,
                             agent.linkPort(),
                             false));
@@ -106,35 +113,4 @@
                 .join()
                 .fold(HttpReply::isSuccess, fault -> false);
     }
-
-    private static DaemonSettings entry(URI platform) {
-        return settings(DaemonSettings.ROLE_ENTRY, "entry", platform, null, null);
-    }
-
-    private static DaemonSettings agent(URI platform, URI endpoint) {
-        return settings(
-                DaemonSettings.ROLE_ENDPOINT, "vm-1", platform, ServiceName.of(SERVICE), endpoint);
-    }
-
-    private static DaemonSettings settings(
-            String role,
-            String vm,
-            URI platform,
-            @org.jspecify.annotations.Nullable ServiceName service,
-            @org.jspecify.annotations.Nullable URI endpoint) {
-        return new DaemonSettings(
-                role,
-                VmId.of(vm),
-                FailureDomain.of("hall-0"),
-                new DaemonSettings.Listen(HOST, 0),
-                new DaemonSettings.Listen(HOST, 0),
-                new DaemonSettings.Platform(platform, platform, platform),
-                service,
-                endpoint,
-                false,
-                1 << 20,
-                32L << 20,
-                64,
-                TIMEOUT_MILLIS);
-    }
 }
--- a/ebonyrun-client/src/main/java/org/ebonyrun/client/command/ExperimentCommand.java
+++ b/ebonyrun-client/src/main/java/org/ebonyrun/client/command/ExperimentCommand.java
@@ -4,6 +4,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
@@ -180,9 +181,7 @@
                 ours.stream()
                         .collect(
                                 Collectors.groupingBy(
-                                        Row::policy,
-                                        java.util.LinkedHashMap::new,
-                                        Collectors.toList()));
+                                        Row::policy, LinkedHashMap::new, Collectors.toList()));
         byPolicy.forEach(
                 (policy, list) ->
                         chart.addSeries(
--- a/ebonyrun-client/src/main/java/org/ebonyrun/client/command/FaultsCommand.java
+++ b/ebonyrun-client/src/main/java/org/ebonyrun/client/command/FaultsCommand.java
@@ -115,6 +115,7 @@
         text.append(" the step's first and fourth occurrence, checked against the stand-ins'");
         text.append(" logs. The cell shows the outcome, how many of the two faults struck (a step");
         text.append(" may occur less than four times), and the first run's seed.\n\n");
+        text.append("What each mechanism is worth is shown by docs/MUTANTS.md.\n\n");
         text.append("kept: all promises held and work went on. —: the cell can't occur.\n\n");
         for (FaultKind kind : FaultKind.values()) {
             text.append("## ").append(kind).append("\n\n");
--- a/ebonyrun-client/src/main/java/org/ebonyrun/client/command/StandinCommand.java
+++ b/ebonyrun-client/src/main/java/org/ebonyrun/client/command/StandinCommand.java
@@ -1,6 +1,7 @@
 package org.ebonyrun.client.command;
 
 import com.fasterxml.jackson.core.type.TypeReference;
+import com.fasterxml.jackson.databind.ObjectMapper;
 import java.io.IOException;
 import java.net.URI;
 import java.nio.file.Files;
@@ -92,7 +93,7 @@
         String file = options.getString("vms");
         if (file != null) {
             List<VmRecord> vms =
-                    new com.fasterxml.jackson.databind.ObjectMapper()
+                    new ObjectMapper()
                             .readValue(Files.readString(Path.of(file)), new TypeReference<>() {});
             vms.forEach(platform::putVm);
         }
--- a/ebonyrun-client/src/main/java/org/ebonyrun/client/demo/DemoFleet.java
+++ b/ebonyrun-client/src/main/java/org/ebonyrun/client/demo/DemoFleet.java
@@ -8,7 +8,6 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.ebonyrun.base.id.FailureDomain;
-import org.ebonyrun.base.id.ServiceName;
 import org.ebonyrun.base.id.VmId;
 import org.ebonyrun.base.result.Result;
 import org.ebonyrun.daemon.DaemonSettings;
@@ -21,6 +20,7 @@
 import org.ebonyrun.standin.engine.EngineSettings;
 import org.ebonyrun.standin.engine.StandinEngine;
 import org.ebonyrun.standin.engine.StandinService;
+import org.ebonyrun.standin.loopback.LoopbackSettings;
 import org.ebonyrun.standin.platform.StandinPlatform;
 
 /**
@@ -33,11 +33,12 @@
     static final String MODEL_SERVICE = "model-servers";
     static final String QUEUE_SERVICE = "queue-app";
 
-    private static final String HOST = "127.0.0.1";
+    private static final String HOST = LoopbackSettings.HOST;
     private static final int ENTRIES = 2;
     private static final int ENGINES = 4;
     private static final int SERVICES = 2;
     private static final int DOMAINS = 3;
+    private static final int SUBSET = 64;
     private static final int SLOTS = 8;
     private static final int TOKENS_PER_CHUNK = 4;
     private static final long CHUNK_MILLIS = 10;
@@ -72,6 +73,7 @@
 
     private final HttpCaller mCaller;
     private final StandinPlatform mPlatform;
+    private final LoopbackSettings mSettings;
     private final List<StandinEngine> mEngines = new ArrayList<>();
     private final List<StandinService> mServices = new ArrayList<>();
     private final List<AgentNode> mAgents = new ArrayList<>();
@@ -81,6 +83,7 @@
     private DemoFleet() throws IOException {
         mCaller = HttpCaller.start();
         mPlatform = StandinPlatform.start(HOST, 0);
+        mSettings = new LoopbackSettings(mPlatform.address(), SUBSET);
         mPlatform.publish(MODEL_SERVICE, FIRST_VERSION);
         for (int i = 0; i < ENGINES; i++) {
             startEngine(i);
@@ -165,14 +168,7 @@
     private void startAgent(
             String vm, FailureDomain domain, String service, URI endpoint, boolean engine)
             throws IOException {
-        DaemonSettings settings =
-                settings(
-                        DaemonSettings.ROLE_ENDPOINT,
-                        vm,
-                        domain,
-                        ServiceName.of(service),
-                        endpoint,
-                        engine);
+        DaemonSettings settings = mSettings.agent(vm, domain, service, endpoint, engine);
         AgentNode agent = AgentNode.start(settings);
         mAgents.add(agent);
         mPlatform.putVm(
@@ -188,9 +184,7 @@
 
     private void startEntry(int index) throws IOException {
         String vm = "entry-" + index;
-        EntryNode entry =
-                EntryNode.start(
-                        settings(DaemonSettings.ROLE_ENTRY, vm, domain(index), null, null, false));
+        EntryNode entry = EntryNode.start(mSettings.entry(vm, domain(index)));
         mEntries.add(entry);
         mPlatform.putVm(
                 new VmRecord(
@@ -203,30 +197,6 @@
                         false));
     }
 
-    private DaemonSettings settings(
-            String role,
-            String vm,
-            FailureDomain domain,
-            @org.jspecify.annotations.Nullable ServiceName service,
-            @org.jspecify.annotations.Nullable URI endpoint,
-            boolean engine) {
-        URI platform = mPlatform.address();
-        return new DaemonSettings(
-                role,
-                VmId.of(vm),
-                domain,
-                new DaemonSettings.Listen(HOST, 0),
-                new DaemonSettings.Listen(HOST, 0),
-                new DaemonSettings.Platform(platform, platform, platform),
-                service,
-                endpoint,
-                engine,
-                1 << 20,
-                32L << 20,
-                64,
-                TIMEOUT_MILLIS);
-    }
-
     private void applyConfig() {
         URI uri = URI.create(nextEntry() + "/admin/config?author=demo&expect=0");
         HttpCall call =
--- a/ebonyrun-core/src/main/java/org/ebonyrun/core/routing/Dispatcher.java
+++ b/ebonyrun-core/src/main/java/org/ebonyrun/core/routing/Dispatcher.java
@@ -16,6 +16,7 @@
 import org.ebonyrun.base.id.VmId;
 import org.ebonyrun.base.result.Fault;
 import org.ebonyrun.base.result.FaultCode;
+import org.ebonyrun.base.result.Outcome;
 import org.ebonyrun.base.time.Nanos;
 import org.ebonyrun.core.attempt.AttemptMessage;
 import org.ebonyrun.core.attempt.EndpointLoad;
@@ -440,8 +441,7 @@
         end(dispatched);
         boolean claimsNotRun = fault.isNotRun() && dispatched.mMayHaveRun;
         mOutputs.failed(
-                dispatched.mWork,
-                claimsNotRun ? fault.withOutcome(org.ebonyrun.base.result.Outcome.UNKNOWN) : fault);
+                dispatched.mWork, claimsNotRun ? fault.withOutcome(Outcome.UNKNOWN) : fault);
     }
 
     private void cancelAttempt(Dispatched dispatched) {
--- a/ebonyrun-core/src/test/java/org/ebonyrun/core/attempt/AttemptMachineTest.java
+++ b/ebonyrun-core/src/test/java/org/ebonyrun/core/attempt/AttemptMachineTest.java
@@ -17,6 +17,7 @@
 import org.ebonyrun.base.result.FaultCode;
 import org.ebonyrun.base.result.Outcome;
 import org.ebonyrun.base.time.Nanos;
+import org.jspecify.annotations.Nullable;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -225,7 +226,7 @@
             WorkKind kind,
             long targetMillis,
             long minVersion,
-            @org.jspecify.annotations.Nullable SampleKey key,
+            @Nullable SampleKey key,
             long fence) {
         return new Job(
                 kind,
--- a/ebonyrun-core/src/test/java/org/ebonyrun/core/routing/DispatcherTest.java
+++ b/ebonyrun-core/src/test/java/org/ebonyrun/core/routing/DispatcherTest.java
@@ -13,6 +13,7 @@
 import org.ebonyrun.base.id.FailureDomain;
 import org.ebonyrun.base.id.SampleKey;
 import org.ebonyrun.base.id.ServiceName;
+import org.ebonyrun.base.id.TrainerId;
 import org.ebonyrun.base.id.VmId;
 import org.ebonyrun.base.result.Fault;
 import org.ebonyrun.base.result.FaultCode;
@@ -22,6 +23,7 @@
 import org.ebonyrun.core.attempt.SampleInfo;
 import org.ebonyrun.core.attempt.WeightVersions;
 import org.ebonyrun.core.attempt.WorkKind;
+import org.jspecify.annotations.Nullable;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -159,7 +161,7 @@
 
     @Test
     void samplesWaitForFreshWeights() {
-        SampleKey key = new SampleKey(org.ebonyrun.base.id.TrainerId.of("t"), 1, 0);
+        SampleKey key = new SampleKey(TrainerId.of("t"), 1, 0);
         mDispatcher.setMinVersion(key.trainer(), 2, 0);
         mDispatcher.submit(work(1, true, key), 0);
         assertThat(mOut.mOffered, empty());
@@ -200,8 +202,7 @@
         return new AttemptMessage.Done(id, pieces, 200, "t", 1, WeightVersions.none(), FREE);
     }
 
-    private static Work work(
-            long id, boolean idempotent, @org.jspecify.annotations.Nullable SampleKey key) {
+    private static Work work(long id, boolean idempotent, @Nullable SampleKey key) {
         return new Work(
                 id,
                 key == null ? WorkKind.CALL : WorkKind.SAMPLE,
--- a/ebonyrun-core/src/test/java/org/ebonyrun/core/weights/SwapMachineTest.java
+++ b/ebonyrun-core/src/test/java/org/ebonyrun/core/weights/SwapMachineTest.java
@@ -7,6 +7,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Objects;
 import java.util.Optional;
 import org.ebonyrun.base.id.VmId;
 import org.ebonyrun.base.result.FaultCode;
@@ -76,6 +77,6 @@
 
     private FaultCode lastCode() {
         WeightMessage.LoadResult result = (WeightMessage.LoadResult) mSent.get(mSent.size() - 1);
-        return java.util.Objects.requireNonNull(result.fault()).code();
+        return Objects.requireNonNull(result.fault()).code();
     }
 }
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/DaemonMain.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/DaemonMain.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import net.sourceforge.argparse4j.ArgumentParsers;
+import net.sourceforge.argparse4j.helper.HelpScreenException;
 import net.sourceforge.argparse4j.impl.Arguments;
 import net.sourceforge.argparse4j.inf.ArgumentParser;
 import net.sourceforge.argparse4j.inf.ArgumentParserException;
@@ -51,9 +52,7 @@
             options = parser.parseArgs(args);
         } catch (ArgumentParserException e) {
             parser.handleError(e);
-            return e instanceof net.sourceforge.argparse4j.helper.HelpScreenException
-                    ? EXIT_OK
-                    : EXIT_USAGE;
+            return e instanceof HelpScreenException ? EXIT_OK : EXIT_USAGE;
         }
         return start(options);
     }
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/entry/CallApi.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/entry/CallApi.java
@@ -1,5 +1,6 @@
 package org.ebonyrun.daemon.entry;
 
+import java.nio.charset.StandardCharsets;
 import java.util.HexFormat;
 import java.util.Optional;
 import java.util.concurrent.ThreadLocalRandom;
@@ -276,8 +277,7 @@
                 mContext.mClaims.release(mClaim);
             }
             if (mOut.isStarted()) {
-                String json =
-                        new String(Faults.json(fault), java.nio.charset.StandardCharsets.UTF_8);
+                String json = new String(Faults.json(fault), StandardCharsets.UTF_8);
                 mOut.part("event: error\ndata: " + json + "\n\n");
                 mOut.end();
                 return;
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/store/StoredConfig.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/store/StoredConfig.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.annotation.JsonProperty;
 import java.util.List;
+import java.util.stream.Stream;
 
 /**
  * The configuration as it stands in the key-value service.
@@ -26,9 +27,7 @@
     /** Returns the configuration that replaces this one. */
     public StoredConfig next(String newAuthor, String newText, String nonce) {
         List<String> kept =
-                java.util.stream.Stream.concat(java.util.stream.Stream.of(nonce), nonces.stream())
-                        .limit(KEPT_NONCES)
-                        .toList();
+                Stream.concat(Stream.of(nonce), nonces.stream()).limit(KEPT_NONCES).toList();
         return new StoredConfig(version + 1, newAuthor, newText, kept);
     }
 
--- a/ebonyrun-platform/src/test/java/org/ebonyrun/platform/http/SseParserTest.java
+++ b/ebonyrun-platform/src/test/java/org/ebonyrun/platform/http/SseParserTest.java
@@ -6,6 +6,7 @@
 
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
@@ -22,7 +23,7 @@
         SseParser parser = SseParser.create(events::add);
         for (int from = 0; from < stream.length; from += size) {
             int to = Math.min(stream.length, from + size);
-            assertThat(parser.feed(java.util.Arrays.copyOfRange(stream, from, to)), is(true));
+            assertThat(parser.feed(Arrays.copyOfRange(stream, from, to)), is(true));
         }
         assertThat(events, contains("a\u00e4", "b"));
     }
--- /dev/null
+++ b/ebonyrun-standin/src/main/java/org/ebonyrun/standin/loopback/LoopbackSettings.java
@@ -0,0 +1,66 @@
+package org.ebonyrun.standin.loopback;
+
+import java.net.URI;
+import org.ebonyrun.base.id.FailureDomain;
+import org.ebonyrun.base.id.ServiceName;
+import org.ebonyrun.base.id.VmId;
+import org.ebonyrun.daemon.DaemonSettings;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Makes settings of daemons that listen on loopback, on ports that the system chooses, beside one
+ * stand-in of the platform.
+ *
+ * <p>Immutable and thread safe.
+ *
+ * @param platform the address of the platform's services
+ * @param subsetSize how many endpoints of a service an entry connects to
+ */
+public record LoopbackSettings(URI platform, int subsetSize) {
+    /** The address on which everything listens. */
+    public static final String HOST = "127.0.0.1";
+
+    private static final int BODY_BYTES = 64 * 1024;
+    private static final long HELD_BYTES = 32L << 20;
+    private static final long DRAIN_MILLIS = 20_000;
+
+    /** Returns the settings of an entry. */
+    public DaemonSettings entry(String vm, FailureDomain domain) {
+        return settings(DaemonSettings.ROLE_ENTRY, vm, domain, null, null, false);
+    }
+
+    /** Returns the settings of the agent beside an endpoint. */
+    public DaemonSettings agent(
+            String vm, FailureDomain domain, String service, URI endpoint, boolean engine) {
+        return settings(
+                DaemonSettings.ROLE_ENDPOINT,
+                vm,
+                domain,
+                ServiceName.of(service),
+                endpoint,
+                engine);
+    }
+
+    private DaemonSettings settings(
+            String role,
+            String vm,
+            FailureDomain domain,
+            @Nullable ServiceName service,
+            @Nullable URI endpoint,
+            boolean engine) {
+        return new DaemonSettings(
+                role,
+                VmId.of(vm),
+                domain,
+                new DaemonSettings.Listen(HOST, 0),
+                new DaemonSettings.Listen(HOST, 0),
+                new DaemonSettings.Platform(platform, platform, platform),
+                service,
+                endpoint,
+                engine,
+                BODY_BYTES,
+                HELD_BYTES,
+                subsetSize,
+                DRAIN_MILLIS);
+    }
+}
--- a/ebonyrun-standin/src/main/java/org/ebonyrun/standin/virtual/VirtualEntry.java
+++ b/ebonyrun-standin/src/main/java/org/ebonyrun/standin/virtual/VirtualEntry.java
@@ -39,6 +39,7 @@
 import org.ebonyrun.daemon.store.LeaseClient;
 import org.ebonyrun.daemon.store.ManifestStore;
 import org.ebonyrun.daemon.store.StoredConfig;
+import org.jspecify.annotations.Nullable;
 
 /** An entry's decision code in a virtual world. Not thread safe. */
 public final class VirtualEntry extends VirtualProcess {
@@ -79,10 +80,7 @@
     }
 
     /** A call in progress, its claim if it has one, and its collected answer. */
-    record Client(
-            VirtualCall call,
-            ClaimStore.@org.jspecify.annotations.Nullable Claim claim,
-            Consumer<CallEnd> sink) {}
+    record Client(VirtualCall call, ClaimStore.@Nullable Claim claim, Consumer<CallEnd> sink) {}
 
     /** Returns the entry's VM. */
     public VmId vm() {
@@ -316,14 +314,9 @@
 
     private void claim(VirtualCall call, Work work, Consumer<CallEnd> sink) {
         String nonce = Long.toHexString(mWorld.mRandom.nextLong());
-        Runnable[] next = new Runnable[1];
-        Runnable resume = guarded(() -> next[0].run());
-        mClaims.claim(call.className(), String.valueOf(call.key()), nonce)
-                .thenAccept(
-                        result -> {
-                            next[0] = () -> claimed(result, call, work, sink);
-                            resume.run();
-                        });
+        whenDone(
+                mClaims.claim(call.className(), String.valueOf(call.key()), nonce),
+                result -> claimed(result, call, work, sink));
     }
 
     private void claimed(
@@ -360,18 +353,7 @@
     }
 
     private void readConfig() {
-        handle(mConfigs.read());
-    }
-
-    private void handle(
-            java.util.concurrent.CompletableFuture<Result<ConfigStore.Current>> future) {
-        Runnable[] next = new Runnable[1];
-        Runnable resume = guarded(() -> next[0].run());
-        future.thenAccept(
-                result -> {
-                    next[0] = () -> onConfig(result);
-                    resume.run();
-                });
+        whenDone(mConfigs.read(), this::onConfig);
     }
 
     private void onConfig(Result<ConfigStore.Current> result) {
@@ -385,7 +367,7 @@
                         },
                         fault -> false);
         if (ok) {
-            handle(mConfigs.watch(mConfigRevision, WATCH_MILLIS));
+            whenDone(mConfigs.watch(mConfigRevision, WATCH_MILLIS), this::onConfig);
         } else {
             after(PAUSE_NANOS, this::readConfig);
         }
@@ -393,23 +375,17 @@
 
     private void replaceConfig(
             long expected, String text, String nonce, Consumer<Result<StoredConfig>> sink) {
-        Runnable[] next = new Runnable[1];
-        Runnable resume = guarded(() -> next[0].run());
-        mConfigs.replace(expected, "operator", text, nonce)
-                .thenAccept(
-                        result -> {
-                            next[0] =
-                                    () -> {
-                                        result.map(
-                                                config -> {
-                                                    mConfig.onConfig(
-                                                            config.version(), config.text());
-                                                    return true;
-                                                });
-                                        sink.accept(result);
-                                    };
-                            resume.run();
-                        });
+        whenDone(
+                mConfigs.replace(expected, "operator", text, nonce),
+                result -> {
+                    result.map(this::adopt);
+                    sink.accept(result);
+                });
+    }
+
+    private boolean adopt(StoredConfig config) {
+        mConfig.onConfig(config.version(), config.text());
+        return true;
     }
 
     private void endWhenIdle() {
--- a/ebonyrun-standin/src/main/java/org/ebonyrun/standin/virtual/VirtualLeases.java
+++ b/ebonyrun-standin/src/main/java/org/ebonyrun/standin/virtual/VirtualLeases.java
@@ -28,15 +28,7 @@
     }
 
     private void doAcquire(String key) {
-        Runnable[] next = new Runnable[1];
-        Runnable resume = mEntry.guarded(() -> next[0].run());
-        mEntry.mLeases
-                .acquire(key)
-                .thenAccept(
-                        result -> {
-                            next[0] = () -> onReading(key, result);
-                            resume.run();
-                        });
+        mEntry.whenDone(mEntry.mLeases.acquire(key), result -> onReading(key, result));
     }
 
     private void onReading(String key, Result<LeaseReading> result) {
@@ -52,15 +44,7 @@
     }
 
     private void doRenew(String key, long revision) {
-        Runnable[] next = new Runnable[1];
-        Runnable resume = mEntry.guarded(() -> next[0].run());
-        mEntry.mLeases
-                .renew(key, revision)
-                .thenAccept(
-                        result -> {
-                            next[0] = () -> onRenewed(key, result);
-                            resume.run();
-                        });
+        mEntry.whenDone(mEntry.mLeases.renew(key, revision), result -> onRenewed(key, result));
     }
 
     private void onRenewed(String key, Result<Boolean> result) {
--- a/ebonyrun-standin/src/main/java/org/ebonyrun/standin/virtual/VirtualProcess.java
+++ b/ebonyrun-standin/src/main/java/org/ebonyrun/standin/virtual/VirtualProcess.java
@@ -2,6 +2,8 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
 import org.ebonyrun.base.time.Nanos;
 
 /**
@@ -137,4 +139,15 @@
             }
         };
     }
+
+    /** Handles a future's value in the process, unless the process dies before. */
+    final <T> void whenDone(CompletableFuture<T> future, Consumer<T> handler) {
+        long life = mLife;
+        future.thenAccept(
+                value -> {
+                    if (life == mLife) {
+                        run(() -> handler.accept(value));
+                    }
+                });
+    }
 }
--- a/ebonyrun-standin/src/main/java/org/ebonyrun/standin/virtual/VirtualRollout.java
+++ b/ebonyrun-standin/src/main/java/org/ebonyrun/standin/virtual/VirtualRollout.java
@@ -46,31 +46,15 @@
     }
 
     private void store(StepManifest manifest) {
-        Runnable[] next = new Runnable[1];
-        Runnable resume = mEntry.guarded(() -> next[0].run());
-        mEntry.mManifests
-                .store(manifest)
-                .thenAccept(
-                        result -> {
-                            next[0] =
-                                    () ->
-                                            mEntry.mRollout.onManifestStored(
-                                                    manifest, fault(result), mEntry.now());
-                            resume.run();
-                        });
+        mEntry.whenDone(
+                mEntry.mManifests.store(manifest),
+                result -> mEntry.mRollout.onManifestStored(manifest, fault(result), mEntry.now()));
     }
 
     @Override
     public void loadManifest(TrainerId trainer, long step) {
-        Runnable[] next = new Runnable[1];
-        Runnable resume = mEntry.guarded(() -> next[0].run());
-        mEntry.mManifests
-                .load(trainer, step)
-                .thenAccept(
-                        result -> {
-                            next[0] = () -> loaded(trainer, step, result);
-                            resume.run();
-                        });
+        mEntry.whenDone(
+                mEntry.mManifests.load(trainer, step), result -> loaded(trainer, step, result));
     }
 
     private void loaded(TrainerId trainer, long step, Result<Optional<StepManifest>> result) {
--- a/ebonyrun-standin/src/test/java/org/ebonyrun/standin/loopback/LoopbackFleet.java
+++ b/ebonyrun-standin/src/test/java/org/ebonyrun/standin/loopback/LoopbackFleet.java
@@ -5,10 +5,8 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Map;
 import org.ebonyrun.base.id.FailureDomain;
-import org.ebonyrun.base.id.ServiceName;
 import org.ebonyrun.base.id.VmId;
 import org.ebonyrun.base.result.Result;
-import org.ebonyrun.daemon.DaemonSettings;
 import org.ebonyrun.daemon.agent.AgentNode;
 import org.ebonyrun.daemon.entry.EntryNode;
 import org.ebonyrun.platform.http.HttpCall;
@@ -21,7 +19,9 @@
 
 /** One entry, two engines with their agents, and a platform on loopback. Used by one test. */
 final class LoopbackFleet implements AutoCloseable {
-    static final String HOST = "127.0.0.1";
+    static final String HOST = LoopbackSettings.HOST;
+
+    private static final FailureDomain DOMAIN = FailureDomain.of("hall-a");
 
     private static final long TIMEOUT_MILLIS = 20_000;
     private static final String CONFIG =
@@ -37,6 +37,7 @@
 
     final HttpCaller mCaller = HttpCaller.start();
     final StandinPlatform mPlatform = StandinPlatform.start(HOST, 0);
+    final LoopbackSettings mSettings = new LoopbackSettings(mPlatform.address(), 8);
     final StandinEngine[] mEngines = new StandinEngine[2];
     final AgentNode[] mAgents = new AgentNode[2];
     final EntryNode mEntry;
@@ -48,7 +49,7 @@
             mEngines[i] = StandinEngine.start(engine, HOST, 0, 1);
             startAgent(i);
         }
-        mEntry = EntryNode.start(settings("entry", "entry-1", null, null));
+        mEntry = EntryNode.start(mSettings.entry("entry-1", DOMAIN));
         String query = "/admin/config?author=test&expect=0";
         HttpReply reply = ask("PUT", query, Map.of(), CONFIG).orThrow();
         if (!reply.isSuccess()) {
@@ -62,17 +63,13 @@
         String vm = "sampler-" + index;
         mAgents[index] =
                 AgentNode.start(
-                        settings(
-                                "endpoint",
-                                vm,
-                                ServiceName.of("models"),
-                                mEngines[index].address()));
+                        mSettings.agent(vm, DOMAIN, "models", mEngines[index].address(), true));
         mPlatform.putVm(
                 new VmRecord(
                         VmId.of(vm),
                         VmRecord.ROLE_ENDPOINT,
                         "models",
-                        FailureDomain.of("hall-a"),
+                        DOMAIN,
                         HOST,
                         mAgents[index].linkPort(),
                         false));
@@ -115,26 +112,4 @@
         mPlatform.close();
         mCaller.close();
     }
-
-    private DaemonSettings settings(
-            String role,
-            String vm,
-            @org.jspecify.annotations.Nullable ServiceName service,
-            @org.jspecify.annotations.Nullable URI endpoint) {
-        URI platform = mPlatform.address();
-        return new DaemonSettings(
-                role,
-                VmId.of(vm),
-                FailureDomain.of("hall-a"),
-                new DaemonSettings.Listen(HOST, 0),
-                new DaemonSettings.Listen(HOST, 0),
-                new DaemonSettings.Platform(platform, platform, platform),
-                service,
-                endpoint,
-                true,
-                64 * 1024,
-                1 << 20,
-                8,
-                TIMEOUT_MILLIS);
-    }
 }
--- a/ebonyrun-standin/src/test/java/org/ebonyrun/standin/loopback/NodeLifeTest.java
+++ b/ebonyrun-standin/src/test/java/org/ebonyrun/standin/loopback/NodeLifeTest.java
@@ -5,6 +5,7 @@
 import static org.hamcrest.Matchers.is;
 
 import java.io.IOException;
+import java.nio.charset.StandardCharsets;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
@@ -32,7 +33,7 @@
 
         @Override
         public void onData(byte[] data) {
-            mText.append(new String(data, java.nio.charset.StandardCharsets.UTF_8));
+            mText.append(new String(data, StandardCharsets.UTF_8));
             mBegun.countDown();
         }
 
