Let the reserve for calls follow their target

Change: the number of deviations that the reserve adds falls with each call in time and rises with each late or refused one, at rest where half of the allowed lateness is used.

--- a/ebonyrun-core/src/main/java/org/ebonyrun/core/attempt/Attempt.java
+++ b/ebonyrun-core/src/main/java/org/ebonyrun/core/attempt/Attempt.java
@@ -16,6 +16,7 @@
     final AttemptId mId;
     final Job mJob;
     final long mLink;
+    final long mTargetAt;
     final long mGiveUpAt;
     final QueueOrder.QueuedWork mQueued;
     final TreeSet<Long> mVersions = new TreeSet<>();
@@ -30,7 +31,8 @@
         mJob = job;
         mLink = link;
         mGiveUpAt = now + Nanos.ofMillis(job.timeoutMillis());
-        long latestStart = now + Nanos.ofMillis(job.targetMillis() - serviceMillis);
+        mTargetAt = now + Nanos.ofMillis(job.targetMillis());
+        long latestStart = mTargetAt - Nanos.ofMillis(serviceMillis);
         mQueued = new QueueOrder.QueuedWork(job.kind(), arrival, latestStart);
     }
 
--- a/ebonyrun-core/src/main/java/org/ebonyrun/core/attempt/AttemptMachine.java
+++ b/ebonyrun-core/src/main/java/org/ebonyrun/core/attempt/AttemptMachine.java
@@ -142,6 +142,7 @@
             mTimes.add(attempt.mJob.className(), Nanos.toMillis(now - attempt.mStartedAt));
         }
         if (!attempt.isSample()) {
+            mAdmission.onCallEnd(now <= attempt.mTargetAt, attempt.mJob.targetQuantile());
             mOutputs.send(attempt.mLink, done(attempt, status, contentType, now));
         } else if (success) {
             finishSample(attempt, now);
@@ -308,6 +309,7 @@
         if (mPolicy.refusesLate()
                 && ahead > 0
                 && predictedMillis(job, ahead, slots) > job.targetMillis()) {
+            mAdmission.onCallEnd(false, job.targetQuantile());
             double wait = ahead * mTimes.meanMillis(job.className()) / slots;
             return notRun(FaultCode.OVERLOADED, "the target would be missed")
                     .withRetryAfterMillis(Math.max(MIN_RETRY_MILLIS, (long) wait));
--- a/ebonyrun-core/src/main/java/org/ebonyrun/core/attempt/ReservedAdmission.java
+++ b/ebonyrun-core/src/main/java/org/ebonyrun/core/attempt/ReservedAdmission.java
@@ -24,4 +24,9 @@
     public void onCalls(int calls, long now) {
         mReserve.onCalls(calls, now);
     }
+
+    @Override
+    public void onCallEnd(boolean inTime, double quantile) {
+        mReserve.onCallEnd(inTime, quantile);
+    }
 }
--- a/ebonyrun-core/src/main/java/org/ebonyrun/core/attempt/SampleAdmission.java
+++ b/ebonyrun-core/src/main/java/org/ebonyrun/core/attempt/SampleAdmission.java
@@ -29,6 +29,13 @@
     /** Takes note of the number of calls that run or wait. */
     default void onCalls(int calls, long now) {}
 
+    /**
+     * Takes note of the end of a call; a refused one counts as late.
+     *
+     * @param quantile the share of calls of its class that must be in time
+     */
+    default void onCallEnd(boolean inTime, double quantile) {}
+
     /** Takes note of generated tokens. */
     default void onTokens(WorkKind kind, int tokens) {}
 
--- /dev/null
+++ b/ebonyrun-core/src/test/java/org/ebonyrun/core/attempt/CallReserveTest.java
@@ -0,0 +1,50 @@
+package org.ebonyrun.core.attempt;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+
+import org.ebonyrun.base.time.Nanos;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+class CallReserveTest {
+    private static final long LATER = Nanos.ofMillis(200_000);
+
+    private final CallReserve mReserve = new CallReserve();
+
+    @ParameterizedTest
+    @CsvSource({"0, 0", "1, 2", "2, 4", "9, 4"})
+    void keepsTheMeanAndADeviationUpToHalf(int calls, int slots) {
+        mReserve.onCalls(calls, 0);
+        assertThat(mReserve.slots(8, LATER), is(slots));
+    }
+
+    @Test
+    void givesSlotsUpWhileCallsAreInTime() {
+        mReserve.onCalls(1, 0);
+        for (int i = 0; i < 2_000; i++) {
+            mReserve.onCallEnd(true, 0.99);
+        }
+        assertThat(mReserve.slots(8, LATER), is(0));
+    }
+
+    @Test
+    void takesSlotsBackWhenCallsAreLate() {
+        givesSlotsUpWhileCallsAreInTime();
+        for (int i = 0; i < 8; i++) {
+            mReserve.onCallEnd(false, 0.99);
+        }
+        assertThat(mReserve.slots(8, LATER), is(2));
+    }
+
+    @Test
+    void restsWhereHalfOfTheAllowedLatenessIsUsed() {
+        mReserve.onCalls(1, 0);
+        int before = mReserve.slots(8, LATER);
+        for (int i = 0; i < 10_000; i++) {
+            mReserve.onCallEnd(i % 200 != 0, 0.99);
+        }
+        assertThat(mReserve.slots(8, LATER), is(before));
+    }
+}
