Split the pulls off the step; let adopted samples of a lost agent run again

Change: StepPulls selects, fetches and hands over; Step keeps the slots. An adopted slot whose agent is lost is treated as one that is held there.

--- /dev/null
+++ b/ebonyrun-bench/src/main/java/org/ebonyrun/bench/StepBench.java
@@ -0,0 +1,209 @@
+package org.ebonyrun.bench;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Queue;
+import java.util.concurrent.TimeUnit;
+import org.ebonyrun.base.id.ClassName;
+import org.ebonyrun.base.id.SampleKey;
+import org.ebonyrun.base.id.ServiceName;
+import org.ebonyrun.base.id.TrainerId;
+import org.ebonyrun.base.id.VmId;
+import org.ebonyrun.core.attempt.AttemptMessage;
+import org.ebonyrun.core.attempt.SampleInfo;
+import org.ebonyrun.core.attempt.WeightVersions;
+import org.ebonyrun.core.config.ClassKind;
+import org.ebonyrun.core.config.ClassSpec;
+import org.ebonyrun.core.config.OperatorConfig;
+import org.ebonyrun.core.lease.LeaseHolder;
+import org.ebonyrun.core.lease.LeaseReading;
+import org.ebonyrun.core.rollout.PromptGroup;
+import org.ebonyrun.core.rollout.RolloutMachine;
+import org.ebonyrun.core.rollout.RolloutOutputs;
+import org.ebonyrun.core.rollout.StepManifest;
+import org.ebonyrun.core.rollout.StepReply;
+import org.ebonyrun.core.rollout.StepRequest;
+import org.ebonyrun.core.rollout.StragglerPolicy;
+import org.ebonyrun.core.routing.Work;
+import org.openjdk.jmh.annotations.Benchmark;
+import org.openjdk.jmh.annotations.BenchmarkMode;
+import org.openjdk.jmh.annotations.Mode;
+import org.openjdk.jmh.annotations.OutputTimeUnit;
+import org.openjdk.jmh.annotations.Param;
+import org.openjdk.jmh.annotations.Scope;
+import org.openjdk.jmh.annotations.State;
+
+/** Time of an owner for a whole step, from submission to the last acknowledgement. */
+@State(Scope.Thread)
+@BenchmarkMode(Mode.AverageTime)
+@OutputTimeUnit(TimeUnit.MILLISECONDS)
+public class StepBench {
+    private static final TrainerId TRAINER = TrainerId.of("trainer");
+    private static final ServiceName SERVICE = ServiceName.of("models");
+    private static final ClassName CLASS = ClassName.of("rollout");
+    private static final VmId VM = VmId.of("vm");
+    private static final LeaseHolder SELF = new LeaseHolder(VmId.of("entry"), 1, "10.0.0.1", 1);
+    private static final SampleInfo INFO = new SampleInfo(8, 8, WeightVersions.copyOf(List.of(1L)));
+    private static final int PULL_SAMPLES = 64;
+    private static final int GROUP = 16;
+    private static final long TICK_NANOS = 20_000_000;
+
+    /** Samples of the step. */
+    @Param({"256", "1024", "4096"})
+    public int mSlots;
+
+    /** Answers every output at once, as events that wait for their turn. */
+    private static final class Loop implements RolloutOutputs {
+        private final Queue<Runnable> mEvents = new ArrayDeque<>();
+        private final List<Work> mWorks = new ArrayList<>();
+        private RolloutMachine mMachine;
+        private StepReply mReply;
+        private long mIds;
+        private long mNow;
+
+        void drain() {
+            while (!mEvents.isEmpty()) {
+                mEvents.remove().run();
+            }
+        }
+
+        @Override
+        public void acquire(String key) {
+            mEvents.add(() -> mMachine.onLeaseReading(key, new LeaseReading(SELF, 1), mNow));
+        }
+
+        @Override
+        public void renew(String key, long revision) {
+            mEvents.add(() -> mMachine.onLeaseRenewed(key, true, mNow));
+        }
+
+        @Override
+        public void storeManifest(StepManifest manifest) {
+            mEvents.add(() -> mMachine.onManifestStored(manifest, Optional.empty(), mNow));
+        }
+
+        @Override
+        public void loadManifest(TrainerId trainer, long step) {
+            mEvents.add(
+                    () -> mMachine.onManifestLoaded(trainer, step, null, Optional.empty(), mNow));
+        }
+
+        @Override
+        public void deleteManifest(TrainerId trainer, long step, int slots) {}
+
+        @Override
+        public void submit(Work work) {
+            mWorks.add(work);
+        }
+
+        @Override
+        public void cancel(long workId) {}
+
+        @Override
+        public void abandon(long workId) {}
+
+        @Override
+        public void setMinVersion(TrainerId trainer, long version) {}
+
+        @Override
+        public boolean send(VmId vm, AttemptMessage message) {
+            if (message instanceof AttemptMessage.FetchSample fetch) {
+                mEvents.add(
+                        () ->
+                                mMachine.onMessage(
+                                        vm,
+                                        new AttemptMessage.SampleContent(
+                                                fetch.key(), new byte[8], INFO),
+                                        mNow));
+            }
+            return true;
+        }
+
+        @Override
+        public void broadcast(ServiceName service, AttemptMessage message) {}
+
+        @Override
+        public void score(ServiceName scorer, SampleKey key, byte[] content) {}
+
+        @Override
+        public void forward(LeaseHolder owner, long requestId, StepRequest request) {}
+
+        @Override
+        public void reply(long requestId, StepReply reply) {
+            mReply = reply;
+        }
+
+        @Override
+        public void idle(TrainerId trainer, long nanos) {}
+
+        @Override
+        public void delivered(TrainerId trainer, long age) {}
+
+        @Override
+        public long nextWorkId() {
+            return ++mIds;
+        }
+    }
+
+    /** Runs a step: submission, all samples finished, pulls of 64 samples until complete. */
+    @Benchmark
+    public int step() {
+        Loop loop = begin();
+        for (Work work : List.copyOf(loop.mWorks)) {
+            loop.mMachine.onFinished(VM, sample(work), INFO, loop.mNow);
+        }
+        String cursor = "";
+        int pulls = 0;
+        boolean complete = false;
+        while (!complete) {
+            loop.mMachine.onRequest(
+                    ++pulls,
+                    new StepRequest.Pull(TRAINER, 1, cursor, 1, PULL_SAMPLES, 1_000),
+                    false,
+                    loop.mNow);
+            loop.drain();
+            cursor = loop.mReply.cursor();
+            complete = loop.mReply.complete();
+        }
+        return pulls;
+    }
+
+    /** Runs a step's submission and one second of its ticks. */
+    @Benchmark
+    public long ticksOfOneSecond() {
+        Loop loop = begin();
+        for (int i = 0; i < 50; i++) {
+            loop.mNow += TICK_NANOS;
+            loop.mMachine.onTick(loop.mNow);
+        }
+        return loop.mNow;
+    }
+
+    private Loop begin() {
+        Loop loop = new Loop();
+        loop.mMachine =
+                RolloutMachine.create(SELF, group -> new byte[0], StragglerPolicy.tail(), loop);
+        ClassSpec spec =
+                new ClassSpec(CLASS, SERVICE, ClassKind.ROLLOUT, 0, 0, true, 2, 5_000, null);
+        loop.mMachine.onConfig(new OperatorConfig(1, Map.of(), Map.of(CLASS, spec)));
+        List<PromptGroup> groups = new ArrayList<>();
+        for (int i = 0; i < mSlots / GROUP; i++) {
+            groups.add(new PromptGroup("prompt " + i, GROUP, 8));
+        }
+        StepManifest manifest = new StepManifest(TRAINER, 1, CLASS, 1, groups);
+        loop.mMachine.onRequest(0, new StepRequest.Submit(manifest), false, loop.mNow);
+        loop.drain();
+        return loop;
+    }
+
+    private static SampleKey sample(Work work) {
+        SampleKey key = work.sample();
+        if (key == null) {
+            throw new IllegalStateException("work without a slot: " + work.id());
+        }
+        return key;
+    }
+}
--- a/ebonyrun-core/src/main/java/org/ebonyrun/core/rollout/Step.java
+++ b/ebonyrun-core/src/main/java/org/ebonyrun/core/rollout/Step.java
@@ -1,15 +1,12 @@
 package org.ebonyrun.core.rollout;
 
-import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.BitSet;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import org.ebonyrun.base.id.SampleKey;
 import org.ebonyrun.base.id.VmId;
-import org.ebonyrun.base.result.Fault;
 import org.ebonyrun.base.result.FaultCode;
 import org.ebonyrun.base.time.Nanos;
 import org.ebonyrun.core.attempt.AttemptMessage;
@@ -35,7 +32,6 @@
     private static final long ADOPTION_NANOS = Nanos.ofMillis(3_000);
     private static final long FETCH_NANOS = Nanos.ofMillis(3_000);
     private static final long RETRY_NANOS = Nanos.ofMillis(500);
-    private static final int MAX_ANSWER_BYTES = 4 << 20;
     private static final double MEDIAN = 0.5;
     private static final String COMPLETIONS = "/v1/completions";
     private static final String JSON = "application/json";
@@ -51,7 +47,7 @@
     private ClassSpec mSpec;
     private long mVersion;
     private long mPulledAt;
-    private @Nullable OpenPull mPull;
+    private final StepPulls mPulls;
     private boolean mClosed;
     private long mStale;
     private long mRepeated;
@@ -72,6 +68,7 @@
         mFence = fence;
         mStartedAt = now;
         mPulledAt = now;
+        mPulls = new StepPulls(this, outputs);
         mVersion = manifest.version();
         int index = 0;
         for (int group = 0; group < manifest.groups().size(); group++) {
@@ -85,6 +82,15 @@
         return mManifest;
     }
 
+    List<Slot> slots() {
+        return mSlots;
+    }
+
+    /** Returns the trainer's version by its newest pull. */
+    long version() {
+        return mVersion;
+    }
+
     ClassSpec spec() {
         return mSpec;
     }
@@ -95,7 +101,7 @@
 
     /** Returns whether the trainer has not asked for the step for long. */
     boolean isForgotten(long now) {
-        return mPull == null && now - mPulledAt >= FORGOTTEN_NANOS;
+        return !mPulls.isOpen() && now - mPulledAt >= FORGOTTEN_NANOS;
     }
 
     void onSpec(ClassSpec spec) {
@@ -122,14 +128,17 @@
         mOutputs.send(vm, heldQuery());
     }
 
-    /** Handles the loss of an agent: what it held may come back with it for a while. */
+    /** Handles the loss of an agent: what it held or ran may come back with it for a while. */
     void onAgentLost(VmId vm, long now) {
         for (Slot slot : mSlots) {
-            boolean held = slot.mPhase == Slot.Phase.READY || slot.mPhase == Slot.Phase.SCORING;
-            if (held && vm.equals(slot.mVm)) {
+            boolean there =
+                    slot.mPhase == Slot.Phase.READY
+                            || slot.mPhase == Slot.Phase.SCORING
+                            || slot.mPhase == Slot.Phase.ADOPTED;
+            if (there && vm.equals(slot.mVm)) {
                 slot.mPhase = Slot.Phase.ADOPTED;
                 slot.mRetryAt = now + ADOPTION_NANOS;
-                dropFetch(slot.mIndex, now);
+                mPulls.onContentLost(slot.mIndex, now);
             }
         }
     }
@@ -172,7 +181,7 @@
             slot.mRetryAt = now + FETCH_NANOS;
             mOutputs.send(vm, new AttemptMessage.FetchSample(key));
         }
-        serve(now);
+        mPulls.serve(now);
     }
 
     /** Handles work that the dispatch duty gave up. */
@@ -196,7 +205,7 @@
         }
         slot.mScore = score;
         slot.mPhase = Slot.Phase.READY;
-        serve(now);
+        mPulls.serve(now);
     }
 
     void onContent(VmId vm, AttemptMessage.SampleContent message, long now) {
@@ -211,7 +220,7 @@
                 slot.reset();
                 submit(slot, now);
             }
-            dropFetch(slot.mIndex, now);
+            mPulls.onContentLost(slot.mIndex, now);
             return;
         }
         if (slot.mPhase == Slot.Phase.SCORING && mSpec.scorer() != null) {
@@ -219,19 +228,14 @@
             mOutputs.score(mSpec.scorer(), message.key(), content);
             return;
         }
-        handOver(slot, content, message.info(), now);
+        mPulls.onContent(slot, content, message.info(), now);
     }
 
     /** Handles a pull whose cursor is of this step. */
     void onPull(OpenPull pull, long now) {
-        if (mPull != null) {
-            Fault fault =
-                    Fault.notRun(
-                            FaultCode.CONFLICT,
-                            "step.pull",
-                            "",
-                            "another pull of the step is open");
-            mOutputs.reply(pull.mRequestId, StepReply.failed(fault.withRetryAfterMillis(200)));
+        if (mPulls.isOpen()) {
+            StepPulls.refuse(
+                    mOutputs, pull, FaultCode.CONFLICT, "another pull of the step is open");
             return;
         }
         mVersion = pull.mVersion;
@@ -246,8 +250,7 @@
             return;
         }
         dropStale(now);
-        mPull = pull;
-        serve(now);
+        mPulls.open(pull, now);
     }
 
     /** Ends the step: its attempts are cancelled and its samples released. */
@@ -261,7 +264,7 @@
         mOutputs.broadcast(
                 mSpec.service(),
                 new AttemptMessage.CloseStep(mManifest.trainer(), mManifest.step(), mFence));
-        refusePull("the step was cancelled", FaultCode.CANCELLED);
+        mPulls.refuseOpen(FaultCode.CANCELLED, "the step was cancelled");
     }
 
     /** Forgets the step, because another process owns it now; its attempts go on. */
@@ -273,14 +276,12 @@
                 mOutputs.abandon(slot.mSecondWorkId);
             }
         }
-        refusePull("another entry owns the step now", FaultCode.OWNER_UNAVAILABLE);
+        mPulls.refuseOpen(FaultCode.OWNER_UNAVAILABLE, "another entry owns the step now");
     }
 
     /** Cancels the open pull of a request that nobody waits for any more. */
     void cancelPull(long requestId) {
-        if (mPull != null && mPull.mRequestId == requestId) {
-            mPull = null;
-        }
+        mPulls.cancel(requestId);
     }
 
     void onTick(long now) {
@@ -297,7 +298,7 @@
             }
         }
         repeatStragglers(now);
-        tickPull(now);
+        mPulls.onTick(now);
     }
 
     StepDump dump(long now) {
@@ -316,21 +317,6 @@
                 Nanos.toMillis(now - mStartedAt));
     }
 
-    private void tickPull(long now) {
-        OpenPull pull = mPull;
-        if (pull == null) {
-            return;
-        }
-        if (!pull.mFetching.isEmpty() && now - pull.mFetchDeadline >= 0) {
-            pull.mFetching.clear();
-            finishPull(pull, now);
-        } else if (pull.mFetching.isEmpty() && now - pull.mDeadline >= 0) {
-            answer(pull, now);
-        } else {
-            serve(now);
-        }
-    }
-
     private void acknowledge(Cursor cursor) {
         Map<VmId, List<SampleKey>> releases = new HashMap<>();
         BitSet has = cursor.slots();
@@ -355,7 +341,8 @@
         }
     }
 
-    private void rerun(Slot slot, long now) {
+    /** Runs a slot again whose sample is too old. */
+    void rerun(Slot slot, long now) {
         mStale++;
         if (slot.mVm != null) {
             mOutputs.release(slot.mVm, List.of(key(slot)));
@@ -364,7 +351,7 @@
         submit(slot, now);
     }
 
-    private boolean isStale(SampleInfo info) {
+    boolean isStale(SampleInfo info) {
         return info.versions().oldest() < minVersion();
     }
 
@@ -372,111 +359,6 @@
         return mVersion - mSpec.stalenessVersions();
     }
 
-    private void serve(long now) {
-        OpenPull pull = mPull;
-        if (pull == null || !pull.mFetching.isEmpty()) {
-            return;
-        }
-        for (Slot slot : selectReady(pull)) {
-            boolean sent =
-                    slot.mVm != null
-                            && mOutputs.send(slot.mVm, new AttemptMessage.FetchSample(key(slot)));
-            if (sent) {
-                pull.mFetching.set(slot.mIndex);
-            }
-        }
-        pull.mFetchDeadline = now + FETCH_NANOS;
-    }
-
-    /** Selects finished slots, those of whole groups first, within the answer's limits. */
-    private List<Slot> selectReady(OpenPull pull) {
-        Map<Integer, Integer> unfinished = new HashMap<>();
-        List<Slot> ready = new ArrayList<>();
-        for (Slot slot : mSlots) {
-            if (slot.mPhase == Slot.Phase.READY && !pull.mCursor.has(slot.mIndex)) {
-                ready.add(slot);
-            } else if (slot.mPhase != Slot.Phase.DELIVERED) {
-                unfinished.merge(slot.mGroup, 1, Integer::sum);
-            }
-        }
-        ready.sort(
-                Comparator.comparingInt((Slot slot) -> unfinished.getOrDefault(slot.mGroup, 0))
-                        .thenComparingInt(slot -> slot.mIndex));
-        List<Slot> selected = new ArrayList<>();
-        long bytes = 0;
-        for (Slot slot : ready) {
-            bytes += slot.mInfo == null ? 0 : slot.mInfo.bytes();
-            boolean full = selected.size() >= pull.mMax || bytes > MAX_ANSWER_BYTES;
-            if (full && !selected.isEmpty()) {
-                break;
-            }
-            selected.add(slot);
-        }
-        return selected;
-    }
-
-    private void handOver(Slot slot, byte[] content, SampleInfo info, long now) {
-        OpenPull pull = mPull;
-        if (pull == null || !pull.mFetching.get(slot.mIndex)) {
-            return;
-        }
-        pull.mFetching.clear(slot.mIndex);
-        if (isStale(info)) {
-            rerun(slot, now);
-        } else {
-            pull.mSamples.add(
-                    new Sample(
-                            slot.mIndex,
-                            slot.mGroup,
-                            new String(content, StandardCharsets.UTF_8),
-                            info.tokens(),
-                            info.versions(),
-                            slot.mScore));
-        }
-        if (pull.mFetching.isEmpty()) {
-            finishPull(pull, now);
-        }
-    }
-
-    private void dropFetch(int index, long now) {
-        OpenPull pull = mPull;
-        if (pull != null && pull.mFetching.get(index)) {
-            pull.mFetching.clear(index);
-            if (pull.mFetching.isEmpty()) {
-                finishPull(pull, now);
-            }
-        }
-    }
-
-    private void finishPull(OpenPull pull, long now) {
-        if (pull.mSamples.isEmpty()) {
-            serve(now);
-        } else {
-            answer(pull, now);
-        }
-    }
-
-    private void answer(OpenPull pull, long now) {
-        mPull = null;
-        Cursor next = pull.next();
-        int remaining = mSlots.size() - next.count();
-        mOutputs.idle(mManifest.trainer(), now - pull.mOpenedAt);
-        for (Sample sample : pull.mSamples) {
-            mOutputs.delivered(mManifest.trainer(), mVersion - sample.versions().oldest());
-        }
-        mOutputs.reply(
-                pull.mRequestId,
-                new StepReply(null, next.encode(), pull.mSamples, remaining, false));
-    }
-
-    private void refusePull(String detail, FaultCode code) {
-        if (mPull != null) {
-            Fault fault = Fault.notRun(code, "step.pull", "", detail).withRetryAfterMillis(200);
-            mOutputs.reply(mPull.mRequestId, StepReply.failed(fault));
-            mPull = null;
-        }
-    }
-
     private void submit(Slot slot, long now) {
         slot.mPhase = Slot.Phase.SUBMITTED;
         slot.mSubmittedAt = now;
@@ -543,7 +425,7 @@
         return new AttemptMessage.HeldQuery(mManifest.trainer(), mManifest.step(), mFence);
     }
 
-    private SampleKey key(Slot slot) {
+    SampleKey key(Slot slot) {
         return new SampleKey(mManifest.trainer(), mManifest.step(), slot.mIndex);
     }
 
