Choose entries from the endpoint's side, and let links go that moved

Change: each endpoint has 4 entries by rendezvous hashing over failure domains, and each entry at least 4 endpoints of each service; choices are kept until the list of entries changes. A peer given to other entries gets no new work and its link ends after ten minutes. Setting: entries_per_endpoint.

--- a/ebonyrun-bench/src/main/java/org/ebonyrun/bench/ControlBench.java
+++ b/ebonyrun-bench/src/main/java/org/ebonyrun/bench/ControlBench.java
@@ -30,7 +30,7 @@
 @OutputTimeUnit(TimeUnit.MICROSECONDS)
 public class ControlBench {
     private static final ServiceName SERVICE = ServiceName.of("models");
-    private static final int SUBSET = 64;
+    private static final int ENTRIES_PER_ENDPOINT = 4;
 
     /** VMs in the platform's list. */
     @Param({"400", "1600", "6600"})
@@ -52,7 +52,7 @@
                 MembershipMachine.create(
                         VmId.of("self"),
                         FailureDomain.of("hall-0"),
-                        SUBSET,
+                        ENTRIES_PER_ENDPOINT,
                         new Random(1),
                         new NoMembership());
         LeaseHolder self = new LeaseHolder(VmId.of("self"), 1, "10.0.0.1", 1);
--- a/ebonyrun-bench/src/main/java/org/ebonyrun/bench/OverheadBench.java
+++ b/ebonyrun-bench/src/main/java/org/ebonyrun/bench/OverheadBench.java
@@ -23,7 +23,7 @@
     private static final String HOST = "127.0.0.1";
     private static final String SERVICE = "models";
     private static final FailureDomain DOMAIN = FailureDomain.of("hall-0");
-    private static final int SUBSET = 64;
+    private static final int ENTRIES_PER_ENDPOINT = 4;
     private static final int WARM_UP = 3_000;
     private static final int CALLS = 5_000;
     private static final long TIMEOUT_MILLIS = 5_000;
@@ -48,11 +48,11 @@
                 HttpCaller caller = HttpCaller.start();
                 AgentNode agent =
                         AgentNode.start(
-                                new LoopbackSettings(platform.address(), SUBSET)
+                                new LoopbackSettings(platform.address(), ENTRIES_PER_ENDPOINT)
                                         .agent("vm-1", DOMAIN, SERVICE, service.address(), false));
                 EntryNode entry =
                         EntryNode.start(
-                                new LoopbackSettings(platform.address(), SUBSET)
+                                new LoopbackSettings(platform.address(), ENTRIES_PER_ENDPOINT)
                                         .entry("entry", DOMAIN))) {
             platform.putVm(
                     new VmRecord(
--- a/ebonyrun-client/src/main/java/org/ebonyrun/client/demo/DemoFleet.java
+++ b/ebonyrun-client/src/main/java/org/ebonyrun/client/demo/DemoFleet.java
@@ -38,7 +38,7 @@
     private static final int ENGINES = 4;
     private static final int SERVICES = 2;
     private static final int DOMAINS = 3;
-    private static final int SUBSET = 64;
+    private static final int ENTRIES_PER_ENDPOINT = 4;
     private static final int SLOTS = 8;
     private static final int TOKENS_PER_CHUNK = 4;
     private static final long CHUNK_MILLIS = 10;
@@ -83,7 +83,7 @@
     private DemoFleet() throws IOException {
         mCaller = HttpCaller.start();
         mPlatform = StandinPlatform.start(HOST, 0);
-        mSettings = new LoopbackSettings(mPlatform.address(), SUBSET);
+        mSettings = new LoopbackSettings(mPlatform.address(), ENTRIES_PER_ENDPOINT);
         mPlatform.publish(MODEL_SERVICE, FIRST_VERSION);
         for (int i = 0; i < ENGINES; i++) {
             startEngine(i);
--- a/ebonyrun-core/src/main/java/org/ebonyrun/core/membership/MembershipMachine.java
+++ b/ebonyrun-core/src/main/java/org/ebonyrun/core/membership/MembershipMachine.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.random.RandomGenerator;
 import java.util.stream.Collectors;
 import org.ebonyrun.base.duty.Ticking;
@@ -19,7 +20,9 @@
  * #SUSPECT_NANOS}, and neither it nor the list says that it is leaving. A list that can't be read
  * changes nothing. A peer that the list has dropped keeps its link while it is heard, because the
  * list lags; it goes when both are silent. A connection whose peer does not introduce itself as the
- * wanted VM, for example because its address was given to another, is tried again after a while.
+ * wanted VM, for example because its address was given to another, is tried again after a while. A
+ * peer that is still listed but was assigned to other entries gets no new work here, and its link
+ * is closed when what runs on it has had time to end.
  *
  * <p>Not thread safe; confined to the membership duty.
  */
@@ -30,6 +33,8 @@
     /** Silence after which a link is closed, in nanoseconds. */
     public static final long LOST_NANOS = Nanos.ofMillis(10_000);
 
+    private static final long RETIRE_NANOS = Nanos.ofMillis(600_000);
+    private static final long NEVER = Long.MAX_VALUE;
     private static final long CONNECT_NANOS = Nanos.ofMillis(5_000);
     private static final long HEARTBEAT_NANOS = Nanos.ofMillis(1_000);
     private static final long MIN_BACKOFF_NANOS = Nanos.ofMillis(100);
@@ -37,21 +42,23 @@
 
     private final VmId mSelf;
     private final FailureDomain mDomain;
-    private final int mSubsetSize;
+    private final int mReplicas;
     private final RandomGenerator mRandom;
     private final MembershipOutputs mOutputs;
     private final Map<VmId, Tracked> mTracked = new HashMap<>();
+    private final Map<Peer, Boolean> mAssigned = new HashMap<>();
     private List<Peer> mLastList = List.of();
+    private List<Peer> mEntries = List.of();
 
     private MembershipMachine(
             VmId self,
             FailureDomain domain,
-            int subsetSize,
+            int entriesPerEndpoint,
             RandomGenerator random,
             MembershipOutputs outputs) {
         mSelf = self;
         mDomain = domain;
-        mSubsetSize = subsetSize;
+        mReplicas = entriesPerEndpoint;
         mRandom = random;
         mOutputs = outputs;
     }
@@ -67,6 +74,7 @@
     private static final class Tracked {
         private Peer mPeer;
         private boolean mListed = true;
+        private long mRetiredAt = NEVER;
         private boolean mLeavingSaid;
         private LinkState mLink = LinkState.CLOSED;
         private long mHeardAt;
@@ -83,16 +91,16 @@
     }
 
     /**
-     * Creates a machine that connects to at most {@code subsetSize} endpoints of each service, and
-     * as many entries.
+     * Creates a machine that connects to the endpoints of which this entry is one of the {@code
+     * entriesPerEndpoint} chosen, and to as many other entries.
      */
     public static MembershipMachine create(
             VmId self,
             FailureDomain domain,
-            int subsetSize,
+            int entriesPerEndpoint,
             RandomGenerator random,
             MembershipOutputs outputs) {
-        return new MembershipMachine(self, domain, subsetSize, random, outputs);
+        return new MembershipMachine(self, domain, entriesPerEndpoint, random, outputs);
     }
 
     /** Handles a fresh reading of the platform's list. */
@@ -102,22 +110,54 @@
             return;
         }
         mLastList = List.copyOf(peers);
-        Map<VmId, Peer> wanted = new HashMap<>();
-        Map<String, List<Peer>> groups =
-                peers.stream()
-                        .filter(peer -> !peer.vm().equals(mSelf))
-                        .collect(Collectors.groupingBy(MembershipMachine::group));
-        for (List<Peer> group : groups.values()) {
-            SubsetChooser.choose(mSelf, mDomain, group, mSubsetSize)
-                    .forEach(peer -> wanted.put(peer.vm(), peer));
-        }
+        Map<VmId, Peer> wanted = wanted(peers);
+        Set<VmId> listed = peers.stream().map(Peer::vm).collect(Collectors.toSet());
         for (Tracked tracked : mTracked.values()) {
-            tracked.mListed = wanted.containsKey(tracked.mPeer.vm());
+            VmId vm = tracked.mPeer.vm();
+            tracked.mListed = wanted.containsKey(vm);
+            boolean retired = listed.contains(vm) && !tracked.mListed;
+            tracked.mRetiredAt = retired ? Math.min(tracked.mRetiredAt, now) : NEVER;
         }
         wanted.values().forEach(peer -> track(peer, now));
         onTick(now);
     }
 
+    /**
+     * Returns the peers to connect to. Each endpoint has its own few entries, chosen from its side,
+     * so that none is left without.
+     */
+    private Map<VmId, Peer> wanted(List<Peer> peers) {
+        List<Peer> entries = new ArrayList<>();
+        entries.add(new Peer(mSelf, false, "", mDomain, "", 0, false));
+        peers.stream()
+                .filter(peer -> !peer.endpoint() && !peer.vm().equals(mSelf))
+                .forEach(entries::add);
+        if (!entries.equals(mEntries)) {
+            mEntries = entries;
+            mAssigned.clear();
+        }
+        Map<VmId, Peer> wanted = new HashMap<>();
+        SubsetChooser.choose(mSelf, mDomain, entries.subList(1, entries.size()), mReplicas)
+                .forEach(peer -> wanted.put(peer.vm(), peer));
+        Map<String, List<Peer>> services =
+                peers.stream().filter(Peer::endpoint).collect(Collectors.groupingBy(Peer::service));
+        for (List<Peer> endpoints : services.values()) {
+            endpoints.stream()
+                    .filter(peer -> mAssigned.computeIfAbsent(peer, this::isAssigned))
+                    .forEach(peer -> wanted.put(peer.vm(), peer));
+            SubsetChooser.choose(mSelf, mDomain, endpoints, mReplicas)
+                    .forEach(peer -> wanted.put(peer.vm(), peer));
+        }
+        mAssigned.keySet().retainAll(Set.copyOf(peers));
+        return wanted;
+    }
+
+    private boolean isAssigned(Peer endpoint) {
+        return SubsetChooser.choose(endpoint.vm(), endpoint.failureDomain(), mEntries, mReplicas)
+                .stream()
+                .anyMatch(entry -> entry.vm().equals(mSelf));
+    }
+
     /**
      * Handles an opened link; one that a peer opened, and that is not wanted here, is left open.
      */
@@ -209,10 +249,6 @@
             boolean usable,
             long silentMillis) {}
 
-    private static String group(Peer peer) {
-        return peer.endpoint() ? "endpoint/" + peer.service() : "entry";
-    }
-
     private void track(Peer peer, long now) {
         Tracked tracked = mTracked.computeIfAbsent(peer.vm(), vm -> new Tracked(peer, now));
         if (!tracked.mPeer.host().equals(peer.host()) || tracked.mPeer.port() != peer.port()) {
@@ -225,7 +261,8 @@
     private void tick(Tracked tracked, long now) {
         VmId vm = tracked.mPeer.vm();
         boolean silent = now - tracked.mHeardAt >= LOST_NANOS;
-        if (tracked.mLink == LinkState.OPEN && silent) {
+        boolean retired = tracked.mRetiredAt != NEVER && now - tracked.mRetiredAt >= RETIRE_NANOS;
+        if (tracked.mLink == LinkState.OPEN && (silent || retired)) {
             mOutputs.disconnect(vm);
         }
         boolean stuck = now - tracked.mConnectingSince >= CONNECT_NANOS;
@@ -255,7 +292,8 @@
 
     private void refresh(Tracked tracked, long now) {
         boolean heard = now - tracked.mHeardAt < SUSPECT_NANOS;
-        boolean leaving = tracked.mLeavingSaid || tracked.mPeer.leaving();
+        boolean leaving =
+                tracked.mLeavingSaid || tracked.mPeer.leaving() || tracked.mRetiredAt != NEVER;
         setUsable(tracked, tracked.mLink == LinkState.OPEN && heard && !leaving);
     }
 
--- a/ebonyrun-core/src/main/java/org/ebonyrun/core/membership/SubsetChooser.java
+++ b/ebonyrun-core/src/main/java/org/ebonyrun/core/membership/SubsetChooser.java
@@ -12,8 +12,8 @@
 import org.ebonyrun.base.id.VmId;
 
 /**
- * Chooses by rendezvous hashing which peers a process connects to, so that the number of its links
- * does not grow with the fleet and few links change when a peer comes or goes.
+ * Chooses by rendezvous hashing a few peers for one VM, so that its number of links does not grow
+ * with the fleet and few links change when a peer comes or goes.
  *
  * <p>Stateless and thread safe.
  */
@@ -21,9 +21,8 @@
     private SubsetChooser() {}
 
     /**
-     * Chooses at most {@code size} peers of one service: half of them in the process's own failure
-     * domain, the rest spread evenly over the others, so that the loss of any one domain leaves a
-     * working part.
+     * Chooses at most {@code size} peers for a VM: half of them in its own failure domain, the rest
+     * spread evenly over the others, so that the loss of any one domain leaves a working part.
      */
     public static List<Peer> choose(
             VmId self, FailureDomain domain, Collection<Peer> peers, int size) {
--- a/ebonyrun-core/src/test/java/org/ebonyrun/core/membership/MembershipMachineTest.java
+++ b/ebonyrun-core/src/test/java/org/ebonyrun/core/membership/MembershipMachineTest.java
@@ -109,6 +109,41 @@
         assertThat(mActions, contains("connect"));
     }
 
+    @Test
+    void anEndpointAssignedToOtherEntriesGetsNoNewWorkAndItsLinkEnds() {
+        List<Peer> list = fleet(200, 400);
+        list.add(peer(false));
+        mMachine.onList(list, SECOND);
+        assertThat(mActions.contains("unusable"), is(true));
+        assertThat(mActions.contains("disconnect"), is(false));
+        for (long second = 2; second < 602; second++) {
+            mMachine.onHeard(VM, false, second * SECOND);
+            mMachine.onTick(second * SECOND);
+        }
+        assertThat(mActions.contains("disconnect"), is(true));
+    }
+
+    @Test
+    void everyEntryReachesASmallServiceOfALargeFleet() {
+        mMachine.onList(fleet(400, 3), SECOND);
+        long endpoints =
+                mMachine.dump(SECOND).stream().filter(p -> p.service().equals("models")).count();
+        assertThat(endpoints, is(4L));
+    }
+
+    private static List<Peer> fleet(int entries, int endpoints) {
+        List<Peer> list = new ArrayList<>();
+        for (int i = 0; i < entries; i++) {
+            VmId vm = VmId.of("entry-" + i);
+            list.add(new Peer(vm, false, "", DOMAIN, "10.0.0.2", 1, false));
+        }
+        for (int i = 0; i < endpoints; i++) {
+            VmId vm = VmId.of("endpoint-" + i);
+            list.add(new Peer(vm, true, "models", DOMAIN, "10.0.0.3", 1, false));
+        }
+        return list;
+    }
+
     private static Peer peer(boolean leaving) {
         return new Peer(VM, true, "models", DOMAIN, "10.0.0.1", 1, leaving);
     }
--- a/ebonyrun-core/src/test/java/org/ebonyrun/core/membership/SubsetChooserTest.java
+++ b/ebonyrun-core/src/test/java/org/ebonyrun/core/membership/SubsetChooserTest.java
@@ -6,8 +6,10 @@
 import static org.hamcrest.Matchers.lessThanOrEqualTo;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import java.util.stream.Collectors;
 import org.ebonyrun.base.id.FailureDomain;
@@ -49,6 +51,28 @@
         assertThat(after.size(), lessThanOrEqualTo(1));
     }
 
+    @Test
+    void spreadsTheEntriesOfEveryEndpointOverDomainsAndItsLoadOverEntries() {
+        List<Peer> entries = peers(40);
+        Map<VmId, Integer> links = new HashMap<>();
+        for (Peer endpoint : peers(660)) {
+            List<Peer> chosen =
+                    SubsetChooser.choose(
+                            VmId.of("endpoint-" + endpoint.vm()),
+                            endpoint.failureDomain(),
+                            entries,
+                            4);
+            Set<FailureDomain> domains =
+                    chosen.stream().map(Peer::failureDomain).collect(Collectors.toSet());
+            assertThat(chosen.size(), is(4));
+            assertThat(domains.size(), greaterThanOrEqualTo(3));
+            chosen.forEach(entry -> links.merge(entry.vm(), 1, Integer::sum));
+        }
+        int most = links.values().stream().mapToInt(Integer::intValue).max().orElse(0);
+        assertThat(links.size(), is(40));
+        assertThat(most, lessThanOrEqualTo(2 * 660 * 4 / 40));
+    }
+
     private static List<Peer> peers(int count) {
         List<Peer> peers = new ArrayList<>();
         for (int i = 0; i < count; i++) {
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/DaemonSettings.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/DaemonSettings.java
@@ -29,7 +29,7 @@
  * @param engine whether the endpoint is a model engine
  * @param maxBodyBytes the largest request body, in bytes
  * @param maxHeldBytes finished samples above which an agent starts no more, in bytes
- * @param subsetSize how many endpoints of a service an entry connects to
+ * @param entriesPerEndpoint how many entries each endpoint has; the same at all entries
  * @param drainMillis how long a graceful shutdown may take, in milliseconds
  */
 public record DaemonSettings(
@@ -44,7 +44,7 @@
         boolean engine,
         int maxBodyBytes,
         long maxHeldBytes,
-        int subsetSize,
+        int entriesPerEndpoint,
         long drainMillis) {
     /** The role of an entry. */
     public static final String ROLE_ENTRY = "entry";
@@ -54,12 +54,12 @@
 
     private static final int DEFAULT_BODY_BYTES = 1 << 20;
     private static final long DEFAULT_HELD_BYTES = 32L << 20;
-    private static final int DEFAULT_SUBSET = 64;
+    private static final int DEFAULT_ENTRIES_PER_ENDPOINT = 4;
     private static final long DEFAULT_DRAIN_MILLIS = 60_000;
     private static final Set<String> ROOT_KEYS =
             Set.of("role", "vm", "failure_domain", "listen", "platform", "endpoint", "limits");
     private static final Set<String> LIMIT_KEYS =
-            Set.of("body", "held_samples", "endpoints_per_service", "drain");
+            Set.of("body", "held_samples", "entries_per_endpoint", "drain");
 
     /**
      * An address to listen on.
@@ -150,7 +150,8 @@
                                         limits.get("body")
                                                 .read(Units::bytes, (long) DEFAULT_BODY_BYTES),
                         limits.get("held_samples").read(Units::bytes, DEFAULT_HELD_BYTES),
-                        limits.get("endpoints_per_service").read(Units::count, DEFAULT_SUBSET),
+                        limits.get("entries_per_endpoint")
+                                .read(Units::count, DEFAULT_ENTRIES_PER_ENDPOINT),
                         limits.get("drain").read(Units::millis, DEFAULT_DRAIN_MILLIS));
         root.get("listen").allow(Set.of("link", "http"));
         return new Parsed(settings, List.copyOf(problems));
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/entry/EntryContext.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/entry/EntryContext.java
@@ -138,7 +138,7 @@
                 MembershipMachine.create(
                         settings.vm(),
                         settings.failureDomain(),
-                        settings.subsetSize(),
+                        settings.entriesPerEndpoint(),
                         new Random(mIncarnation),
                         new MembershipEffects(this));
         mPlanner = WeightPlanner.create(self, new PlannerEffects(this));
--- a/ebonyrun-standin/src/main/java/org/ebonyrun/standin/loopback/LoopbackSettings.java
+++ b/ebonyrun-standin/src/main/java/org/ebonyrun/standin/loopback/LoopbackSettings.java
@@ -14,9 +14,9 @@
  * <p>Immutable and thread safe.
  *
  * @param platform the address of the platform's services
- * @param subsetSize how many endpoints of a service an entry connects to
+ * @param entriesPerEndpoint how many entries each endpoint has; the same at all entries
  */
-public record LoopbackSettings(URI platform, int subsetSize) {
+public record LoopbackSettings(URI platform, int entriesPerEndpoint) {
     /** The address on which everything listens. */
     public static final String HOST = "127.0.0.1";
 
@@ -60,7 +60,7 @@
                 engine,
                 BODY_BYTES,
                 HELD_BYTES,
-                subsetSize,
+                entriesPerEndpoint,
                 DRAIN_MILLIS);
     }
 }
--- a/ebonyrun-standin/src/main/java/org/ebonyrun/standin/virtual/VirtualEntry.java
+++ b/ebonyrun-standin/src/main/java/org/ebonyrun/standin/virtual/VirtualEntry.java
@@ -49,7 +49,7 @@
     private static final long PAUSE_NANOS = Nanos.ofMillis(1_000);
     private static final long MIN_TIMEOUT_MILLIS = 5_000;
     private static final long TIMEOUT_PER_TARGET = 4;
-    private static final int SUBSET = 64;
+    private static final int ENTRIES_PER_ENDPOINT = 4;
 
     final VmId mVm;
     final FailureDomain mDomain;
@@ -123,7 +123,11 @@
                         new VirtualRollout(this));
         mMembership =
                 MembershipMachine.create(
-                        mVm, mDomain, SUBSET, new Random(incarnation), new VirtualMembership(this));
+                        mVm,
+                        mDomain,
+                        ENTRIES_PER_ENDPOINT,
+                        new Random(incarnation),
+                        new VirtualMembership(this));
         mPlanner = WeightPlanner.create(mSelf, new VirtualPlanner(this));
         mConfig = ConfigMachine.create(new VirtualConfig(this));
         every(TICK_NANOS, this::tick);
