Keep calls off endpoints that lately were slow

Change: an entry learns the time for a token at each endpoint from ended attempts; calls avoid one above twice the fastest while another has room. What is older than 10 s is forgotten; samples go on measuring a slow endpoint.

--- a/ebonyrun-core/src/main/java/org/ebonyrun/core/routing/Dispatched.java
+++ b/ebonyrun-core/src/main/java/org/ebonyrun/core/routing/Dispatched.java
@@ -14,6 +14,7 @@
     final ByteArrayOutputStream mBody = new ByteArrayOutputStream();
     @Nullable AttemptId mAttempt;
     @Nullable VmId mVm;
+    long mOfferedAt;
     int mPieces;
     int mFailures;
     boolean mPassedOn;
--- a/ebonyrun-core/src/main/java/org/ebonyrun/core/routing/Dispatcher.java
+++ b/ebonyrun-core/src/main/java/org/ebonyrun/core/routing/Dispatcher.java
@@ -151,7 +151,7 @@
             }
         } else if (message instanceof AttemptMessage.SampleFinished finished) {
             onLoad(vm, finished.load());
-            onSampleFinished(vm, finished);
+            onSampleFinished(vm, finished, now);
         } else if (message instanceof AttemptMessage.LoadReport report) {
             onLoad(vm, report.load());
         } else {
@@ -274,6 +274,7 @@
                         done.tokens(),
                         done.versions(),
                         vm);
+        measure(dispatched, done.tokens(), now);
         end(dispatched);
         mOutputs.answered(dispatched.mWork, answer);
     }
@@ -292,12 +293,13 @@
         place(dispatched, refused.fault(), now);
     }
 
-    private void onSampleFinished(VmId vm, AttemptMessage.SampleFinished finished) {
+    private void onSampleFinished(VmId vm, AttemptMessage.SampleFinished finished, long now) {
         Dispatched dispatched = open(vm, finished.id());
         if (dispatched == null) {
             mOutputs.found(vm, finished.key(), finished.info());
             return;
         }
+        measure(dispatched, finished.info().tokens(), now);
         end(dispatched);
         mOutputs.sampled(dispatched.mWork, vm, finished.info());
     }
@@ -329,11 +331,18 @@
         place(dispatched, fault, now);
     }
 
+    private void measure(Dispatched dispatched, int tokens, long now) {
+        EndpointView view = dispatched.mVm == null ? null : mEndpoints.get(dispatched.mVm);
+        if (view != null) {
+            view.onEnded(tokens, now - dispatched.mOfferedAt, now);
+        }
+    }
+
     private void place(Dispatched dispatched, @Nullable Fault last, long now) {
         Work work = dispatched.mWork;
         while (true) {
             List<EndpointView> candidates = candidates(dispatched, 0, now);
-            EndpointView view = mChooser.choose(work, candidates).orElse(null);
+            EndpointView view = mChooser.choose(work, candidates, now).orElse(null);
             if (view == null) {
                 fail(dispatched, last != null ? last : noEndpoint(work));
                 return;
@@ -357,7 +366,7 @@
             }
             long minVersion = minVersion(work);
             List<EndpointView> candidates = candidates(dispatched, minVersion, now);
-            EndpointView view = mChooser.choose(work, candidates).orElse(null);
+            EndpointView view = mChooser.choose(work, candidates, now).orElse(null);
             if (view == null) {
                 dispatched.mRefusedBy.clear();
                 full.put(work.service(), Boolean.TRUE);
@@ -407,6 +416,7 @@
         dispatched.reset();
         dispatched.mAttempt = id;
         dispatched.mVm = view.vm();
+        dispatched.mOfferedAt = now;
         mAttempts.put(id, dispatched);
         view.onSent(work.isSample());
         return true;
--- a/ebonyrun-core/src/main/java/org/ebonyrun/core/routing/EndpointChooser.java
+++ b/ebonyrun-core/src/main/java/org/ebonyrun/core/routing/EndpointChooser.java
@@ -11,6 +11,7 @@
      *
      * @param candidates usable endpoints of the work's service that have not refused it yet and
      *     have room for it; may be empty
+     * @param now the monotonic time in nanoseconds
      */
-    Optional<EndpointView> choose(Work work, List<EndpointView> candidates);
+    Optional<EndpointView> choose(Work work, List<EndpointView> candidates, long now);
 }
--- a/ebonyrun-core/src/main/java/org/ebonyrun/core/routing/EndpointView.java
+++ b/ebonyrun-core/src/main/java/org/ebonyrun/core/routing/EndpointView.java
@@ -3,6 +3,7 @@
 import org.ebonyrun.base.id.FailureDomain;
 import org.ebonyrun.base.id.ServiceName;
 import org.ebonyrun.base.id.VmId;
+import org.ebonyrun.base.time.Nanos;
 import org.ebonyrun.core.attempt.EndpointLoad;
 
 /**
@@ -12,6 +13,9 @@
  * <p>Not thread safe; confined to the dispatch duty.
  */
 public final class EndpointView {
+    private static final long MEASURE_NANOS = Nanos.ofMillis(10_000);
+    private static final double NEW_SHARE = 0.1;
+
     private final VmId mVm;
     private final ServiceName mService;
     private final FailureDomain mDomain;
@@ -19,6 +23,8 @@
     private boolean mUsable;
     private int mCallsSince;
     private int mSamplesSince;
+    private double mMillisPerToken;
+    private long mMeasuredAt;
 
     private EndpointView(VmId vm, ServiceName service, FailureDomain domain) {
         mVm = vm;
@@ -76,6 +82,26 @@
         return urgent ? Math.max(sampleRoom(), urgentRoom) : sampleRoom();
     }
 
+    /**
+     * Returns the recent time for a generated token in milliseconds, waiting and prompt included;
+     * zero while nothing recent is known.
+     */
+    public double millisPerToken(long now) {
+        return now - mMeasuredAt < MEASURE_NANOS ? mMillisPerToken : 0;
+    }
+
+    /** Takes note of an attempt that ended with {@code tokens} tokens after {@code nanos}. */
+    void onEnded(int tokens, long nanos, long now) {
+        if (tokens <= 0) {
+            return;
+        }
+        double measured = (double) nanos / Nanos.PER_MILLI / tokens;
+        boolean known = millisPerToken(now) > 0;
+        mMillisPerToken =
+                known ? mMillisPerToken * (1 - NEW_SHARE) + measured * NEW_SHARE : measured;
+        mMeasuredAt = now;
+    }
+
     void setUsable(boolean usable) {
         mUsable = usable;
     }
--- a/ebonyrun-core/src/main/java/org/ebonyrun/core/routing/LeastLoadChooser.java
+++ b/ebonyrun-core/src/main/java/org/ebonyrun/core/routing/LeastLoadChooser.java
@@ -8,9 +8,10 @@
 import org.ebonyrun.base.id.FailureDomain;
 
 /**
- * Chooses the endpoint with the most room, which is where the work starts soonest. Samples may go
- * to an endpoint with a little less room to stay with those of the same prompt prefix, by
- * rendezvous hashing. Among equals the entry's own failure domain comes first.
+ * Chooses the endpoint with the most room, which is where the work starts soonest; calls avoid an
+ * endpoint that lately took more than twice as long for a token as the fastest, while another has
+ * room. Samples may go to an endpoint with a little less room to stay with those of the same prompt
+ * prefix, by rendezvous hashing. Among equals the entry's own failure domain comes first.
  *
  * <p>Immutable and thread safe.
  */
@@ -18,6 +19,8 @@
     /** Room that a sample gives up to meet its prompt prefix, in slots. */
     public static final int AFFINITY_SLACK = 2;
 
+    private static final double SLOWNESS = 2;
+
     private final FailureDomain mDomain;
     private final int mSlack;
 
@@ -37,13 +40,22 @@
     }
 
     @Override
-    public Optional<EndpointView> choose(Work work, List<EndpointView> candidates) {
+    public Optional<EndpointView> choose(Work work, List<EndpointView> candidates, long now) {
         if (work.isSample()) {
             return chooseForSample(work, candidates);
         }
+        double fastest =
+                candidates.stream()
+                        .mapToDouble(view -> view.millisPerToken(now))
+                        .filter(millis -> millis > 0)
+                        .min()
+                        .orElse(0);
+        Comparator<EndpointView> bySpeed =
+                Comparator.comparing(
+                        view -> view.free() > 0 && view.millisPerToken(now) <= fastest * SLOWNESS);
         return candidates.stream()
                 .max(
-                        Comparator.comparingInt(EndpointView::free)
+                        bySpeed.thenComparingInt(EndpointView::free)
                                 .thenComparing(view -> view.failureDomain().equals(mDomain))
                                 .thenComparing(EndpointView::vm));
     }
--- a/ebonyrun-core/src/main/java/org/ebonyrun/core/routing/RoundRobinChooser.java
+++ b/ebonyrun-core/src/main/java/org/ebonyrun/core/routing/RoundRobinChooser.java
@@ -15,7 +15,7 @@
     public RoundRobinChooser() {}
 
     @Override
-    public Optional<EndpointView> choose(Work work, List<EndpointView> candidates) {
+    public Optional<EndpointView> choose(Work work, List<EndpointView> candidates, long now) {
         if (candidates.isEmpty()) {
             return Optional.empty();
         }
