--- /dev/null
+++ b/ebonyrun-core/src/test/java/org/ebonyrun/core/rollout/FakeRolloutOutputs.java
@@ -0,0 +1,106 @@
+package org.ebonyrun.core.rollout;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.ebonyrun.base.id.SampleKey;
+import org.ebonyrun.base.id.ServiceName;
+import org.ebonyrun.base.id.TrainerId;
+import org.ebonyrun.base.id.VmId;
+import org.ebonyrun.core.attempt.AttemptMessage;
+import org.ebonyrun.core.lease.LeaseHolder;
+import org.ebonyrun.core.routing.Work;
+
+/** Records what the rollout duty does. Not thread safe; used by one test. */
+final class FakeRolloutOutputs implements RolloutOutputs {
+    final List<String> mAsked = new ArrayList<>();
+    final List<Work> mWorks = new ArrayList<>();
+    final List<Long> mCancelled = new ArrayList<>();
+    final List<SampleKey> mFetches = new ArrayList<>();
+    final List<AttemptMessage> mBroadcasts = new ArrayList<>();
+    final List<SampleKey> mReleased = new ArrayList<>();
+    final Map<Long, StepReply> mReplies = new HashMap<>();
+    final List<VmId> mForwardedTo = new ArrayList<>();
+    private long mIds;
+
+    @Override
+    public void acquire(String key) {
+        mAsked.add("acquire " + key);
+    }
+
+    @Override
+    public void renew(String key, long revision) {
+        mAsked.add("renew " + key);
+    }
+
+    @Override
+    public void storeManifest(StepManifest manifest) {
+        mAsked.add("store " + manifest.step());
+    }
+
+    @Override
+    public void loadManifest(TrainerId trainer, long step) {
+        mAsked.add("load " + step);
+    }
+
+    @Override
+    public void deleteManifest(TrainerId trainer, long step, int slots) {
+        mAsked.add("delete " + step);
+    }
+
+    @Override
+    public void submit(Work work) {
+        mWorks.add(work);
+    }
+
+    @Override
+    public void cancel(long workId) {
+        mCancelled.add(workId);
+    }
+
+    @Override
+    public void abandon(long workId) {}
+
+    @Override
+    public void setMinVersion(TrainerId trainer, long version) {}
+
+    @Override
+    public boolean send(VmId vm, AttemptMessage message) {
+        if (message instanceof AttemptMessage.FetchSample fetch) {
+            mFetches.add(fetch.key());
+        } else if (message instanceof AttemptMessage.ReleaseSamples release) {
+            mReleased.addAll(release.keys());
+        }
+        return true;
+    }
+
+    @Override
+    public void broadcast(ServiceName service, AttemptMessage message) {
+        mBroadcasts.add(message);
+    }
+
+    @Override
+    public void score(ServiceName scorer, SampleKey key, byte[] content) {}
+
+    @Override
+    public void forward(LeaseHolder owner, long requestId, StepRequest request) {
+        mForwardedTo.add(owner.vm());
+    }
+
+    @Override
+    public void reply(long requestId, StepReply reply) {
+        mReplies.put(requestId, reply);
+    }
+
+    @Override
+    public void idle(TrainerId trainer, long nanos) {}
+
+    @Override
+    public void delivered(TrainerId trainer, long age) {}
+
+    @Override
+    public long nextWorkId() {
+        return ++mIds;
+    }
+}
