--- a/ebonyrun-core/src/main/java/org/ebonyrun/core/config/ConfigMachine.java
+++ b/ebonyrun-core/src/main/java/org/ebonyrun/core/config/ConfigMachine.java
@@ -5,6 +5,8 @@
 /**
  * Holds the newest configuration that this process has seen, from any source.
  *
+ * <p>Versions travel on heartbeats both ways, texts only when asked for.
+ *
  * <p>Invariant: the version never decreases. A text that does not parse is not adopted.
  *
  * <p>Not thread safe; confined to the configuration duty.
@@ -54,12 +56,13 @@
         mOutputs.adopted(mConfig, text);
     }
 
-    /** Handles the version that a peer states on its heartbeats. */
+    /**
+     * Handles the version that a peer states on its heartbeats. A peer that is behind is left to
+     * ask: it hears of the newer version from each of its links, and one text is enough.
+     */
     public void onPeerVersion(long link, long version) {
         if (version > mConfig.version()) {
             mOutputs.send(link, new ConfigMessage.ConfigRequest(mConfig.version()));
-        } else if (version < mConfig.version()) {
-            mOutputs.send(link, new ConfigMessage.ConfigUpdate(mConfig.version(), mText));
         }
     }
 
--- a/ebonyrun-core/src/main/java/org/ebonyrun/core/config/ConfigOutputs.java
+++ b/ebonyrun-core/src/main/java/org/ebonyrun/core/config/ConfigOutputs.java
@@ -5,6 +5,9 @@
     /** Sends a message to one peer, identified by its link number. */
     void send(long link, ConfigMessage message);
 
-    /** Announces a newly adopted configuration to every other duty and peer. */
+    /**
+     * Announces a newly adopted configuration to every other duty; peers hear of its version with
+     * the next heartbeats.
+     */
     void adopted(OperatorConfig config, String text);
 }
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/entry/ConfigEffects.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/entry/ConfigEffects.java
@@ -7,7 +7,6 @@
 import org.ebonyrun.core.config.OperatorConfig;
 import org.ebonyrun.core.config.ServiceKind;
 import org.ebonyrun.core.config.ServiceSpec;
-import org.ebonyrun.daemon.link.PeerLink;
 import org.tinylog.Logger;
 
 /** Carries out what the configuration duty decides. Used on its thread. */
@@ -34,9 +33,5 @@
                         .map(ServiceSpec::name)
                         .toList();
         mContext.mPlannerDuty.post((machine, now) -> machine.onServices(engines));
-        ConfigMessage update = new ConfigMessage.ConfigUpdate(config.version(), text);
-        for (PeerLink peer : mContext.mBook.introduced()) {
-            peer.link().send(update);
-        }
     }
 }
