--- a/ebonyrun-client/src/main/java/org/ebonyrun/client/demo/Demo.java
+++ b/ebonyrun-client/src/main/java/org/ebonyrun/client/demo/Demo.java
@@ -21,6 +21,13 @@
     public static boolean run(DemoOptions options, PrintStream out)
             throws IOException, InterruptedException {
         progress(options, out, "starting 2 entries, 4 engines and 2 plain services");
+        DemoReport report = play(options, out);
+        print(options, out, report);
+        return report.broken().isEmpty();
+    }
+
+    private static DemoReport play(DemoOptions options, PrintStream out)
+            throws IOException, InterruptedException {
         CallLog calls = new CallLog();
         try (DemoFleet fleet = DemoFleet.start();
                 DemoLoad load = new DemoLoad(fleet, calls, options.seed())) {
@@ -39,9 +46,7 @@
             load.finish();
             trainer.stop();
             training.join(STEP_END_MILLIS);
-            DemoReport report = new DemoAudit(fleet, calls, trainer).report();
-            print(options, out, report);
-            return report.broken().isEmpty();
+            return new DemoAudit(fleet, calls, trainer).report();
         }
     }
 
--- a/ebonyrun-core/src/main/java/org/ebonyrun/core/routing/DispatchOutputs.java
+++ b/ebonyrun-core/src/main/java/org/ebonyrun/core/routing/DispatchOutputs.java
@@ -23,6 +23,9 @@
     /** Reports a finished sample of an attempt that this process did not start. */
     void found(VmId vm, SampleKey key, SampleInfo info);
 
+    /** Takes note that a call is tried again. */
+    default void retried(Work work) {}
+
     /** Ends work that will not be tried again. */
     void failed(Work work, Fault fault);
 }
--- a/ebonyrun-core/src/main/java/org/ebonyrun/core/routing/Dispatcher.java
+++ b/ebonyrun-core/src/main/java/org/ebonyrun/core/routing/Dispatcher.java
@@ -325,6 +325,7 @@
             return;
         }
         mRetries++;
+        mOutputs.retried(work);
         if (vm != null) {
             dispatched.mRefusedBy.add(vm);
         }
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/admin/AdminHandlers.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/admin/AdminHandlers.java
@@ -21,6 +21,7 @@
         Map<String, HttpHandler> handlers = new LinkedHashMap<>();
         handlers.put("/admin/dump", handler((request, out) -> dump(source, out)));
         handlers.put("/admin/drain", handler((request, out) -> drain(source, request, out)));
+        handlers.put("/admin/log-level", handler(AdminHandlers::logLevel));
         handlers.put("/ready", handler((request, out) -> ready(source, out)));
         handlers.put("/metrics", handler((request, out) -> out.whole(200, TEXT, source.metrics())));
         return handlers;
@@ -70,6 +71,22 @@
         out.whole(202, JSON, Json.write(Map.of("draining", true)));
     }
 
+    private static void logLevel(Request request, Responder out) {
+        String level = request.getParameter("level");
+        boolean post = request.getMethod().getMethodString().equals("POST");
+        if (!post || level == null) {
+            out.whole(400, JSON, Json.write(Map.of("error", "POST with ?level=debug")));
+            return;
+        }
+        try {
+            LevelWriter.setLevel(level);
+            out.whole(200, JSON, Json.write(Map.of("level", level)));
+        } catch (IllegalArgumentException e) {
+            String error = "no level '" + level + "': trace, debug, info, warn, error, off";
+            out.whole(400, JSON, Json.write(Map.of("error", error)));
+        }
+    }
+
     private static void ready(AdminSource source, Responder out) {
         boolean ready = source.isReady();
         out.whole(ready ? 200 : 503, JSON, Json.write(Map.of("ready", ready)));
--- /dev/null
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/admin/LevelWriter.java
@@ -0,0 +1,68 @@
+package org.ebonyrun.daemon.admin;
+
+import java.util.Collection;
+import java.util.Locale;
+import java.util.Map;
+import org.tinylog.Level;
+import org.tinylog.core.LogEntry;
+import org.tinylog.core.LogEntryValue;
+import org.tinylog.writers.ConsoleWriter;
+import org.tinylog.writers.Writer;
+
+/**
+ * Writes log entries to the console from a level that can be changed while the process runs.
+ * Configured in {@code tinylog.properties} as the writer {@code level}.
+ *
+ * <p>Thread safe: the level is volatile, and the console writer takes entries from any thread.
+ */
+public final class LevelWriter implements Writer {
+    private static volatile Level sLevel = Level.INFO;
+
+    private final ConsoleWriter mConsole;
+
+    /**
+     * Creates a writer.
+     *
+     * @param properties the properties of the writer; {@code minimum} is the first level
+     */
+    public LevelWriter(Map<String, String> properties) {
+        mConsole = new ConsoleWriter(properties);
+        String first = System.getProperty("ebonyrun.log", properties.get("minimum"));
+        if (first != null) {
+            setLevel(first);
+        }
+    }
+
+    /**
+     * Sets the lowest level that is written.
+     *
+     * @throws IllegalArgumentException if there is no such level
+     */
+    public static void setLevel(String name) {
+        sLevel = Level.valueOf(name.toUpperCase(Locale.ROOT));
+    }
+
+    @Override
+    public Collection<LogEntryValue> getRequiredLogEntryValues() {
+        Collection<LogEntryValue> values = mConsole.getRequiredLogEntryValues();
+        values.add(LogEntryValue.LEVEL);
+        return values;
+    }
+
+    @Override
+    public void write(LogEntry entry) throws Exception {
+        if (entry.getLevel().ordinal() >= sLevel.ordinal()) {
+            mConsole.write(entry);
+        }
+    }
+
+    @Override
+    public void flush() throws Exception {
+        mConsole.flush();
+    }
+
+    @Override
+    public void close() throws Exception {
+        mConsole.close();
+    }
+}
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/admin/NodeMetrics.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/admin/NodeMetrics.java
@@ -1,6 +1,7 @@
 package org.ebonyrun.daemon.admin;
 
 import io.prometheus.metrics.core.metrics.Counter;
+import io.prometheus.metrics.core.metrics.Gauge;
 import io.prometheus.metrics.core.metrics.GaugeWithCallback;
 import io.prometheus.metrics.core.metrics.Histogram;
 import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
@@ -46,6 +47,18 @@
                     .help("Time that pulls waited for samples, by trainer.")
                     .labelNames("trainer")
                     .register(mRegistry);
+    private final Counter mRetries =
+            Counter.builder()
+                    .name("ebonyrun_retries_total")
+                    .help("Attempts of calls that were not first attempts, by class.")
+                    .labelNames("class")
+                    .register(mRegistry);
+    private final Gauge mRoom =
+            Gauge.builder()
+                    .name("ebonyrun_endpoint_room")
+                    .help("Calls and samples that an endpoint would start now.")
+                    .labelNames("endpoint", "kind")
+                    .register(mRegistry);
     private final Counter mPlatformCalls =
             Counter.builder()
                     .name("ebonyrun_platform_calls_total")
@@ -83,6 +96,23 @@
         mCalls.labelValues(className, code).inc();
     }
 
+    /** Counts an attempt that is not the first. */
+    public void retried(String className) {
+        mRetries.labelValues(className).inc();
+    }
+
+    /** Takes note of the room that an endpoint reports. */
+    public void room(String endpoint, int calls, int samples) {
+        mRoom.labelValues(endpoint, "call").set(calls);
+        mRoom.labelValues(endpoint, "sample").set(samples);
+    }
+
+    /** Forgets an endpoint that is gone. */
+    public void forgetEndpoint(String endpoint) {
+        mRoom.remove(endpoint, "call");
+        mRoom.remove(endpoint, "sample");
+    }
+
     /** Counts a delivered sample. */
     public void delivered(String trainer, long age) {
         mStaleness.labelValues(trainer).observe(age);
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/entry/ConfigWatcher.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/entry/ConfigWatcher.java
@@ -35,8 +35,10 @@
                     return true;
                 },
                 fault -> {
-                    Logger.warn("config watch failed: {}", fault.detail());
-                    pause();
+                    if (!mContext.mTimer.isShutdown()) {
+                        Logger.warn("config watch failed: {}", fault.detail());
+                        pause();
+                    }
                     return false;
                 });
     }
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/entry/DispatchEffects.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/entry/DispatchEffects.java
@@ -55,6 +55,11 @@
         mContext.mRolloutDuty.post((machine, now) -> machine.onFinished(vm, key, info, now));
     }
 
+    @Override
+    public void retried(Work work) {
+        mContext.mMetrics.retried(work.className().value());
+    }
+
     @Override
     public void failed(Work work, Fault fault) {
         SampleKey key = work.sample();
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/entry/EntryLinks.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/entry/EntryLinks.java
@@ -79,6 +79,7 @@
         Logger.info("peer={} address={} disconnected", hello.vm(), peer.link().peer());
         mContext.mMembershipDuty.post((machine, now) -> machine.onDisconnected(hello.vm(), now));
         if (isAgent(hello)) {
+            mContext.mMetrics.forgetEndpoint(hello.vm().value());
             ServiceName service = ServiceName.of(hello.service());
             mContext.mDispatchDuty.post((machine, now) -> machine.onLinkLost(hello.vm(), now));
             mContext.mRolloutDuty.post((machine, now) -> machine.onAgentLost(hello.vm(), now));
@@ -111,6 +112,7 @@
         }
         if (load != null) {
             ServiceName service = ServiceName.of(hello.service());
+            mContext.mMetrics.room(vm.value(), load.free(), load.sampleRoom());
             mContext.mDispatchDuty.post((machine, now) -> machine.onHeartbeat(vm, load, now));
             mContext.mPlannerDuty.post(
                     (machine, now) -> machine.onVersion(vm, service, load.version(), true));
