Take a passed-on answer only from where the request went

Cause: reading showed that any peer's answer with a matching number was taken.

Change: StepReplies compares the link; the virtual link maps messages to steps by a table in place of a chain of tests.

--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/entry/EntryLinks.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/entry/EntryLinks.java
@@ -62,7 +62,7 @@
         } else if (message instanceof RolloutMessage.Forward forward) {
             mContext.mReplies.beginForwarded(peer, forward);
         } else if (message instanceof RolloutMessage.Forwarded forwarded) {
-            mContext.mReplies.complete(forwarded.requestId(), forwarded.reply());
+            mContext.mReplies.completeForwarded(peer.link(), forwarded);
         }
     }
 
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/entry/StepReplies.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/entry/StepReplies.java
@@ -75,6 +75,14 @@
                 () -> timeOut(id), waitMillis + GRACE_MILLIS, TimeUnit.MILLISECONDS);
     }
 
+    /** Answers a request that was passed on, if the answer comes from where it was passed to. */
+    void completeForwarded(Link from, RolloutMessage.Forwarded forwarded) {
+        Passed passed = mPassed.get(forwarded.requestId());
+        if (passed != null && passed.to() == from) {
+            complete(forwarded.requestId(), forwarded.reply());
+        }
+    }
+
     /** Answers a request; does nothing if it was answered before. */
     void complete(long id, StepReply reply) {
         mPassed.remove(id);
--- a/ebonyrun-standin/src/main/java/org/ebonyrun/standin/virtual/VirtualLink.java
+++ b/ebonyrun-standin/src/main/java/org/ebonyrun/standin/virtual/VirtualLink.java
@@ -1,5 +1,8 @@
 package org.ebonyrun.standin.virtual;
 
+import static java.util.Map.entry;
+
+import java.util.Map;
 import org.ebonyrun.base.time.Nanos;
 import org.ebonyrun.base.wire.Message;
 import org.ebonyrun.core.attempt.AttemptMessage;
@@ -14,6 +17,21 @@
  * <p>Not thread safe.
  */
 final class VirtualLink {
+    private static final Map<Class<? extends Message>, PathStep> STEPS =
+            Map.ofEntries(
+                    entry(AttemptMessage.Piece.class, PathStep.CALL_PIECE),
+                    entry(AttemptMessage.Done.class, PathStep.CALL_DONE),
+                    entry(AttemptMessage.Refused.class, PathStep.CALL_REFUSED),
+                    entry(AttemptMessage.SampleFinished.class, PathStep.SAMPLE_FINISHED),
+                    entry(AttemptMessage.FetchSample.class, PathStep.SAMPLE_FETCH),
+                    entry(AttemptMessage.SampleContent.class, PathStep.SAMPLE_CONTENT),
+                    entry(AttemptMessage.ReleaseSamples.class, PathStep.SAMPLE_RELEASE),
+                    entry(AttemptMessage.HeldQuery.class, PathStep.HELD_QUERY),
+                    entry(AttemptMessage.HeldSamples.class, PathStep.HELD_ANSWER),
+                    entry(ConfigMessage.ConfigUpdate.class, PathStep.CONFIG_SPREAD),
+                    entry(WeightMessage.LoadOrder.class, PathStep.LOAD_ORDER),
+                    entry(WeightMessage.LoadResult.class, PathStep.LOAD_RESULT));
+
     private static final long LATENCY_NANOS = Nanos.ofMillis(1);
     private static final long REORDER_NANOS = Nanos.ofMillis(60);
 
@@ -118,43 +136,6 @@
             boolean sample = offer.job().kind() == WorkKind.SAMPLE;
             return sample ? PathStep.SAMPLE_OFFER : PathStep.CALL_OFFER;
         }
-        if (message instanceof AttemptMessage.Piece) {
-            return PathStep.CALL_PIECE;
-        }
-        if (message instanceof AttemptMessage.Done) {
-            return PathStep.CALL_DONE;
-        }
-        if (message instanceof AttemptMessage.Refused) {
-            return PathStep.CALL_REFUSED;
-        }
-        if (message instanceof ConfigMessage.ConfigUpdate) {
-            return PathStep.CONFIG_SPREAD;
-        }
-        if (message instanceof WeightMessage.LoadOrder) {
-            return PathStep.LOAD_ORDER;
-        }
-        if (message instanceof WeightMessage.LoadResult) {
-            return PathStep.LOAD_RESULT;
-        }
-        return sampleStep(message);
-    }
-
-    private static @Nullable PathStep sampleStep(Message message) {
-        if (message instanceof AttemptMessage.SampleFinished) {
-            return PathStep.SAMPLE_FINISHED;
-        }
-        if (message instanceof AttemptMessage.FetchSample) {
-            return PathStep.SAMPLE_FETCH;
-        }
-        if (message instanceof AttemptMessage.SampleContent) {
-            return PathStep.SAMPLE_CONTENT;
-        }
-        if (message instanceof AttemptMessage.ReleaseSamples) {
-            return PathStep.SAMPLE_RELEASE;
-        }
-        if (message instanceof AttemptMessage.HeldQuery) {
-            return PathStep.HELD_QUERY;
-        }
-        return message instanceof AttemptMessage.HeldSamples ? PathStep.HELD_ANSWER : null;
+        return STEPS.get(message.getClass());
     }
 }
