--- a/ebonyrun-core/src/main/java/org/ebonyrun/core/attempt/AttemptMachine.java
+++ b/ebonyrun-core/src/main/java/org/ebonyrun/core/attempt/AttemptMachine.java
@@ -3,7 +3,6 @@
 import static java.util.Objects.requireNonNull;
 
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -11,11 +10,11 @@
 import org.ebonyrun.base.duty.Ticking;
 import org.ebonyrun.base.id.AttemptId;
 import org.ebonyrun.base.id.SampleKey;
-import org.ebonyrun.base.id.TrainerId;
 import org.ebonyrun.base.id.VmId;
 import org.ebonyrun.base.result.Fault;
 import org.ebonyrun.base.result.FaultCode;
 import org.ebonyrun.base.time.Nanos;
+import org.ebonyrun.core.attempt.StepOwners.StepKey;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -30,7 +29,6 @@
  */
 public final class AttemptMachine implements Ticking {
     private static final long MIN_RETRY_MILLIS = 50;
-    private static final long ORPHAN_NANOS = Nanos.ofMillis(1_800_000);
     private static final long URGENT_NANOS = Nanos.ofMillis(5_000);
 
     private final VmId mSelf;
@@ -42,7 +40,7 @@
     private final SampleStore mStore = new SampleStore();
     private final Map<AttemptId, Attempt> mAttempts = new LinkedHashMap<>();
     private final TreeMap<QueueOrder.QueuedWork, Attempt> mQueue;
-    private final Map<StepKey, StepOwner> mOwners = new HashMap<>();
+    private final StepOwners mOwners = new StepOwners();
     private AttemptLimits mLimits;
     private long mArrivals;
     private long mVersion;
@@ -64,12 +62,6 @@
         mQueue = new TreeMap<>(policy.order().comparator());
     }
 
-    /** The step that a sample belongs to. */
-    private record StepKey(TrainerId trainer, long step) {}
-
-    /** The link of the entry that owns a step, by the highest fence seen, and when it was heard. */
-    private record StepOwner(long link, long fence, long heardAt) {}
-
     /** Creates a machine for one endpoint. */
     public static AttemptMachine create(
             VmId self, AttemptLimits limits, AttemptPolicy policy, AttemptOutputs outputs) {
@@ -258,14 +250,11 @@
 
     /** Releases what is held of steps whose owners have been silent for long; it can run again. */
     private void releaseOrphans(long now) {
-        for (Map.Entry<StepKey, StepOwner> entry : List.copyOf(mOwners.entrySet())) {
-            if (now - entry.getValue().heardAt() >= ORPHAN_NANOS) {
-                StepKey step = entry.getKey();
-                mOwners.remove(step);
-                mStore.ofStep(step.trainer(), step.step())
-                        .forEach(held -> mStore.release(held.key()));
-            }
-        }
+        mOwners.takeOrphans(now).forEach(this::releaseStep);
+    }
+
+    private void releaseStep(StepKey step) {
+        mStore.ofStep(step.trainer(), step.step()).forEach(held -> mStore.release(held.key()));
     }
 
     private void onOffer(long link, AttemptMessage.Offer offer, long now) {
@@ -318,12 +307,12 @@
     }
 
     private @Nullable Fault sampleRefusal(long link, Job job, SampleKey key, long now) {
-        StepKey step = new StepKey(key.trainer(), key.step());
-        StepOwner owner = mOwners.get(step);
-        if (owner != null && job.fence() < owner.fence()) {
-            return notRun(FaultCode.FENCED, "fence " + job.fence() + " is below " + owner.fence());
+        StepKey step = StepKey.of(key);
+        if (mOwners.isFenced(step, job.fence())) {
+            String detail = "fence " + job.fence() + " is below " + mOwners.fence(step);
+            return notRun(FaultCode.FENCED, detail);
         }
-        mOwners.put(step, new StepOwner(link, job.fence(), now));
+        mOwners.claim(step, link, job.fence(), now);
         int room = sampleRoom(now);
         if (job.isUrgentSample()) {
             room = Math.max(room, urgentRoom());
@@ -449,8 +438,7 @@
     }
 
     private long ownerLink(Attempt attempt, SampleKey key) {
-        StepOwner owner = mOwners.get(new StepKey(key.trainer(), key.step()));
-        return owner == null ? attempt.mLink : owner.link();
+        return mOwners.link(StepKey.of(key), attempt.mLink);
     }
 
     private AttemptMessage done(Attempt attempt, int status, String contentType, long now) {
@@ -475,9 +463,7 @@
     }
 
     private void onFetch(long link, SampleKey key, long now) {
-        StepKey step = new StepKey(key.trainer(), key.step());
-        mOwners.computeIfPresent(
-                step, (ignored, owner) -> new StepOwner(owner.link(), owner.fence(), now));
+        mOwners.touch(StepKey.of(key), now);
         SampleStore.Stored stored = mStore.get(key);
         mOutputs.send(
                 link,
@@ -488,15 +474,14 @@
 
     private void onHeldQuery(long link, AttemptMessage.HeldQuery query, long now) {
         StepKey step = new StepKey(query.trainer(), query.step());
-        StepOwner owner = mOwners.get(step);
-        if (owner != null && query.fence() < owner.fence()) {
+        if (mOwners.isFenced(step, query.fence())) {
             return;
         }
-        mOwners.put(step, new StepOwner(link, query.fence(), now));
+        mOwners.claim(step, link, query.fence(), now);
         List<SampleKey> running = new ArrayList<>();
         for (Attempt attempt : mAttempts.values()) {
             SampleKey key = attempt.mJob.sample();
-            if (key != null && step.equals(new StepKey(key.trainer(), key.step()))) {
+            if (key != null && step.equals(StepKey.of(key))) {
                 running.add(key);
             }
         }
@@ -511,20 +496,17 @@
 
     private void onCloseStep(AttemptMessage.CloseStep close, long now) {
         StepKey step = new StepKey(close.trainer(), close.step());
-        StepOwner owner = mOwners.get(step);
-        if (owner != null && close.fence() < owner.fence()) {
+        if (mOwners.isFenced(step, close.fence())) {
             return;
         }
         mOwners.remove(step);
         for (Attempt attempt : List.copyOf(mAttempts.values())) {
             SampleKey key = attempt.mJob.sample();
-            if (key != null && step.equals(new StepKey(key.trainer(), key.step()))) {
+            if (key != null && step.equals(StepKey.of(key))) {
                 onCancel(attempt.mId, now);
             }
         }
-        for (AttemptMessage.HeldSample held : mStore.ofStep(close.trainer(), close.step())) {
-            mStore.release(held.key());
-        }
+        releaseStep(step);
     }
 
     private Fault notRun(FaultCode code, String detail) {
--- /dev/null
+++ b/ebonyrun-core/src/main/java/org/ebonyrun/core/attempt/StepOwners.java
@@ -0,0 +1,77 @@
+package org.ebonyrun.core.attempt;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.ebonyrun.base.id.SampleKey;
+import org.ebonyrun.base.id.TrainerId;
+import org.ebonyrun.base.time.Nanos;
+
+/**
+ * Which entry owns which step, as an agent has heard it.
+ *
+ * <p>Invariant: the fence of a step never decreases while the step is known.
+ *
+ * <p>Not thread safe; confined to the attempt duty.
+ */
+final class StepOwners {
+    private static final long ORPHAN_NANOS = Nanos.ofMillis(1_800_000);
+
+    private final Map<StepKey, Owner> mOwners = new HashMap<>();
+
+    /** A step of a trainer. */
+    record StepKey(TrainerId trainer, long step) {
+        static StepKey of(SampleKey key) {
+            return new StepKey(key.trainer(), key.step());
+        }
+    }
+
+    /** The link of the owner with the highest fence seen, and when it was heard. */
+    private record Owner(long link, long fence, long heardAt) {}
+
+    /** Returns whether a fence is below the one that is known for a step. */
+    boolean isFenced(StepKey step, long fence) {
+        return fence < fence(step);
+    }
+
+    /** Returns the highest fence seen of a step; zero if none. */
+    long fence(StepKey step) {
+        Owner owner = mOwners.get(step);
+        return owner == null ? 0 : owner.fence();
+    }
+
+    /** Takes note of an owner that is not fenced. */
+    void claim(StepKey step, long link, long fence, long now) {
+        mOwners.put(step, new Owner(link, fence, now));
+    }
+
+    /** Takes note that the owner of a step is active. */
+    void touch(StepKey step, long now) {
+        mOwners.computeIfPresent(
+                step, (ignored, owner) -> new Owner(owner.link(), owner.fence(), now));
+    }
+
+    void remove(StepKey step) {
+        mOwners.remove(step);
+    }
+
+    /** Returns the link of a step's owner, or the fallback if none is known. */
+    long link(StepKey step, long fallback) {
+        Owner owner = mOwners.get(step);
+        return owner == null ? fallback : owner.link();
+    }
+
+    /** Removes and returns the steps whose owners have been silent for half an hour. */
+    List<StepKey> takeOrphans(long now) {
+        List<StepKey> orphans = new ArrayList<>();
+        mOwners.forEach(
+                (step, owner) -> {
+                    if (now - owner.heardAt() >= ORPHAN_NANOS) {
+                        orphans.add(step);
+                    }
+                });
+        orphans.forEach(mOwners::remove);
+        return orphans;
+    }
+}
