--- /dev/null
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/entry/Bodies.java
@@ -0,0 +1,27 @@
+package org.ebonyrun.daemon.entry;
+
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.ebonyrun.base.result.Result;
+import org.ebonyrun.platform.http.BodyReader;
+import org.glassfish.grizzly.http.server.Request;
+
+/** Reads request bodies within a size and a time. Stateless and thread safe. */
+final class Bodies {
+    private static final long TIMEOUT_MILLIS = 30_000;
+
+    private Bodies() {}
+
+    /** Reads a body; the sink gets exactly one result. */
+    static void read(
+            ScheduledExecutorService timer,
+            Request request,
+            int maxBytes,
+            Consumer<Result<byte[]>> sink) {
+        BodyReader reader = BodyReader.read(request, maxBytes, sink);
+        if (!reader.isDone()) {
+            timer.schedule(reader::expire, TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+        }
+    }
+}
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/entry/CallApi.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/entry/CallApi.java
@@ -18,7 +18,6 @@
 import org.ebonyrun.core.routing.Work;
 import org.ebonyrun.daemon.store.ClaimStore;
 import org.ebonyrun.daemon.store.Json;
-import org.ebonyrun.platform.http.BodyReader;
 import org.ebonyrun.platform.http.Responder;
 import org.glassfish.grizzly.http.server.Request;
 import org.jspecify.annotations.Nullable;
@@ -121,7 +120,8 @@
     }
 
     private void readBody(Request request, CallHead head, long arrival, Responder out) {
-        BodyReader.read(
+        Bodies.read(
+                mContext.mTimer,
                 request,
                 mContext.mSettings.maxBodyBytes(),
                 result ->
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/entry/ConfigApi.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/entry/ConfigApi.java
@@ -13,7 +13,6 @@
 import org.ebonyrun.core.settings.Problem;
 import org.ebonyrun.daemon.store.Json;
 import org.ebonyrun.daemon.store.StoredConfig;
-import org.ebonyrun.platform.http.BodyReader;
 import org.ebonyrun.platform.http.Responder;
 import org.glassfish.grizzly.http.server.Request;
 
@@ -47,7 +46,8 @@
         } else if (method.equals("GET") && rest.matches("/\\d{1,18}")) {
             history(Long.parseLong(rest.substring(1)), out);
         } else if (method.equals("PUT") && rest.isEmpty()) {
-            BodyReader.read(
+            Bodies.read(
+                    mContext.mTimer,
                     request,
                     MAX_BYTES,
                     result ->
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/entry/StepApi.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/entry/StepApi.java
@@ -15,7 +15,6 @@
 import org.ebonyrun.core.rollout.StepReply;
 import org.ebonyrun.core.rollout.StepRequest;
 import org.ebonyrun.daemon.store.Json;
-import org.ebonyrun.platform.http.BodyReader;
 import org.ebonyrun.platform.http.Responder;
 import org.glassfish.grizzly.http.server.Request;
 import org.jspecify.annotations.Nullable;
@@ -67,7 +66,8 @@
             Faults.send(out, notRun(FaultCode.NOT_FOUND, String.valueOf(e.getMessage())));
             return;
         }
-        BodyReader.read(
+        Bodies.read(
+                mContext.mTimer,
                 request,
                 MAX_SUBMIT_BYTES,
                 result ->
--- a/ebonyrun-platform/src/main/java/org/ebonyrun/platform/http/BodyReader.java
+++ b/ebonyrun-platform/src/main/java/org/ebonyrun/platform/http/BodyReader.java
@@ -13,7 +13,8 @@
 /**
  * Reads the body of a request without holding a thread while the caller is slow.
  *
- * <p>Confined to the I/O thread of the request's connection. The sink gets exactly one result.
+ * <p>Thread safe: reading is confined to the I/O thread of the request's connection, and the end is
+ * guarded by this object's monitor. The sink gets exactly one result.
  */
 public final class BodyReader implements ReadHandler {
     private static final String STEP = "http.body";
@@ -22,7 +23,7 @@
     private final int mMaxBytes;
     private final Consumer<Result<byte[]>> mSink;
     private final ByteArrayOutputStream mBody = new ByteArrayOutputStream();
-    private boolean mDone;
+    private volatile boolean mDone;
 
     private BodyReader(NIOInputStream in, int maxBytes, Consumer<Result<byte[]>> sink) {
         mIn = in;
@@ -31,14 +32,15 @@
     }
 
     /** Reads the body of {@code request}, whose response must have been suspended. */
-    public static void read(Request request, int maxBytes, Consumer<Result<byte[]>> sink) {
+    public static BodyReader read(Request request, int maxBytes, Consumer<Result<byte[]>> sink) {
         long length = request.getContentLengthLong();
         BodyReader reader = new BodyReader(request.getNIOInputStream(), maxBytes, sink);
         if (length > maxBytes) {
             reader.tooLarge();
-            return;
+            return reader;
         }
         reader.mIn.notifyAvailable(reader);
+        return reader;
     }
 
     @Override
@@ -79,10 +81,24 @@
         finish(Result.err(Fault.notRun(FaultCode.TOO_LARGE, STEP, "", detail)));
     }
 
+    /** Returns whether the sink has got its result. */
+    public boolean isDone() {
+        return mDone;
+    }
+
+    /** Gives the body up, if it has not come by now. */
+    public void expire() {
+        String detail = "the body did not come in time";
+        finish(Result.err(Fault.notRun(FaultCode.DEADLINE, STEP, "", detail)));
+    }
+
     private void finish(Result<byte[]> result) {
-        if (!mDone) {
+        synchronized (this) {
+            if (mDone) {
+                return;
+            }
             mDone = true;
-            mSink.accept(result);
         }
+        mSink.accept(result);
     }
 }
