Remove dead state and a second parse of each call

Cause: reading the whole change: the virtual world kept state that nothing read; a call's body was parsed once to check it and again for its stream flag; two benches carried the same configuration.

Change: Completions.callBody gives body and flag from one parse; the dead fields and a method are gone; one configuration serves both benches.

Conclusion: behaviour is unchanged.

--- a/ebonyrun-bench/src/main/java/org/ebonyrun/bench/EntryBench.java
+++ b/ebonyrun-bench/src/main/java/org/ebonyrun/bench/EntryBench.java
@@ -30,7 +30,7 @@
     private static final int OPEN_CALLS = 32;
     private static final List<String> THREADS =
             List.of("dispatch", "rollout", "config", "membership", "weights", "links", "entry");
-    private static final String CONFIG =
+    static final String CONFIG =
             """
             services:
               models: {kind: plain}
--- a/ebonyrun-bench/src/main/java/org/ebonyrun/bench/OverheadBench.java
+++ b/ebonyrun-bench/src/main/java/org/ebonyrun/bench/OverheadBench.java
@@ -28,16 +28,6 @@
     private static final int CALLS = 5_000;
     private static final long TIMEOUT_MILLIS = 5_000;
     private static final int SIGNIFICANT_DIGITS = 3;
-    private static final String CONFIG =
-            """
-            services:
-              models: {kind: plain}
-            classes:
-              lookup:
-                service: models
-                kind: background
-                lateness: {quantile: 0.9, within: 2s}
-            """;
 
     private OverheadBench() {}
 
@@ -65,7 +55,7 @@
                             false));
             URI address = URI.create("http://" + HOST + ":" + entry.httpPort());
             URI config = URI.create(address + "/admin/config?author=bench&expect=0");
-            byte[] text = CONFIG.getBytes(StandardCharsets.UTF_8);
+            byte[] text = EntryBench.CONFIG.getBytes(StandardCharsets.UTF_8);
             caller.request(HttpCall.json("PUT", config, text, TIMEOUT_MILLIS), "config")
                     .join()
                     .orThrow();
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/entry/CallApi.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/entry/CallApi.java
@@ -137,16 +137,17 @@
     }
 
     private void prepare(CallHead head, byte[] body, long arrival, Responder out) {
-        byte[] sent;
-        boolean streaming;
+        Completions.CallBody call;
         try {
-            sent = head.engine() ? Completions.callBody(body) : checkedJson(body);
-            streaming = head.engine() && Completions.isStreaming(body);
+            call =
+                    head.engine()
+                            ? Completions.callBody(body)
+                            : new Completions.CallBody(checkedJson(body), false);
         } catch (IllegalArgumentException e) {
             Faults.send(out, notRun(FaultCode.BAD_REQUEST, String.valueOf(e.getMessage())));
             return;
         }
-        Work work = work(head, sent, streaming, arrival);
+        Work work = work(head, call.body(), call.streaming(), arrival);
         if (head.idempotent() || head.key().isEmpty()) {
             submit(new HttpCallSink(head.spec(), head.engine(), arrival, null, out), work);
             return;
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/entry/Completions.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/entry/Completions.java
@@ -23,11 +23,19 @@
     }
 
     /**
-     * Returns a caller's request as the engine needs it, which is always streaming.
+     * A caller's request as the engine needs it, which is always streaming.
+     *
+     * @param body the body to send
+     * @param streaming whether the caller asked for a streaming answer
+     */
+    record CallBody(byte[] body, boolean streaming) {}
+
+    /**
+     * Reads a caller's request.
      *
      * @throws IllegalArgumentException if it is not a JSON object with a prompt
      */
-    static byte[] callBody(byte[] request) {
+    static CallBody callBody(byte[] request) {
         JsonNode tree = Json.tree(request);
         if (!(tree instanceof ObjectNode body)) {
             throw new IllegalArgumentException("the body must be a JSON object");
@@ -39,14 +47,10 @@
         if (!max.isMissingNode() && (!max.isInt() || max.asInt() <= 0)) {
             throw new IllegalArgumentException("max_tokens must be a positive integer");
         }
+        boolean streaming = body.path("stream").asBoolean(false);
         body.put("stream", true);
         body.put("priority", "call");
-        return Json.write(body);
-    }
-
-    /** Returns whether a caller's request asks for a streaming answer. */
-    static boolean isStreaming(byte[] request) {
-        return Json.tree(request).path("stream").asBoolean(false);
+        return new CallBody(Json.write(body), streaming);
     }
 
     /** Returns the whole answer to a call that is not streaming. */
--- a/ebonyrun-standin/src/main/java/org/ebonyrun/standin/virtual/VirtualAgent.java
+++ b/ebonyrun-standin/src/main/java/org/ebonyrun/standin/virtual/VirtualAgent.java
@@ -47,7 +47,6 @@
     private SwapMachine mSwap;
     private ConfigMachine mConfig;
     private long mConfigVersion;
-    private long mHighestConfig;
     private boolean mReverted;
     private long mDrainedAt = Long.MAX_VALUE;
     private long mStartsAfterDrain;
@@ -297,7 +296,6 @@
         public void adopted(OperatorConfig config, String text) {
             mReverted |= config.version() < mConfigVersion;
             mConfigVersion = config.version();
-            mHighestConfig = Math.max(mHighestConfig, mConfigVersion);
         }
     }
 }
--- a/ebonyrun-standin/src/main/java/org/ebonyrun/standin/virtual/VirtualEntry.java
+++ b/ebonyrun-standin/src/main/java/org/ebonyrun/standin/virtual/VirtualEntry.java
@@ -146,7 +146,6 @@
         List<Runnable> clients = List.copyOf(mClients);
         mClients.clear();
         clients.forEach(lost -> mTime.after(Nanos.PER_MILLI, lost));
-        mWorld.onEntryLost(this);
     }
 
     long now() {
@@ -203,11 +202,6 @@
                 });
     }
 
-    /** Forgets a request that its client has given up. */
-    void abandonStep(Runnable onLost) {
-        mClients.remove(onLost);
-    }
-
     /** Applies an operator's change. The sink is called once, unless the entry dies. */
     void applyConfig(
             long expected, String text, String nonce, Consumer<Result<StoredConfig>> sink) {
--- a/ebonyrun-standin/src/main/java/org/ebonyrun/standin/virtual/VirtualWorld.java
+++ b/ebonyrun-standin/src/main/java/org/ebonyrun/standin/virtual/VirtualWorld.java
@@ -44,7 +44,6 @@
     private final List<VirtualAgent> mAgents = new ArrayList<>();
     private final Set<VirtualProcess> mRemoved = new HashSet<>();
     private final Map<ServiceName, Long> mLatest = new HashMap<>();
-    private final Map<VirtualEntry, List<Runnable>> mForwarded = new HashMap<>();
     private List<Peer> mFrozenList = List.of();
     private long mFrozenUntil;
     private long mLinks;
@@ -304,10 +303,6 @@
         mTime.after(LATENCY_NANOS, () -> to.step(request, true, back, lost));
     }
 
-    void onEntryLost(VirtualEntry entry) {
-        mForwarded.remove(entry);
-    }
-
     /** Performs an act, and the fault that the plan has for it. */
     void act(PathStep step, Parties parties, Runnable act) {
         Optional<FaultKind> fault = mFaults.at(step);
