--- a/ebonyrun-bench/src/main/java/org/ebonyrun/bench/EntryBench.java
+++ b/ebonyrun-bench/src/main/java/org/ebonyrun/bench/EntryBench.java
@@ -11,10 +11,10 @@
 import java.util.concurrent.Semaphore;
 import java.util.concurrent.TimeUnit;
 import org.ebonyrun.daemon.entry.EntryNode;
-import org.ebonyrun.platform.http.HttpCall;
-import org.ebonyrun.platform.http.HttpCaller;
-import org.ebonyrun.platform.http.HttpReply;
-import org.ebonyrun.platform.vm.VmRecord;
+import org.ebonyrun.ports.http.HttpCall;
+import org.ebonyrun.ports.http.HttpCaller;
+import org.ebonyrun.ports.http.HttpReply;
+import org.ebonyrun.ports.vm.VmRecord;
 import org.ebonyrun.standin.loopback.LoopbackSettings;
 import org.ebonyrun.standin.platform.StandinPlatform;
 
--- a/ebonyrun-client/src/main/java/org/ebonyrun/client/command/ConfigCommand.java
+++ b/ebonyrun-client/src/main/java/org/ebonyrun/client/command/ConfigCommand.java
@@ -17,7 +17,7 @@
 import org.ebonyrun.core.config.ConfigParser;
 import org.ebonyrun.core.settings.Problem;
 import org.ebonyrun.daemon.store.Json;
-import org.ebonyrun.platform.http.HttpReply;
+import org.ebonyrun.ports.http.HttpReply;
 
 /** Checks, applies and shows the operators' configuration. Stateless. */
 public final class ConfigCommand implements Command {
--- a/ebonyrun-client/src/main/java/org/ebonyrun/client/command/Remote.java
+++ b/ebonyrun-client/src/main/java/org/ebonyrun/client/command/Remote.java
@@ -11,9 +11,9 @@
 import org.ebonyrun.base.result.Outcome;
 import org.ebonyrun.base.result.Result;
 import org.ebonyrun.daemon.store.Json;
-import org.ebonyrun.platform.http.HttpCall;
-import org.ebonyrun.platform.http.HttpCaller;
-import org.ebonyrun.platform.http.HttpReply;
+import org.ebonyrun.ports.http.HttpCall;
+import org.ebonyrun.ports.http.HttpCaller;
+import org.ebonyrun.ports.http.HttpReply;
 
 /** One process that a command talks to. Not thread safe; used by one command. */
 final class Remote implements AutoCloseable {
--- a/ebonyrun-client/src/main/java/org/ebonyrun/client/command/StandinCommand.java
+++ b/ebonyrun-client/src/main/java/org/ebonyrun/client/command/StandinCommand.java
@@ -12,7 +12,7 @@
 import net.sourceforge.argparse4j.inf.Subparser;
 import net.sourceforge.argparse4j.inf.Subparsers;
 import org.ebonyrun.daemon.DaemonSettings;
-import org.ebonyrun.platform.vm.VmRecord;
+import org.ebonyrun.ports.vm.VmRecord;
 import org.ebonyrun.standin.engine.EngineSettings;
 import org.ebonyrun.standin.engine.StandinEngine;
 import org.ebonyrun.standin.engine.StandinService;
--- a/ebonyrun-client/src/main/java/org/ebonyrun/client/command/StatusCommand.java
+++ b/ebonyrun-client/src/main/java/org/ebonyrun/client/command/StatusCommand.java
@@ -7,7 +7,7 @@
 import net.sourceforge.argparse4j.inf.Subparsers;
 import org.ebonyrun.base.result.Result;
 import org.ebonyrun.daemon.store.Json;
-import org.ebonyrun.platform.http.HttpReply;
+import org.ebonyrun.ports.http.HttpReply;
 
 /** Shows classes against their targets, endpoints and steps as one entry sees them. Stateless. */
 public final class StatusCommand implements Command {
--- a/ebonyrun-client/src/main/java/org/ebonyrun/client/demo/DemoLoad.java
+++ b/ebonyrun-client/src/main/java/org/ebonyrun/client/demo/DemoLoad.java
@@ -11,8 +11,8 @@
 import java.util.concurrent.atomic.AtomicLong;
 import org.ebonyrun.base.result.Fault;
 import org.ebonyrun.daemon.store.Json;
-import org.ebonyrun.platform.http.HttpCall;
-import org.ebonyrun.platform.http.HttpReply;
+import org.ebonyrun.ports.http.HttpCall;
+import org.ebonyrun.ports.http.HttpReply;
 
 /** Offers interactive calls and billing syncs at steady rates. Thread safe. */
 final class DemoLoad implements AutoCloseable {
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/admin/AdminHandlers.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/admin/AdminHandlers.java
@@ -3,7 +3,7 @@
 import java.util.LinkedHashMap;
 import java.util.Map;
 import org.ebonyrun.daemon.store.Json;
-import org.ebonyrun.platform.http.Responder;
+import org.ebonyrun.ports.http.Responder;
 import org.glassfish.grizzly.http.server.HttpHandler;
 import org.glassfish.grizzly.http.server.Request;
 import org.glassfish.grizzly.http.server.Response;
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/agent/AgentNode.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/agent/AgentNode.java
@@ -50,10 +50,10 @@
 import org.ebonyrun.daemon.link.PeerLink;
 import org.ebonyrun.daemon.link.WireTypes;
 import org.ebonyrun.daemon.store.FenceStore;
-import org.ebonyrun.platform.http.HttpCaller;
-import org.ebonyrun.platform.http.HttpListenerSettings;
-import org.ebonyrun.platform.http.HttpServers;
-import org.ebonyrun.platform.kv.HttpKeyValueStore;
+import org.ebonyrun.ports.http.HttpCaller;
+import org.ebonyrun.ports.http.HttpListenerSettings;
+import org.ebonyrun.ports.http.HttpServers;
+import org.ebonyrun.ports.kv.HttpKeyValueStore;
 import org.glassfish.grizzly.http.server.HttpServer;
 
 /**
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/agent/EngineAdapter.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/agent/EngineAdapter.java
@@ -12,11 +12,11 @@
 import org.ebonyrun.base.result.Result;
 import org.ebonyrun.core.attempt.Job;
 import org.ebonyrun.daemon.store.Json;
-import org.ebonyrun.platform.http.HttpCall;
-import org.ebonyrun.platform.http.HttpCaller;
-import org.ebonyrun.platform.http.HttpListener;
-import org.ebonyrun.platform.http.HttpReply;
-import org.ebonyrun.platform.http.SseParser;
+import org.ebonyrun.ports.http.HttpCall;
+import org.ebonyrun.ports.http.HttpCaller;
+import org.ebonyrun.ports.http.HttpListener;
+import org.ebonyrun.ports.http.HttpReply;
+import org.ebonyrun.ports.http.SseParser;
 
 /**
  * Talks to a model engine: streaming completions with server-sent events, and the engine's orders.
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/agent/Exchanges.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/agent/Exchanges.java
@@ -3,7 +3,7 @@
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import org.ebonyrun.base.id.AttemptId;
-import org.ebonyrun.platform.http.HttpExchange;
+import org.ebonyrun.ports.http.HttpExchange;
 
 /** The open HTTP exchanges of an endpoint, by attempt. Thread safe. */
 final class Exchanges {
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/agent/PlainAdapter.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/agent/PlainAdapter.java
@@ -7,9 +7,9 @@
 import org.ebonyrun.base.result.Fault;
 import org.ebonyrun.base.result.FaultCode;
 import org.ebonyrun.core.attempt.Job;
-import org.ebonyrun.platform.http.HttpCall;
-import org.ebonyrun.platform.http.HttpCaller;
-import org.ebonyrun.platform.http.HttpListener;
+import org.ebonyrun.ports.http.HttpCall;
+import org.ebonyrun.ports.http.HttpCaller;
+import org.ebonyrun.ports.http.HttpListener;
 
 /** Talks to a plain HTTP service, which has no weights. Thread safe. */
 public final class PlainAdapter implements EndpointAdapter {
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/entry/Bodies.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/entry/Bodies.java
@@ -4,7 +4,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.ebonyrun.base.result.Result;
-import org.ebonyrun.platform.http.BodyReader;
+import org.ebonyrun.ports.http.BodyReader;
 import org.glassfish.grizzly.http.server.Request;
 
 /** Reads request bodies within a size and a time. Stateless and thread safe. */
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/entry/CallApi.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/entry/CallApi.java
@@ -18,7 +18,7 @@
 import org.ebonyrun.core.routing.Work;
 import org.ebonyrun.daemon.store.ClaimStore;
 import org.ebonyrun.daemon.store.Json;
-import org.ebonyrun.platform.http.Responder;
+import org.ebonyrun.ports.http.Responder;
 import org.glassfish.grizzly.http.server.Request;
 import org.jspecify.annotations.Nullable;
 
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/entry/ConfigApi.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/entry/ConfigApi.java
@@ -13,7 +13,7 @@
 import org.ebonyrun.core.settings.Problem;
 import org.ebonyrun.daemon.store.Json;
 import org.ebonyrun.daemon.store.StoredConfig;
-import org.ebonyrun.platform.http.Responder;
+import org.ebonyrun.ports.http.Responder;
 import org.glassfish.grizzly.http.server.Request;
 
 /**
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/entry/CountedStore.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/entry/CountedStore.java
@@ -5,9 +5,9 @@
 import java.util.concurrent.CompletableFuture;
 import org.ebonyrun.base.result.Result;
 import org.ebonyrun.daemon.admin.NodeMetrics;
-import org.ebonyrun.platform.kv.KeyValueEntry;
-import org.ebonyrun.platform.kv.KeyValueStore;
-import org.ebonyrun.platform.kv.WriteOutcome;
+import org.ebonyrun.ports.kv.KeyValueEntry;
+import org.ebonyrun.ports.kv.KeyValueStore;
+import org.ebonyrun.ports.kv.WriteOutcome;
 
 /** Counts the calls to a key-value service by kind. Thread safe. */
 final class CountedStore implements KeyValueStore {
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/entry/EntryContext.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/entry/EntryContext.java
@@ -37,14 +37,14 @@
 import org.ebonyrun.daemon.store.ConfigStore;
 import org.ebonyrun.daemon.store.LeaseClient;
 import org.ebonyrun.daemon.store.ManifestStore;
-import org.ebonyrun.platform.http.HttpCaller;
-import org.ebonyrun.platform.kv.GuardedStore;
-import org.ebonyrun.platform.kv.HttpKeyValueStore;
-import org.ebonyrun.platform.kv.KeyValueStore;
-import org.ebonyrun.platform.vm.HttpVmDirectory;
-import org.ebonyrun.platform.vm.VmDirectory;
-import org.ebonyrun.platform.weight.HttpWeightStore;
-import org.ebonyrun.platform.weight.WeightStore;
+import org.ebonyrun.ports.http.HttpCaller;
+import org.ebonyrun.ports.kv.GuardedStore;
+import org.ebonyrun.ports.kv.HttpKeyValueStore;
+import org.ebonyrun.ports.kv.KeyValueStore;
+import org.ebonyrun.ports.vm.HttpVmDirectory;
+import org.ebonyrun.ports.vm.VmDirectory;
+import org.ebonyrun.ports.weight.HttpWeightStore;
+import org.ebonyrun.ports.weight.WeightStore;
 
 /**
  * The parts of one entry, wired together.
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/entry/EntryNode.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/entry/EntryNode.java
@@ -13,9 +13,9 @@
 import org.ebonyrun.daemon.admin.AdminHandlers;
 import org.ebonyrun.daemon.admin.AdminSource;
 import org.ebonyrun.daemon.store.Json;
-import org.ebonyrun.platform.http.HttpListenerSettings;
-import org.ebonyrun.platform.http.HttpServers;
-import org.ebonyrun.platform.http.Responder;
+import org.ebonyrun.ports.http.HttpListenerSettings;
+import org.ebonyrun.ports.http.HttpServers;
+import org.ebonyrun.ports.http.Responder;
 import org.glassfish.grizzly.http.server.HttpHandler;
 import org.glassfish.grizzly.http.server.HttpServer;
 
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/entry/Faults.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/entry/Faults.java
@@ -3,7 +3,7 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import org.ebonyrun.base.result.Fault;
 import org.ebonyrun.daemon.store.Json;
-import org.ebonyrun.platform.http.Responder;
+import org.ebonyrun.ports.http.Responder;
 
 /** Writes faults as HTTP answers. Stateless and thread safe. */
 final class Faults {
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/entry/StepApi.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/entry/StepApi.java
@@ -15,7 +15,7 @@
 import org.ebonyrun.core.rollout.StepReply;
 import org.ebonyrun.core.rollout.StepRequest;
 import org.ebonyrun.daemon.store.Json;
-import org.ebonyrun.platform.http.Responder;
+import org.ebonyrun.ports.http.Responder;
 import org.glassfish.grizzly.http.server.Request;
 import org.jspecify.annotations.Nullable;
 
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/entry/VmPoller.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/entry/VmPoller.java
@@ -4,7 +4,7 @@
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.TimeUnit;
 import org.ebonyrun.core.membership.Peer;
-import org.ebonyrun.platform.vm.VmRecord;
+import org.ebonyrun.ports.vm.VmRecord;
 
 /**
  * Reads the platform's list of VMs now and again: the longer the list, the less often, so that its
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/store/ClaimStore.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/store/ClaimStore.java
@@ -9,9 +9,9 @@
 import org.ebonyrun.base.result.FaultCode;
 import org.ebonyrun.base.result.Outcome;
 import org.ebonyrun.base.result.Result;
-import org.ebonyrun.platform.kv.ConditionalWriter;
-import org.ebonyrun.platform.kv.KeyValueStore;
-import org.ebonyrun.platform.kv.WriteOutcome;
+import org.ebonyrun.ports.kv.ConditionalWriter;
+import org.ebonyrun.ports.kv.KeyValueStore;
+import org.ebonyrun.ports.kv.WriteOutcome;
 
 /**
  * Claims the keys of non-idempotent requests, so that a key runs at most once whichever entry gets
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/store/ConfigStore.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/store/ConfigStore.java
@@ -5,10 +5,10 @@
 import org.ebonyrun.base.result.Fault;
 import org.ebonyrun.base.result.FaultCode;
 import org.ebonyrun.base.result.Result;
-import org.ebonyrun.platform.kv.ConditionalWriter;
-import org.ebonyrun.platform.kv.KeyValueEntry;
-import org.ebonyrun.platform.kv.KeyValueStore;
-import org.ebonyrun.platform.kv.WriteOutcome;
+import org.ebonyrun.ports.kv.ConditionalWriter;
+import org.ebonyrun.ports.kv.KeyValueEntry;
+import org.ebonyrun.ports.kv.KeyValueStore;
+import org.ebonyrun.ports.kv.WriteOutcome;
 
 /**
  * Reads and replaces the operators' configuration in the key-value service.
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/store/FenceStore.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/store/FenceStore.java
@@ -7,10 +7,10 @@
 import org.ebonyrun.base.result.Fault;
 import org.ebonyrun.base.result.FaultCode;
 import org.ebonyrun.base.result.Result;
-import org.ebonyrun.platform.kv.ConditionalWriter;
-import org.ebonyrun.platform.kv.KeyValueEntry;
-import org.ebonyrun.platform.kv.KeyValueStore;
-import org.ebonyrun.platform.kv.WriteOutcome;
+import org.ebonyrun.ports.kv.ConditionalWriter;
+import org.ebonyrun.ports.kv.KeyValueEntry;
+import org.ebonyrun.ports.kv.KeyValueStore;
+import org.ebonyrun.ports.kv.WriteOutcome;
 
 /**
  * Keeps the highest fence of each lease under a key that never expires. A lease's own key lapses
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/store/LeaseClient.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/store/LeaseClient.java
@@ -8,10 +8,10 @@
 import org.ebonyrun.core.lease.Lease;
 import org.ebonyrun.core.lease.LeaseHolder;
 import org.ebonyrun.core.lease.LeaseReading;
-import org.ebonyrun.platform.kv.ConditionalWriter;
-import org.ebonyrun.platform.kv.KeyValueEntry;
-import org.ebonyrun.platform.kv.KeyValueStore;
-import org.ebonyrun.platform.kv.WriteOutcome;
+import org.ebonyrun.ports.kv.ConditionalWriter;
+import org.ebonyrun.ports.kv.KeyValueEntry;
+import org.ebonyrun.ports.kv.KeyValueStore;
+import org.ebonyrun.ports.kv.WriteOutcome;
 
 /**
  * Takes and extends leases, which are keys with a time to live. The fence of a lease is recorded
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/store/ManifestStore.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/store/ManifestStore.java
@@ -17,9 +17,9 @@
 import org.ebonyrun.base.result.FaultCode;
 import org.ebonyrun.base.result.Result;
 import org.ebonyrun.core.rollout.StepManifest;
-import org.ebonyrun.platform.kv.ConditionalWriter;
-import org.ebonyrun.platform.kv.KeyValueEntry;
-import org.ebonyrun.platform.kv.KeyValueStore;
+import org.ebonyrun.ports.kv.ConditionalWriter;
+import org.ebonyrun.ports.kv.KeyValueEntry;
+import org.ebonyrun.ports.kv.KeyValueStore;
 
 /**
  * Keeps step manifests in the key-value service, compressed and cut into chunks. The head, which is
--- a/ebonyrun-platform/src/main/java/org/ebonyrun/platform/http/HttpCall.java
+++ b/ebonyrun-ports/src/main/java/org/ebonyrun/ports/http/HttpCall.java
@@ -1,4 +1,4 @@
-package org.ebonyrun.platform.http;
+package org.ebonyrun.ports.http;
 
 import static com.google.common.base.Preconditions.checkArgument;
 
--- a/ebonyrun-platform/src/main/java/org/ebonyrun/platform/http/HttpExchange.java
+++ b/ebonyrun-ports/src/main/java/org/ebonyrun/ports/http/HttpExchange.java
@@ -1,4 +1,4 @@
-package org.ebonyrun.platform.http;
+package org.ebonyrun.ports.http;
 
 import java.net.SocketAddress;
 import java.util.concurrent.ScheduledFuture;
--- a/ebonyrun-platform/src/main/java/org/ebonyrun/platform/http/HttpListener.java
+++ b/ebonyrun-ports/src/main/java/org/ebonyrun/ports/http/HttpListener.java
@@ -1,4 +1,4 @@
-package org.ebonyrun.platform.http;
+package org.ebonyrun.ports.http;
 
 /** Receives one HTTP response. Called on I/O threads, in order; must not block. */
 public interface HttpListener {
--- a/ebonyrun-platform/src/main/java/org/ebonyrun/platform/http/HttpListenerSettings.java
+++ b/ebonyrun-ports/src/main/java/org/ebonyrun/ports/http/HttpListenerSettings.java
@@ -1,4 +1,4 @@
-package org.ebonyrun.platform.http;
+package org.ebonyrun.ports.http;
 
 /**
  * Where and how an HTTP server listens.
--- a/ebonyrun-platform/src/main/java/org/ebonyrun/platform/http/HttpServers.java
+++ b/ebonyrun-ports/src/main/java/org/ebonyrun/ports/http/HttpServers.java
@@ -1,4 +1,4 @@
-package org.ebonyrun.platform.http;
+package org.ebonyrun.ports.http;
 
 import java.io.IOException;
 import java.util.Map;
--- a/ebonyrun-platform/src/main/java/org/ebonyrun/platform/http/package-info.java
+++ b/ebonyrun-ports/src/main/java/org/ebonyrun/ports/http/package-info.java
@@ -1,5 +1,5 @@
 /** An asynchronous HTTP client and server helpers on Grizzly. */
 @NullMarked
-package org.ebonyrun.platform.http;
+package org.ebonyrun.ports.http;
 
 import org.jspecify.annotations.NullMarked;
--- a/ebonyrun-platform/src/main/java/org/ebonyrun/platform/kv/CircuitBreaker.java
+++ b/ebonyrun-ports/src/main/java/org/ebonyrun/ports/kv/CircuitBreaker.java
@@ -1,4 +1,4 @@
-package org.ebonyrun.platform.kv;
+package org.ebonyrun.ports.kv;
 
 import static com.google.common.base.Preconditions.checkArgument;
 
--- a/ebonyrun-platform/src/main/java/org/ebonyrun/platform/kv/HttpKeyValueStore.java
+++ b/ebonyrun-ports/src/main/java/org/ebonyrun/ports/kv/HttpKeyValueStore.java
@@ -1,4 +1,4 @@
-package org.ebonyrun.platform.kv;
+package org.ebonyrun.ports.kv;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
@@ -16,9 +16,9 @@
 import org.ebonyrun.base.result.Fault;
 import org.ebonyrun.base.result.FaultCode;
 import org.ebonyrun.base.result.Result;
-import org.ebonyrun.platform.http.HttpCall;
-import org.ebonyrun.platform.http.HttpCaller;
-import org.ebonyrun.platform.http.HttpReply;
+import org.ebonyrun.ports.http.HttpCall;
+import org.ebonyrun.ports.http.HttpCaller;
+import org.ebonyrun.ports.http.HttpReply;
 
 /**
  * Talks to a key-value service over HTTP and JSON.
--- a/ebonyrun-platform/src/main/java/org/ebonyrun/platform/kv/KeyValueEntry.java
+++ b/ebonyrun-ports/src/main/java/org/ebonyrun/ports/kv/KeyValueEntry.java
@@ -1,4 +1,4 @@
-package org.ebonyrun.platform.kv;
+package org.ebonyrun.ports.kv;
 
 /**
  * A stored value.
--- a/ebonyrun-platform/src/main/java/org/ebonyrun/platform/kv/KeyValueStore.java
+++ b/ebonyrun-ports/src/main/java/org/ebonyrun/ports/kv/KeyValueStore.java
@@ -1,4 +1,4 @@
-package org.ebonyrun.platform.kv;
+package org.ebonyrun.ports.kv;
 
 import java.util.List;
 import java.util.Optional;
--- a/ebonyrun-platform/src/main/java/org/ebonyrun/platform/vm/HttpVmDirectory.java
+++ b/ebonyrun-ports/src/main/java/org/ebonyrun/ports/vm/HttpVmDirectory.java
@@ -1,4 +1,4 @@
-package org.ebonyrun.platform.vm;
+package org.ebonyrun.ports.vm;
 
 import com.fasterxml.jackson.core.type.TypeReference;
 import com.fasterxml.jackson.databind.DeserializationFeature;
@@ -10,9 +10,9 @@
 import org.ebonyrun.base.result.Fault;
 import org.ebonyrun.base.result.FaultCode;
 import org.ebonyrun.base.result.Result;
-import org.ebonyrun.platform.http.HttpCall;
-import org.ebonyrun.platform.http.HttpCaller;
-import org.ebonyrun.platform.http.HttpReply;
+import org.ebonyrun.ports.http.HttpCall;
+import org.ebonyrun.ports.http.HttpCaller;
+import org.ebonyrun.ports.http.HttpReply;
 
 /** Reads the list of VMs over HTTP and JSON. Thread safe. */
 public final class HttpVmDirectory implements VmDirectory {
--- a/ebonyrun-platform/src/main/java/org/ebonyrun/platform/vm/VmDirectory.java
+++ b/ebonyrun-ports/src/main/java/org/ebonyrun/ports/vm/VmDirectory.java
@@ -1,4 +1,4 @@
-package org.ebonyrun.platform.vm;
+package org.ebonyrun.ports.vm;
 
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
--- a/ebonyrun-platform/src/main/java/org/ebonyrun/platform/vm/VmRecord.java
+++ b/ebonyrun-ports/src/main/java/org/ebonyrun/ports/vm/VmRecord.java
@@ -1,4 +1,4 @@
-package org.ebonyrun.platform.vm;
+package org.ebonyrun.ports.vm;
 
 import org.ebonyrun.base.id.FailureDomain;
 import org.ebonyrun.base.id.VmId;
--- a/ebonyrun-platform/src/main/java/org/ebonyrun/platform/vm/package-info.java
+++ b/ebonyrun-ports/src/main/java/org/ebonyrun/ports/vm/package-info.java
@@ -1,5 +1,5 @@
 /** The platform's list of live and leaving VMs. */
 @NullMarked
-package org.ebonyrun.platform.vm;
+package org.ebonyrun.ports.vm;
 
 import org.jspecify.annotations.NullMarked;
--- a/ebonyrun-platform/src/main/java/org/ebonyrun/platform/weight/HttpWeightStore.java
+++ b/ebonyrun-ports/src/main/java/org/ebonyrun/ports/weight/HttpWeightStore.java
@@ -1,4 +1,4 @@
-package org.ebonyrun.platform.weight;
+package org.ebonyrun.ports.weight;
 
 import java.net.URI;
 import java.util.concurrent.CompletableFuture;
@@ -6,9 +6,9 @@
 import org.ebonyrun.base.result.Fault;
 import org.ebonyrun.base.result.FaultCode;
 import org.ebonyrun.base.result.Result;
-import org.ebonyrun.platform.http.HttpCall;
-import org.ebonyrun.platform.http.HttpCaller;
-import org.ebonyrun.platform.http.HttpReply;
+import org.ebonyrun.ports.http.HttpCall;
+import org.ebonyrun.ports.http.HttpCaller;
+import org.ebonyrun.ports.http.HttpReply;
 
 /** Reads the newest weight version over HTTP. Thread safe. */
 public final class HttpWeightStore implements WeightStore {
--- a/ebonyrun-platform/src/main/java/org/ebonyrun/platform/weight/WeightStore.java
+++ b/ebonyrun-ports/src/main/java/org/ebonyrun/ports/weight/WeightStore.java
@@ -1,4 +1,4 @@
-package org.ebonyrun.platform.weight;
+package org.ebonyrun.ports.weight;
 
 import java.util.concurrent.CompletableFuture;
 import org.ebonyrun.base.id.ServiceName;
--- a/ebonyrun-platform/src/main/java/org/ebonyrun/platform/weight/package-info.java
+++ b/ebonyrun-ports/src/main/java/org/ebonyrun/ports/weight/package-info.java
@@ -1,5 +1,5 @@
 /** The platform's store of weight versions. */
 @NullMarked
-package org.ebonyrun.platform.weight;
+package org.ebonyrun.ports.weight;
 
 import org.jspecify.annotations.NullMarked;
--- a/ebonyrun-platform/src/test/java/org/ebonyrun/platform/http/SseParserTest.java
+++ b/ebonyrun-ports/src/test/java/org/ebonyrun/ports/http/SseParserTest.java
@@ -1,4 +1,4 @@
-package org.ebonyrun.platform.http;
+package org.ebonyrun.ports.http;
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.contains;
--- a/ebonyrun-platform/src/test/java/org/ebonyrun/platform/kv/CircuitBreakerTest.java
+++ b/ebonyrun-ports/src/test/java/org/ebonyrun/ports/kv/CircuitBreakerTest.java
@@ -1,4 +1,4 @@
-package org.ebonyrun.platform.kv;
+package org.ebonyrun.ports.kv;
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.is;
--- a/ebonyrun-standin/src/main/java/org/ebonyrun/standin/platform/KeyValueTable.java
+++ b/ebonyrun-standin/src/main/java/org/ebonyrun/standin/platform/KeyValueTable.java
@@ -5,9 +5,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
-import org.ebonyrun.platform.kv.KeyValueEntry;
-import org.ebonyrun.platform.kv.KeyValueStore;
-import org.ebonyrun.platform.kv.WriteOutcome;
+import org.ebonyrun.ports.kv.KeyValueEntry;
+import org.ebonyrun.ports.kv.KeyValueStore;
+import org.ebonyrun.ports.kv.WriteOutcome;
 import org.jspecify.annotations.Nullable;
 
 /**
--- a/ebonyrun-standin/src/main/java/org/ebonyrun/standin/trainer/StandinTrainer.java
+++ b/ebonyrun-standin/src/main/java/org/ebonyrun/standin/trainer/StandinTrainer.java
@@ -13,9 +13,9 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 import org.ebonyrun.base.result.Result;
-import org.ebonyrun.platform.http.HttpCall;
-import org.ebonyrun.platform.http.HttpCaller;
-import org.ebonyrun.platform.http.HttpReply;
+import org.ebonyrun.ports.http.HttpCall;
+import org.ebonyrun.ports.http.HttpCaller;
+import org.ebonyrun.ports.http.HttpReply;
 
 /**
  * A trainer: submits a step, pulls its samples, trains, publishes new weights, and begins again.
--- a/ebonyrun-standin/src/main/java/org/ebonyrun/standin/virtual/VirtualStore.java
+++ b/ebonyrun-standin/src/main/java/org/ebonyrun/standin/virtual/VirtualStore.java
@@ -8,9 +8,9 @@
 import org.ebonyrun.base.result.FaultCode;
 import org.ebonyrun.base.result.Result;
 import org.ebonyrun.base.time.Nanos;
-import org.ebonyrun.platform.kv.KeyValueEntry;
-import org.ebonyrun.platform.kv.KeyValueStore;
-import org.ebonyrun.platform.kv.WriteOutcome;
+import org.ebonyrun.ports.kv.KeyValueEntry;
+import org.ebonyrun.ports.kv.KeyValueStore;
+import org.ebonyrun.ports.kv.WriteOutcome;
 import org.ebonyrun.standin.platform.KeyValueTable;
 
 /** A key-value service in virtual time, with faults. Not thread safe. */
--- a/ebonyrun-standin/src/test/java/org/ebonyrun/standin/loopback/EntryHttpTest.java
+++ b/ebonyrun-standin/src/test/java/org/ebonyrun/standin/loopback/EntryHttpTest.java
@@ -10,7 +10,7 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.Map;
-import org.ebonyrun.platform.http.HttpReply;
+import org.ebonyrun.ports.http.HttpReply;
 import org.junit.jupiter.api.AfterAll;
 import org.junit.jupiter.api.BeforeAll;
 import org.junit.jupiter.api.Test;
--- a/ebonyrun-standin/src/test/java/org/ebonyrun/standin/loopback/NodeLifeTest.java
+++ b/ebonyrun-standin/src/test/java/org/ebonyrun/standin/loopback/NodeLifeTest.java
@@ -10,8 +10,8 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import org.ebonyrun.base.result.Result;
-import org.ebonyrun.platform.http.HttpListener;
-import org.ebonyrun.platform.http.HttpReply;
+import org.ebonyrun.ports.http.HttpListener;
+import org.ebonyrun.ports.http.HttpReply;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 
