--- a/ebonyrun-client/src/main/java/org/ebonyrun/client/command/Remote.java
+++ b/ebonyrun-client/src/main/java/org/ebonyrun/client/command/Remote.java
@@ -49,7 +49,7 @@
     /** Sends a request with headers and waits for the whole answer. */
     Result<HttpReply> ask(String method, String path, Map<String, String> headers, byte[] body) {
         HttpCall call =
-                new HttpCall(method, URI.create(mAddress + path), headers, body, TIMEOUT_MILLIS);
+                HttpCall.to(method, URI.create(mAddress + path), headers, body, TIMEOUT_MILLIS);
         return mCaller.request(call, "client." + method).join();
     }
 
--- a/ebonyrun-client/src/main/java/org/ebonyrun/client/demo/DemoLoad.java
+++ b/ebonyrun-client/src/main/java/org/ebonyrun/client/demo/DemoLoad.java
@@ -98,7 +98,7 @@
         String key = "sync-" + mNumbers.incrementAndGet();
         byte[] body = ("\"" + key + "\"").getBytes(StandardCharsets.UTF_8);
         HttpCall call =
-                new HttpCall(
+                HttpCall.to(
                         "POST",
                         URI.create(mFleet.nextEntry() + "/v1/calls/billing-sync"),
                         Map.of("Content-Type", "application/json", "Idempotency-Key", key),
--- /dev/null
+++ b/ebonyrun-core/src/main/java/org/ebonyrun/core/call/CallMachine.java
@@ -0,0 +1,331 @@
+package org.ebonyrun.core.call;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.ebonyrun.base.id.FailureDomain;
+import org.ebonyrun.base.time.Nanos;
+import org.ebonyrun.core.fleet.Endpoint;
+import org.ebonyrun.core.fleet.Fleet;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Serves calls: sends each to the endpoint that will answer it first, repeats what may be repeated,
+ * and refuses what no endpoint can take in time.
+ *
+ * <p>Answers the load of short calls that share a service with background calls: people's calls go
+ * before background calls, which leave a part of each endpoint's slots free.
+ *
+ * <p>Invariants: a call that may not be repeated is sent again only after its endpoint stated that
+ * it did not run; each call gets exactly one end, unless its caller abandoned it.
+ *
+ * <p>Not thread safe; confined to one duty.
+ */
+public final class CallMachine {
+    // Part of an endpoint's slots that background calls of one process may use.
+    private static final double BACKGROUND_SHARE = 0.7;
+    // A second endpoint is tried when the first has used this part of the goal.
+    private static final double HEDGE_SHARE = 0.5;
+    private static final long RETRY_NANOS = Nanos.ofMillis(25);
+    private static final long FULL_NANOS = Nanos.ofMillis(40);
+    private static final long WRONG_INSTANCE_NANOS = Nanos.ofMillis(1_500);
+    private static final long DEFAULT_ANSWER_NANOS = Nanos.ofMillis(30);
+    // Time kept to bring a refusal back to the caller before its deadline.
+    private static final long ANSWER_MARGIN_NANOS = Nanos.ofMillis(15);
+    private static final long MIN_RETRY_AFTER_MILLIS = 50;
+    private static final long MAX_RETRY_AFTER_MILLIS = 1_000;
+    private static final double REMOTE_DOMAIN_FACTOR = 1.15;
+
+    private final Fleet mFleet;
+    private final FailureDomain mDomain;
+    private final CallOutputs mOutputs;
+    private final Map<Long, PendingCall> mCalls = new LinkedHashMap<>();
+    private final Map<Long, PendingCall> mByAttempt = new HashMap<>();
+    private long mAttempts;
+
+    private CallMachine(Fleet fleet, FailureDomain domain, CallOutputs outputs) {
+        mFleet = fleet;
+        mDomain = domain;
+        mOutputs = outputs;
+    }
+
+    /** Creates a machine without calls. */
+    public static CallMachine create(Fleet fleet, FailureDomain domain, CallOutputs outputs) {
+        return new CallMachine(fleet, domain, outputs);
+    }
+
+    /** Returns the number of calls that are not answered yet. */
+    public int size() {
+        return mCalls.size();
+    }
+
+    /** Takes a call. */
+    public void onCall(CallSpec spec, long now) {
+        PendingCall call = new PendingCall(spec);
+        mCalls.put(spec.id(), call);
+        advance(call, now);
+    }
+
+    /** Ends a call whose caller left. */
+    public void onAbandoned(long id, long now) {
+        PendingCall call = mCalls.get(id);
+        if (call != null) {
+            end(call);
+        }
+    }
+
+    /** Notes that a stream began to arrive; from here on only this attempt can answer the call. */
+    public void onStreaming(long attempt, long now) {
+        PendingCall call = mByAttempt.get(attempt);
+        if (call == null) {
+            return;
+        }
+        call.mCommitted = true;
+        Endpoint endpoint = call.mOpen.get(attempt);
+        if (endpoint != null) {
+            endpoint.onAlive();
+        }
+        cancelOthers(call, attempt);
+    }
+
+    /** Notes the end of an attempt. */
+    public void onAttemptEnd(long attempt, AttemptEnd end, long now) {
+        PendingCall call = mByAttempt.remove(attempt);
+        if (call == null) {
+            return;
+        }
+        Endpoint endpoint = call.mOpen.remove(attempt);
+        if (endpoint != null) {
+            endpoint.onEnded();
+            judge(endpoint, end, call, now);
+        }
+        boolean ran = end == AttemptEnd.ANSWERED || end == AttemptEnd.SERVER_ERROR;
+        if (!ran && end != AttemptEnd.LOST) {
+            call.mMayHaveRun--;
+        }
+        if (end == AttemptEnd.ANSWERED || call.mCommitted) {
+            if (call.mCommitted && end != AttemptEnd.ANSWERED) {
+                mOutputs.fail(call.mSpec, false, "stream broke off");
+            } else {
+                mOutputs.deliver(call.mSpec, attempt);
+            }
+            end(call);
+            drainQueue(now);
+            return;
+        }
+        if (end == AttemptEnd.SERVER_ERROR) {
+            call.mErrorAttempt = attempt;
+        }
+        advance(call, now);
+        drainQueue(now);
+    }
+
+    private void judge(Endpoint endpoint, AttemptEnd end, PendingCall call, long now) {
+        switch (end) {
+            case ANSWERED -> {
+                endpoint.onAlive();
+                endpoint.onPace(now - call.mSentAt, now);
+            }
+            case SERVER_ERROR -> endpoint.onAlive();
+            case NOT_RUN -> {
+                call.mRefusedBy.add(endpoint.id());
+                endpoint.avoidFor(FULL_NANOS, now);
+            }
+            case WRONG_INSTANCE -> endpoint.avoidFor(WRONG_INSTANCE_NANOS, now);
+            case UNREACHABLE, LOST -> endpoint.onFailure(now);
+            default -> throw new IllegalStateException("attempt ended with " + end);
+        }
+    }
+
+    /** Repeats, hedges and ends calls whose time has come. */
+    public void onTick(long now) {
+        drainQueue(now);
+        for (PendingCall call : List.copyOf(mCalls.values())) {
+            if (now - call.mSpec.endsAt() + ANSWER_MARGIN_NANOS >= 0) {
+                expire(call);
+            } else if (isHedgeDue(call, now)) {
+                trySend(call, now);
+            }
+        }
+    }
+
+    private boolean isHedgeDue(PendingCall call, long now) {
+        if (call.mOpen.size() != 1 || call.mCommitted || !call.mayRunAgain()) {
+            return false;
+        }
+        long goal = Nanos.ofMillis(call.mSpec.route().call().goalMillis());
+        return now - call.mSentAt >= (long) (HEDGE_SHARE * goal);
+    }
+
+    private void drainQueue(long now) {
+        List<PendingCall> waiting = new ArrayList<>();
+        for (PendingCall call : mCalls.values()) {
+            if (call.mOpen.isEmpty() && now - call.mNextTryAt >= 0) {
+                waiting.add(call);
+            }
+        }
+        waiting.sort(
+                Comparator.comparing((PendingCall call) -> call.mSpec.background())
+                        .thenComparing(call -> call.mSpec.route().call().priority())
+                        .thenComparing(call -> call.mSpec.endsAt()));
+        for (PendingCall call : waiting) {
+            advance(call, now);
+        }
+    }
+
+    /** Sends a call that has no open attempt, or decides that it must wait or end. */
+    private void advance(PendingCall call, long now) {
+        if (!call.mOpen.isEmpty() || !mCalls.containsKey(call.mSpec.id())) {
+            return;
+        }
+        if (!call.mayRunAgain()) {
+            giveUp(call);
+            return;
+        }
+        if (trySend(call, now)) {
+            return;
+        }
+        if (call.mRefusedBy.size() > 0) {
+            call.mRefusedBy.clear();
+        }
+        call.mNextTryAt = now + RETRY_NANOS;
+        if (!call.mSpec.background() && isHopeless(call, now)) {
+            refuseOrFail(call, now);
+        }
+    }
+
+    private void giveUp(PendingCall call) {
+        if (call.mErrorAttempt != null) {
+            mOutputs.deliver(call.mSpec, call.mErrorAttempt);
+        } else {
+            mOutputs.fail(call.mSpec, false, "no attempt is left");
+        }
+        end(call);
+    }
+
+    private boolean isHopeless(PendingCall call, long now) {
+        List<Endpoint> serving = mFleet.serving(call.mSpec.service());
+        if (serving.isEmpty()) {
+            return true;
+        }
+        int slots = 0;
+        double pace = 0;
+        for (Endpoint endpoint : serving) {
+            slots += endpoint.record().slots();
+            pace += answerNanos(endpoint);
+        }
+        long ahead = mCalls.values().stream().filter(other -> other.mOpen.isEmpty()).count();
+        double waitNanos = pace / serving.size() * (1 + (double) ahead / slots);
+        return now + (long) waitNanos - call.mSpec.endsAt() >= 0;
+    }
+
+    private void refuseOrFail(PendingCall call, long now) {
+        if (call.mMayHaveRun > 0) {
+            giveUp(call);
+            return;
+        }
+        long third = Nanos.toMillis(Math.max(0, call.mSpec.endsAt() - now)) / 3;
+        long after = Math.max(MIN_RETRY_AFTER_MILLIS, Math.min(MAX_RETRY_AFTER_MILLIS, third / 2));
+        mOutputs.refuse(call.mSpec, after, "no endpoint can answer in time");
+        end(call);
+    }
+
+    private void expire(PendingCall call) {
+        if (call.mErrorAttempt != null && call.mOpen.isEmpty()) {
+            mOutputs.deliver(call.mSpec, call.mErrorAttempt);
+        } else if (call.mMayHaveRun > 0 || !call.mOpen.isEmpty()) {
+            mOutputs.fail(call.mSpec, true, "no answer in time");
+        } else {
+            mOutputs.refuse(call.mSpec, MIN_RETRY_AFTER_MILLIS, "no endpoint had room in time");
+        }
+        end(call);
+    }
+
+    private boolean trySend(PendingCall call, long now) {
+        Endpoint endpoint = choose(call, now);
+        if (endpoint == null) {
+            return false;
+        }
+        long attempt = ++mAttempts;
+        call.mOpen.put(attempt, endpoint);
+        call.mUsed.add(endpoint.id());
+        call.mMayHaveRun++;
+        call.mSentAt = now;
+        mByAttempt.put(attempt, call);
+        endpoint.onSent();
+        long left = Math.max(1, Nanos.toMillis(call.mSpec.endsAt() - now));
+        mOutputs.send(call.mSpec, attempt, endpoint, left);
+        return true;
+    }
+
+    private @Nullable Endpoint choose(PendingCall call, long now) {
+        Endpoint best = null;
+        double bestCost = Double.MAX_VALUE;
+        for (Endpoint endpoint : mFleet.serving(call.mSpec.service())) {
+            if (!hasRoom(endpoint, call) || call.mRefusedBy.contains(endpoint.id())) {
+                continue;
+            }
+            if (endpoint.isAvoided(now) && call.mUsed.contains(endpoint.id())) {
+                continue;
+            }
+            double cost = cost(endpoint, call, now);
+            if (cost < bestCost) {
+                best = endpoint;
+                bestCost = cost;
+            }
+        }
+        return best;
+    }
+
+    private static boolean hasRoom(Endpoint endpoint, PendingCall call) {
+        int slots = endpoint.record().slots();
+        int room = call.mSpec.background() ? (int) Math.ceil(BACKGROUND_SHARE * slots) : slots;
+        return endpoint.active() < room && !call.mOpen.containsValue(endpoint);
+    }
+
+    private double cost(Endpoint endpoint, PendingCall call, long now) {
+        double load = (endpoint.active() + 1.0) / endpoint.record().slots();
+        double cost = answerNanos(endpoint) * (1 + load);
+        if (!endpoint.record().domain().equals(mDomain)) {
+            cost *= REMOTE_DOMAIN_FACTOR;
+        }
+        if (call.mUsed.contains(endpoint.id())) {
+            cost *= 4;
+        }
+        if (endpoint.isAvoided(now)) {
+            cost *= 1_000;
+        }
+        return cost;
+    }
+
+    private static double answerNanos(Endpoint endpoint) {
+        return endpoint.paceNanos() == 0 ? DEFAULT_ANSWER_NANOS : endpoint.paceNanos();
+    }
+
+    private void cancelOthers(PendingCall call, long kept) {
+        for (Long attempt : List.copyOf(call.mOpen.keySet())) {
+            if (attempt != kept) {
+                close(call, attempt);
+            }
+        }
+    }
+
+    private void end(PendingCall call) {
+        mCalls.remove(call.mSpec.id());
+        for (Long attempt : List.copyOf(call.mOpen.keySet())) {
+            close(call, attempt);
+        }
+    }
+
+    private void close(PendingCall call, long attempt) {
+        Endpoint endpoint = call.mOpen.remove(attempt);
+        mByAttempt.remove(attempt);
+        if (endpoint != null) {
+            endpoint.onEnded();
+        }
+        mOutputs.cancel(attempt);
+    }
+}
--- /dev/null
+++ b/ebonyrun-core/src/main/java/org/ebonyrun/core/fleet/Endpoint.java
@@ -0,0 +1,143 @@
+package org.ebonyrun.core.fleet;
+
+import java.util.HashMap;
+import java.util.Map;
+import org.ebonyrun.base.time.Nanos;
+
+/**
+ * One incarnation of an endpoint, as this process knows it.
+ *
+ * <p>Invariant: the weight version of a model never falls within one incarnation, because the
+ * endpoint's record may be older than an answer that was seen.
+ *
+ * <p>Not thread safe; confined to the duty that owns the fleet.
+ */
+public final class Endpoint {
+    private static final long FIRST_BACKOFF_NANOS = Nanos.ofMillis(400);
+    private static final long MAX_BACKOFF_NANOS = Nanos.ofMillis(3_000);
+    private static final double SMOOTHING = 0.2;
+
+    private EndpointRecord mRecord;
+    private final Map<String, Integer> mVersions = new HashMap<>();
+    private int mActive;
+    private int mFailures;
+    private long mAvoidUntil;
+    private boolean mAvoiding;
+    private boolean mGone;
+    private double mPaceNanos;
+    private long mPaceAt;
+    private int mLoading;
+
+    Endpoint(EndpointRecord record) {
+        mRecord = record;
+        mVersions.putAll(record.versions());
+    }
+
+    /** Returns the newest record. */
+    public EndpointRecord record() {
+        return mRecord;
+    }
+
+    /** Returns the id. */
+    public String id() {
+        return mRecord.id();
+    }
+
+    void update(EndpointRecord record) {
+        mRecord = record;
+        record.versions().forEach(this::learnVersion);
+    }
+
+    void setGone(boolean gone) {
+        mGone = gone;
+    }
+
+    /** Returns whether the endpoint may be given new work. */
+    public boolean isServing() {
+        return !mGone && !mRecord.leaving();
+    }
+
+    /** Returns whether recent failures speak against the endpoint. */
+    public boolean isAvoided(long now) {
+        return mAvoiding && now - mAvoidUntil < 0;
+    }
+
+    /** Returns how many requests this process has there. */
+    public int active() {
+        return mActive;
+    }
+
+    /** Notes that a request was sent. */
+    public void onSent() {
+        mActive++;
+    }
+
+    /** Notes that a request has ended in whatever way. */
+    public void onEnded() {
+        mActive = Math.max(0, mActive - 1);
+    }
+
+    /** Notes a sign of life. */
+    public void onAlive() {
+        mFailures = 0;
+        mAvoiding = false;
+    }
+
+    /** Notes that the endpoint could not be reached or fell silent. */
+    public void onFailure(long now) {
+        mFailures++;
+        long backoff = FIRST_BACKOFF_NANOS << Math.min(4, mFailures - 1);
+        mAvoidUntil = now + Math.min(MAX_BACKOFF_NANOS, backoff);
+        mAvoiding = true;
+    }
+
+    /** Keeps work away for a time, for example while the endpoint is full. */
+    public void avoidFor(long nanos, long now) {
+        if (!isAvoided(now) || mAvoidUntil - now < nanos) {
+            mAvoidUntil = now + nanos;
+            mAvoiding = true;
+        }
+    }
+
+    /** Notes a weight version that the endpoint showed; an older one is ignored. */
+    public void learnVersion(String model, int version) {
+        mVersions.merge(model, version, Math::max);
+    }
+
+    /** Returns the weight version of a model; zero if unknown. */
+    public int version(String model) {
+        return mVersions.getOrDefault(model, 0);
+    }
+
+    /** Notes the time between two events of one stream, in nanoseconds. */
+    public void onPace(double nanos, long now) {
+        mPaceNanos = mPaceNanos == 0 ? nanos : mPaceNanos + SMOOTHING * (nanos - mPaceNanos);
+        mPaceAt = now;
+    }
+
+    /**
+     * Returns the smoothed time between two events of a stream, in nanoseconds; zero if unknown.
+     */
+    public double paceNanos() {
+        return mPaceNanos;
+    }
+
+    /**
+     * Forgets a pace that has not been measured for a time, so that the endpoint is tried again.
+     */
+    public void agePace(long now, long maxAgeNanos) {
+        if (mPaceNanos != 0 && now - mPaceAt > maxAgeNanos) {
+            mPaceNanos = 0;
+        }
+    }
+
+    /** Marks the endpoint as busy with an order of this process, or as done with it. */
+    public void setLoading(boolean loading) {
+        mLoading = loading ? 1 : 0;
+    }
+
+    /** Returns whether an order of this process keeps the endpoint busy. */
+    public boolean isLoading() {
+        return mLoading > 0;
+    }
+}
--- /dev/null
+++ b/ebonyrun-core/src/main/java/org/ebonyrun/core/route/RouteTable.java
@@ -0,0 +1,110 @@
+package org.ebonyrun.core.route;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.ebonyrun.base.id.ServiceName;
+
+/**
+ * One version of the operators' configuration of routes.
+ *
+ * <p>Immutable and thread safe. Among the routes of a host the one with the longest matching prefix
+ * is found.
+ */
+public final class RouteTable {
+    private static final RouteTable EMPTY =
+            new RouteTable(
+                    0, List.of(), Set.of(), new CallerLimits(16_384, 32 << 20, 5_000, 30_000));
+
+    private final long mVersion;
+    private final Map<String, List<Route>> mByHost = new HashMap<>();
+    private final Set<ServiceName> mEngines;
+    private final CallerLimits mLimits;
+    private final int mSize;
+
+    private RouteTable(
+            long version, List<Route> routes, Set<ServiceName> engines, CallerLimits limits) {
+        mVersion = version;
+        mEngines = Set.copyOf(engines);
+        mLimits = limits;
+        mSize = routes.size();
+        for (Route route : routes) {
+            mByHost.computeIfAbsent(route.host(), host -> new ArrayList<>()).add(route);
+        }
+        Comparator<Route> longestFirst =
+                Comparator.comparingInt((Route route) -> -route.prefix().length());
+        mByHost.values().forEach(list -> list.sort(longestFirst));
+    }
+
+    /** Returns the table of a process that knows no configuration. */
+    public static RouteTable empty() {
+        return EMPTY;
+    }
+
+    /**
+     * Creates a table.
+     *
+     * @param version the version of the configuration, above zero
+     * @param routes the routes
+     * @param engines the services whose endpoints are model engines
+     * @param limits what callers may send
+     */
+    public static RouteTable of(
+            long version, List<Route> routes, Set<ServiceName> engines, CallerLimits limits) {
+        return new RouteTable(version, routes, engines, limits);
+    }
+
+    /** Returns the version; zero if no configuration is known. */
+    public long version() {
+        return mVersion;
+    }
+
+    /** Returns whether a configuration is known. */
+    public boolean isKnown() {
+        return mVersion > 0;
+    }
+
+    /** Returns the limits for callers. */
+    public CallerLimits limits() {
+        return mLimits;
+    }
+
+    /** Returns the number of routes. */
+    public int size() {
+        return mSize;
+    }
+
+    /** Returns whether the endpoints of a service are model engines. */
+    public boolean isEngine(ServiceName service) {
+        return mEngines.contains(service);
+    }
+
+    /**
+     * Finds the route of a request.
+     *
+     * @param host the host, with or without a port
+     * @param path the path without its query
+     */
+    public Optional<Route> find(String host, String path) {
+        List<Route> routes = mByHost.get(normalize(host));
+        if (routes == null) {
+            return Optional.empty();
+        }
+        for (Route route : routes) {
+            if (path.startsWith(route.prefix())) {
+                return Optional.of(route);
+            }
+        }
+        return Optional.empty();
+    }
+
+    private static String normalize(String host) {
+        int colon = host.indexOf(':');
+        return (colon < 0 ? host : host.substring(0, colon)).toLowerCase(Locale.ROOT);
+    }
+}
--- /dev/null
+++ b/ebonyrun-core/src/main/java/org/ebonyrun/core/step/StepOutputs.java
@@ -0,0 +1,37 @@
+package org.ebonyrun.core.step;
+
+import java.util.List;
+import org.ebonyrun.core.fleet.Endpoint;
+
+/** Carries out what a {@link StepMachine} decides. Called on the machine's thread. */
+public interface StepOutputs {
+    /**
+     * Starts a run.
+     *
+     * @param run the number of the run within this process
+     * @param lastEvent the event after which the stream goes on; zero for the beginning
+     * @param urgency the priority at the endpoint, zero the highest
+     */
+    void startRun(
+            long run,
+            StepSpec step,
+            SampleSpec sample,
+            Endpoint endpoint,
+            int lastEvent,
+            int urgency);
+
+    /** Closes the connection of a run whose stream is not needed any more. */
+    void cancelRun(long run, String reason);
+
+    /** Sends the call that scores a sample. */
+    void score(long run, StepSpec step, SampleSpec sample);
+
+    /**
+     * Stores results from a position on. Only one call for each step is open at a time; it ends
+     * with {@link StepMachine#onStored} or {@link StepMachine#onLost}.
+     */
+    void store(StepId step, int position, List<SampleResult> results, boolean last);
+
+    /** Notes that results are listed now. */
+    void listed(StepId step);
+}
--- /dev/null
+++ b/ebonyrun-core/src/main/java/org/ebonyrun/core/step/StepRun.java
@@ -0,0 +1,95 @@
+package org.ebonyrun.core.step;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.ebonyrun.core.route.Route;
+
+/**
+ * The progress of one step that this process owns.
+ *
+ * <p>Invariants: {@code mListed} holds what the store acknowledged, in the order of positions;
+ * {@code mStoring} is what is being stored from position {@code mListed.size()} on; a sample is in
+ * at most one of listed, storing and finished.
+ *
+ * <p>Not thread safe; confined to the duty of its machine.
+ */
+final class StepRun {
+    final StepSpec mSpec;
+    final Route mRoute;
+    final long mDueAt;
+    final long mGiveUpAt;
+    final Map<String, SampleRun> mSamples = new LinkedHashMap<>();
+    final List<SampleResult> mListed = new ArrayList<>();
+    final List<SampleResult> mFinished = new ArrayList<>();
+    List<SampleResult> mStoring = List.of();
+    long mFinishedSince;
+    boolean mEnded;
+    private final Map<String, Integer> mMissing = new HashMap<>();
+    private int mWholeGroups;
+
+    StepRun(StepSpec spec, Route route, long dueAt, long giveUpAt) {
+        mSpec = spec;
+        mRoute = route;
+        mDueAt = dueAt;
+        mGiveUpAt = giveUpAt;
+        Map<String, Integer> ranks = GroupOrder.ranks(spec);
+        for (SampleSpec sample : spec.samples()) {
+            mSamples.put(sample.id(), new SampleRun(this, sample, ranks.get(sample.group())));
+            mMissing.merge(sample.group(), 1, Integer::sum);
+        }
+    }
+
+    boolean isComplete() {
+        return mListed.size() == mSamples.size();
+    }
+
+    boolean isAllFinished() {
+        return mListed.size() + mStoring.size() + mFinished.size() == mSamples.size();
+    }
+
+    int wholeGroups() {
+        return mWholeGroups;
+    }
+
+    /** Returns whether the trainer still waits for groups. */
+    boolean isWanted() {
+        return mWholeGroups < mSpec.wantedGroups();
+    }
+
+    /** Notes that a sample is finished; returns whether its group is whole now. */
+    boolean finish(SampleRun sample, SampleResult result, long now) {
+        sample.mState = SampleRun.State.FINISHED;
+        sample.mEvents.clear();
+        if (mFinished.isEmpty()) {
+            mFinishedSince = now;
+        }
+        mFinished.add(result);
+        return countDown(sample.mSpec.group());
+    }
+
+    private boolean countDown(String group) {
+        int left = mMissing.merge(group, -1, Integer::sum);
+        if (left == 0) {
+            mWholeGroups++;
+        }
+        return left == 0;
+    }
+
+    /** Takes in results that were listed by an owner before. */
+    void restore(List<SampleResult> listed) {
+        Set<String> seen = new HashSet<>();
+        for (SampleResult result : listed) {
+            SampleRun sample = mSamples.get(result.id());
+            mListed.add(result);
+            if (sample != null && seen.add(result.id())) {
+                sample.mState = SampleRun.State.FINISHED;
+                countDown(sample.mSpec.group());
+            }
+        }
+    }
+}
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/DaemonMain.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/DaemonMain.java
@@ -14,6 +14,7 @@
 import org.ebonyrun.core.settings.Problem;
 import org.ebonyrun.daemon.agent.AgentNode;
 import org.ebonyrun.daemon.entry.EntryNode;
+import org.ebonyrun.daemon.hosted.HostedMain;
 import org.tinylog.Logger;
 
 /** The binary {@code ebonyrund}. Stateless. */
@@ -61,7 +62,11 @@
         String file = options.getString("settings");
         DaemonSettings.Parsed parsed;
         try {
-            parsed = DaemonSettings.parse(file, Files.readString(Path.of(file)));
+            String text = Files.readString(Path.of(file));
+            if (HostedMain.isHosted(text)) {
+                return HostedMain.run(file, text, options.getBoolean("check"));
+            }
+            parsed = DaemonSettings.parse(file, text);
         } catch (IOException e) {
             System.err.println("cannot read " + file + ": " + e.getMessage());
             return EXIT_SETTINGS;
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/agent/EngineAdapter.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/agent/EngineAdapter.java
@@ -14,6 +14,7 @@
 import org.ebonyrun.daemon.store.Json;
 import org.ebonyrun.ports.http.HttpCall;
 import org.ebonyrun.ports.http.HttpCaller;
+import org.ebonyrun.ports.http.HttpHead;
 import org.ebonyrun.ports.http.HttpListener;
 import org.ebonyrun.ports.http.HttpReply;
 import org.ebonyrun.ports.http.SseParser;
@@ -49,7 +50,7 @@
     @Override
     public void start(AttemptId id, Job job) {
         HttpCall call =
-                new HttpCall(
+                HttpCall.to(
                         "POST",
                         URI.create(mBase + job.path()),
                         Map.of(
@@ -128,8 +129,8 @@
         }
 
         @Override
-        public void onHead(int status) {
-            mStatus = status;
+        public void onHead(HttpHead head) {
+            mStatus = head.status();
         }
 
         @Override
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/agent/PlainAdapter.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/agent/PlainAdapter.java
@@ -9,6 +9,7 @@
 import org.ebonyrun.core.attempt.Job;
 import org.ebonyrun.ports.http.HttpCall;
 import org.ebonyrun.ports.http.HttpCaller;
+import org.ebonyrun.ports.http.HttpHead;
 import org.ebonyrun.ports.http.HttpListener;
 
 /** Talks to a plain HTTP service, which has no weights. Thread safe. */
@@ -35,7 +36,7 @@
     @Override
     public void start(AttemptId id, Job job) {
         HttpCall call =
-                new HttpCall(
+                HttpCall.to(
                         "POST",
                         URI.create(mBase + job.path()),
                         Map.of("Content-Type", job.contentType(), "X-Request-Id", id.toString()),
@@ -84,8 +85,8 @@
         }
 
         @Override
-        public void onHead(int status) {
-            mStatus = status;
+        public void onHead(HttpHead head) {
+            mStatus = head.status();
         }
 
         @Override
--- /dev/null
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/CallDesk.java
@@ -0,0 +1,283 @@
+package org.ebonyrun.daemon.hosted;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.function.BiConsumer;
+import org.ebonyrun.base.id.FailureDomain;
+import org.ebonyrun.base.log.LogLine;
+import org.ebonyrun.core.call.AttemptEnd;
+import org.ebonyrun.core.call.CallMachine;
+import org.ebonyrun.core.call.CallOutputs;
+import org.ebonyrun.core.call.CallSpec;
+import org.ebonyrun.core.fleet.Endpoint;
+import org.ebonyrun.core.fleet.Fleet;
+import org.ebonyrun.core.step.ScoreCall;
+import org.ebonyrun.core.step.ScoreEnd;
+import org.ebonyrun.platform.EndpointProtocol;
+import org.ebonyrun.platform.FrontProtocol;
+import org.ebonyrun.ports.http.FrontExchange;
+import org.ebonyrun.ports.http.HttpCall;
+import org.ebonyrun.ports.http.HttpCaller;
+import org.ebonyrun.ports.http.HttpHead;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Carries out what the call machine decides, for callers and for scores of samples.
+ *
+ * <p>Not thread safe; confined to the entry's duty.
+ */
+final class CallDesk implements CallOutputs, CallExchange.Sink {
+    private static final int UNAVAILABLE = 503;
+    private static final int GATEWAY_TIMEOUT = 504;
+    private static final int BAD_GATEWAY = 502;
+
+    /** Who waits for a call: a caller, or a sample that is scored. */
+    private record Client(
+            @Nullable FrontExchange caller,
+            @Nullable ScoreCall score,
+            @Nullable BiConsumer<ScoreEnd, String> onScore) {}
+
+    private final EntryParts mParts;
+    private final HttpCaller mCaller;
+    private final CallMachine mMachine;
+    private final Map<Long, Client> mClients = new HashMap<>();
+    private final Map<FrontExchange, Long> mCallOf = new HashMap<>();
+    private final Map<Long, CallExchange> mAttempts = new HashMap<>();
+    private final Map<Long, CallSpec> mSpecs = new HashMap<>();
+    private final Map<Long, Long> mErrors = new HashMap<>();
+    private long mCount;
+
+    CallDesk(EntryParts parts, HttpCaller caller, Fleet fleet, FailureDomain domain) {
+        mParts = parts;
+        mCaller = caller;
+        mMachine = CallMachine.create(fleet, domain, this);
+    }
+
+    /** Returns a number for a new call. */
+    long nextId() {
+        return ++mCount;
+    }
+
+    /** Takes a call of a caller. */
+    void onCall(CallSpec spec, FrontExchange caller, long now) {
+        mClients.put(spec.id(), new Client(caller, null, null));
+        mCallOf.put(caller, spec.id());
+        mMachine.onCall(spec, now);
+    }
+
+    /** Takes a call that scores a sample. */
+    void onScore(CallSpec spec, ScoreCall score, BiConsumer<ScoreEnd, String> end, long now) {
+        mClients.put(spec.id(), new Client(null, score, end));
+        mMachine.onCall(spec, now);
+    }
+
+    /** Ends the call of a caller that left. */
+    void onAbandoned(FrontExchange caller, long now) {
+        Long call = mCallOf.remove(caller);
+        if (call != null) {
+            mClients.remove(call);
+            mMachine.onAbandoned(call, now);
+        }
+    }
+
+    int size() {
+        return mMachine.size();
+    }
+
+    void onTick(long now) {
+        mMachine.onTick(now);
+    }
+
+    @Override
+    public void send(CallSpec call, long attempt, Endpoint endpoint, long leftMillis) {
+        Client client = mClients.get(call.id());
+        if (client == null) {
+            return;
+        }
+        boolean streaming =
+                client.caller() != null
+                        && call.route().kind() == org.ebonyrun.core.route.RouteKind.STREAM;
+        CallExchange exchange =
+                new CallExchange(attempt, call.requestId(), streaming, mParts.executor(), this);
+        mAttempts.put(attempt, exchange);
+        mSpecs.put(attempt, call);
+        HttpCall request = request(client, endpoint, leftMillis);
+        mParts.log()
+                .write(
+                        LogLine.of("call.sent")
+                                .with("request", call.requestId())
+                                .with("endpoint", endpoint.id())
+                                .with("attempt", attempt)
+                                .with("active", endpoint.active())
+                                .with("left_ms", leftMillis));
+        exchange.setExchange(mCaller.send(request, exchange));
+    }
+
+    private static HttpCall request(Client client, Endpoint endpoint, long leftMillis) {
+        FrontExchange caller = client.caller();
+        ScoreCall score = client.score();
+        if (caller != null) {
+            return EndpointProtocol.call(
+                    endpoint.record(),
+                    caller.method(),
+                    caller.target(),
+                    caller.headers(),
+                    caller.body(),
+                    leftMillis);
+        }
+        if (score == null) {
+            throw new IllegalStateException("call without a client");
+        }
+        return EndpointProtocol.score(endpoint.record(), score, leftMillis);
+    }
+
+    @Override
+    public void cancel(long attempt) {
+        CallExchange exchange = mAttempts.remove(attempt);
+        mSpecs.remove(attempt);
+        if (exchange != null) {
+            exchange.cancel();
+        }
+    }
+
+    @Override
+    public void deliver(CallSpec call, long attempt) {
+        CallExchange exchange = mAttempts.remove(attempt);
+        Client client = finish(call);
+        HttpHead head = exchange == null ? null : exchange.head();
+        if (client == null || head == null) {
+            return;
+        }
+        FrontExchange caller = client.caller();
+        if (caller == null) {
+            endScore(client, head);
+        } else if (caller.isBegun()) {
+            caller.finish();
+        } else {
+            caller.respond(head.status(), head.headers().endToEnd(), exchange.body());
+        }
+    }
+
+    private static void endScore(Client client, HttpHead head) {
+        BiConsumer<ScoreEnd, String> end = client.onScore();
+        if (end == null) {
+            return;
+        }
+        if (head.isSuccess()) {
+            end.accept(ScoreEnd.SCORED, EndpointProtocol.signature(head));
+        } else {
+            end.accept(ScoreEnd.FAILED, "");
+        }
+    }
+
+    @Override
+    public void refuse(CallSpec call, long retryAfterMillis, String reason) {
+        mParts.log()
+                .write(
+                        LogLine.of("call.refused")
+                                .with("request", call.requestId())
+                                .with("service", call.service())
+                                .with("retry_after_ms", retryAfterMillis)
+                                .with("open_calls", mMachine.size())
+                                .with("why", reason));
+        Client client = finish(call);
+        if (client == null) {
+            return;
+        }
+        if (client.onScore() != null) {
+            client.onScore().accept(ScoreEnd.UNKNOWN, "");
+        } else if (client.caller() != null) {
+            client.caller()
+                    .respond(
+                            UNAVAILABLE,
+                            FrontProtocol.retryAfter(call.requestId(), retryAfterMillis),
+                            EndpointProtocol.noBody());
+        }
+    }
+
+    @Override
+    public void fail(CallSpec call, boolean timeout, String reason) {
+        mParts.log()
+                .write(
+                        LogLine.of("call.failed")
+                                .with("request", call.requestId())
+                                .with("service", call.service())
+                                .with("timeout", timeout)
+                                .with("why", reason));
+        Client client = finish(call);
+        if (client == null) {
+            return;
+        }
+        FrontExchange caller = client.caller();
+        if (client.onScore() != null) {
+            client.onScore().accept(ScoreEnd.UNKNOWN, "");
+        } else if (caller != null && caller.isBegun()) {
+            caller.abort();
+        } else if (caller != null) {
+            caller.respond(
+                    timeout ? GATEWAY_TIMEOUT : BAD_GATEWAY,
+                    FrontProtocol.own(call.requestId()),
+                    EndpointProtocol.noBody());
+        }
+    }
+
+    private @Nullable Client finish(CallSpec call) {
+        Client client = mClients.remove(call.id());
+        if (client != null && client.caller() != null) {
+            mCallOf.remove(client.caller());
+        }
+        Long error = mErrors.remove(call.id());
+        if (error != null) {
+            mAttempts.remove(error);
+        }
+        return client;
+    }
+
+    @Override
+    public void onHead(CallExchange exchange, HttpHead head) {
+        CallSpec call = mSpecs.get(exchange.attempt());
+        Client client = call == null ? null : mClients.get(call.id());
+        if (client == null || client.caller() == null) {
+            return;
+        }
+        mMachine.onStreaming(exchange.attempt(), System.nanoTime());
+        client.caller().begin(head.status(), head.headers().endToEnd());
+    }
+
+    @Override
+    public void onPiece(CallExchange exchange, byte[] piece) {
+        CallSpec call = mSpecs.get(exchange.attempt());
+        Client client = call == null ? null : mClients.get(call.id());
+        if (client != null && client.caller() != null) {
+            client.caller().write(piece);
+        }
+    }
+
+    @Override
+    public void onEnd(CallExchange exchange, AttemptEnd end) {
+        CallSpec call = mSpecs.get(exchange.attempt());
+        if (call == null) {
+            return;
+        }
+        HttpHead head = exchange.head();
+        mParts.log()
+                .write(
+                        LogLine.of("call.attempt")
+                                .with("request", call.requestId())
+                                .with("attempt", exchange.attempt())
+                                .with("end", end)
+                                .with("status", head == null ? 0 : head.status())
+                                .with("detail", exchange.detail()));
+        mSpecs.remove(exchange.attempt());
+        if (end == AttemptEnd.SERVER_ERROR) {
+            Long earlier = mErrors.put(call.id(), exchange.attempt());
+            if (earlier != null) {
+                mAttempts.remove(earlier);
+            }
+        }
+        mMachine.onAttemptEnd(exchange.attempt(), end, System.nanoTime());
+        if (end != AttemptEnd.SERVER_ERROR) {
+            mAttempts.remove(exchange.attempt());
+        }
+    }
+}
--- /dev/null
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/CallExchange.java
@@ -0,0 +1,113 @@
+package org.ebonyrun.daemon.hosted;
+
+import java.io.ByteArrayOutputStream;
+import java.util.concurrent.Executor;
+import org.ebonyrun.core.call.AttemptEnd;
+import org.ebonyrun.platform.EndpointProtocol;
+import org.ebonyrun.ports.http.HttpExchange;
+import org.ebonyrun.ports.http.HttpHead;
+import org.ebonyrun.ports.http.HttpListener;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * One attempt of a call at an endpoint.
+ *
+ * <p>The I/O thread collects the answer; the entry's duty reads it after {@link Sink#onEnd}. With
+ * {@code streaming}, pieces of a success are passed on as they arrive.
+ */
+final class CallExchange implements HttpListener {
+    /** Hears of the attempt on the entry's duty. */
+    interface Sink {
+        /** The head of a stream arrived. */
+        void onHead(CallExchange exchange, HttpHead head);
+
+        /** A piece of a stream arrived. */
+        void onPiece(CallExchange exchange, byte[] piece);
+
+        /** The attempt ended. */
+        void onEnd(CallExchange exchange, AttemptEnd end);
+    }
+
+    private final long mAttempt;
+    private final String mRequestId;
+    private final boolean mStreaming;
+    private final Executor mExecutor;
+    private final Sink mSink;
+    private final ByteArrayOutputStream mBody = new ByteArrayOutputStream();
+    private @Nullable HttpHead mHead;
+    private boolean mPassing;
+    private @Nullable HttpExchange mExchange;
+    private String mDetail = "";
+
+    CallExchange(long attempt, String requestId, boolean streaming, Executor executor, Sink sink) {
+        mAttempt = attempt;
+        mRequestId = requestId;
+        mStreaming = streaming;
+        mExecutor = executor;
+        mSink = sink;
+    }
+
+    long attempt() {
+        return mAttempt;
+    }
+
+    @Nullable HttpHead head() {
+        return mHead;
+    }
+
+    byte[] body() {
+        return mBody.toByteArray();
+    }
+
+    String detail() {
+        return mDetail;
+    }
+
+    void setExchange(HttpExchange exchange) {
+        mExchange = exchange;
+    }
+
+    void cancel() {
+        if (mExchange != null) {
+            mExchange.cancel();
+        }
+    }
+
+    @Override
+    public void onHead(HttpHead head) {
+        mHead = head;
+        boolean own = EndpointProtocol.belongsTo(head, mRequestId);
+        boolean signed = EndpointProtocol.attemptEnd(head) == AttemptEnd.ANSWERED;
+        mPassing = mStreaming && own && head.isSuccess() && signed;
+        if (mPassing) {
+            mExecutor.execute(() -> mSink.onHead(this, head));
+        }
+    }
+
+    @Override
+    public void onData(byte[] data) {
+        if (mPassing) {
+            mExecutor.execute(() -> mSink.onPiece(this, data));
+        } else {
+            mBody.writeBytes(data);
+        }
+    }
+
+    @Override
+    public void onEnd() {
+        HttpHead head = mHead;
+        boolean own = head != null && EndpointProtocol.belongsTo(head, mRequestId);
+        if (!own) {
+            mDetail = "the answer belongs to another request";
+        }
+        AttemptEnd end = own ? EndpointProtocol.attemptEnd(head) : AttemptEnd.LOST;
+        mExecutor.execute(() -> mSink.onEnd(this, end));
+    }
+
+    @Override
+    public void onFailure(boolean sent, String detail) {
+        mDetail = detail;
+        AttemptEnd end = sent ? AttemptEnd.LOST : AttemptEnd.UNREACHABLE;
+        mExecutor.execute(() -> mSink.onEnd(this, end));
+    }
+}
--- /dev/null
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/EntryParts.java
@@ -0,0 +1,33 @@
+package org.ebonyrun.daemon.hosted;
+
+import java.util.concurrent.Executor;
+import org.ebonyrun.base.log.EventLog;
+import org.ebonyrun.core.route.Route;
+
+/**
+ * What the parts of an entry share.
+ *
+ * <p>Called on the entry's duty, but for {@link #executor}, which is thread safe.
+ */
+interface EntryParts {
+    /** Runs tasks on the entry's duty. */
+    Executor executor();
+
+    /** Runs a task on the entry's duty after a time. */
+    void later(long nanos, Runnable task);
+
+    /** Returns the log. */
+    EventLog log();
+
+    /** Returns the entry's lease. */
+    EntryLease lease();
+
+    /** Returns what is known of steps. */
+    StepDirectory directory();
+
+    /** Returns the text that marks what this process owns. */
+    String owner();
+
+    /** Returns the route of a stored step. */
+    Route routeOf(StepManifest manifest);
+}
--- /dev/null
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/HostedEntry.java
@@ -0,0 +1,441 @@
+package org.ebonyrun.daemon.hosted;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.PriorityQueue;
+import java.util.Random;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.Executor;
+import java.util.concurrent.TimeUnit;
+import org.ebonyrun.base.duty.Duty;
+import org.ebonyrun.base.duty.DutyHandler;
+import org.ebonyrun.base.log.EventLog;
+import org.ebonyrun.base.log.LogLine;
+import org.ebonyrun.base.result.Fault;
+import org.ebonyrun.base.time.MonotonicClock;
+import org.ebonyrun.base.time.Nanos;
+import org.ebonyrun.core.fleet.EndpointRecord;
+import org.ebonyrun.core.fleet.Fleet;
+import org.ebonyrun.core.route.CallTerms;
+import org.ebonyrun.core.route.CallerLimits;
+import org.ebonyrun.core.route.Route;
+import org.ebonyrun.core.route.RouteKind;
+import org.ebonyrun.core.route.RouteTable;
+import org.ebonyrun.core.route.StepTerms;
+import org.ebonyrun.core.route.WeightedService;
+import org.ebonyrun.core.step.StepId;
+import org.ebonyrun.platform.EndpointDecoder;
+import org.ebonyrun.platform.OperatorDecoder;
+import org.ebonyrun.platform.OperatorEvent;
+import org.ebonyrun.platform.StoreClient;
+import org.ebonyrun.ports.http.FrontLimits;
+import org.ebonyrun.ports.http.FrontServer;
+import org.ebonyrun.ports.http.HttpCaller;
+import org.ebonyrun.ports.store.SharedStore;
+import org.ebonyrun.ports.store.StoreChange;
+import org.ebonyrun.ports.store.StoreItem;
+import org.glassfish.grizzly.nio.transport.TCPNIOTransport;
+import org.glassfish.grizzly.nio.transport.TCPNIOTransportBuilder;
+import org.glassfish.grizzly.strategies.SameThreadIOStrategy;
+import org.glassfish.grizzly.threadpool.ThreadPoolConfig;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * An entry that reaches endpoints and the shared store itself.
+ *
+ * <p>One I/O thread reads and writes all sockets; one duty holds all state and takes all decisions;
+ * a bounded ring joins them. Thread safe: {@link #drain} may be called from any thread.
+ */
+public final class HostedEntry implements EntryParts, DutyHandler<Runnable> {
+    private static final int RING = 16_384;
+    private static final long TICK_NANOS = Nanos.ofMillis(20);
+    private static final long SWEEP_NANOS = Nanos.ofMillis(500);
+    // Longest silence of the store after which the entry asks callers to go elsewhere.
+    private static final long STORE_SILENCE_NANOS = Nanos.ofMillis(1_500);
+    private static final long DRAIN_STEP_MILLIS = 50;
+    // Callers may still arrive until the platform has noticed that the entry is not ready.
+    private static final long DRAIN_QUIET_NANOS = Nanos.ofMillis(1_000);
+    private static final long DRAIN_LEAST_NANOS = Nanos.ofMillis(3_000);
+    private static final long HANDOVER_AFTER_NANOS = Nanos.ofMillis(1_200);
+    private static final double DRAIN_SHARE = 0.85;
+
+    /** A task for later. */
+    private record Timed(long at, Runnable task) {}
+
+    private final HostedSettings mSettings;
+    private final EventLog mLog;
+    private final Duty<Runnable> mDuty;
+    private final String mOwner;
+    private final PriorityQueue<Timed> mLater =
+            new PriorityQueue<>((a, b) -> Long.signum(a.at() - b.at()));
+    private final Fleet mFleet = Fleet.create();
+    private final StepDirectory mDirectory;
+    private final EntryLease mLease;
+    private final List<StoreWatch> mWatches = new ArrayList<>();
+    private final CallDesk mCalls;
+    private final SampleDesk mSamples;
+    private final StepOwner mSteps;
+    private final StepReader mReader;
+    private final PlannerDesk mPlanner;
+    private final FrontDesk mFrontDesk;
+    private final TCPNIOTransport mTransport;
+    private final FrontServer mFront;
+    private volatile RouteTable mRoutes = RouteTable.empty();
+    private volatile FrontLimits mLimits = FrontLimits.DEFAULT;
+    private volatile boolean mReady;
+    private volatile boolean mDraining;
+    private boolean mStoreAway;
+    private long mStoreAnsweredAt = System.nanoTime();
+    private long mSweepAt;
+
+    private HostedEntry(HostedSettings settings, EventLog log) throws IOException {
+        mSettings = settings;
+        mLog = log;
+        mOwner = settings.vm().value() + "/" + Long.toHexString(new Random().nextLong());
+        mDuty = Duty.create("entry", RING, this, MonotonicClock.system(), TICK_NANOS);
+        mTransport = transport();
+        HttpCaller caller = HttpCaller.on(mTransport);
+        SharedStore store = StoreClient.create(settings.store(), caller);
+        StepStore stepStore = new StepStore(store);
+        Random random = new Random();
+        mDirectory = new StepDirectory(log);
+        mLease = new EntryLease(store, executor(), log, this::onLeaseLost);
+        mCalls = new CallDesk(this, caller, mFleet, settings.domain());
+        mSamples = new SampleDesk(this, caller, mFleet, (host, path) -> mRoutes.find(host, path));
+        mSteps = new StepOwner(this, stepStore, mSamples.machine(), random);
+        mPlanner = new PlannerDesk(this, caller, store, stepStore, mFleet, settings, random);
+        mFrontDesk = new FrontDesk(this, mCalls, mSteps, stepStore, () -> mRoutes, random);
+        mReader = new StepReader(this, store, stepStore, mSteps, mFrontDesk);
+        mFrontDesk.bind(mReader);
+        mSamples.bind(mCalls, mSteps, mReader);
+        mWatches.add(watch(store, OperatorDecoder.PREFIX, this::onOperator));
+        mWatches.add(watch(store, EndpointDecoder.PREFIX, this::onEndpoint));
+        mWatches.add(watch(store, StepKeys.LIVE, this::onLive));
+        mTransport.start();
+        FrontServer.bind(mTransport, settings.ready(), new ReadyDesk(() -> mReady), () -> mLimits);
+        mFront =
+                FrontServer.bind(
+                        mTransport,
+                        settings.front(),
+                        mFrontDesk.listener(executor()),
+                        () -> mLimits);
+    }
+
+    /**
+     * Starts an entry.
+     *
+     * @throws IOException if an address can't be bound
+     */
+    public static HostedEntry start(HostedSettings settings, EventLog log) throws IOException {
+        HostedEntry entry = new HostedEntry(settings, log);
+        entry.mDuty.launch();
+        entry.executor().execute(() -> entry.mWatches.forEach(StoreWatch::start));
+        log.write(LogLine.of("start").with("vm", settings.vm()).with("owner", entry.mOwner));
+        return entry;
+    }
+
+    private static TCPNIOTransport transport() {
+        return TCPNIOTransportBuilder.newInstance()
+                .setIOStrategy(SameThreadIOStrategy.getInstance())
+                .setSelectorRunnersCount(1)
+                .setSelectorThreadPoolConfig(
+                        ThreadPoolConfig.defaultConfig()
+                                .setPoolName("io")
+                                .setCorePoolSize(1)
+                                .setMaxPoolSize(1)
+                                .setDaemon(true))
+                .setTcpNoDelay(true)
+                .setReuseAddress(true)
+                .build();
+    }
+
+    @Override
+    public Executor executor() {
+        return mDuty::post;
+    }
+
+    @Override
+    public void later(long nanos, Runnable task) {
+        mLater.add(new Timed(System.nanoTime() + nanos, task));
+    }
+
+    @Override
+    public EventLog log() {
+        return mLog;
+    }
+
+    @Override
+    public EntryLease lease() {
+        return mLease;
+    }
+
+    @Override
+    public StepDirectory directory() {
+        return mDirectory;
+    }
+
+    @Override
+    public String owner() {
+        return mOwner;
+    }
+
+    @Override
+    public Route routeOf(StepManifest manifest) {
+        return mRoutes.find(manifest.host(), manifest.prefix())
+                .filter(route -> route.kind() == RouteKind.STEPS)
+                .orElseGet(() -> closedRoute(manifest));
+    }
+
+    /** Returns a route without endpoints, for steps whose route was removed. */
+    private static Route closedRoute(StepManifest manifest) {
+        return new Route(
+                "closed",
+                manifest.host(),
+                manifest.prefix(),
+                RouteKind.STEPS,
+                List.of(new WeightedService(org.ebonyrun.base.id.ServiceName.of("closed"), 1)),
+                new CallTerms(1, 1, 1, 0),
+                StepTerms.NONE);
+    }
+
+    @Override
+    public void onEvent(Runnable task, long now) {
+        task.run();
+    }
+
+    @Override
+    public void onTick(long now) {
+        while (!mLater.isEmpty() && now - mLater.peek().at() >= 0) {
+            mLater.poll().task().run();
+        }
+        mWatches.forEach(watch -> watch.onTick(now));
+        mLease.onTick(mSteps.isNeeded() || mPlanner.isHolding(), now);
+        mSteps.onTick(mDirectory.orphans(), now);
+        mPlanner.onTick(now);
+        mSamples.machine().onTick(now);
+        mCalls.onTick(now);
+        mReader.onTick(now);
+        if (now - mSweepAt >= 0) {
+            mSweepAt = now + SWEEP_NANOS;
+            mFront.sweep(now);
+        }
+        updateReady(now);
+    }
+
+    private void updateReady(long now) {
+        boolean synced = mWatches.stream().allMatch(StoreWatch::isSynced) && mRoutes.isKnown();
+        boolean reachable = now - mStoreAnsweredAt < STORE_SILENCE_NANOS || !mStoreAway;
+        boolean ready = synced && reachable && !mDraining;
+        if (ready != mReady) {
+            mReady = ready;
+            mLog.write(
+                    LogLine.of("ready")
+                            .with("ready", ready)
+                            .with("synced", synced)
+                            .with("store", reachable)
+                            .with("draining", mDraining));
+        }
+    }
+
+    private void onLeaseLost() {
+        mPlanner.onLeaseLost();
+    }
+
+    /** Takes a change of one key in; the item is null if the key was removed. */
+    private interface KeyHandler {
+        void onKey(String key, @Nullable StoreItem item, boolean snapshot);
+    }
+
+    private StoreWatch watch(SharedStore store, String prefix, KeyHandler handler) {
+        return new StoreWatch(
+                store,
+                prefix,
+                executor(),
+                new StoreWatch.Listener() {
+                    @Override
+                    public void onSnapshot(List<StoreItem> items) {
+                        snapshot(prefix, items, handler);
+                    }
+
+                    @Override
+                    public void onChange(StoreChange change) {
+                        handler.onKey(change.key(), change.item(), false);
+                    }
+
+                    @Override
+                    public void onAnswer() {
+                        onStoreAnswer();
+                    }
+
+                    @Override
+                    public void onFault(Fault fault) {
+                        onStoreFault(prefix, fault);
+                    }
+                });
+    }
+
+    private void snapshot(String prefix, List<StoreItem> items, KeyHandler handler) {
+        if (prefix.equals(StepKeys.LIVE)) {
+            mDirectory.onSnapshot(items);
+        }
+        if (prefix.equals(EndpointDecoder.PREFIX)) {
+            List<EndpointRecord> records = new ArrayList<>();
+            items.forEach(item -> record(item).ifPresent(records::add));
+            mFleet.onSnapshot(records, System.nanoTime());
+            return;
+        }
+        items.forEach(item -> handler.onKey(item.key(), item, true));
+    }
+
+    private void onStoreAnswer() {
+        long now = System.nanoTime();
+        mStoreAnsweredAt = now;
+        if (mStoreAway) {
+            mStoreAway = false;
+            mFleet.onStoreBack(now);
+            mLog.write(LogLine.of("store.back"));
+        }
+    }
+
+    private void onStoreFault(String prefix, Fault fault) {
+        if (!mStoreAway) {
+            mStoreAway = true;
+            mFleet.onStoreAway();
+            mLog.write(LogLine.of("store.away").with("prefix", prefix).with("why", fault.detail()));
+        }
+    }
+
+    private void onOperator(String key, @Nullable StoreItem item, boolean snapshot) {
+        if (item == null) {
+            return;
+        }
+        try {
+            OperatorDecoder.decode(key, item.value()).ifPresent(this::apply);
+        } catch (IllegalArgumentException e) {
+            mLog.write(LogLine.of("store.unreadable").with("key", key).with("why", e.getMessage()));
+        }
+    }
+
+    private void apply(OperatorEvent event) {
+        if (event instanceof OperatorEvent.Configured configured) {
+            configure(configured);
+        } else if (event instanceof OperatorEvent.VersionNamed named) {
+            mLog.write(
+                    LogLine.of("version.named")
+                            .with("model", named.model())
+                            .with("version", named.version()));
+            mPlanner.machine().onNamed(named.model(), named.version(), System.nanoTime());
+        } else if (event instanceof OperatorEvent.RetireAsked retire) {
+            mPlanner.onRetire(retire.vm());
+        }
+    }
+
+    private void configure(OperatorEvent.Configured configured) {
+        RouteTable routes = configured.routes();
+        if (routes.version() <= mRoutes.version()) {
+            return;
+        }
+        mRoutes = routes;
+        CallerLimits limits = routes.limits();
+        mLimits =
+                new FrontLimits(
+                        limits.headerBytes(),
+                        limits.bodyBytes(),
+                        limits.headerMillis(),
+                        limits.idleMillis());
+        mPlanner.machine().onRoutes(routes, configured.singleVersion());
+        mLog.write(
+                LogLine.of("config.applied")
+                        .with("version", routes.version())
+                        .with("routes", routes.size()));
+    }
+
+    private Optional<EndpointRecord> record(StoreItem item) {
+        try {
+            String id = EndpointDecoder.id(item.key());
+            return Optional.of(EndpointDecoder.decode(id, item.value()));
+        } catch (IllegalArgumentException e) {
+            mLog.write(
+                    LogLine.of("endpoint.unreadable")
+                            .with("key", item.key())
+                            .with("why", e.getMessage()));
+            return Optional.empty();
+        }
+    }
+
+    private void onEndpoint(String key, @Nullable StoreItem item, boolean snapshot) {
+        String id = EndpointDecoder.id(key);
+        Optional<EndpointRecord> record = item == null ? Optional.empty() : record(item);
+        if (record.isPresent()) {
+            boolean fresh = mFleet.onRecord(record.get());
+            if (fresh || record.get().leaving()) {
+                mLog.write(
+                        LogLine.of("endpoint")
+                                .with("endpoint", id)
+                                .with("service", record.get().service())
+                                .with("leaving", record.get().leaving())
+                                .with("born", record.get().incarnation()));
+            }
+        } else if (item == null) {
+            mLog.write(
+                    LogLine.of("endpoint.removed").with("endpoint", id).with("away", mStoreAway));
+            mFleet.onRemoved(id, System.nanoTime());
+        }
+    }
+
+    private void onLive(String key, @Nullable StoreItem item, boolean snapshot) {
+        if (!snapshot) {
+            long revision = item == null ? 0 : item.revision();
+            mDirectory.onChange(new StoreChange(key, revision, item));
+        }
+        if (key.equals(StepKeys.PLANNER)) {
+            mPlanner.onPlanner(item);
+            return;
+        }
+        if (!StepKeys.isStep(key)) {
+            return;
+        }
+        StepId step = StepKeys.step(key);
+        KnownStep known = mDirectory.get(step);
+        mSteps.onKnown(step, known);
+        if (known != null && known.mManifest != null && key.endsWith(StepKeys.MANIFEST)) {
+            StepManifest manifest = known.mManifest;
+            mPlanner.machine().onStep(manifest.model(), manifest.number(), manifest.minVersion());
+        }
+    }
+
+    /** Stops gracefully: finishes what callers wait for and hands steps over. */
+    public void drain() throws InterruptedException {
+        long begin = System.nanoTime();
+        long limit = begin + (long) (DRAIN_SHARE * Nanos.ofMillis(mSettings.graceMillis()));
+        mDraining = true;
+        mReady = false;
+        mLog.write(LogLine.of("stop"));
+        mDuty.post(
+                () -> {
+                    mSteps.onDrain();
+                    mPlanner.onDrain();
+                    mSamples.machine().onDrain();
+                });
+        boolean handedOver = false;
+        CountDownLatch never = new CountDownLatch(1);
+        while (System.nanoTime() - limit < 0) {
+            never.await(DRAIN_STEP_MILLIS, TimeUnit.MILLISECONDS);
+            long now = System.nanoTime();
+            mFront.drain(now, DRAIN_QUIET_NANOS);
+            if (now - begin > HANDOVER_AFTER_NANOS) {
+                mDuty.post(mSteps::handOver);
+                handedOver = mSteps.size() == 0;
+            }
+            if (handedOver && now - begin > DRAIN_LEAST_NANOS && mFront.busy() == 0) {
+                break;
+            }
+        }
+        mDuty.post(mLease::end);
+        never.await(DRAIN_STEP_MILLIS, TimeUnit.MILLISECONDS);
+        mLog.write(LogLine.of("stopped").with("busy", mFront.busy()));
+        mLog.close();
+    }
+}
--- /dev/null
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/HostedMain.java
@@ -0,0 +1,100 @@
+package org.ebonyrun.daemon.hosted;
+
+import java.io.FileDescriptor;
+import java.io.FileOutputStream;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.logging.Level;
+import java.util.logging.Logger;
+import org.ebonyrun.base.log.EventLog;
+import org.ebonyrun.base.log.LogLine;
+import org.ebonyrun.core.settings.Problem;
+import org.ebonyrun.core.settings.SettingsNode;
+
+/**
+ * Starts the roles of a platform that has endpoints of its own. Stateless.
+ *
+ * <p>May be the main class itself: it loads less than the general one, so that a restarted process
+ * is ready sooner.
+ */
+public final class HostedMain {
+    private static final int EXIT_OK = 0;
+    private static final int EXIT_USAGE = 2;
+    private static final int EXIT_SETTINGS = 3;
+    private static final int EXIT_START = 4;
+
+    private HostedMain() {}
+
+    /**
+     * Runs a process.
+     *
+     * @param args the settings file, or the word {@code reserve}
+     */
+    public static void main(String[] args) throws IOException {
+        if (args.length != 1) {
+            System.err.println("usage: HostedMain SETTINGS | reserve");
+            System.exit(EXIT_USAGE);
+        }
+        if (args[0].equals(HostedSettings.ROLE_RESERVE)) {
+            standBy();
+            return;
+        }
+        int status = run(args[0], Files.readString(Path.of(args[0])), false);
+        if (status != EXIT_OK) {
+            System.exit(status);
+        }
+    }
+
+    /** Returns whether settings are those of a role of this package. */
+    public static boolean isHosted(String text) {
+        SettingsNode root = SettingsNode.parse("", text, new ArrayList<>());
+        String role = root.get("role").text("");
+        return role.equals(HostedSettings.ROLE) || role.equals(HostedSettings.ROLE_RESERVE);
+    }
+
+    /** Runs a process until it is told to stop, and returns its exit status. */
+    public static int run(String file, String text, boolean checkOnly) {
+        HostedSettings.Parsed parsed = HostedSettings.parse(file, text);
+        List<Problem> problems = parsed.problems();
+        if (!problems.isEmpty()) {
+            problems.forEach(System.err::println);
+            return EXIT_SETTINGS;
+        }
+        if (checkOnly) {
+            System.out.println(file + ": valid");
+            return EXIT_OK;
+        }
+        Logger.getLogger("org.glassfish.grizzly").setLevel(Level.OFF);
+        EventLog log = EventLog.start(new FileOutputStream(FileDescriptor.out));
+        try {
+            HostedEntry entry = HostedEntry.start(parsed.settings(), log);
+            Runtime.getRuntime().addShutdownHook(new Thread(() -> drain(entry), "drain"));
+            standBy();
+            return EXIT_OK;
+        } catch (IOException e) {
+            log.write(LogLine.of("start.failed").with("why", e.getMessage()));
+            log.close();
+            return EXIT_START;
+        }
+    }
+
+    private static void drain(HostedEntry entry) {
+        try {
+            entry.drain();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private static void standBy() {
+        try {
+            new CountDownLatch(1).await();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+}
--- /dev/null
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/HostedSettings.java
@@ -0,0 +1,102 @@
+package org.ebonyrun.daemon.hosted;
+
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import java.util.function.Function;
+import org.ebonyrun.base.id.FailureDomain;
+import org.ebonyrun.base.id.VmId;
+import org.ebonyrun.core.settings.Problem;
+import org.ebonyrun.core.settings.SettingsNode;
+import org.ebonyrun.core.settings.Units;
+import org.ebonyrun.daemon.DaemonSettings;
+
+/**
+ * The settings of a hosted entry.
+ *
+ * <p>Immutable and thread safe.
+ *
+ * @param vm the VM on which the entry runs
+ * @param domain where the VM runs
+ * @param front where callers arrive
+ * @param ready where the platform asks whether the entry is ready
+ * @param store where the shared store is
+ * @param firstStart whether the whole system starts for the first time
+ * @param orderQuietMillis how long a new planner waits before its first order, in milliseconds
+ * @param graceMillis how long a graceful stop may take, in milliseconds
+ * @param keepMillis how long the results of a step are kept after its submission, in milliseconds
+ */
+public record HostedSettings(
+        VmId vm,
+        FailureDomain domain,
+        InetSocketAddress front,
+        InetSocketAddress ready,
+        InetSocketAddress store,
+        boolean firstStart,
+        long orderQuietMillis,
+        long graceMillis,
+        long keepMillis) {
+    /** The role of a hosted entry. */
+    public static final String ROLE = "hosted-entry";
+
+    /** The role of a process that only stands by. */
+    public static final String ROLE_RESERVE = "reserve";
+
+    private static final Set<String> KEYS =
+            Set.of("role", "vm", "failure_domain", "listen", "store", "first_start", "limits");
+    private static final Set<String> LIMIT_KEYS = Set.of("order_quiet", "grace", "keep_results");
+    private static final long DEFAULT_QUIET_MILLIS = 3_000;
+    private static final long DEFAULT_GRACE_MILLIS = 8_000;
+    private static final long DEFAULT_KEEP_MILLIS = 120_000;
+
+    /**
+     * Settings and what is wrong with them.
+     *
+     * @param settings what could be read
+     * @param problems every fault found; empty for valid settings
+     */
+    public record Parsed(HostedSettings settings, List<Problem> problems) {}
+
+    /** Reads settings and finds every fault in them. */
+    public static Parsed parse(String file, String text) {
+        List<Problem> problems = new ArrayList<>();
+        SettingsNode root = SettingsNode.parse(file, text, problems);
+        root.allow(KEYS);
+        SettingsNode listen = root.get("listen");
+        listen.allow(Set.of("front", "ready"));
+        SettingsNode limits = root.get("limits");
+        limits.allow(LIMIT_KEYS);
+        HostedSettings settings =
+                new HostedSettings(
+                        needed(root.get("vm"), VmId::of, VmId.of("unknown")),
+                        needed(
+                                root.get("failure_domain"),
+                                FailureDomain::of,
+                                FailureDomain.of("unknown")),
+                        address(listen.get("front")),
+                        address(listen.get("ready")),
+                        address(root.get("store")),
+                        root.get("first_start").text("false").equals("true"),
+                        limits.get("order_quiet").read(Units::millis, DEFAULT_QUIET_MILLIS),
+                        limits.get("grace").read(Units::millis, DEFAULT_GRACE_MILLIS),
+                        limits.get("keep_results").read(Units::millis, DEFAULT_KEEP_MILLIS));
+        return new Parsed(settings, List.copyOf(problems));
+    }
+
+    private static InetSocketAddress address(SettingsNode node) {
+        DaemonSettings.Listen listen =
+                needed(
+                        node,
+                        DaemonSettings.Listen::parse,
+                        new DaemonSettings.Listen("127.0.0.1", 0));
+        return new InetSocketAddress(listen.host(), listen.port());
+    }
+
+    private static <T> T needed(SettingsNode node, Function<String, T> read, T fallback) {
+        if (!node.isPresent()) {
+            node.problem("is missing");
+        }
+        return node.read(read, fallback);
+    }
+}
--- /dev/null
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/PlannerDesk.java
@@ -0,0 +1,308 @@
+package org.ebonyrun.daemon.hosted;
+
+import java.nio.charset.StandardCharsets;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.random.RandomGenerator;
+import org.ebonyrun.base.log.LogLine;
+import org.ebonyrun.base.result.Result;
+import org.ebonyrun.base.time.Nanos;
+import org.ebonyrun.core.fleet.Endpoint;
+import org.ebonyrun.core.fleet.Fleet;
+import org.ebonyrun.core.step.StepId;
+import org.ebonyrun.core.swap.EndpointState;
+import org.ebonyrun.core.swap.OrderReply;
+import org.ebonyrun.core.swap.SwapMachine;
+import org.ebonyrun.core.swap.SwapOrder;
+import org.ebonyrun.core.swap.SwapOutputs;
+import org.ebonyrun.platform.EndpointDecoder;
+import org.ebonyrun.platform.EndpointProtocol;
+import org.ebonyrun.platform.OperatorDecoder;
+import org.ebonyrun.ports.http.HttpCaller;
+import org.ebonyrun.ports.http.HttpReply;
+import org.ebonyrun.ports.store.Commit;
+import org.ebonyrun.ports.store.SharedStore;
+import org.ebonyrun.ports.store.StoreItem;
+import org.ebonyrun.ports.store.Transaction;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Holds the planner's lease when nobody else does, and carries out what the planner decides. The
+ * holder also removes steps that are over and tells operators that machines are empty.
+ *
+ * <p>Invariant: an order leaves only while the entry's lease is valid, so a holder that was paused
+ * gives none after it was replaced.
+ *
+ * <p>Not thread safe; confined to the entry's duty.
+ */
+final class PlannerDesk implements SwapOutputs {
+    private static final long CLAIM_DELAY_NANOS = Nanos.ofMillis(40);
+    private static final long CLAIM_JITTER_NANOS = Nanos.ofMillis(200);
+    private static final long RETRY_NANOS = Nanos.ofMillis(500);
+    private static final long SWEEP_NANOS = Nanos.ofMillis(20_000);
+    private static final long KEEP_SLACK_MILLIS = 60_000;
+
+    private final EntryParts mParts;
+    private final HttpCaller mCaller;
+    private final SharedStore mShared;
+    private final StepStore mStore;
+    private final SwapMachine mMachine;
+    private final HostedSettings mSettings;
+    private final RandomGenerator mRandom;
+    private final Set<String> mRetired = new HashSet<>();
+    private final Set<String> mRetireAsked = new HashSet<>();
+    private boolean mPredecessor;
+    private boolean mClaiming;
+    private boolean mDraining;
+    private long mClaimAt;
+    private long mSweepAt;
+    private long mFence;
+
+    PlannerDesk(
+            EntryParts parts,
+            HttpCaller caller,
+            SharedStore shared,
+            StepStore store,
+            Fleet fleet,
+            HostedSettings settings,
+            RandomGenerator random) {
+        mParts = parts;
+        mCaller = caller;
+        mShared = shared;
+        mStore = store;
+        mSettings = settings;
+        mRandom = random;
+        mPredecessor = !settings.firstStart();
+        mMachine = SwapMachine.create(fleet, this);
+    }
+
+    SwapMachine machine() {
+        return mMachine;
+    }
+
+    boolean isHolding() {
+        return mMachine.isHolding();
+    }
+
+    /** Takes in what the watch says of the planner's key. */
+    void onPlanner(@Nullable StoreItem holder) {
+        boolean mine = holder != null && holder.text().equals(mParts.owner());
+        if (holder != null && !mine) {
+            mPredecessor = true;
+        }
+        if (mMachine.isHolding() && (holder == null || !mine) && !mClaiming) {
+            release("the planner's key is " + (holder == null ? "gone" : holder.text()));
+        }
+    }
+
+    private void release(String why) {
+        mMachine.onReleased();
+        mPredecessor = true;
+        mParts.log().write(LogLine.of("planner.released").with("why", why));
+    }
+
+    /** Notes that the entry's lease has ended. */
+    void onLeaseLost() {
+        if (mMachine.isHolding()) {
+            release("the lease has ended");
+        }
+    }
+
+    /** Notes that operators want a machine emptied. */
+    void onRetire(String vm) {
+        mRetireAsked.add(vm);
+    }
+
+    void onTick(long now) {
+        StoreItem holder = mParts.directory().planner();
+        if (holder == null && !mMachine.isHolding() && !mClaiming && !mDraining) {
+            claimWhenDue(now);
+        } else if (holder != null) {
+            mClaimAt = 0;
+        }
+        if (!mMachine.isHolding()) {
+            return;
+        }
+        if (mParts.lease().isValid(now)) {
+            mMachine.onTick(now);
+            answerRetirements();
+            sweep(now);
+        }
+    }
+
+    private void claimWhenDue(long now) {
+        if (mClaimAt == 0) {
+            mClaimAt = now + CLAIM_DELAY_NANOS + mRandom.nextLong(CLAIM_JITTER_NANOS);
+        }
+        if (now - mClaimAt < 0) {
+            return;
+        }
+        mClaiming = true;
+        mParts.lease()
+                .with(
+                        lease -> {
+                            if (lease == 0) {
+                                onClaimFailed();
+                            } else {
+                                claim(lease);
+                            }
+                        },
+                        now);
+    }
+
+    private void claim(long lease) {
+        byte[] value = mParts.owner().getBytes(StandardCharsets.UTF_8);
+        mShared.commit(
+                        Transaction.builder()
+                                .expect(StepKeys.PLANNER, Transaction.ABSENT)
+                                .write(StepKeys.PLANNER, value, lease)
+                                .build())
+                .thenAcceptAsync(this::onClaimed, mParts.executor());
+    }
+
+    private void onClaimed(Result<Commit> result) {
+        long fence = result.fold(this::fence, fault -> 0L);
+        if (fence == 0) {
+            onClaimFailed();
+            return;
+        }
+        mClaiming = false;
+        mFence = fence;
+        long quiet = mPredecessor ? Nanos.ofMillis(mSettings.orderQuietMillis()) : 0;
+        mMachine.onHolding(fence, quiet, System.nanoTime());
+        mParts.log()
+                .write(
+                        LogLine.of("planner.holding")
+                                .with("fence", fence)
+                                .with("quiet_ms", Nanos.toMillis(quiet)));
+    }
+
+    private long fence(Commit commit) {
+        if (commit.isCommitted()) {
+            return commit.revision();
+        }
+        for (StoreItem item : commit.current()) {
+            if (item.text().equals(mParts.owner())) {
+                return item.revision();
+            }
+        }
+        return 0;
+    }
+
+    private void onClaimFailed() {
+        mClaiming = false;
+        mClaimAt = System.nanoTime() + RETRY_NANOS;
+    }
+
+    private void answerRetirements() {
+        for (String vm : List.copyOf(mRetireAsked)) {
+            if (mRetired.add(vm)) {
+                Transaction done =
+                        Transaction.builder()
+                                .write(
+                                        OperatorDecoder.retireStatusKey(vm),
+                                        OperatorDecoder.retireDone())
+                                .build();
+                mShared.commit(done)
+                        .thenAcceptAsync(
+                                result -> {
+                                    if (!result.isOk()) {
+                                        mRetired.remove(vm);
+                                    }
+                                },
+                                mParts.executor());
+                mParts.log().write(LogLine.of("vm.empty").with("vm", vm));
+            }
+        }
+    }
+
+    private void sweep(long now) {
+        if (now - mSweepAt < 0) {
+            return;
+        }
+        mSweepAt = now + SWEEP_NANOS;
+        long before = System.currentTimeMillis() - mSettings.keepMillis() - KEEP_SLACK_MILLIS;
+        for (StepId step : mParts.directory().over(before)) {
+            mParts.log().write(LogLine.of("step.forgotten").with("step", step));
+            mStore.forget(step);
+        }
+    }
+
+    /** Begins a graceful stop: gives the planning up. */
+    void onDrain() {
+        mDraining = true;
+        if (mMachine.isHolding()) {
+            release("this entry stops");
+            mShared.commit(
+                    Transaction.builder()
+                            .expect(StepKeys.PLANNER, mFence)
+                            .remove(StepKeys.PLANNER)
+                            .build());
+        }
+    }
+
+    @Override
+    public void inspect(Endpoint endpoint) {
+        mCaller.request(EndpointProtocol.inspect(endpoint.record()), "endpoint.inspect")
+                .thenAcceptAsync(result -> onState(endpoint, result), mParts.executor());
+    }
+
+    private void onState(Endpoint endpoint, Result<HttpReply> result) {
+        long now = System.nanoTime();
+        EndpointState state = result.fold(PlannerDesk::state, fault -> null);
+        if (state == null) {
+            mMachine.onNoState(endpoint, now);
+        } else {
+            mMachine.onState(endpoint, state, now);
+        }
+    }
+
+    private static @Nullable EndpointState state(HttpReply reply) {
+        if (!reply.isSuccess()) {
+            return null;
+        }
+        try {
+            return EndpointDecoder.state(reply.body());
+        } catch (IllegalArgumentException ignored) {
+            // An unreadable state counts as none; the machine asks again.
+            return null;
+        }
+    }
+
+    @Override
+    public void order(Endpoint endpoint, SwapOrder order) {
+        if (!mParts.lease().isValid(System.nanoTime())) {
+            mMachine.onReply(endpoint, OrderReply.REFUSED, System.nanoTime());
+            return;
+        }
+        mCaller.request(
+                        EndpointProtocol.order(endpoint.record(), mSettings.vm().value(), order),
+                        "endpoint.order")
+                .thenAcceptAsync(result -> onReply(endpoint, order, result), mParts.executor());
+    }
+
+    private void onReply(Endpoint endpoint, SwapOrder order, Result<HttpReply> result) {
+        OrderReply reply =
+                result.fold(
+                        answer -> EndpointProtocol.orderReply(answer.status()),
+                        fault -> fault.isNotRun() ? OrderReply.REFUSED : OrderReply.UNKNOWN);
+        mParts.log()
+                .write(
+                        LogLine.of("order")
+                                .with("endpoint", endpoint.id())
+                                .with("model", order.model())
+                                .with("version", order.version())
+                                .with("fence", order.fence())
+                                .with("expected", order.expectedOrders())
+                                .with("reply", reply));
+        mMachine.onReply(endpoint, reply, System.nanoTime());
+    }
+
+    @Override
+    public void onFenced(long fence) {
+        if (mMachine.isHolding() && fence == mFence) {
+            release("an endpoint has seen a higher fence than " + fence);
+        }
+    }
+}
--- /dev/null
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/ReadyDesk.java
@@ -0,0 +1,29 @@
+package org.ebonyrun.daemon.hosted;
+
+import java.util.function.BooleanSupplier;
+import org.ebonyrun.ports.http.FrontExchange;
+import org.ebonyrun.ports.http.FrontListener;
+import org.ebonyrun.ports.http.HttpHeaders;
+
+/** Tells the platform whether the entry is ready. Thread safe. */
+final class ReadyDesk implements FrontListener {
+    private static final int OK = 200;
+    private static final int UNAVAILABLE = 503;
+
+    private final BooleanSupplier mReady;
+
+    ReadyDesk(BooleanSupplier ready) {
+        mReady = ready;
+    }
+
+    @Override
+    public void onRequest(FrontExchange exchange) {
+        int status = mReady.getAsBoolean() ? OK : UNAVAILABLE;
+        exchange.respond(status, HttpHeaders.empty(), new byte[0]);
+    }
+
+    @Override
+    public void onAbandoned(FrontExchange exchange) {
+        // Nothing was begun for it.
+    }
+}
--- /dev/null
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/SampleDesk.java
@@ -0,0 +1,178 @@
+package org.ebonyrun.daemon.hosted;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.ebonyrun.base.log.LogLine;
+import org.ebonyrun.base.time.Nanos;
+import org.ebonyrun.core.call.CallSpec;
+import org.ebonyrun.core.fleet.Endpoint;
+import org.ebonyrun.core.fleet.Fleet;
+import org.ebonyrun.core.route.Route;
+import org.ebonyrun.core.step.RunEnd;
+import org.ebonyrun.core.step.SampleResult;
+import org.ebonyrun.core.step.SampleSpec;
+import org.ebonyrun.core.step.ScoreCall;
+import org.ebonyrun.core.step.ScoreEnd;
+import org.ebonyrun.core.step.StepId;
+import org.ebonyrun.core.step.StepMachine;
+import org.ebonyrun.core.step.StepOutputs;
+import org.ebonyrun.core.step.StepSpec;
+import org.ebonyrun.platform.EndpointProtocol;
+import org.ebonyrun.ports.http.HttpCaller;
+import org.ebonyrun.ports.http.SseEvent;
+
+/**
+ * Carries out what the step machine decides: runs of samples, scores, results to store.
+ *
+ * <p>Not thread safe; confined to the entry's duty.
+ */
+final class SampleDesk implements StepOutputs, SampleExchange.Sink {
+    // A score may take this many times the goal of its route.
+    private static final long SCORE_GOALS = 4;
+
+    private final EntryParts mParts;
+    private final HttpCaller mCaller;
+    private final StepMachine mMachine;
+    private final Map<Long, SampleExchange> mRuns = new HashMap<>();
+    private final RouteFinder mRoutes;
+    private CallDesk mCalls;
+    private StepOwner mOwner;
+    private StepReader mReader;
+
+    /** Finds the route of a host and path. */
+    interface RouteFinder {
+        /** Returns the route, if there is one. */
+        Optional<Route> find(String host, String path);
+    }
+
+    SampleDesk(EntryParts parts, HttpCaller caller, Fleet fleet, RouteFinder routes) {
+        mParts = parts;
+        mCaller = caller;
+        mRoutes = routes;
+        mMachine = StepMachine.create(fleet, this);
+    }
+
+    StepMachine machine() {
+        return mMachine;
+    }
+
+    void bind(CallDesk calls, StepOwner owner, StepReader reader) {
+        mCalls = calls;
+        mOwner = owner;
+        mReader = reader;
+    }
+
+    @Override
+    public void startRun(
+            long run,
+            StepSpec step,
+            SampleSpec sample,
+            Endpoint endpoint,
+            int lastEvent,
+            int urgency) {
+        SampleExchange exchange = new SampleExchange(run, sample.id(), mParts.executor(), this);
+        mRuns.put(run, exchange);
+        mParts.log()
+                .write(
+                        LogLine.of("sample.sent")
+                                .with("request", sample.id())
+                                .with("step", step.id())
+                                .with("run", run)
+                                .with("endpoint", endpoint.id())
+                                .with("version", endpoint.version(step.model()))
+                                .with("active", endpoint.active())
+                                .with("after", lastEvent));
+        exchange.setExchange(
+                mCaller.send(
+                        EndpointProtocol.run(
+                                endpoint.record(), step.host(), sample, lastEvent, urgency),
+                        exchange));
+    }
+
+    @Override
+    public void cancelRun(long run, String reason) {
+        SampleExchange exchange = mRuns.remove(run);
+        if (exchange != null) {
+            exchange.cancel();
+            mParts.log().write(LogLine.of("sample.stopped").with("run", run).with("why", reason));
+        }
+    }
+
+    @Override
+    public void onBegun(long run, int version) {
+        mMachine.onRunBegun(run, version, System.nanoTime());
+    }
+
+    @Override
+    public void onEvents(long run, List<SseEvent> events) {
+        long now = System.nanoTime();
+        for (SseEvent event : events) {
+            int version = EndpointProtocol.version(event);
+            mMachine.onEvent(run, (int) event.id(), event.data(), version, now);
+        }
+    }
+
+    @Override
+    public void onEnd(long run, RunEnd end, String detail) {
+        if (mRuns.remove(run) == null) {
+            return;
+        }
+        mParts.log()
+                .write(
+                        LogLine.of("sample.run")
+                                .with("run", run)
+                                .with("end", end)
+                                .with("detail", detail));
+        mMachine.onRunEnd(run, end, System.nanoTime());
+    }
+
+    @Override
+    public void score(long run, StepSpec step, SampleSpec sample) {
+        ScoreCall score = sample.score();
+        long now = System.nanoTime();
+        Optional<Route> route =
+                score == null ? Optional.empty() : mRoutes.find(score.host(), score.path());
+        if (score == null || route.isEmpty()) {
+            mParts.log().write(LogLine.of("score.unrouted").with("request", sample.id()));
+            mMachine.onScoreEnd(run, ScoreEnd.UNKNOWN, "", now);
+            return;
+        }
+        long goal = Nanos.ofMillis(route.get().call().goalMillis());
+        CallSpec call =
+                new CallSpec(
+                        mCalls.nextId(),
+                        score.id(),
+                        route.get(),
+                        route.get().services().get(0).service(),
+                        now,
+                        now + SCORE_GOALS * goal,
+                        true);
+        int allowed = route.get().call().maxAttempts();
+        mCalls.onScore(call, score, (end, text) -> onScore(run, end, text, allowed), now);
+    }
+
+    private void onScore(long run, ScoreEnd end, String score, int allowed) {
+        long now = System.nanoTime();
+        boolean exhausted = end == ScoreEnd.FAILED && mMachine.scoreFailures(run) + 1 >= allowed;
+        if (exhausted) {
+            mMachine.onScoreGivenUp(run, now);
+        } else {
+            mMachine.onScoreEnd(run, end, score, now);
+        }
+    }
+
+    @Override
+    public void store(StepId step, int position, List<SampleResult> results, boolean last) {
+        mOwner.append(step, position, results, last);
+    }
+
+    @Override
+    public void listed(StepId step) {
+        List<SampleResult> listed = mMachine.listed(step);
+        if (listed != null) {
+            mReader.onListed(step, listed);
+        }
+    }
+}
--- /dev/null
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/SampleExchange.java
@@ -0,0 +1,112 @@
+package org.ebonyrun.daemon.hosted;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.Executor;
+import org.ebonyrun.core.step.RunEnd;
+import org.ebonyrun.platform.EndpointProtocol;
+import org.ebonyrun.ports.http.HttpExchange;
+import org.ebonyrun.ports.http.HttpHead;
+import org.ebonyrun.ports.http.HttpListener;
+import org.ebonyrun.ports.http.SseEvent;
+import org.ebonyrun.ports.http.SseEventParser;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * One run of a sample at an endpoint.
+ *
+ * <p>The I/O thread cuts the stream into events; they reach the entry's duty in order, those of one
+ * read together.
+ */
+final class SampleExchange implements HttpListener {
+    /** Hears of the run on the entry's duty. */
+    interface Sink {
+        /** The stream began. */
+        void onBegun(long run, int version);
+
+        /** Events arrived. */
+        void onEvents(long run, List<SseEvent> events);
+
+        /** The run ended. */
+        void onEnd(long run, RunEnd end, String detail);
+    }
+
+    private final long mRun;
+    private final String mSample;
+    private final Executor mExecutor;
+    private final Sink mSink;
+    private List<SseEvent> mEvents = new ArrayList<>();
+    private final SseEventParser mParser = SseEventParser.create(event -> mEvents.add(event));
+    private @Nullable HttpHead mHead;
+    private @Nullable HttpExchange mExchange;
+    private boolean mStream;
+    private boolean mBroken;
+
+    SampleExchange(long run, String sample, Executor executor, Sink sink) {
+        mRun = run;
+        mSample = sample;
+        mExecutor = executor;
+        mSink = sink;
+    }
+
+    void setExchange(HttpExchange exchange) {
+        mExchange = exchange;
+    }
+
+    void cancel() {
+        if (mExchange != null) {
+            mExchange.cancel();
+        }
+    }
+
+    @Override
+    public void onHead(HttpHead head) {
+        mHead = head;
+        boolean own = EndpointProtocol.belongsTo(head, mSample);
+        mStream = own && head.isSuccess();
+        mBroken = !own;
+        if (mStream) {
+            int version = EndpointProtocol.version(head);
+            mExecutor.execute(() -> mSink.onBegun(mRun, version));
+        }
+    }
+
+    @Override
+    public void onData(byte[] data) {
+        if (!mStream || mBroken) {
+            return;
+        }
+        mBroken = !mParser.feed(data);
+        if (!mEvents.isEmpty()) {
+            List<SseEvent> events = mEvents;
+            mEvents = new ArrayList<>();
+            mExecutor.execute(() -> mSink.onEvents(mRun, events));
+        }
+    }
+
+    @Override
+    public void onEnd() {
+        RunEnd end = end();
+        String detail = mHead == null ? "no head" : "status " + mHead.status();
+        mExecutor.execute(() -> mSink.onEnd(mRun, end, detail));
+    }
+
+    private RunEnd end() {
+        if (mHead == null || mBroken) {
+            return RunEnd.BROKEN;
+        }
+        if (!mStream) {
+            return EndpointProtocol.runEnd(mHead);
+        }
+        if (!mParser.isBetweenEvents()) {
+            return RunEnd.BROKEN;
+        }
+        return mHead.framed() ? RunEnd.COMPLETE : RunEnd.UNFRAMED;
+    }
+
+    @Override
+    public void onFailure(boolean sent, String detail) {
+        RunEnd end = sent ? RunEnd.BROKEN : RunEnd.UNREACHABLE;
+        mExecutor.execute(() -> mSink.onEnd(mRun, end, detail));
+    }
+}
--- /dev/null
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/StepCodec.java
@@ -0,0 +1,107 @@
+package org.ebonyrun.daemon.hosted;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.ArrayList;
+import java.util.List;
+import org.ebonyrun.core.step.PartialText;
+import org.ebonyrun.core.step.SampleResult;
+import org.ebonyrun.daemon.store.Json;
+
+/**
+ * Encodes what is kept of a step in the shared store. Stateless, thread safe. Decoders throw {@link
+ * IllegalArgumentException} for what they can't read.
+ */
+final class StepCodec {
+    private StepCodec() {}
+
+    static byte[] manifest(StepManifest manifest) {
+        ObjectNode node = Json.mapper().createObjectNode();
+        node.put("host", manifest.host());
+        node.put("prefix", manifest.prefix());
+        node.put("model", manifest.model());
+        node.put("number", manifest.number());
+        node.put("min_version", manifest.minVersion());
+        node.put("samples", manifest.samples());
+        node.put("accepted_at", manifest.acceptedAt());
+        return Json.write(node);
+    }
+
+    static StepManifest manifest(byte[] value) {
+        JsonNode node = Json.tree(value);
+        return new StepManifest(
+                node.path("host").asText(),
+                node.path("prefix").asText(),
+                node.path("model").asText(),
+                node.path("number").asInt(),
+                node.path("min_version").asInt(),
+                node.path("samples").asInt(),
+                node.path("accepted_at").asLong());
+    }
+
+    static byte[] results(List<SampleResult> results) {
+        ObjectNode root = Json.mapper().createObjectNode();
+        ArrayNode array = root.putArray("results");
+        for (SampleResult result : results) {
+            ObjectNode node = array.addObject();
+            node.put("id", result.id());
+            node.put("done", result.done());
+            node.put("text", result.text());
+            node.put("score", result.score());
+            ArrayNode versions = node.putArray("versions");
+            result.versions().forEach(versions::add);
+        }
+        return Json.write(root);
+    }
+
+    static List<SampleResult> results(byte[] value) {
+        List<SampleResult> results = new ArrayList<>();
+        for (JsonNode node : Json.tree(value).path("results")) {
+            results.add(
+                    new SampleResult(
+                            node.path("id").asText(),
+                            node.path("done").asBoolean(),
+                            node.path("text").asText(),
+                            integers(node.path("versions")),
+                            node.path("score").asText()));
+        }
+        return results;
+    }
+
+    static byte[] partial(List<PartialText> texts) {
+        ObjectNode root = Json.mapper().createObjectNode();
+        ArrayNode array = root.putArray("texts");
+        for (PartialText text : texts) {
+            ObjectNode node = array.addObject();
+            node.put("id", text.id());
+            node.put("complete", text.complete());
+            ArrayNode events = node.putArray("events");
+            text.events().forEach(events::add);
+            ArrayNode versions = node.putArray("versions");
+            text.versions().forEach(versions::add);
+        }
+        return Json.write(root);
+    }
+
+    static List<PartialText> partial(byte[] value) {
+        List<PartialText> texts = new ArrayList<>();
+        for (JsonNode node : Json.tree(value).path("texts")) {
+            List<String> events = new ArrayList<>();
+            node.path("events").forEach(event -> events.add(event.asText()));
+            texts.add(
+                    new PartialText(
+                            node.path("id").asText(),
+                            events,
+                            integers(node.path("versions")),
+                            node.path("complete").asBoolean()));
+        }
+        return texts;
+    }
+
+    private static List<Integer> integers(JsonNode array) {
+        List<Integer> numbers = new ArrayList<>();
+        array.forEach(node -> numbers.add(node.asInt()));
+        return numbers;
+    }
+}
--- /dev/null
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/StepDirectory.java
@@ -0,0 +1,104 @@
+package org.ebonyrun.daemon.hosted;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.ebonyrun.base.log.EventLog;
+import org.ebonyrun.base.log.LogLine;
+import org.ebonyrun.core.step.StepId;
+import org.ebonyrun.ports.store.StoreChange;
+import org.ebonyrun.ports.store.StoreItem;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * The steps that are kept in the shared store and who owns them, as the watch tells.
+ *
+ * <p>Not thread safe; confined to the entry's duty.
+ */
+final class StepDirectory {
+    private final EventLog mLog;
+    private final Map<StepId, KnownStep> mSteps = new HashMap<>();
+    private @Nullable StoreItem mPlanner;
+
+    StepDirectory(EventLog log) {
+        mLog = log;
+    }
+
+    /** Returns what is known of a step; null if nothing is. */
+    @Nullable KnownStep get(StepId id) {
+        return mSteps.get(id);
+    }
+
+    /** Returns the key of the planner; null if there is none. */
+    @Nullable StoreItem planner() {
+        return mPlanner;
+    }
+
+    /** Returns the steps that nobody owns. */
+    List<StepId> orphans() {
+        List<StepId> orphans = new ArrayList<>();
+        mSteps.forEach(
+                (id, step) -> {
+                    if (step.isOrphan()) {
+                        orphans.add(id);
+                    }
+                });
+        return orphans;
+    }
+
+    /** Returns the steps that are over and were accepted before a time. */
+    List<StepId> over(long acceptedBefore) {
+        List<StepId> over = new ArrayList<>();
+        mSteps.forEach(
+                (id, step) -> {
+                    StepManifest manifest = step.mManifest;
+                    boolean old = manifest != null && manifest.acceptedAt() < acceptedBefore;
+                    if (old && (step.mEnded || step.mDone)) {
+                        over.add(id);
+                    }
+                });
+        return over;
+    }
+
+    void onSnapshot(List<StoreItem> items) {
+        mSteps.clear();
+        mPlanner = null;
+        items.forEach(item -> onChange(new StoreChange(item.key(), item.revision(), item)));
+    }
+
+    /** Takes a change in; returns the step that it concerns, or null. */
+    @Nullable StepId onChange(StoreChange change) {
+        String key = change.key();
+        StoreItem item = change.item();
+        if (key.equals(StepKeys.PLANNER)) {
+            mPlanner = item;
+            return null;
+        }
+        if (!StepKeys.isStep(key)) {
+            return null;
+        }
+        try {
+            StepId id = StepKeys.step(key);
+            apply(mSteps.computeIfAbsent(id, ignored -> new KnownStep()), key, item);
+            return id;
+        } catch (IllegalArgumentException e) {
+            mLog.write(LogLine.of("store.unreadable").with("key", key).with("why", e.getMessage()));
+            return null;
+        }
+    }
+
+    private void apply(KnownStep step, String key, @Nullable StoreItem item) {
+        switch (StepKeys.part(key)) {
+            case StepKeys.MANIFEST ->
+                    step.mManifest = item == null ? null : StepCodec.manifest(item.value());
+            case StepKeys.OWNER -> {
+                step.mOwner = item == null ? null : item.text();
+                step.mOwnerRevision = item == null ? 0 : item.revision();
+            }
+            case StepKeys.END -> step.mEnded = item != null;
+            case StepKeys.DONE -> step.mDone = item != null;
+            default -> mLog.write(LogLine.of("store.foreign").with("key", key));
+        }
+    }
+}
--- /dev/null
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/StepStore.java
@@ -0,0 +1,218 @@
+package org.ebonyrun.daemon.hosted;
+
+import java.io.ByteArrayOutputStream;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import org.ebonyrun.base.result.Result;
+import org.ebonyrun.core.step.PartialText;
+import org.ebonyrun.core.step.SampleResult;
+import org.ebonyrun.core.step.StepId;
+import org.ebonyrun.ports.store.Commit;
+import org.ebonyrun.ports.store.SharedStore;
+import org.ebonyrun.ports.store.StoreItem;
+import org.ebonyrun.ports.store.StorePage;
+import org.ebonyrun.ports.store.Transaction;
+
+/**
+ * Keeps steps in the shared store.
+ *
+ * <p>Thread safe; keeps no state. Invariants: a manifest is written only together with or after all
+ * chunks of its submission; a result key is written once, by the owner at that time.
+ */
+final class StepStore {
+    private static final int CHUNK_BYTES = 600_000;
+    // Chunks that travel in one transaction with the manifest and the owner.
+    private static final int CHUNKS_AT_ONCE = 1;
+
+    private final SharedStore mStore;
+
+    StepStore(SharedStore store) {
+        mStore = store;
+    }
+
+    /** Accepts a step for an owner, if it was not accepted before. */
+    CompletableFuture<Result<Commit>> accept(
+            StepId id, StepManifest manifest, byte[] submission, String owner, long lease) {
+        List<byte[]> chunks = split(submission);
+        CompletableFuture<Result<Commit>> before =
+                CompletableFuture.completedFuture(Result.ok(null));
+        int last = chunks.size() - CHUNKS_AT_ONCE;
+        for (int i = 0; i < last; i++) {
+            Transaction chunk =
+                    Transaction.builder().write(StepKeys.chunk(id, i), chunks.get(i)).build();
+            before =
+                    before.thenCompose(
+                            result ->
+                                    result.isOk()
+                                            ? mStore.commit(chunk)
+                                            : CompletableFuture.completedFuture(result));
+        }
+        String manifestKey = StepKeys.live(id, StepKeys.MANIFEST);
+        Transaction accept =
+                Transaction.builder()
+                        .expect(manifestKey, Transaction.ABSENT)
+                        .write(StepKeys.chunk(id, last), chunks.get(last))
+                        .write(manifestKey, StepCodec.manifest(manifest))
+                        .write(StepKeys.live(id, StepKeys.OWNER), owner.getBytes(UTF_8), lease)
+                        .build();
+        return before.thenCompose(
+                result ->
+                        result.isOk()
+                                ? mStore.commit(accept)
+                                : CompletableFuture.completedFuture(result));
+    }
+
+    private static final java.nio.charset.Charset UTF_8 = java.nio.charset.StandardCharsets.UTF_8;
+
+    private static List<byte[]> split(byte[] bytes) {
+        List<byte[]> chunks = new ArrayList<>();
+        for (int from = 0; from == 0 || from < bytes.length; from += CHUNK_BYTES) {
+            chunks.add(Arrays.copyOfRange(bytes, from, Math.min(bytes.length, from + CHUNK_BYTES)));
+        }
+        return chunks;
+    }
+
+    /** Takes a step that nobody owns. */
+    CompletableFuture<Result<Commit>> claim(StepId id, String owner, long lease) {
+        String key = StepKeys.live(id, StepKeys.OWNER);
+        return mStore.commit(
+                Transaction.builder()
+                        .expect(key, Transaction.ABSENT)
+                        .expect(StepKeys.live(id, StepKeys.END), Transaction.ABSENT)
+                        .expect(StepKeys.live(id, StepKeys.DONE), Transaction.ABSENT)
+                        .write(key, owner.getBytes(UTF_8), lease)
+                        .build());
+    }
+
+    /** Stores results from a position on, if the owner's key is unchanged. */
+    CompletableFuture<Result<Commit>> append(
+            StepId id, long ownerRevision, int position, byte[] results, boolean last) {
+        String ownerKey = StepKeys.live(id, StepKeys.OWNER);
+        String resultKey = StepKeys.result(id, position);
+        Transaction.Builder transaction =
+                Transaction.builder()
+                        .expect(ownerKey, ownerRevision)
+                        .expect(resultKey, Transaction.ABSENT)
+                        .write(resultKey, results);
+        if (last) {
+            transaction.write(StepKeys.live(id, StepKeys.DONE), new byte[] {'1'});
+        }
+        return mStore.commit(transaction.build());
+    }
+
+    /** Notes that the trainer ended a step. */
+    CompletableFuture<Result<Commit>> end(StepId id) {
+        String key = StepKeys.live(id, StepKeys.END);
+        return mStore.commit(
+                Transaction.builder()
+                        .expect(key, Transaction.ABSENT)
+                        .write(key, new byte[] {'1'})
+                        .build());
+    }
+
+    /** Hands a step over: keeps texts of unfinished samples and gives the ownership up. */
+    CompletableFuture<Result<Commit>> release(
+            StepId id, long ownerRevision, List<PartialText> texts) {
+        String ownerKey = StepKeys.live(id, StepKeys.OWNER);
+        Transaction.Builder transaction =
+                Transaction.builder().expect(ownerKey, ownerRevision).remove(ownerKey);
+        byte[] partial = StepCodec.partial(texts);
+        if (!texts.isEmpty() && partial.length <= CHUNK_BYTES) {
+            transaction.write(StepKeys.partial(id), partial);
+        }
+        return mStore.commit(transaction.build());
+    }
+
+    /** Removes everything that is kept of a step. */
+    CompletableFuture<Result<Void>> forget(StepId id) {
+        List<String> live = new ArrayList<>();
+        for (String part :
+                List.of(StepKeys.MANIFEST, StepKeys.OWNER, StepKeys.END, StepKeys.DONE)) {
+            live.add(StepKeys.live(id, part));
+        }
+        return readAll(StepKeys.data(id), "", new ArrayList<>(), 0)
+                .thenCompose(
+                        result ->
+                                result.fold(
+                                        read -> removeAll(read.items(), live),
+                                        fault ->
+                                                CompletableFuture.completedFuture(
+                                                        Result.err(fault))));
+    }
+
+    private CompletableFuture<Result<Void>> removeAll(List<StoreItem> items, List<String> live) {
+        List<String> keys = new ArrayList<>(items.stream().map(StoreItem::key).toList());
+        keys.addAll(live);
+        CompletableFuture<Result<Commit>> chain =
+                CompletableFuture.completedFuture(Result.ok(null));
+        for (int from = 0; from < keys.size(); from += Transaction.MAX_ENTRIES) {
+            Transaction.Builder removal = Transaction.builder();
+            keys.subList(from, Math.min(keys.size(), from + Transaction.MAX_ENTRIES))
+                    .forEach(removal::remove);
+            chain =
+                    chain.thenCompose(
+                            result ->
+                                    result.isOk()
+                                            ? mStore.commit(removal.build())
+                                            : CompletableFuture.completedFuture(result));
+        }
+        return chain.thenApply(result -> result.map(commit -> null));
+    }
+
+    /** Reads the bulk of a step. */
+    CompletableFuture<Result<StoredStep>> load(StepId id) {
+        return readAll(StepKeys.data(id), "", new ArrayList<>(), 0)
+                .thenApply(result -> result.map(StepStore::stored));
+    }
+
+    /** Reads the results of a step. */
+    CompletableFuture<Result<StoredStep>> loadResults(StepId id) {
+        return readAll(StepKeys.results(id), "", new ArrayList<>(), 0)
+                .thenApply(result -> result.map(StepStore::stored));
+    }
+
+    private CompletableFuture<Result<StorePage>> readAll(
+            String prefix, String after, List<StoreItem> items, long revision) {
+        return mStore.range(prefix, after)
+                .thenCompose(
+                        result ->
+                                result.fold(
+                                        page -> {
+                                            items.addAll(page.items());
+                                            long first = revision == 0 ? page.revision() : revision;
+                                            boolean more =
+                                                    page.truncated() && !page.items().isEmpty();
+                                            return more
+                                                    ? readAll(
+                                                            prefix,
+                                                            items.get(items.size() - 1).key(),
+                                                            items,
+                                                            first)
+                                                    : CompletableFuture.completedFuture(
+                                                            Result.ok(
+                                                                    new StorePage(
+                                                                            items, false, first)));
+                                        },
+                                        fault ->
+                                                CompletableFuture.completedFuture(
+                                                        Result.err(fault))));
+    }
+
+    private static StoredStep stored(StorePage page) {
+        ByteArrayOutputStream submission = new ByteArrayOutputStream();
+        List<SampleResult> listed = new ArrayList<>();
+        List<PartialText> partial = new ArrayList<>();
+        for (StoreItem item : page.items()) {
+            if (StepKeys.isChunk(item.key())) {
+                submission.writeBytes(item.value());
+            } else if (StepKeys.isResult(item.key())) {
+                listed.addAll(StepCodec.results(item.value()));
+            } else {
+                partial.addAll(StepCodec.partial(item.value()));
+            }
+        }
+        return new StoredStep(submission.toByteArray(), listed, partial, page.revision());
+    }
+}
--- /dev/null
+++ b/ebonyrun-ports/src/main/java/org/ebonyrun/ports/http/FrontConnection.java
@@ -0,0 +1,135 @@
+package org.ebonyrun.ports.http;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import org.glassfish.grizzly.Connection;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * What a {@link FrontServer} knows of one connection.
+ *
+ * <p>Thread safe: guarded by this object's monitor. At most one request is with the listener; later
+ * ones of the same connection wait for its response.
+ */
+final class FrontConnection {
+    private static final int MAX_WAITING = 16;
+
+    private final Connection<?> mConnection;
+    private final FrontListener mListener;
+    private final Deque<FrontExchange> mWaiting = new ArrayDeque<>();
+    private @Nullable FrontExchange mCurrent;
+    private @Nullable BodyBuffer mReading;
+    private long mActiveAt;
+    private long mHeaderSince;
+    private boolean mClosing;
+
+    FrontConnection(Connection<?> connection, FrontListener listener, long now) {
+        mConnection = connection;
+        mListener = listener;
+        mActiveAt = now;
+    }
+
+    Connection<?> connection() {
+        return mConnection;
+    }
+
+    synchronized boolean isClosing() {
+        return mClosing;
+    }
+
+    /** Notes that bytes arrived. */
+    synchronized void onBytes(long now) {
+        mActiveAt = now;
+        if (mReading == null && mCurrent == null && mHeaderSince == 0) {
+            mHeaderSince = now;
+        }
+    }
+
+    synchronized @Nullable BodyBuffer reading() {
+        return mReading;
+    }
+
+    synchronized void setReading(@Nullable BodyBuffer reading) {
+        mReading = reading;
+        mHeaderSince = 0;
+    }
+
+    /** Passes a request on, or keeps it until the response before it is sent. */
+    void submit(FrontExchange exchange) {
+        synchronized (this) {
+            if (mCurrent != null) {
+                if (mWaiting.size() >= MAX_WAITING) {
+                    close();
+                } else {
+                    mWaiting.add(exchange);
+                }
+                return;
+            }
+            mCurrent = exchange;
+        }
+        mListener.onRequest(exchange);
+    }
+
+    void onResponded(boolean last) {
+        FrontExchange next;
+        synchronized (this) {
+            mActiveAt = System.nanoTime();
+            mCurrent = null;
+            if (last) {
+                mWaiting.clear();
+            }
+            next = mWaiting.poll();
+            mCurrent = next;
+        }
+        if (last) {
+            mConnection.closeSilently();
+        } else if (next != null) {
+            mListener.onRequest(next);
+        }
+    }
+
+    void onClosed() {
+        FrontExchange current;
+        synchronized (this) {
+            current = mCurrent;
+            mCurrent = null;
+            mWaiting.clear();
+        }
+        if (current != null && current.abandon()) {
+            mListener.onAbandoned(current);
+        }
+    }
+
+    /** Closes the connection if it is idle or its headers take too long. */
+    void sweep(long now, long idleNanos, long headerNanos) {
+        boolean expired;
+        synchronized (this) {
+            boolean idle = mCurrent == null && now - mActiveAt > idleNanos;
+            boolean slow = mHeaderSince != 0 && now - mHeaderSince > headerNanos;
+            expired = idle || slow;
+        }
+        if (expired) {
+            mConnection.closeSilently();
+        }
+    }
+
+    /** Ends the connection with its next response; closes it at once after a quiet time. */
+    void drain(long now, long quietNanos) {
+        boolean quiet;
+        synchronized (this) {
+            mClosing = true;
+            quiet = mCurrent == null && mReading == null && now - mActiveAt > quietNanos;
+        }
+        if (quiet) {
+            mConnection.closeSilently();
+        }
+    }
+
+    synchronized boolean isBusy() {
+        return mCurrent != null || mReading != null;
+    }
+
+    void close() {
+        mConnection.closeSilently();
+    }
+}
--- /dev/null
+++ b/ebonyrun-ports/src/main/java/org/ebonyrun/ports/http/FrontListener.java
@@ -0,0 +1,10 @@
+package org.ebonyrun.ports.http;
+
+/** Receives the requests of a {@link FrontServer}. Called on the I/O thread; must not block. */
+public interface FrontListener {
+    /** Called with a whole request, body included. Requests of one connection come one by one. */
+    void onRequest(FrontExchange exchange);
+
+    /** Called when the caller closed its connection before the response was complete. */
+    void onAbandoned(FrontExchange exchange);
+}
--- /dev/null
+++ b/ebonyrun-ports/src/main/java/org/ebonyrun/ports/http/FrontServer.java
@@ -0,0 +1,205 @@
+package org.ebonyrun.ports.http;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.Supplier;
+import org.ebonyrun.base.time.Nanos;
+import org.glassfish.grizzly.Buffer;
+import org.glassfish.grizzly.Connection;
+import org.glassfish.grizzly.filterchain.BaseFilter;
+import org.glassfish.grizzly.filterchain.FilterChainBuilder;
+import org.glassfish.grizzly.filterchain.FilterChainContext;
+import org.glassfish.grizzly.filterchain.NextAction;
+import org.glassfish.grizzly.filterchain.TransportFilter;
+import org.glassfish.grizzly.http.HttpContent;
+import org.glassfish.grizzly.http.HttpRequestPacket;
+import org.glassfish.grizzly.http.HttpServerFilter;
+import org.glassfish.grizzly.http.Protocol;
+import org.glassfish.grizzly.http.util.MimeHeaders;
+import org.glassfish.grizzly.nio.transport.TCPNIOBindingHandler;
+import org.glassfish.grizzly.nio.transport.TCPNIOTransport;
+
+/**
+ * An HTTP server that hands whole requests to a listener and answers them later, without a thread
+ * for each request.
+ *
+ * <p>Thread safe. Limits are read for each request, so they may change while the server runs.
+ */
+public final class FrontServer {
+    private static final int CODEC_HEADER_BYTES = 128 * 1024;
+    private static final int BACKLOG = 1_024;
+    private static final byte[] NOTHING = new byte[0];
+
+    private final FrontListener mListener;
+    private final Supplier<FrontLimits> mLimits;
+    private final Map<Connection<?>, FrontConnection> mConnections = new ConcurrentHashMap<>();
+    private volatile boolean mDraining;
+
+    private FrontServer(FrontListener listener, Supplier<FrontLimits> limits) {
+        mListener = listener;
+        mLimits = limits;
+    }
+
+    /**
+     * Listens on an address, on the I/O thread of a transport.
+     *
+     * @throws IOException if the address can't be bound
+     */
+    public static FrontServer bind(
+            TCPNIOTransport transport,
+            InetSocketAddress address,
+            FrontListener listener,
+            Supplier<FrontLimits> limits)
+            throws IOException {
+        FrontServer server = new FrontServer(listener, limits);
+        TCPNIOBindingHandler.builder(transport)
+                .processor(
+                        FilterChainBuilder.stateless()
+                                .add(new TransportFilter())
+                                .add(server.new ActivityFilter())
+                                .add(new HttpServerFilter(true, CODEC_HEADER_BYTES, null, null))
+                                .add(server.new RequestFilter())
+                                .build())
+                .build()
+                .bind(address, BACKLOG);
+        return server;
+    }
+
+    /** Closes connections that are idle or slow for too long. To be called now and then. */
+    public void sweep(long now) {
+        FrontLimits limits = mLimits.get();
+        long idle = Nanos.ofMillis(limits.idleMillis());
+        long header = Nanos.ofMillis(limits.headerMillis());
+        mConnections.values().forEach(connection -> connection.sweep(now, idle, header));
+    }
+
+    /** Lets each connection end with its next response, and closes those that stay quiet. */
+    public void drain(long now, long quietNanos) {
+        mDraining = true;
+        mConnections.values().forEach(connection -> connection.drain(now, quietNanos));
+    }
+
+    /** Returns how many connections have a request that is read or answered now. */
+    public int busy() {
+        return (int) mConnections.values().stream().filter(FrontConnection::isBusy).count();
+    }
+
+    private FrontConnection of(Connection<?> connection) {
+        return mConnections.computeIfAbsent(
+                connection, key -> new FrontConnection(key, mListener, System.nanoTime()));
+    }
+
+    /** Notes when bytes arrive and connections end. */
+    private final class ActivityFilter extends BaseFilter {
+        @Override
+        public NextAction handleRead(FilterChainContext ctx) throws IOException {
+            of(ctx.getConnection()).onBytes(System.nanoTime());
+            return ctx.getInvokeAction();
+        }
+
+        @Override
+        public NextAction handleClose(FilterChainContext ctx) throws IOException {
+            FrontConnection connection = mConnections.remove(ctx.getConnection());
+            if (connection != null) {
+                connection.onClosed();
+            }
+            return ctx.getInvokeAction();
+        }
+
+        @Override
+        public void exceptionOccurred(FilterChainContext ctx, Throwable error) {
+            ctx.getConnection().closeSilently();
+        }
+    }
+
+    /** Collects bodies and passes whole requests on. */
+    private final class RequestFilter extends BaseFilter {
+        @Override
+        public NextAction handleRead(FilterChainContext ctx) throws IOException {
+            HttpContent content = ctx.getMessage();
+            HttpRequestPacket packet = (HttpRequestPacket) content.getHttpHeader();
+            FrontConnection connection = of(ctx.getConnection());
+            FrontLimits limits = mLimits.get();
+            BodyBuffer body = connection.reading();
+            if (body == null) {
+                body = new BodyBuffer(limits.bodyBytes());
+                connection.setReading(body);
+                acknowledge(ctx, packet);
+            }
+            Buffer buffer = content.getContent();
+            if (buffer != null && buffer.hasRemaining()) {
+                body.add(buffer);
+            }
+            if (content.isLast() || body.isTooLarge()) {
+                connection.setReading(null);
+                end(connection, packet, body, limits);
+            }
+            return ctx.getStopAction();
+        }
+
+        private void end(
+                FrontConnection connection,
+                HttpRequestPacket packet,
+                BodyBuffer body,
+                FrontLimits limits) {
+            HttpHeaders headers = headers(packet);
+            boolean keepAlive = isKeepAlive(packet, headers) && !mDraining;
+            byte[] bytes = body.isTooLarge() ? NOTHING : body.bytes();
+            FrontExchange exchange =
+                    new FrontExchange(packet, headers, bytes, connection, keepAlive);
+            int refusal = refusal(packet, headers, body, limits);
+            if (refusal != 0) {
+                exchange.closeAfter();
+                exchange.respond(refusal, HttpHeaders.empty(), NOTHING);
+                return;
+            }
+            connection.submit(exchange);
+        }
+
+        private int refusal(
+                HttpRequestPacket packet,
+                HttpHeaders headers,
+                BodyBuffer body,
+                FrontLimits limits) {
+            if (body.isTooLarge()) {
+                return 413;
+            }
+            if (headerBytes(packet, headers) > limits.headerBytes()) {
+                return 431;
+            }
+            return 0;
+        }
+
+        private long headerBytes(HttpRequestPacket packet, HttpHeaders headers) {
+            long[] bytes = {packet.getRequestURI().length()};
+            headers.forEach((name, value) -> bytes[0] += name.length() + value.length());
+            return bytes[0];
+        }
+
+        private boolean isKeepAlive(HttpRequestPacket packet, HttpHeaders headers) {
+            String connection = headers.first("Connection").orElse("");
+            return packet.getProtocol() == Protocol.HTTP_1_1
+                    && !connection.toLowerCase(java.util.Locale.ROOT).contains("close");
+        }
+
+        private HttpHeaders headers(HttpRequestPacket packet) {
+            HttpHeaders.Builder headers = HttpHeaders.builder();
+            MimeHeaders raw = packet.getHeaders();
+            for (int i = 0; i < raw.size(); i++) {
+                headers.add(raw.getName(i).toString(), raw.getValue(i).toString());
+            }
+            return headers.build();
+        }
+
+        private void acknowledge(FilterChainContext ctx, HttpRequestPacket packet) {
+            if (packet.requiresAcknowledgement()) {
+                packet.getResponse().setAcknowledgement(true);
+                packet.getResponse().setStatus(100);
+                ctx.write(HttpContent.builder(packet.getResponse()).build());
+                packet.getResponse().setAcknowledgement(false);
+            }
+        }
+    }
+}
--- a/ebonyrun-ports/src/main/java/org/ebonyrun/ports/http/HttpCall.java
+++ b/ebonyrun-ports/src/main/java/org/ebonyrun/ports/http/HttpCall.java
@@ -2,6 +2,7 @@
 
 import static com.google.common.base.Preconditions.checkArgument;
 
+import java.net.InetSocketAddress;
 import java.net.URI;
 import java.util.Map;
 
@@ -11,42 +12,74 @@
  * <p>Immutable by convention: the body is not copied and must not be changed.
  *
  * @param method the HTTP method
- * @param uri an absolute {@code http} URI
- * @param headers header names and values
+ * @param address where to send it
+ * @param target the path and query as they are sent
+ * @param headers header names and values; a {@code Host} is added when there is none
  * @param body the body, empty for none
- * @param timeoutMillis the longest time to the end of the response, in milliseconds
+ * @param timeoutMillis the longest time to the end of the response, in milliseconds; zero for no
+ *     limit but that of the connection
  */
 public record HttpCall(
-        String method, URI uri, Map<String, String> headers, byte[] body, long timeoutMillis) {
-    /** Checks the URI and copies the headers. */
+        String method,
+        InetSocketAddress address,
+        String target,
+        HttpHeaders headers,
+        byte[] body,
+        long timeoutMillis) {
+    private static final int DEFAULT_PORT = 80;
+    private static final HttpHeaders JSON = HttpHeaders.of("Content-Type", "application/json");
+
+    /** Checks the target. */
     public HttpCall {
+        checkArgument(target.startsWith("/"), "target has no path: '%s'", target);
+    }
+
+    /**
+     * Creates a request from an absolute URI.
+     *
+     * @throws IllegalArgumentException if the URI has no host
+     */
+    public static HttpCall to(
+            String method, URI uri, Map<String, String> headers, byte[] body, long timeoutMillis) {
         checkArgument(uri.getHost() != null, "uri has no host: %s", uri);
-        headers = Map.copyOf(headers);
+        int port = uri.getPort() < 0 ? DEFAULT_PORT : uri.getPort();
+        String path = uri.getRawPath().isEmpty() ? "/" : uri.getRawPath();
+        String target = uri.getRawQuery() == null ? path : path + "?" + uri.getRawQuery();
+        HttpHeaders.Builder all = HttpHeaders.builder();
+        headers.forEach(all::add);
+        InetSocketAddress address = new InetSocketAddress(uri.getHost(), port);
+        return new HttpCall(method, address, target, all.build(), body, timeoutMillis);
     }
 
     /** Creates a request with a JSON body. */
     public static HttpCall json(String method, URI uri, byte[] body, long timeoutMillis) {
-        return new HttpCall(
-                method, uri, Map.of("Content-Type", "application/json"), body, timeoutMillis);
+        return to(method, uri, Map.of("Content-Type", "application/json"), body, timeoutMillis);
     }
 
-    /** Creates a request without a body. */
-    public static HttpCall of(String method, URI uri, long timeoutMillis) {
-        return new HttpCall(method, uri, Map.of(), new byte[0], timeoutMillis);
+    /** Creates a request with a JSON body. */
+    public static HttpCall json(
+            String method,
+            InetSocketAddress address,
+            String target,
+            byte[] body,
+            long timeoutMillis) {
+        return new HttpCall(method, address, target, JSON, body, timeoutMillis);
     }
 
-    /** Returns the host and port. */
-    String authority() {
-        return uri.getHost() + ":" + port();
+    /** Creates a request without a body. */
+    public static HttpCall of(String method, URI uri, long timeoutMillis) {
+        return to(method, uri, Map.of(), new byte[0], timeoutMillis);
     }
 
-    int port() {
-        return uri.getPort() < 0 ? 80 : uri.getPort();
+    /** Creates a request without a body. */
+    public static HttpCall of(
+            String method, InetSocketAddress address, String target, long timeoutMillis) {
+        return new HttpCall(
+                method, address, target, HttpHeaders.empty(), new byte[0], timeoutMillis);
     }
 
-    String target() {
-        String query = uri.getRawQuery();
-        String path = uri.getRawPath().isEmpty() ? "/" : uri.getRawPath();
-        return query == null ? path : path + "?" + query;
+    /** Returns the host and port. */
+    String authority() {
+        return address.getHostString() + ":" + address.getPort();
     }
 }
--- a/ebonyrun-ports/src/main/java/org/ebonyrun/ports/http/HttpCaller.java
+++ b/ebonyrun-ports/src/main/java/org/ebonyrun/ports/http/HttpCaller.java
@@ -4,17 +4,13 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.Executors;
-import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ScheduledThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
 import org.ebonyrun.base.result.Fault;
 import org.ebonyrun.base.result.FaultCode;
 import org.ebonyrun.base.result.Result;
 import org.glassfish.grizzly.Connection;
 import org.glassfish.grizzly.EmptyCompletionHandler;
-import org.glassfish.grizzly.GrizzlyFuture;
-import org.glassfish.grizzly.connectionpool.Endpoint;
-import org.glassfish.grizzly.connectionpool.MultiEndpointPool;
 import org.glassfish.grizzly.filterchain.FilterChainBuilder;
 import org.glassfish.grizzly.filterchain.TransportFilter;
 import org.glassfish.grizzly.http.HttpClientFilter;
@@ -23,6 +19,7 @@
 import org.glassfish.grizzly.nio.transport.TCPNIOTransportBuilder;
 import org.glassfish.grizzly.strategies.SameThreadIOStrategy;
 import org.glassfish.grizzly.threadpool.ThreadPoolConfig;
+import org.jspecify.annotations.Nullable;
 
 /**
  * An asynchronous HTTP client with kept-alive connections.
@@ -30,45 +27,42 @@
  * <p>Thread safe. A request is written at most once; it is never repeated by this class.
  */
 public final class HttpCaller implements AutoCloseable {
-    private static final int MAX_PER_ENDPOINT = 512;
-    private static final int MAX_TOTAL = 4_096;
-    private static final int CONNECT_TIMEOUT_MILLIS = 2_000;
-    private static final int KEEP_ALIVE_SECONDS = 20;
+    /** How long a connection may take to open, in milliseconds. */
+    public static final long CONNECT_TIMEOUT_MILLIS = 1_000;
 
     private final TCPNIOTransport mTransport;
+    private final boolean mOwnsTransport;
     private final TCPNIOConnectorHandler mConnector;
-    private final MultiEndpointPool<InetSocketAddress> mPool;
-    private final ScheduledExecutorService mTimer;
+    private final ConnectionPool mPool = new ConnectionPool();
+    private final ScheduledThreadPoolExecutor mTimer;
 
-    private HttpCaller(TCPNIOTransport transport) {
+    private HttpCaller(TCPNIOTransport transport, boolean ownsTransport) {
         mTransport = transport;
-        mConnector = TCPNIOConnectorHandler.builder(transport).build();
+        mOwnsTransport = ownsTransport;
+        mConnector =
+                TCPNIOConnectorHandler.builder(transport)
+                        .processor(
+                                FilterChainBuilder.stateless()
+                                        .add(new TransportFilter())
+                                        .add(new HttpClientFilter())
+                                        .add(new ExchangeFilter())
+                                        .build())
+                        .build();
         mTimer =
-                Executors.newSingleThreadScheduledExecutor(
+                new ScheduledThreadPoolExecutor(
+                        1,
                         task -> {
                             Thread thread = new Thread(task, "http-timer");
                             thread.setDaemon(true);
                             return thread;
                         });
-        mPool =
-                MultiEndpointPool.builder(InetSocketAddress.class)
-                        .maxConnectionsPerEndpoint(MAX_PER_ENDPOINT)
-                        .maxConnectionsTotal(MAX_TOTAL)
-                        .connectTimeout(CONNECT_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)
-                        .keepAliveTimeout(KEEP_ALIVE_SECONDS, TimeUnit.SECONDS)
-                        .build();
+        mTimer.setRemoveOnCancelPolicy(true);
     }
 
-    /** Creates and starts a client. */
+    /** Creates and starts a client with an I/O thread of its own. */
     public static HttpCaller start() throws IOException {
         TCPNIOTransport transport =
                 TCPNIOTransportBuilder.newInstance()
-                        .setProcessor(
-                                FilterChainBuilder.stateless()
-                                        .add(new TransportFilter())
-                                        .add(new HttpClientFilter())
-                                        .add(new ExchangeFilter())
-                                        .build())
                         .setIOStrategy(SameThreadIOStrategy.getInstance())
                         .setSelectorRunnersCount(1)
                         .setSelectorThreadPoolConfig(
@@ -80,19 +74,36 @@
                         .setTcpNoDelay(true)
                         .build();
         transport.start();
-        return new HttpCaller(transport);
+        return new HttpCaller(transport, true);
+    }
+
+    /** Creates a client on the I/O thread of a running transport, which it does not stop. */
+    public static HttpCaller on(TCPNIOTransport transport) {
+        return new HttpCaller(transport, false);
     }
 
     /** Sends a request and reports its response to {@code listener}. */
     public HttpExchange send(HttpCall call, HttpListener listener) {
-        HttpExchange exchange = new HttpExchange(call, listener, mPool::release);
-        exchange.setTimeout(
+        HttpExchange exchange = new HttpExchange(call, listener, mPool);
+        if (call.timeoutMillis() > 0) {
+            String detail = "timeout after " + call.timeoutMillis() + " ms";
+            failAfter(exchange, call.timeoutMillis(), detail);
+        }
+        Connection<?> idle = mPool.take(call.address(), System.nanoTime());
+        if (idle != null) {
+            exchange.begin(idle);
+        } else {
+            connect(call, exchange);
+        }
+        return exchange;
+    }
+
+    private void connect(HttpCall call, HttpExchange exchange) {
+        exchange.setConnectTimeout(
                 mTimer.schedule(
-                        () -> exchange.fail("timeout after " + call.timeoutMillis() + " ms"),
-                        call.timeoutMillis(),
-                        TimeUnit.MILLISECONDS));
-        mPool.take(
-                endpoint(call),
+                        exchange::failConnect, CONNECT_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS));
+        mConnector.connect(
+                call.address(),
                 new EmptyCompletionHandler<Connection>() {
                     @Override
                     @SuppressWarnings("rawtypes")
@@ -105,7 +116,16 @@
                         exchange.fail("connect: " + cause.getMessage());
                     }
                 });
-        return exchange;
+    }
+
+    private void failAfter(HttpExchange exchange, long millis, String detail) {
+        exchange.setTimeout(
+                mTimer.schedule(() -> exchange.fail(detail), millis, TimeUnit.MILLISECONDS));
+    }
+
+    /** Closes the idle connections to an address, whose server is gone. */
+    public void forget(InetSocketAddress address) {
+        mPool.drop(address);
     }
 
     /**
@@ -122,7 +142,10 @@
     @Override
     public void close() {
         mTimer.shutdownNow();
-        mPool.close();
+        mPool.clear();
+        if (!mOwnsTransport) {
+            return;
+        }
         try {
             mTransport.shutdownNow();
         } catch (IOException ignored) {
@@ -130,29 +153,13 @@
         }
     }
 
-    private Endpoint<InetSocketAddress> endpoint(HttpCall call) {
-        InetSocketAddress address = new InetSocketAddress(call.uri().getHost(), call.port());
-        return new Endpoint<>() {
-            @Override
-            public Object getId() {
-                return address;
-            }
-
-            @Override
-            @SuppressWarnings("rawtypes")
-            public GrizzlyFuture<Connection> connect() {
-                return (GrizzlyFuture<Connection>) mConnector.connect(address);
-            }
-        };
-    }
-
     /** Collects a response. Used by one I/O thread at a time. */
     private static final class Collector implements HttpListener {
         private final HttpCall mCall;
         private final String mStep;
         private final CompletableFuture<Result<HttpReply>> mAnswer;
         private final ByteArrayOutputStream mBody = new ByteArrayOutputStream();
-        private int mStatus;
+        private @Nullable HttpHead mHead;
 
         Collector(HttpCall call, String step, CompletableFuture<Result<HttpReply>> answer) {
             mCall = call;
@@ -161,8 +168,8 @@
         }
 
         @Override
-        public void onHead(int status) {
-            mStatus = status;
+        public void onHead(HttpHead head) {
+            mHead = head;
         }
 
         @Override
@@ -172,7 +179,8 @@
 
         @Override
         public void onEnd() {
-            mAnswer.complete(Result.ok(new HttpReply(mStatus, mBody.toByteArray())));
+            int status = mHead == null ? 0 : mHead.status();
+            mAnswer.complete(Result.ok(new HttpReply(status, mBody.toByteArray())));
         }
 
         @Override
--- a/ebonyrun-ports/src/main/java/org/ebonyrun/ports/http/HttpExchange.java
+++ b/ebonyrun-ports/src/main/java/org/ebonyrun/ports/http/HttpExchange.java
@@ -2,7 +2,7 @@
 
 import java.net.SocketAddress;
 import java.util.concurrent.ScheduledFuture;
-import java.util.function.Consumer;
+import org.ebonyrun.base.time.Nanos;
 import org.glassfish.grizzly.Connection;
 import org.glassfish.grizzly.EmptyCompletionHandler;
 import org.glassfish.grizzly.WriteResult;
@@ -20,18 +20,24 @@
  * <p>Thread safe: state changes hold the exchange's monitor. The listener hears of exactly one end.
  */
 public final class HttpExchange {
+    private static final long DEFAULT_IDLE_NANOS = Nanos.ofMillis(10_000);
+    // Part of a server's announced idle time that this side uses; the rest covers time in transit.
+    private static final double IDLE_SHARE = 0.7;
+
     private final HttpCall mCall;
     private final HttpListener mListener;
-    private final Consumer<Connection<?>> mRelease;
+    private final ConnectionPool mPool;
     private @Nullable Connection<?> mConnection;
     private @Nullable ScheduledFuture<?> mTimeout;
+    private @Nullable ScheduledFuture<?> mConnectTimeout;
+    private long mIdleNanos = DEFAULT_IDLE_NANOS;
     private boolean mSent;
     private boolean mDone;
 
-    HttpExchange(HttpCall call, HttpListener listener, Consumer<Connection<?>> release) {
+    HttpExchange(HttpCall call, HttpListener listener, ConnectionPool pool) {
         mCall = call;
         mListener = listener;
-        mRelease = release;
+        mPool = pool;
     }
 
     /** Ends the exchange and closes its connection, which tells the server to stop. */
@@ -46,17 +52,42 @@
         }
     }
 
-    /** Writes the request on a connection from the pool. */
+    synchronized void setConnectTimeout(ScheduledFuture<?> timeout) {
+        mConnectTimeout = timeout;
+        if (mDone || mSent) {
+            timeout.cancel(false);
+        }
+    }
+
+    /** Fails the exchange unless its connection is open by now. */
+    void failConnect() {
+        boolean open;
+        synchronized (this) {
+            open = mSent;
+        }
+        if (!open) {
+            fail("connect: timeout after " + HttpCaller.CONNECT_TIMEOUT_MILLIS + " ms");
+        }
+    }
+
+    /** Writes the request on an open connection. */
     void begin(Connection<?> connection) {
         synchronized (this) {
             if (mDone) {
-                mRelease.accept(connection);
+                mPool.put(mCall.address(), connection, System.nanoTime() + DEFAULT_IDLE_NANOS);
                 return;
             }
             mConnection = connection;
             mSent = true;
+            if (mConnectTimeout != null) {
+                mConnectTimeout.cancel(false);
+            }
         }
         ExchangeFilter.bind(connection, this);
+        if (!connection.isOpen()) {
+            fail("connection closed");
+            return;
+        }
         Writeable<SocketAddress> writeable = writeable(connection);
         writeable.write(
                 packet(),
@@ -73,10 +104,28 @@
         return (Writeable<SocketAddress>) connection;
     }
 
-    void head(int status) {
+    void head(HttpHead head) {
         if (!isDone()) {
-            mListener.onHead(status);
+            long seconds = keepAliveSeconds(head);
+            if (seconds >= 0) {
+                mIdleNanos = (long) (IDLE_SHARE * seconds * Nanos.PER_SECOND);
+            }
+            mListener.onHead(head);
+        }
+    }
+
+    private static long keepAliveSeconds(HttpHead head) {
+        String text = head.headers().first("Keep-Alive").orElse("");
+        int begin = text.indexOf("timeout=");
+        if (begin < 0) {
+            return -1;
+        }
+        String rest = text.substring(begin + "timeout=".length());
+        int end = 0;
+        while (end < rest.length() && Character.isDigit(rest.charAt(end))) {
+            end++;
         }
+        return end == 0 || end > 9 ? -1 : Long.parseLong(rest.substring(0, end));
     }
 
     void data(byte[] data) {
@@ -93,10 +142,11 @@
         Connection<?> connection = mConnection;
         if (connection != null) {
             ExchangeFilter.unbind(connection);
-            if (!keepAlive) {
+            if (keepAlive) {
+                mPool.put(mCall.address(), connection, System.nanoTime() + mIdleNanos);
+            } else {
                 connection.closeSilently();
             }
-            mRelease.accept(connection);
         }
         mListener.onEnd();
     }
@@ -114,7 +164,6 @@
         if (connection != null) {
             ExchangeFilter.unbind(connection);
             connection.closeSilently();
-            mRelease.accept(connection);
         }
         mListener.onFailure(sent, detail);
     }
@@ -131,6 +180,9 @@
         if (mTimeout != null) {
             mTimeout.cancel(false);
         }
+        if (mConnectTimeout != null) {
+            mConnectTimeout.cancel(false);
+        }
         return true;
     }
 
@@ -139,8 +191,10 @@
                 HttpRequestPacket.builder()
                         .method(mCall.method())
                         .uri(mCall.target())
-                        .protocol(Protocol.HTTP_1_1)
-                        .host(mCall.authority());
+                        .protocol(Protocol.HTTP_1_1);
+        if (mCall.headers().first("Host").isEmpty()) {
+            head.host(mCall.authority());
+        }
         mCall.headers().forEach(head::header);
         head.contentLength(mCall.body().length);
         return HttpContent.builder(head.build())
--- /dev/null
+++ b/ebonyrun-ports/src/main/java/org/ebonyrun/ports/http/HttpHead.java
@@ -0,0 +1,16 @@
+package org.ebonyrun.ports.http;
+
+/**
+ * The status and headers of a response.
+ *
+ * @param status the status code
+ * @param headers the headers
+ * @param framed whether the message states its own end, by a length or in chunks; otherwise it ends
+ *     with its connection
+ */
+public record HttpHead(int status, HttpHeaders headers, boolean framed) {
+    /** Returns whether the status is 2xx. */
+    public boolean isSuccess() {
+        return status / 100 == 2;
+    }
+}
--- /dev/null
+++ b/ebonyrun-ports/src/main/java/org/ebonyrun/ports/http/HttpHeaders.java
@@ -0,0 +1,147 @@
+package org.ebonyrun.ports.http;
+
+import static com.google.common.base.Preconditions.checkArgument;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.BiConsumer;
+
+/**
+ * The headers of one HTTP message, in order.
+ *
+ * <p>Immutable and thread safe. Names are compared without regard to case.
+ */
+public final class HttpHeaders {
+    private static final HttpHeaders EMPTY = new HttpHeaders(List.of());
+    private static final Set<String> CONNECTION_ONLY =
+            Set.of(
+                    "connection",
+                    "keep-alive",
+                    "proxy-connection",
+                    "proxy-authenticate",
+                    "proxy-authorization",
+                    "te",
+                    "trailer",
+                    "transfer-encoding",
+                    "upgrade",
+                    "expect",
+                    "content-length");
+
+    private final List<String> mNamesAndValues;
+
+    private HttpHeaders(List<String> namesAndValues) {
+        mNamesAndValues = namesAndValues;
+    }
+
+    /** Returns headers without an entry. */
+    public static HttpHeaders empty() {
+        return EMPTY;
+    }
+
+    /**
+     * Creates headers from alternating names and values.
+     *
+     * @throws IllegalArgumentException if a value is missing
+     */
+    public static HttpHeaders of(String... namesAndValues) {
+        checkArgument(
+                namesAndValues.length % 2 == 0, "odd number of texts: %s", namesAndValues.length);
+        return new HttpHeaders(List.of(namesAndValues));
+    }
+
+    /** Creates a builder. */
+    public static Builder builder() {
+        return new Builder();
+    }
+
+    /** Returns the first value of a header. */
+    public Optional<String> first(String name) {
+        for (int i = 0; i < mNamesAndValues.size(); i += 2) {
+            if (mNamesAndValues.get(i).equalsIgnoreCase(name)) {
+                return Optional.of(mNamesAndValues.get(i + 1));
+            }
+        }
+        return Optional.empty();
+    }
+
+    /** Returns the first value of a header as a number, or {@code fallback} if it is none. */
+    public long number(String name, long fallback) {
+        Optional<String> text = first(name);
+        if (text.isEmpty()) {
+            return fallback;
+        }
+        try {
+            return Long.parseLong(text.get().strip());
+        } catch (NumberFormatException ignored) {
+            return fallback;
+        }
+    }
+
+    /** Calls {@code sink} for each header in order. */
+    public void forEach(BiConsumer<String, String> sink) {
+        for (int i = 0; i < mNamesAndValues.size(); i += 2) {
+            sink.accept(mNamesAndValues.get(i), mNamesAndValues.get(i + 1));
+        }
+    }
+
+    /**
+     * Returns the headers that concern the message and not one connection, without its length:
+     * those that {@code Connection} names are left out too.
+     */
+    public HttpHeaders endToEnd() {
+        Set<String> named = connectionTokens();
+        Builder kept = builder();
+        forEach(
+                (name, value) -> {
+                    String lower = name.toLowerCase(Locale.ROOT);
+                    if (!CONNECTION_ONLY.contains(lower) && !named.contains(lower)) {
+                        kept.add(name, value);
+                    }
+                });
+        return kept.build();
+    }
+
+    private Set<String> connectionTokens() {
+        return first("Connection")
+                .map(text -> Set.copyOf(List.of(text.toLowerCase(Locale.ROOT).split("\\s*,\\s*"))))
+                .orElse(Set.of());
+    }
+
+    /** Collects headers. Not thread safe. */
+    public static final class Builder {
+        private final List<String> mNamesAndValues = new ArrayList<>();
+
+        private Builder() {}
+
+        /** Adds a header. */
+        public Builder add(String name, String value) {
+            mNamesAndValues.add(name);
+            mNamesAndValues.add(value);
+            return this;
+        }
+
+        /** Replaces all headers of that name. */
+        public Builder set(String name, String value) {
+            for (int i = mNamesAndValues.size() - 2; i >= 0; i -= 2) {
+                if (mNamesAndValues.get(i).equalsIgnoreCase(name)) {
+                    mNamesAndValues.subList(i, i + 2).clear();
+                }
+            }
+            return add(name, value);
+        }
+
+        /** Adds all of the given headers. */
+        public Builder addAll(HttpHeaders headers) {
+            headers.forEach(this::add);
+            return this;
+        }
+
+        /** Returns the headers. */
+        public HttpHeaders build() {
+            return new HttpHeaders(List.copyOf(mNamesAndValues));
+        }
+    }
+}
--- a/ebonyrun-ports/src/main/java/org/ebonyrun/ports/http/HttpListener.java
+++ b/ebonyrun-ports/src/main/java/org/ebonyrun/ports/http/HttpListener.java
@@ -3,7 +3,7 @@
 /** Receives one HTTP response. Called on I/O threads, in order; must not block. */
 public interface HttpListener {
     /** Called when the status line and headers have arrived. */
-    void onHead(int status);
+    void onHead(HttpHead head);
 
     /** Called for each piece of the body. */
     void onData(byte[] data);
--- /dev/null
+++ b/ebonyrun-ports/src/main/java/org/ebonyrun/ports/store/SharedStore.java
@@ -0,0 +1,45 @@
+package org.ebonyrun.ports.store;
+
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import org.ebonyrun.base.result.Result;
+
+/**
+ * The shared store of a deployment.
+ *
+ * <p>Implementations are thread safe and never block. Every call ends within a time limit. A fault
+ * with outcome {@code unknown} on a write means that it may have taken effect or may still take
+ * effect while its expectations hold.
+ */
+public interface SharedStore {
+    /** Reads a key; the answer is linearizable. */
+    CompletableFuture<Result<Optional<StoreItem>>> get(String key);
+
+    /**
+     * Reads one page of the keys that begin with a prefix; the answer is linearizable.
+     *
+     * @param after the key after which the page begins; empty for the first page
+     */
+    CompletableFuture<Result<StorePage>> range(String prefix, String after);
+
+    /**
+     * Waits until a key that begins with {@code prefix} changes.
+     *
+     * @param afterRevision the revision after which changes count
+     * @param waitMillis how long to wait, in milliseconds
+     */
+    CompletableFuture<Result<StoreChanges>> watch(
+            String prefix, long afterRevision, long waitMillis);
+
+    /** Commits a transaction. */
+    CompletableFuture<Result<Commit>> commit(Transaction transaction);
+
+    /** Grants a lease. */
+    CompletableFuture<Result<StoreLease>> grant(long ttlMillis);
+
+    /** Renews a lease; false if it has ended. */
+    CompletableFuture<Result<Boolean>> renew(long lease);
+
+    /** Ends a lease and removes its keys. */
+    CompletableFuture<Result<Boolean>> end(long lease);
+}
--- /dev/null
+++ b/ebonyrun-ports/src/main/java/org/ebonyrun/ports/store/StoreItem.java
@@ -0,0 +1,20 @@
+package org.ebonyrun.ports.store;
+
+import java.nio.charset.StandardCharsets;
+
+/**
+ * A key with its value.
+ *
+ * <p>Immutable by convention: the value is not copied and must not be changed.
+ *
+ * @param key the key
+ * @param value the value
+ * @param revision the store's revision when the key was last written
+ * @param lease the lease under which the key stands; zero for none
+ */
+public record StoreItem(String key, byte[] value, long revision, long lease) {
+    /** Returns the value as UTF-8 text. */
+    public String text() {
+        return new String(value, StandardCharsets.UTF_8);
+    }
+}
--- a/ebonyrun-standin/src/test/java/org/ebonyrun/standin/loopback/LoopbackFleet.java
+++ b/ebonyrun-standin/src/test/java/org/ebonyrun/standin/loopback/LoopbackFleet.java
@@ -99,7 +99,7 @@
 
     HttpCall request(String method, String path, Map<String, String> headers, String body) {
         byte[] bytes = body.getBytes(StandardCharsets.UTF_8);
-        return new HttpCall(method, URI.create(address() + path), headers, bytes, TIMEOUT_MILLIS);
+        return HttpCall.to(method, URI.create(address() + path), headers, bytes, TIMEOUT_MILLIS);
     }
 
     @Override
--- a/ebonyrun-standin/src/test/java/org/ebonyrun/standin/loopback/NodeLifeTest.java
+++ b/ebonyrun-standin/src/test/java/org/ebonyrun/standin/loopback/NodeLifeTest.java
@@ -29,7 +29,7 @@
         private final StringBuilder mText = new StringBuilder();
 
         @Override
-        public void onHead(int status) {}
+        public void onHead(org.ebonyrun.ports.http.HttpHead head) {}
 
         @Override
         public void onData(byte[] data) {
