--- /dev/null
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/ArchiveRun.java
@@ -0,0 +1,91 @@
+package org.ebonyrun.daemon.hosted;
+
+import java.io.IOException;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.URI;
+import java.nio.charset.StandardCharsets;
+import java.util.Map;
+import java.util.Random;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.ebonyrun.base.log.EventLog;
+import org.ebonyrun.platform.standin.StandinScene;
+import org.ebonyrun.ports.http.HttpCall;
+import org.ebonyrun.ports.http.HttpCaller;
+import org.ebonyrun.ports.http.HttpReply;
+
+/**
+ * Serves a few requests on loopback against stand-ins and exits, so that the virtual machine can
+ * record which classes an entry needs. Used by the build; stateless.
+ */
+public final class ArchiveRun {
+    private static final long WAIT_MILLIS = 3_000;
+    private static final long PAUSE_MILLIS = 50;
+
+    private ArchiveRun() {}
+
+    /** Runs once. */
+    public static void main(String[] args) throws IOException, InterruptedException {
+        Random random = new Random();
+        StandinScene scene = StandinScene.start(freeAddress(), freeAddress());
+        String front = text(freeAddress());
+        String settings =
+                String.join(
+                        "\n",
+                        "role: hosted-entry",
+                        "vm: archive",
+                        "failure_domain: a",
+                        "listen: {front: \""
+                                + front
+                                + "\", ready: \""
+                                + text(freeAddress())
+                                + "\"}",
+                        "store: \"" + text(scene.store()) + "\"",
+                        "first_start: true",
+                        "limits: {order_quiet: 3s, grace: 8s, keep_results: 120s}");
+        HostedSettings.Parsed parsed = HostedSettings.parse("archive", settings);
+        EventLog log = EventLog.start(OutputStream.nullOutputStream());
+        HostedEntry.start(parsed.settings(), log);
+        HttpCaller caller = HttpCaller.start();
+        String step = Long.toHexString(random.nextLong());
+        long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(WAIT_MILLIS);
+        boolean listed = false;
+        while (!listed && System.nanoTime() - end < 0) {
+            post(caller, front, scene.callPath(), "call", scene.callBody());
+            post(caller, front, scene.stepPath(), step, scene.stepBody());
+            URI results = URI.create("http://" + front + scene.resultsPath(step));
+            HttpReply reply = get(caller, results);
+            listed = reply.text().contains("done");
+            new CountDownLatch(1).await(PAUSE_MILLIS, TimeUnit.MILLISECONDS);
+        }
+        System.exit(listed ? 0 : 1);
+    }
+
+    private static void post(HttpCaller caller, String front, String path, String id, String body) {
+        byte[] bytes = body.getBytes(StandardCharsets.UTF_8);
+        Map<String, String> headers = StandinScene.headers(id);
+        HttpCall call =
+                HttpCall.to("POST", URI.create("http://" + front + path), headers, bytes, 1_000);
+        caller.request(call, "archive").join();
+    }
+
+    private static HttpReply get(HttpCaller caller, URI uri) {
+        HttpCall call = HttpCall.to("GET", uri, StandinScene.headers(""), new byte[0], 1_000);
+        return caller.request(call, "archive")
+                .join()
+                .fold(r -> r, f -> new HttpReply(0, new byte[0]));
+    }
+
+    private static String text(InetSocketAddress address) {
+        return address.getHostString() + ":" + address.getPort();
+    }
+
+    private static InetSocketAddress freeAddress() throws IOException {
+        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            return new InetSocketAddress("127.0.0.1", socket.getLocalPort());
+        }
+    }
+}
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/HostedEntry.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/HostedEntry.java
@@ -40,7 +40,6 @@
 import org.glassfish.grizzly.nio.transport.TCPNIOTransportBuilder;
 import org.glassfish.grizzly.strategies.SameThreadIOStrategy;
 import org.glassfish.grizzly.threadpool.ThreadPoolConfig;
-import org.jspecify.annotations.Nullable;
 
 /**
  * An entry that reaches endpoints and the shared store itself.
@@ -87,7 +86,7 @@
     private volatile boolean mReady;
     private volatile boolean mDraining;
     private boolean mStoreAway;
-    private long mStoreAnsweredAt = System.nanoTime();
+    private long mStoreAwaySince;
     private long mSweepAt;
 
     private HostedEntry(HostedSettings settings, EventLog log) throws IOException {
@@ -226,7 +225,7 @@
 
     private void updateReady(long now) {
         boolean synced = mWatches.stream().allMatch(StoreWatch::isSynced) && mRoutes.isKnown();
-        boolean reachable = now - mStoreAnsweredAt < STORE_SILENCE_NANOS || !mStoreAway;
+        boolean reachable = !mStoreAway || now - mStoreAwaySince < STORE_SILENCE_NANOS;
         boolean ready = synced && reachable && !mDraining;
         if (ready != mReady) {
             mReady = ready;
@@ -245,7 +244,7 @@
 
     /** Takes a change of one key in; the item is null if the key was removed. */
     private interface KeyHandler {
-        void onKey(String key, @Nullable StoreItem item, boolean snapshot);
+        void onKey(StoreChange change, boolean snapshot);
     }
 
     private StoreWatch watch(SharedStore store, String prefix, KeyHandler handler) {
@@ -261,7 +260,7 @@
 
                     @Override
                     public void onChange(StoreChange change) {
-                        handler.onKey(change.key(), change.item(), false);
+                        handler.onKey(change, false);
                     }
 
                     @Override
@@ -286,15 +285,14 @@
             mFleet.onSnapshot(records, System.nanoTime());
             return;
         }
-        items.forEach(item -> handler.onKey(item.key(), item, true));
+        items.forEach(
+                item -> handler.onKey(new StoreChange(item.key(), item.revision(), item), true));
     }
 
     private void onStoreAnswer() {
-        long now = System.nanoTime();
-        mStoreAnsweredAt = now;
         if (mStoreAway) {
             mStoreAway = false;
-            mFleet.onStoreBack(now);
+            mFleet.onStoreBack(System.nanoTime());
             mLog.write(LogLine.of("store.back"));
         }
     }
@@ -302,12 +300,15 @@
     private void onStoreFault(String prefix, Fault fault) {
         if (!mStoreAway) {
             mStoreAway = true;
+            mStoreAwaySince = System.nanoTime();
             mFleet.onStoreAway();
             mLog.write(LogLine.of("store.away").with("prefix", prefix).with("why", fault.detail()));
         }
     }
 
-    private void onOperator(String key, @Nullable StoreItem item, boolean snapshot) {
+    private void onOperator(StoreChange change, boolean snapshot) {
+        String key = change.key();
+        StoreItem item = change.item();
         if (item == null) {
             return;
         }
@@ -365,7 +366,9 @@
         }
     }
 
-    private void onEndpoint(String key, @Nullable StoreItem item, boolean snapshot) {
+    private void onEndpoint(StoreChange change, boolean snapshot) {
+        String key = change.key();
+        StoreItem item = change.item();
         String id = EndpointDecoder.id(key);
         Optional<EndpointRecord> record = item == null ? Optional.empty() : record(item);
         if (record.isPresent()) {
@@ -385,13 +388,13 @@
         }
     }
 
-    private void onLive(String key, @Nullable StoreItem item, boolean snapshot) {
+    private void onLive(StoreChange change, boolean snapshot) {
         if (!snapshot) {
-            long revision = item == null ? 0 : item.revision();
-            mDirectory.onChange(new StoreChange(key, revision, item));
+            mDirectory.onChange(change);
         }
+        String key = change.key();
         if (key.equals(StepKeys.PLANNER)) {
-            mPlanner.onPlanner(item);
+            mPlanner.onPlanner(change.item(), change.revision());
             return;
         }
         if (!StepKeys.isStep(key)) {
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/PlannerDesk.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/PlannerDesk.java
@@ -85,13 +85,18 @@
         return mMachine.isHolding();
     }
 
-    /** Takes in what the watch says of the planner's key. */
-    void onPlanner(@Nullable StoreItem holder) {
+    /**
+     * Takes in what the watch says of the planner's key.
+     *
+     * @param revision the revision of the change; changes from before this entry's claim say
+     *     nothing
+     */
+    void onPlanner(@Nullable StoreItem holder, long revision) {
         boolean mine = holder != null && holder.text().equals(mParts.owner());
         if (holder != null && !mine) {
             mPredecessor = true;
         }
-        if (mMachine.isHolding() && (holder == null || !mine) && !mClaiming) {
+        if (mMachine.isHolding() && !mine && revision > mFence) {
             release("the planner's key is " + (holder == null ? "gone" : holder.text()));
         }
     }
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/StepOwner.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/StepOwner.java
@@ -97,6 +97,12 @@
         return mOwned.size();
     }
 
+    /** Returns the results that are listed of an owned step. */
+    List<SampleResult> listed(StepId id) {
+        List<SampleResult> listed = mMachine.listed(id);
+        return listed == null ? List.of() : listed;
+    }
+
     /**
      * Accepts a step.
      *
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/StepReader.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/StepReader.java
@@ -103,6 +103,9 @@
             StepId step, StepManifest manifest, int from, long waitMillis, FrontExchange to) {
         Known known = mKnown.computeIfAbsent(step, ignored -> new Known());
         boolean owned = mOwner.owns(step);
+        if (owned) {
+            adopt(known, mOwner.listed(step));
+        }
         if (known.mResults.size() > from || from >= manifest.samples()) {
             answer(to, manifest, from, known);
         } else if (owned) {
@@ -160,10 +163,12 @@
         long wait = Math.max(1, Math.min(waitMillis, MAX_WAIT_MILLIS));
         mShared.watch(StepKeys.results(step), known.mRevision, wait)
                 .thenAcceptAsync(
-                        result -> onWatched(manifest, from, to, known, result), mParts.executor());
+                        result -> onWatched(step, manifest, from, to, known, result),
+                        mParts.executor());
     }
 
     private void onWatched(
+            StepId step,
             StepManifest manifest,
             int from,
             FrontExchange to,
@@ -171,17 +176,19 @@
             Result<StoreChanges> result) {
         result.fold(
                 changes -> {
-                    if (changes.historyGone()) {
-                        known.mRevision = 0;
+                    for (StoreChange change : changes.changes()) {
+                        extend(known, change);
+                    }
+                    boolean gap = changes.historyGone() || known.mRevision == 0;
+                    known.mRevision = gap ? 0 : Math.max(known.mRevision, changes.revision());
+                    if (known.mResults.size() <= from && gap) {
+                        mStore.loadResults(step)
+                                .thenAcceptAsync(
+                                        loaded -> onLoaded(step, manifest, from, 0, to, loaded),
+                                        mParts.executor());
                     } else {
-                        for (StoreChange change : changes.changes()) {
-                            extend(known, change);
-                        }
-                        if (known.mRevision != 0) {
-                            known.mRevision = Math.max(known.mRevision, changes.revision());
-                        }
+                        answer(to, manifest, from, known);
                     }
-                    answer(to, manifest, from, known);
                     return changes;
                 },
                 fault -> {
