--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/EntryParts.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/EntryParts.java
@@ -25,8 +25,8 @@
     /** Returns what is known of steps. */
     StepDirectory directory();
 
-    /** Returns the text that marks what this process owns. */
-    String owner();
+    /** Returns the name under which this process owns keys. */
+    ProcessName self();
 
     /** Returns the route of a stored step. */
     Route routeOf(StepManifest manifest);
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/HostedEntry.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/HostedEntry.java
@@ -66,7 +66,7 @@
     private final HostedSettings mSettings;
     private final EventLog mLog;
     private final Duty<Runnable> mDuty;
-    private final String mOwner;
+    private final ProcessName mSelf;
     private final PriorityQueue<Timed> mLater =
             new PriorityQueue<>((a, b) -> Long.signum(a.at() - b.at()));
     private final Fleet mFleet = Fleet.create();
@@ -92,7 +92,7 @@
     private HostedEntry(HostedSettings settings, EventLog log) throws IOException {
         mSettings = settings;
         mLog = log;
-        mOwner = settings.vm().value() + "/" + Long.toHexString(new Random().nextLong());
+        mSelf = new ProcessName(settings.vm(), new Random().nextLong());
         mDuty = Duty.create("entry", RING, this, MonotonicClock.system(), TICK_NANOS);
         mTransport = transport();
         HttpCaller caller = HttpCaller.on(mTransport);
@@ -131,7 +131,8 @@
         HostedEntry entry = new HostedEntry(settings, log);
         entry.mDuty.launch();
         entry.executor().execute(() -> entry.mWatches.forEach(StoreWatch::start));
-        log.write(LogLine.of("start").with("vm", settings.vm()).with("owner", entry.mOwner));
+        log.write(
+                LogLine.of("start").with("vm", settings.vm()).with("process", entry.mSelf.text()));
         return entry;
     }
 
@@ -176,8 +177,8 @@
     }
 
     @Override
-    public String owner() {
-        return mOwner;
+    public ProcessName self() {
+        return mSelf;
     }
 
     @Override
@@ -211,7 +212,7 @@
         }
         mWatches.forEach(watch -> watch.onTick(now));
         mLease.onTick(mSteps.isNeeded() || mPlanner.isHolding(), now);
-        mSteps.onTick(mDirectory.orphans(), now);
+        mSteps.onTick(mDirectory.orphans(mSelf), now);
         mPlanner.onTick(now);
         mSamples.machine().onTick(now);
         mCalls.onTick(now);
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/KnownStep.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/KnownStep.java
@@ -14,8 +14,12 @@
     boolean mEnded;
     boolean mDone;
 
-    /** Returns whether somebody must take the step. */
-    boolean isOrphan() {
-        return mManifest != null && mOwner == null && !mEnded && !mDone;
+    /**
+     * Returns whether a process must take the step: nobody owns it, or an earlier process of the
+     * same VM does, which can't run any more.
+     */
+    boolean isOrphan(ProcessName self) {
+        boolean open = mManifest != null && !mEnded && !mDone;
+        return open && (mOwner == null || self.isSuccessorOf(mOwner));
     }
 }
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/PlannerDesk.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/PlannerDesk.java
@@ -53,6 +53,7 @@
     private final Set<String> mRetired = new HashSet<>();
     private final Set<String> mRetireAsked = new HashSet<>();
     private boolean mPredecessor;
+    private boolean mSameHolder;
     private boolean mClaiming;
     private boolean mDraining;
     private long mClaimAt;
@@ -92,7 +93,7 @@
      *     nothing
      */
     void onPlanner(@Nullable StoreItem holder, long revision) {
-        boolean mine = holder != null && holder.text().equals(mParts.owner());
+        boolean mine = holder != null && holder.text().equals(mParts.self().text());
         if (holder != null && !mine) {
             mPredecessor = true;
         }
@@ -121,8 +122,10 @@
 
     void onTick(long now) {
         StoreItem holder = mParts.directory().planner();
-        if (holder == null && !mMachine.isHolding() && !mClaiming && !mDraining) {
-            claimWhenDue(now);
+        boolean inherited = holder != null && mParts.self().isSuccessorOf(holder.text());
+        boolean free = holder == null || inherited;
+        if (free && !mMachine.isHolding() && !mClaiming && !mDraining) {
+            claimWhenDue(inherited, now);
         } else if (holder != null) {
             mClaimAt = 0;
         }
@@ -136,9 +139,10 @@
         }
     }
 
-    private void claimWhenDue(long now) {
+    private void claimWhenDue(boolean inherited, long now) {
         if (mClaimAt == 0) {
-            mClaimAt = now + CLAIM_DELAY_NANOS + mRandom.nextLong(CLAIM_JITTER_NANOS);
+            long delay = CLAIM_DELAY_NANOS + mRandom.nextLong(CLAIM_JITTER_NANOS);
+            mClaimAt = inherited ? now : now + delay;
         }
         if (now - mClaimAt < 0) {
             return;
@@ -157,10 +161,14 @@
     }
 
     private void claim(long lease) {
-        byte[] value = mParts.owner().getBytes(StandardCharsets.UTF_8);
+        byte[] value = mParts.self().text().getBytes(StandardCharsets.UTF_8);
+        StoreItem holder = mParts.directory().planner();
+        // Orders of the same VM are those of one holder, whichever process gave them.
+        mSameHolder = holder != null;
+        long replaced = holder == null ? Transaction.ABSENT : holder.revision();
         mShared.commit(
                         Transaction.builder()
-                                .expect(StepKeys.PLANNER, Transaction.ABSENT)
+                                .expect(StepKeys.PLANNER, replaced)
                                 .write(StepKeys.PLANNER, value, lease)
                                 .build())
                 .thenAcceptAsync(this::onClaimed, mParts.executor());
@@ -174,7 +182,8 @@
         }
         mClaiming = false;
         mFence = fence;
-        long quiet = mPredecessor ? Nanos.ofMillis(mSettings.orderQuietMillis()) : 0;
+        boolean waits = mPredecessor && !mSameHolder;
+        long quiet = waits ? Nanos.ofMillis(mSettings.orderQuietMillis()) : 0;
         mMachine.onHolding(fence, quiet, System.nanoTime());
         mParts.log()
                 .write(
@@ -188,7 +197,7 @@
             return commit.revision();
         }
         for (StoreItem item : commit.current()) {
-            if (item.text().equals(mParts.owner())) {
+            if (item.text().equals(mParts.self().text())) {
                 return item.revision();
             }
         }
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/StepDirectory.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/StepDirectory.java
@@ -35,12 +35,12 @@
         return mPlanner;
     }
 
-    /** Returns the steps that nobody owns. */
-    List<StepId> orphans() {
+    /** Returns the steps that a process may take. */
+    List<StepId> orphans(ProcessName self) {
         List<StepId> orphans = new ArrayList<>();
         mSteps.forEach(
                 (id, step) -> {
-                    if (step.isOrphan()) {
+                    if (step.isOrphan(self)) {
                         orphans.add(id);
                     }
                 });
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/StepOwner.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/StepOwner.java
@@ -21,6 +21,7 @@
 import org.ebonyrun.ports.store.Commit;
 import org.ebonyrun.ports.store.CommitOutcome;
 import org.ebonyrun.ports.store.StoreItem;
+import org.ebonyrun.ports.store.Transaction;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -150,7 +151,7 @@
                         spec.minVersion(),
                         spec.samples().size(),
                         acceptedAt);
-        mStore.accept(spec.id(), manifest, submission, mParts.owner(), lease)
+        mStore.accept(spec.id(), manifest, submission, mParts.self().text(), lease)
                 .thenAcceptAsync(
                         result -> onAccepted(spec, route, result, answer), mParts.executor());
     }
@@ -280,7 +281,7 @@
                                 append.mRetryAt = System.nanoTime() + RETRY_NANOS;
                                 return;
                             }
-                            mStore.claim(id, mParts.owner(), lease)
+                            mStore.claim(id, Transaction.ABSENT, mParts.self().text(), lease)
                                     .thenAcceptAsync(
                                             result -> onClaimedAgain(id, owned, append, result),
                                             mParts.executor());
@@ -320,7 +321,7 @@
     private long ownRevision(Commit commit, StepId id) {
         String key = StepKeys.live(id, StepKeys.OWNER);
         for (StoreItem item : commit.current()) {
-            if (item.key().equals(key) && item.text().equals(mParts.owner())) {
+            if (item.key().equals(key) && item.text().equals(mParts.self().text())) {
                 return item.revision();
             }
         }
@@ -346,7 +347,7 @@
         boolean other =
                 owned != null
                         && known.mOwner != null
-                        && !known.mOwner.equals(mParts.owner())
+                        && !known.mOwner.equals(mParts.self().text())
                         && known.mOwnerRevision > owned.mRevision;
         if (other) {
             lose(id, "owned by " + known.mOwner);
@@ -387,7 +388,7 @@
                                 mClaiming.remove(id);
                                 return;
                             }
-                            mStore.claim(id, mParts.owner(), lease)
+                            mStore.claim(id, Transaction.ABSENT, mParts.self().text(), lease)
                                     .thenAcceptAsync(
                                             result -> onReclaimed(id, result), mParts.executor());
                         },
@@ -413,12 +414,14 @@
 
     private void claimWhenDue(StepId id, long now) {
         Long due = mClaimAt.get(id);
-        if (due == null) {
+        KnownStep known = mParts.directory().get(id);
+        boolean inherited = known != null && known.mOwner != null;
+        if (due == null && !inherited) {
             long delay = CLAIM_BASE_NANOS + CLAIM_PER_STEP_NANOS * mOwned.size();
             mClaimAt.put(id, now + delay + mRandom.nextLong(CLAIM_JITTER_NANOS));
             return;
         }
-        if (now - due < 0) {
+        if (due != null && now - due < 0) {
             return;
         }
         mClaimAt.put(id, now + RETRY_NANOS * 2);
@@ -436,7 +439,10 @@
     }
 
     private void claim(StepId id, long lease) {
-        mStore.claim(id, mParts.owner(), lease)
+        KnownStep known = mParts.directory().get(id);
+        long replaced =
+                known == null || known.mOwner == null ? Transaction.ABSENT : known.mOwnerRevision;
+        mStore.claim(id, replaced, mParts.self().text(), lease)
                 .thenAcceptAsync(
                         result -> {
                             long revision =
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/StepStore.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/StepStore.java
@@ -74,12 +74,17 @@
         return chunks;
     }
 
-    /** Takes a step that nobody owns. */
-    CompletableFuture<Result<Commit>> claim(StepId id, String owner, long lease) {
+    /**
+     * Takes a step.
+     *
+     * @param ownerRevision the revision of the owner's key that is replaced, or absent
+     */
+    CompletableFuture<Result<Commit>> claim(
+            StepId id, long ownerRevision, String owner, long lease) {
         String key = StepKeys.live(id, StepKeys.OWNER);
         return mStore.commit(
                 Transaction.builder()
-                        .expect(key, Transaction.ABSENT)
+                        .expect(key, ownerRevision)
                         .expect(StepKeys.live(id, StepKeys.END), Transaction.ABSENT)
                         .expect(StepKeys.live(id, StepKeys.DONE), Transaction.ABSENT)
                         .write(key, owner.getBytes(UTF_8), lease)
