--- /dev/null
+++ b/ebonyrun-core/src/test/java/org/ebonyrun/core/call/CallMachineTest.java
@@ -0,0 +1,221 @@
+package org.ebonyrun.core.call;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.contains;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
+import static org.hamcrest.Matchers.not;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import org.ebonyrun.base.id.FailureDomain;
+import org.ebonyrun.base.time.Nanos;
+import org.ebonyrun.core.fleet.Endpoints;
+import org.ebonyrun.core.fleet.Fleet;
+import org.ebonyrun.core.route.CallTerms;
+import org.ebonyrun.core.route.Route;
+import org.ebonyrun.core.route.RouteKind;
+import org.ebonyrun.core.route.StepTerms;
+import org.ebonyrun.core.route.WeightedService;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+class CallMachineTest {
+    private static final int ATTEMPTS = 2;
+    private static final long DEADLINE = Nanos.ofMillis(800);
+
+    private final Fleet mFleet = Fleet.create();
+    private final FakeCallOutputs mOutputs = new FakeCallOutputs();
+    private final CallMachine mMachine =
+            CallMachine.create(mFleet, FailureDomain.of("a"), mOutputs);
+
+    private static Route route(RouteKind kind, int priority) {
+        return new Route(
+                "r",
+                "x",
+                "/",
+                kind,
+                List.of(new WeightedService(Endpoints.SERVICE, 1)),
+                new CallTerms(800, 150, ATTEMPTS, priority),
+                StepTerms.NONE);
+    }
+
+    private static CallSpec call(long id, RouteKind kind, boolean background, long now) {
+        return new CallSpec(
+                id, "r" + id, route(kind, 1), Endpoints.SERVICE, now, now + DEADLINE, background);
+    }
+
+    private void endpoints(int count, int slots) {
+        for (int i = 1; i <= count; i++) {
+            mFleet.onRecord(Endpoints.record("e" + i, slots, 1));
+        }
+    }
+
+    @Test
+    void anAnswerIsDeliveredOnce() {
+        endpoints(1, 4);
+        mMachine.onCall(call(1, RouteKind.IDEMPOTENT, false, 0), 0);
+        mMachine.onAttemptEnd(1, AttemptEnd.ANSWERED, Nanos.ofMillis(20));
+        mMachine.onTick(DEADLINE);
+
+        assertThat(mOutputs.mEnds.get(1L), is("delivered 1"));
+        assertThat(mOutputs.mEndCounts.get(1L), is(1));
+        assertThat(mFleet.get("e1").active(), is(0));
+    }
+
+    @ParameterizedTest
+    @EnumSource(
+            value = RouteKind.class,
+            names = {"ONCE", "STREAM"})
+    void aCallThatMayHaveRunIsNotRepeatedUnlessIdempotent(RouteKind kind) {
+        endpoints(2, 4);
+        mMachine.onCall(call(1, kind, false, 0), 0);
+        mMachine.onAttemptEnd(1, AttemptEnd.LOST, 1);
+        mMachine.onTick(Nanos.ofMillis(300));
+
+        assertThat(mOutputs.mSent.size(), is(1));
+        assertThat(mOutputs.mEnds.get(1L), is("failed"));
+    }
+
+    @ParameterizedTest
+    @EnumSource(
+            value = AttemptEnd.class,
+            names = {"NOT_RUN", "WRONG_INSTANCE", "UNREACHABLE"})
+    void aCallThatDidNotRunGoesToAnotherEndpoint(AttemptEnd end) {
+        endpoints(2, 4);
+        mMachine.onCall(call(1, RouteKind.ONCE, false, 0), 0);
+        String first = mOutputs.last().endpoint();
+        mMachine.onAttemptEnd(1, end, 1);
+
+        assertThat(mOutputs.mSent.size(), is(2));
+        assertThat(mOutputs.last().endpoint(), not(first));
+    }
+
+    @Test
+    void anIdempotentCallIsRepeatedUpToTheAttemptsOfItsRoute() {
+        endpoints(3, 4);
+        mMachine.onCall(call(1, RouteKind.IDEMPOTENT, false, 0), 0);
+        mMachine.onAttemptEnd(1, AttemptEnd.SERVER_ERROR, 1);
+        mMachine.onAttemptEnd(2, AttemptEnd.SERVER_ERROR, 2);
+
+        assertThat(mOutputs.mSent.size(), is(ATTEMPTS));
+        assertThat(mOutputs.mEnds.get(1L), is("delivered 2"));
+    }
+
+    @Test
+    void aSlowAnswerIsAskedForElsewhereAndTheLaterOneIsDropped() {
+        endpoints(2, 4);
+        mMachine.onCall(call(1, RouteKind.IDEMPOTENT, false, 0), 0);
+        mMachine.onTick(Nanos.ofMillis(74));
+        assertThat(mOutputs.mSent.size(), is(1));
+        mMachine.onTick(Nanos.ofMillis(76));
+        assertThat(mOutputs.mSent.size(), is(2));
+        mMachine.onAttemptEnd(2, AttemptEnd.ANSWERED, Nanos.ofMillis(90));
+
+        assertThat(mOutputs.mEnds.get(1L), is("delivered 2"));
+        assertThat(mOutputs.mCancelled, contains(1L));
+        assertThat(mFleet.get("e1").active() + mFleet.get("e2").active(), is(0));
+    }
+
+    @Test
+    void withoutAnEndpointACallIsRefusedAtOnce() {
+        mMachine.onCall(call(1, RouteKind.IDEMPOTENT, false, 0), 0);
+
+        assertThat(mOutputs.mEnds.get(1L), is("refused"));
+    }
+
+    @Test
+    void peopleGoBeforeBackgroundCallsAndFindSlotsFree() {
+        endpoints(1, 4);
+        for (long id = 1; id <= 4; id++) {
+            mMachine.onCall(call(id, RouteKind.IDEMPOTENT, true, 0), 0);
+        }
+        assertThat(mOutputs.mSent.size(), is(3));
+        mMachine.onCall(call(5, RouteKind.IDEMPOTENT, false, 0), 0);
+
+        assertThat(mOutputs.last().call(), is(5L));
+    }
+
+    @Test
+    void whenTheTimeIsUpTheCallerHearsWhetherItRan() {
+        endpoints(1, 1);
+        mMachine.onCall(call(1, RouteKind.ONCE, false, 0), 0);
+        mMachine.onCall(call(2, RouteKind.ONCE, false, 0), 0);
+        mMachine.onTick(DEADLINE);
+
+        assertThat(mOutputs.mEnds.get(1L), is("timeout"));
+        assertThat(mOutputs.mEnds.get(2L), is("refused"));
+    }
+
+    @Test
+    void aCallerThatLeavesFreesTheEndpoint() {
+        endpoints(1, 1);
+        mMachine.onCall(call(1, RouteKind.IDEMPOTENT, false, 0), 0);
+        mMachine.onAbandoned(1, 5);
+
+        assertThat(mOutputs.mCancelled, contains(1L));
+        assertThat(mFleet.get("e1").active(), is(0));
+        assertThat(mMachine.size(), is(0));
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8, 9, 10})
+    void underRandomFaultsEachCallEndsOnceAndRunsNoMoreThanItMay(long seed) {
+        Random random = new Random(seed);
+        endpoints(3, 2);
+        Map<Long, RouteKind> kinds = new HashMap<>();
+        Map<Long, Set<Long>> ran = new HashMap<>();
+        Set<Long> open = new HashSet<>();
+        int seen = 0;
+        long now = 0;
+        for (int i = 0; i < 2_000; i++) {
+            now += Nanos.ofMillis(random.nextInt(20));
+            if (random.nextInt(3) == 0) {
+                RouteKind kind = random.nextBoolean() ? RouteKind.ONCE : RouteKind.IDEMPOTENT;
+                long id = kinds.size() + 1;
+                kinds.put(id, kind);
+                mMachine.onCall(call(id, kind, random.nextBoolean(), now), now);
+            }
+            mMachine.onTick(now);
+            for (; seen < mOutputs.mSent.size(); seen++) {
+                open.add(mOutputs.mSent.get(seen).attempt());
+            }
+            open.removeAll(mOutputs.mCancelled);
+            for (Long attempt : List.copyOf(open)) {
+                if (random.nextInt(3) == 0) {
+                    AttemptEnd end = AttemptEnd.values()[random.nextInt(6)];
+                    FakeCallOutputs.Sent sent = mOutputs.mSent.get((int) (attempt - 1));
+                    if (end == AttemptEnd.ANSWERED
+                            || end == AttemptEnd.SERVER_ERROR
+                            || end == AttemptEnd.LOST) {
+                        ran.computeIfAbsent(sent.call(), x -> new HashSet<>()).add(attempt);
+                    }
+                    open.remove(attempt);
+                    mMachine.onAttemptEnd(attempt, end, now);
+                }
+            }
+        }
+        mMachine.onTick(now + 2 * DEADLINE);
+
+        assertThat(mMachine.size(), is(0));
+        kinds.forEach(
+                (id, kind) -> {
+                    assertThat(mOutputs.mEndCounts.get(id), is(1));
+                    int most = kind == RouteKind.ONCE ? 1 : ATTEMPTS;
+                    int runs = ran.getOrDefault(id, Set.of()).size();
+                    assertThat(runs, lessThanOrEqualTo(most));
+                    if (mOutputs.mEnds.get(id).equals("refused")) {
+                        assertThat(runs, is(0));
+                    }
+                });
+        for (int i = 1; i <= 3; i++) {
+            assertThat(mFleet.get("e" + i).active(), is(0));
+        }
+    }
+}
--- /dev/null
+++ b/ebonyrun-core/src/test/java/org/ebonyrun/core/call/FakeCallOutputs.java
@@ -0,0 +1,52 @@
+package org.ebonyrun.core.call;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.ebonyrun.core.fleet.Endpoint;
+
+/** Records what a call machine decides. */
+final class FakeCallOutputs implements CallOutputs {
+    /** One send. */
+    record Sent(long call, long attempt, String endpoint, long leftMillis) {}
+
+    final List<Sent> mSent = new ArrayList<>();
+    final List<Long> mCancelled = new ArrayList<>();
+    final Map<Long, String> mEnds = new HashMap<>();
+    final Map<Long, Integer> mEndCounts = new HashMap<>();
+
+    Sent last() {
+        return mSent.get(mSent.size() - 1);
+    }
+
+    private void end(CallSpec call, String how) {
+        mEnds.put(call.id(), how);
+        mEndCounts.merge(call.id(), 1, Integer::sum);
+    }
+
+    @Override
+    public void send(CallSpec call, long attempt, Endpoint endpoint, long leftMillis) {
+        mSent.add(new Sent(call.id(), attempt, endpoint.id(), leftMillis));
+    }
+
+    @Override
+    public void cancel(long attempt) {
+        mCancelled.add(attempt);
+    }
+
+    @Override
+    public void deliver(CallSpec call, long attempt) {
+        end(call, "delivered " + attempt);
+    }
+
+    @Override
+    public void refuse(CallSpec call, long retryAfterMillis, String reason) {
+        end(call, "refused");
+    }
+
+    @Override
+    public void fail(CallSpec call, boolean timeout, String reason) {
+        end(call, timeout ? "timeout" : "failed");
+    }
+}
--- /dev/null
+++ b/ebonyrun-core/src/test/java/org/ebonyrun/core/fleet/Endpoints.java
@@ -0,0 +1,36 @@
+package org.ebonyrun.core.fleet;
+
+import java.net.InetSocketAddress;
+import java.util.Map;
+import org.ebonyrun.base.id.FailureDomain;
+import org.ebonyrun.base.id.ServiceName;
+
+/** Records of endpoints for tests. */
+public final class Endpoints {
+    /** The service of all records here. */
+    public static final ServiceName SERVICE = ServiceName.of("engines");
+
+    /** The model of all records here. */
+    public static final String MODEL = "m";
+
+    private Endpoints() {}
+
+    /** Returns a record of an endpoint that serves. */
+    public static EndpointRecord record(String id, int slots, int version) {
+        return record(id, 0, slots, version, false);
+    }
+
+    /** Returns a record. */
+    public static EndpointRecord record(
+            String id, long incarnation, int slots, int version, boolean leaving) {
+        return new EndpointRecord(
+                id,
+                incarnation,
+                SERVICE,
+                InetSocketAddress.createUnresolved("10.0.0.1", 80),
+                FailureDomain.of("a"),
+                slots,
+                leaving,
+                Map.of(MODEL, version));
+    }
+}
--- /dev/null
+++ b/ebonyrun-core/src/test/java/org/ebonyrun/core/step/FakeStepOutputs.java
@@ -0,0 +1,60 @@
+package org.ebonyrun.core.step;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.ebonyrun.core.fleet.Endpoint;
+
+/** Records what a step machine decides. */
+final class FakeStepOutputs implements StepOutputs {
+    /** One run. */
+    record Run(long run, String sample, String endpoint, int lastEvent, int urgency) {}
+
+    /** Results that are to be stored. */
+    record Store(StepId step, int position, List<SampleResult> results, boolean last) {}
+
+    final List<Run> mRuns = new ArrayList<>();
+    final Map<Long, Run> mOpen = new LinkedHashMap<>();
+    final Map<Long, String> mScores = new LinkedHashMap<>();
+    final List<Store> mStores = new ArrayList<>();
+    final List<String> mReasons = new ArrayList<>();
+
+    Run last() {
+        return mRuns.get(mRuns.size() - 1);
+    }
+
+    @Override
+    public void startRun(
+            long run,
+            StepSpec step,
+            SampleSpec sample,
+            Endpoint endpoint,
+            int lastEvent,
+            int urgency) {
+        Run started = new Run(run, sample.id(), endpoint.id(), lastEvent, urgency);
+        mRuns.add(started);
+        mOpen.put(run, started);
+    }
+
+    @Override
+    public void cancelRun(long run, String reason) {
+        mOpen.remove(run);
+        mReasons.add(reason);
+    }
+
+    @Override
+    public void score(long run, StepSpec step, SampleSpec sample) {
+        mScores.put(run, sample.id());
+    }
+
+    @Override
+    public void store(StepId step, int position, List<SampleResult> results, boolean last) {
+        mStores.add(new Store(step, position, results, last));
+    }
+
+    @Override
+    public void listed(StepId step) {
+        // Tests read the list from the machine.
+    }
+}
--- /dev/null
+++ b/ebonyrun-core/src/test/java/org/ebonyrun/core/step/StepMachineTest.java
@@ -0,0 +1,320 @@
+package org.ebonyrun.core.step;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.contains;
+import static org.hamcrest.Matchers.containsString;
+import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.not;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import org.ebonyrun.base.time.Nanos;
+import org.ebonyrun.core.fleet.Endpoints;
+import org.ebonyrun.core.fleet.Fleet;
+import org.ebonyrun.core.route.CallTerms;
+import org.ebonyrun.core.route.Route;
+import org.ebonyrun.core.route.RouteKind;
+import org.ebonyrun.core.route.StepTerms;
+import org.ebonyrun.core.route.WeightedService;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+class StepMachineTest {
+    private static final StepId STEP = StepId.of("step");
+    private static final int EVENTS = 3;
+    private static final int BOUND = 2;
+    private static final long MILLI = Nanos.PER_MILLI;
+
+    private final Fleet mFleet = Fleet.create();
+    private final FakeStepOutputs mOutputs = new FakeStepOutputs();
+    private final StepMachine mMachine = StepMachine.create(mFleet, mOutputs);
+
+    private static Route route(boolean singleVersion) {
+        return new Route(
+                "r",
+                "x",
+                "/",
+                RouteKind.STEPS,
+                List.of(new WeightedService(Endpoints.SERVICE, 1)),
+                new CallTerms(10_000, 500, 3, 0),
+                new StepTerms(7_500, 40_000, singleVersion));
+    }
+
+    private static SampleSpec sample(String id, String group, long tokens, boolean scored) {
+        ScoreCall score = scored ? new ScoreCall("s-" + id, "x", "/s", new byte[0]) : null;
+        return new SampleSpec(id, "/g", Map.of(), new byte[0], tokens, group, score);
+    }
+
+    private static StepSpec step(int wanted, SampleSpec... samples) {
+        return new StepSpec(STEP, "x", "/", 3, Endpoints.MODEL, BOUND, wanted, List.of(samples));
+    }
+
+    private void own(StepSpec spec, boolean singleVersion) {
+        mMachine.onOwned(spec, route(singleVersion), List.of(), List.of(), 0, 0);
+    }
+
+    private void endpoint(String id, int version) {
+        mFleet.onRecord(Endpoints.record(id, 8, version));
+    }
+
+    private void events(long run, int from, int to, long now) {
+        for (int i = from; i <= to; i++) {
+            mMachine.onEvent(run, i, "d" + i, 0, now);
+        }
+    }
+
+    @Test
+    void aWholeSampleIsScoredStoredAndListed() {
+        endpoint("e", 2);
+        own(step(1, sample("a", "g", 1, true)), false);
+        mMachine.onRunBegun(1, 2, 0);
+        events(1, 1, EVENTS, 0);
+        mMachine.onRunEnd(1, RunEnd.COMPLETE, 0);
+        long score = mOutputs.mScores.keySet().iterator().next();
+        mMachine.onScoreEnd(score, ScoreEnd.SCORED, "stamp", 0);
+
+        FakeStepOutputs.Store store = mOutputs.mStores.get(0);
+        assertThat(store.last(), is(true));
+        assertThat(store.position(), is(0));
+        SampleResult result = store.results().get(0);
+        assertThat(result.text(), is("d1\nd2\nd3"));
+        assertThat(result.versions(), contains(2));
+        assertThat(result.score(), is("stamp"));
+        assertThat(mMachine.listed(STEP), is(empty()));
+        mMachine.onStored(STEP, 0);
+        assertThat(mMachine.size(), is(0));
+    }
+
+    @ParameterizedTest
+    @EnumSource(
+            value = RunEnd.class,
+            names = {"BROKEN", "UNFRAMED"})
+    void aBrokenRunGoesOnAfterItsLastEventElsewhere(RunEnd end) {
+        endpoint("e1", 2);
+        endpoint("e2", 2);
+        own(step(1, sample("a", "g", 1, false)), false);
+        String first = mOutputs.last().endpoint();
+        mMachine.onRunBegun(1, 2, 0);
+        events(1, 1, 2, 0);
+        mMachine.onRunEnd(1, end, MILLI);
+        mMachine.onTick(100 * MILLI);
+
+        assertThat(mOutputs.last().lastEvent(), is(2));
+        assertThat(mOutputs.last().endpoint(), not(first));
+        mMachine.onRunBegun(2, 3, 100 * MILLI);
+        events(2, 3, 3, 100 * MILLI);
+        mMachine.onRunEnd(2, RunEnd.COMPLETE, 100 * MILLI);
+        SampleResult result = mOutputs.mStores.get(0).results().get(0);
+        assertThat(result.text(), is("d1\nd2\nd3"));
+        assertThat(result.versions(), contains(2, 3));
+    }
+
+    @Test
+    void anEndpointBelowTheBoundGetsNoSample() {
+        endpoint("e", 1);
+        own(step(1, sample("a", "g", 1, false)), false);
+        assertThat(mOutputs.mRuns, is(empty()));
+
+        mFleet.get("e").learnVersion(Endpoints.MODEL, 2);
+        mMachine.onTick(MILLI);
+        assertThat(mOutputs.mRuns.size(), is(1));
+    }
+
+    @Test
+    void aRunThatTurnsOutToBeBelowTheBoundAddsNothing() {
+        endpoint("e", 2);
+        own(step(1, sample("a", "g", 1, false)), false);
+        mMachine.onRunBegun(1, 1, 0);
+        events(1, 1, 1, 0);
+        mMachine.onTick(100 * MILLI);
+
+        assertThat(mOutputs.mReasons.get(0), containsString("below the bound"));
+        assertThat(mOutputs.last().lastEvent(), is(0));
+    }
+
+    @Test
+    void aSampleOfOneVersionStartsAgainWhenTheVersionChanges() {
+        endpoint("e1", 2);
+        endpoint("e2", 2);
+        own(step(1, sample("a", "g", 1, false)), true);
+        mMachine.onRunBegun(1, 2, 0);
+        mMachine.onEvent(1, 1, "d1", 0, 0);
+        mMachine.onEvent(1, 2, "d2", 3, 0);
+        mMachine.onTick(100 * MILLI);
+
+        assertThat(mOutputs.last().lastEvent(), is(0));
+    }
+
+    @Test
+    void aMissingEventStopsTheRun() {
+        endpoint("e1", 2);
+        own(step(1, sample("a", "g", 1, false)), false);
+        mMachine.onRunBegun(1, 2, 0);
+        events(1, 1, 1, 0);
+        mMachine.onEvent(1, 3, "d3", 0, 0);
+        mMachine.onTick(1_000 * MILLI);
+
+        assertThat(mOutputs.mReasons.get(0), is("event 3 after 1"));
+        assertThat(mOutputs.last().lastEvent(), is(1));
+    }
+
+    @Test
+    void aSilentRunMovesOn() {
+        endpoint("e1", 2);
+        endpoint("e2", 2);
+        own(step(1, sample("a", "g", 1, false)), false);
+        String first = mOutputs.last().endpoint();
+        mMachine.onRunBegun(1, 2, 0);
+        events(1, 1, 1, 0);
+        mMachine.onTick(1_001 * MILLI);
+
+        assertThat(mOutputs.last().endpoint(), not(first));
+        assertThat(mOutputs.last().lastEvent(), is(1));
+    }
+
+    @Test
+    void aSampleThatFailsEachTimeIsGivenUpAfterTheAttemptsOfItsRoute() {
+        endpoint("e1", 2);
+        own(step(1, sample("a", "g", 1, false)), false);
+        for (int i = 1; i <= 3; i++) {
+            mMachine.onRunEnd(i, RunEnd.FAILED, i * 100 * MILLI);
+            mMachine.onTick(i * 100 * MILLI + 50 * MILLI);
+        }
+
+        assertThat(mOutputs.mRuns.size(), is(3));
+        assertThat(mOutputs.mStores.get(0).results().get(0).done(), is(false));
+    }
+
+    @Test
+    void anImpossibleSampleIsGivenUpAtOnce() {
+        endpoint("e1", 2);
+        own(step(1, sample("a", "g", 1, false)), false);
+        mMachine.onRunEnd(1, RunEnd.IMPOSSIBLE, 0);
+
+        assertThat(mOutputs.mStores.get(0).results().get(0).done(), is(false));
+    }
+
+    @Test
+    void wantedGroupsRunBeforeThoseThatTakeLongest() {
+        mFleet.onRecord(Endpoints.record("e", 1, 2));
+        own(step(1, sample("long", "g1", 900, false), sample("short", "g2", 10, false)), false);
+
+        assertThat(mOutputs.last().sample(), is("short"));
+    }
+
+    @Test
+    void aTextThatAnEarlierOwnerHandedOverIsContinued() {
+        endpoint("e", 2);
+        PartialText text = new PartialText("a", List.of("d1", "d2"), List.of(2, 2), false);
+        mMachine.onOwned(
+                step(1, sample("a", "g", 1, false)), route(false), List.of(), List.of(text), 0, 0);
+
+        assertThat(mOutputs.last().lastEvent(), is(2));
+    }
+
+    @Test
+    void resultsOfAnEarlierOwnerKeepTheirPositionsAndAreNotRunAgain() {
+        endpoint("e", 2);
+        SampleResult listed = new SampleResult("a", true, "t", List.of(2), "");
+        mMachine.onOwned(
+                step(2, sample("a", "g", 1, false), sample("b", "h", 1, false)),
+                route(false),
+                List.of(listed),
+                List.of(),
+                0,
+                0);
+
+        assertThat(mMachine.listed(STEP), contains(listed));
+        assertThat(mOutputs.mRuns.size(), is(1));
+        assertThat(mOutputs.last().sample(), is("b"));
+    }
+
+    @Test
+    void anEndedStepStopsItsRuns() {
+        endpoint("e", 2);
+        own(step(1, sample("a", "g", 1, false)), false);
+        mMachine.onEnded(STEP);
+
+        assertThat(mOutputs.mOpen.keySet(), is(empty()));
+        assertThat(mFleet.get("e").active(), is(0));
+        mMachine.onRunEnd(1, RunEnd.COMPLETE, 0);
+        assertThat(mOutputs.mStores, is(empty()));
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12})
+    void underRandomFaultsEachSampleIsListedOnceAndWhole(long seed) {
+        Random random = new Random(seed);
+        for (int i = 1; i <= 3; i++) {
+            mFleet.onRecord(Endpoints.record("e" + i, 2, 2));
+        }
+        List<SampleSpec> samples = new ArrayList<>();
+        for (int i = 0; i < 24; i++) {
+            samples.add(sample("s" + i, "g" + i / 4, random.nextInt(100), i % 2 == 0));
+        }
+        StepSpec spec =
+                new StepSpec(STEP, "x", "/", 3, Endpoints.MODEL, BOUND, 5, List.copyOf(samples));
+        own(spec, false);
+        Map<String, SampleResult> listed = drive(random);
+
+        assertThat(listed.size(), is(24));
+        listed.values().stream()
+                .filter(SampleResult::done)
+                .forEach(result -> assertThat(result.text(), is("d1\nd2\nd3")));
+        for (int i = 1; i <= 3; i++) {
+            assertThat(mFleet.get("e" + i).active(), is(0));
+        }
+    }
+
+    /** Plays endpoints and the store at random until the step is over. */
+    private Map<String, SampleResult> drive(Random random) {
+        Map<String, SampleResult> listed = new HashMap<>();
+        int stored = 0;
+        long now = 0;
+        for (int i = 0; i < 20_000 && mMachine.size() > 0; i++) {
+            now += MILLI * random.nextInt(30);
+            mMachine.onTick(now);
+            for (FakeStepOutputs.Run run : List.copyOf(mOutputs.mOpen.values())) {
+                play(run, random, now);
+            }
+            for (Long run : List.copyOf(mOutputs.mScores.keySet())) {
+                mOutputs.mScores.remove(run);
+                ScoreEnd end = ScoreEnd.values()[random.nextInt(3)];
+                mMachine.onScoreEnd(run, end, "stamp", now);
+            }
+            if (stored < mOutputs.mStores.size() && random.nextInt(3) == 0) {
+                FakeStepOutputs.Store store = mOutputs.mStores.get(stored++);
+                assertThat(store.position(), is(listed.size()));
+                for (SampleResult result : store.results()) {
+                    assertThat(listed.put(result.id(), result) == null, is(true));
+                }
+                mMachine.onStored(STEP, now);
+            }
+        }
+        return listed;
+    }
+
+    private void play(FakeStepOutputs.Run run, Random random, long now) {
+        int events = random.nextInt(EVENTS + 1 - run.lastEvent());
+        boolean whole = random.nextInt(3) == 0;
+        if (random.nextInt(2) == 0) {
+            return;
+        }
+        mOutputs.mOpen.remove(run.run());
+        int version = random.nextInt(8) == 0 ? 1 : 2 + random.nextInt(2);
+        mMachine.onRunBegun(run.run(), version, now);
+        int last = whole ? EVENTS : run.lastEvent() + events;
+        events(run.run(), run.lastEvent() + 1, last, now);
+        RunEnd[] ends = {
+            RunEnd.BROKEN, RunEnd.UNFRAMED, RunEnd.NOT_RUN, RunEnd.UNREACHABLE, RunEnd.FAILED
+        };
+        RunEnd end = whole ? RunEnd.COMPLETE : ends[random.nextInt(ends.length)];
+        mMachine.onRunEnd(run.run(), end, now);
+    }
+}
--- /dev/null
+++ b/ebonyrun-core/src/test/java/org/ebonyrun/core/swap/SwapMachineTest.java
@@ -0,0 +1,202 @@
+package org.ebonyrun.core.swap;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.ebonyrun.base.time.Nanos;
+import org.ebonyrun.core.fleet.Endpoint;
+import org.ebonyrun.core.fleet.Endpoints;
+import org.ebonyrun.core.fleet.Fleet;
+import org.ebonyrun.core.route.RouteTable;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+
+class SwapMachineTest {
+    private static final int ENDPOINTS = 6;
+    private static final long TICK = Nanos.ofMillis(50);
+    private static final long LOAD_NANOS = Nanos.ofMillis(900);
+
+    /** Endpoints that load for a while after an order. */
+    private static final class FakeEngines implements SwapOutputs {
+        final List<SwapOrder> mOrders = new ArrayList<>();
+        final List<Endpoint> mInspected = new ArrayList<>();
+        final Map<String, Integer> mVersions = new HashMap<>();
+        final Map<String, Long> mLoadedAt = new HashMap<>();
+        final Map<String, Integer> mCounts = new HashMap<>();
+        final List<Long> mFenced = new ArrayList<>();
+
+        @Override
+        public void inspect(Endpoint endpoint) {
+            mInspected.add(endpoint);
+        }
+
+        @Override
+        public void order(Endpoint endpoint, SwapOrder order) {
+            mOrders.add(order);
+        }
+
+        @Override
+        public void onFenced(long fence) {
+            mFenced.add(fence);
+        }
+    }
+
+    private final Fleet mFleet = Fleet.create();
+    private final FakeEngines mEngines = new FakeEngines();
+    private final SwapMachine mMachine = SwapMachine.create(mFleet, mEngines);
+    private int mAnswered;
+    private int mMostLoading;
+
+    @BeforeEach
+    void start() {
+        for (int i = 1; i <= ENDPOINTS; i++) {
+            mFleet.onRecord(Endpoints.record("e" + i, 4, 1));
+            mEngines.mVersions.put("e" + i, 1);
+        }
+        RouteTable routes =
+                RouteTable.of(1, List.of(), Set.of(Endpoints.SERVICE), RouteTable.empty().limits());
+        mMachine.onRoutes(routes, false);
+    }
+
+    /** Lets time pass while the engines answer and load. */
+    private void run(long from, long to) {
+        for (long now = from; now < to; now += TICK) {
+            mMachine.onTick(now);
+            for (; mAnswered < mEngines.mOrders.size(); mAnswered++) {
+                SwapOrder order = mEngines.mOrders.get(mAnswered);
+                mEngines.mCounts.merge(order.endpoint(), 1, Integer::sum);
+                mEngines.mLoadedAt.put(order.endpoint(), now + LOAD_NANOS);
+                mEngines.mVersions.put(order.endpoint(), order.version());
+                mMachine.onReply(mFleet.get(order.endpoint()), OrderReply.ACCEPTED, now);
+            }
+            int loading = 0;
+            for (Long until : mEngines.mLoadedAt.values()) {
+                loading += until > now ? 1 : 0;
+            }
+            mMostLoading = Math.max(mMostLoading, loading);
+            for (Endpoint endpoint : List.copyOf(mEngines.mInspected)) {
+                mEngines.mInspected.remove(endpoint);
+                answer(endpoint, now);
+            }
+        }
+    }
+
+    private void answer(Endpoint endpoint, long now) {
+        boolean busy = mEngines.mLoadedAt.getOrDefault(endpoint.id(), 0L) > now;
+        int version = mEngines.mVersions.get(endpoint.id()) - (busy ? 1 : 0);
+        EndpointState state =
+                new EndpointState(
+                        Map.of(Endpoints.MODEL, version),
+                        busy,
+                        mEngines.mCounts.getOrDefault(endpoint.id(), 0));
+        mMachine.onState(endpoint, state, now);
+    }
+
+    @Test
+    void withoutTheLeaseNoOrderIsGiven() {
+        mMachine.onNamed(Endpoints.MODEL, 2, 0);
+        run(0, 5 * Nanos.PER_SECOND);
+
+        assertThat(mEngines.mOrders, is(empty()));
+    }
+
+    @Test
+    void aNewHolderWaitsBeforeItsFirstOrder() {
+        mMachine.onNamed(Endpoints.MODEL, 2, 0);
+        mMachine.onHolding(7, Nanos.ofMillis(3_000), 0);
+        run(0, Nanos.ofMillis(3_000));
+        assertThat(mEngines.mOrders, is(empty()));
+
+        run(Nanos.ofMillis(3_000), Nanos.ofMillis(4_000));
+        assertThat(mEngines.mOrders.get(0).fence(), is(7L));
+    }
+
+    @Test
+    void eachNamedVersionIsLoadedByThePartThatFallsBelowTheBoundNext() {
+        mMachine.onHolding(7, 0, 0);
+        long now = 0;
+        for (int version = 2; version <= 7; version++) {
+            mMachine.onNamed(Endpoints.MODEL, version, now);
+            mMachine.onStep(Endpoints.MODEL, version, version - 1);
+            run(now, now + 4 * Nanos.PER_SECOND);
+            now += 4 * Nanos.PER_SECOND;
+            for (Endpoint endpoint : mFleet.serving(Endpoints.SERVICE)) {
+                assertThat(endpoint.version(Endpoints.MODEL) >= version - 1, is(true));
+            }
+        }
+
+        assertThat(mEngines.mOrders.size(), lessThanOrEqualTo(6 * ENDPOINTS / 2));
+        assertThat(mMostLoading, lessThanOrEqualTo(2));
+    }
+
+    @Test
+    void aTrainerThatWantsTheNewestHasAllLoad() {
+        mMachine.onHolding(7, 0, 0);
+        mMachine.onNamed(Endpoints.MODEL, 2, 0);
+        mMachine.onStep(Endpoints.MODEL, 2, 2);
+        run(0, 6 * Nanos.PER_SECOND);
+
+        assertThat(mEngines.mOrders.size(), is(ENDPOINTS));
+    }
+
+    @Test
+    void anOrderNamesTheCountOfOrdersBeforeIt() {
+        mMachine.onHolding(7, 0, 0);
+        mEngines.mCounts.put("e1", 5);
+        mMachine.onNamed(Endpoints.MODEL, 2, 0);
+        mMachine.onStep(Endpoints.MODEL, 2, 2);
+        run(0, 6 * Nanos.PER_SECOND);
+
+        for (SwapOrder order : mEngines.mOrders) {
+            assertThat(order.expectedOrders(), is(order.endpoint().equals("e1") ? 5L : 0L));
+        }
+    }
+
+    @ParameterizedTest
+    @EnumSource(
+            value = OrderReply.class,
+            names = {"UNKNOWN", "CONFLICT", "REFUSED"})
+    void anOrderThatDidNotCountIsGivenAgain(OrderReply reply) {
+        mMachine.onHolding(7, 0, 0);
+        mMachine.onNamed(Endpoints.MODEL, 2, 0);
+        long now = 0;
+        for (; mEngines.mOrders.isEmpty(); now += TICK) {
+            mMachine.onTick(now);
+            for (Endpoint endpoint : List.copyOf(mEngines.mInspected)) {
+                mEngines.mInspected.remove(endpoint);
+                answer(endpoint, now);
+            }
+        }
+        SwapOrder first = mEngines.mOrders.get(0);
+        mMachine.onReply(mFleet.get(first.endpoint()), reply, now);
+        mAnswered = mEngines.mOrders.size();
+        run(now, now + 5 * Nanos.PER_SECOND);
+
+        long again =
+                mEngines.mOrders.stream()
+                        .filter(order -> order.endpoint().equals(first.endpoint()))
+                        .count();
+        assertThat(again, is(2L));
+    }
+
+    @Test
+    void aFencedHolderSaysSo() {
+        mMachine.onHolding(7, 0, 0);
+        mMachine.onNamed(Endpoints.MODEL, 2, 0);
+        mMachine.onTick(Nanos.PER_SECOND);
+        Endpoint endpoint = mEngines.mInspected.get(0);
+        answer(endpoint, Nanos.PER_SECOND);
+        mMachine.onReply(endpoint, OrderReply.FENCED, Nanos.PER_SECOND);
+
+        assertThat(mEngines.mFenced, is(List.of(7L)));
+    }
+}
