--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/HostedEntry.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/HostedEntry.java
@@ -161,6 +161,11 @@
         mLater.add(new Timed(System.nanoTime() + nanos, task));
     }
 
+    @Override
+    public boolean isStoreAway() {
+        return mStoreAway;
+    }
+
     @Override
     public EventLog log() {
         return mLog;
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/PlannerDesk.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/PlannerDesk.java
@@ -3,6 +3,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.HashSet;
 import java.util.List;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.random.RandomGenerator;
 import org.ebonyrun.base.log.LogLine;
@@ -163,12 +164,19 @@
     private void claim(long lease) {
         byte[] value = mParts.self().text().getBytes(StandardCharsets.UTF_8);
         StoreItem holder = mParts.directory().planner();
+        OptionalLong replaced =
+                holder == null
+                        ? mParts.self().takes(null, 0)
+                        : mParts.self().takes(holder.text(), holder.revision());
+        if (replaced.isEmpty()) {
+            onClaimFailed();
+            return;
+        }
         // Orders of the same VM are those of one holder, whichever process gave them.
         mSameHolder = holder != null;
-        long replaced = holder == null ? Transaction.ABSENT : holder.revision();
         mShared.commit(
                         Transaction.builder()
-                                .expect(StepKeys.PLANNER, replaced)
+                                .expect(StepKeys.PLANNER, replaced.getAsLong())
                                 .write(StepKeys.PLANNER, value, lease)
                                 .build())
                 .thenAcceptAsync(this::onClaimed, mParts.executor());
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/ProcessName.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/ProcessName.java
@@ -1,6 +1,9 @@
 package org.ebonyrun.daemon.hosted;
 
+import java.util.OptionalLong;
 import org.ebonyrun.base.id.VmId;
+import org.ebonyrun.ports.store.Transaction;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Names one process of one VM in keys of the shared store.
@@ -16,6 +19,18 @@
         return owner.startsWith(vm + SEPARATOR) && !owner.equals(text());
     }
 
+    /**
+     * Returns the revision that a key must have for this process to take it: absent if nobody holds
+     * it, that of the holder if the holder was an earlier process of the same VM; empty if it may
+     * not be taken.
+     */
+    OptionalLong takes(@Nullable String holder, long revision) {
+        if (holder == null) {
+            return OptionalLong.of(Transaction.ABSENT);
+        }
+        return isSuccessorOf(holder) ? OptionalLong.of(revision) : OptionalLong.empty();
+    }
+
     /** Returns the form that is stored. */
     String text() {
         return vm + SEPARATOR + Long.toHexString(incarnation);
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/StepOwner.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/StepOwner.java
@@ -5,6 +5,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
@@ -440,9 +441,15 @@
 
     private void claim(StepId id, long lease) {
         KnownStep known = mParts.directory().get(id);
-        long replaced =
-                known == null || known.mOwner == null ? Transaction.ABSENT : known.mOwnerRevision;
-        mStore.claim(id, replaced, mParts.self().text(), lease)
+        OptionalLong replaced =
+                known == null
+                        ? OptionalLong.empty()
+                        : mParts.self().takes(known.mOwner, known.mOwnerRevision);
+        if (replaced.isEmpty()) {
+            mClaiming.remove(id);
+            return;
+        }
+        mStore.claim(id, replaced.getAsLong(), mParts.self().text(), lease)
                 .thenAcceptAsync(
                         result -> {
                             long revision =
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/StepStore.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/StepStore.java
@@ -1,6 +1,7 @@
 package org.ebonyrun.daemon.hosted;
 
 import java.io.ByteArrayOutputStream;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
@@ -55,7 +56,10 @@
                         .expect(manifestKey, Transaction.ABSENT)
                         .write(StepKeys.chunk(id, last), chunks.get(last))
                         .write(manifestKey, StepCodec.manifest(manifest))
-                        .write(StepKeys.live(id, StepKeys.OWNER), owner.getBytes(UTF_8), lease)
+                        .write(
+                                StepKeys.live(id, StepKeys.OWNER),
+                                owner.getBytes(StandardCharsets.UTF_8),
+                                lease)
                         .build();
         return before.thenCompose(
                 result ->
@@ -64,8 +68,6 @@
                                 : CompletableFuture.completedFuture(result));
     }
 
-    private static final java.nio.charset.Charset UTF_8 = java.nio.charset.StandardCharsets.UTF_8;
-
     private static List<byte[]> split(byte[] bytes) {
         List<byte[]> chunks = new ArrayList<>();
         for (int from = 0; from == 0 || from < bytes.length; from += CHUNK_BYTES) {
@@ -87,7 +89,7 @@
                         .expect(key, ownerRevision)
                         .expect(StepKeys.live(id, StepKeys.END), Transaction.ABSENT)
                         .expect(StepKeys.live(id, StepKeys.DONE), Transaction.ABSENT)
-                        .write(key, owner.getBytes(UTF_8), lease)
+                        .write(key, owner.getBytes(StandardCharsets.UTF_8), lease)
                         .build());
     }
 
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/StoreWatch.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/StoreWatch.java
@@ -23,6 +23,8 @@
  */
 final class StoreWatch {
     private static final long WAIT_MILLIS = 2_000;
+    // A short wait after a fault, so that the store's return is noticed soon.
+    private static final long WAIT_AFTER_FAULT_MILLIS = 200;
     private static final long RETRY_NANOS = Nanos.ofMillis(250);
     private static final int MAX_PAGES = 1_000;
 
@@ -48,6 +50,7 @@
     private boolean mSynced;
     private boolean mWaiting;
     private boolean mStopped;
+    private boolean mFaulty;
     private long mRetryAt;
     private boolean mRetrying;
     private long mRevision;
@@ -96,6 +99,7 @@
         mWaiting = false;
         result.fold(
                 page -> {
+                    mFaulty = false;
                     mListener.onAnswer();
                     items.addAll(page.items());
                     // The first page's revision covers every change after it.
@@ -119,13 +123,15 @@
             return;
         }
         mWaiting = true;
-        mStore.watch(mPrefix, mRevision, WAIT_MILLIS).thenAcceptAsync(this::onChanges, mExecutor);
+        long wait = mFaulty ? WAIT_AFTER_FAULT_MILLIS : WAIT_MILLIS;
+        mStore.watch(mPrefix, mRevision, wait).thenAcceptAsync(this::onChanges, mExecutor);
     }
 
     private void onChanges(Result<StoreChanges> result) {
         mWaiting = false;
         result.fold(
                 changes -> {
+                    mFaulty = false;
                     mListener.onAnswer();
                     if (changes.historyGone()) {
                         mRevision = 0;
@@ -142,6 +148,7 @@
 
     private <T> T onFault(Fault fault) {
         mListener.onFault(fault);
+        mFaulty = true;
         mRetrying = true;
         mRetryAt = System.nanoTime() + RETRY_NANOS;
         return null;
