--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/StepKeys.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/StepKeys.java
@@ -1,6 +1,5 @@
 package org.ebonyrun.daemon.hosted;
 
-import java.util.Locale;
 import org.ebonyrun.core.step.StepId;
 
 /** The keys of the shared store that this project uses. Stateless, thread safe. */
@@ -16,6 +15,7 @@
     static final String END = "end";
     static final String DONE = "done";
 
+    private static final int DIGITS = 8;
     private static final String STEP = LIVE + "step/";
     private static final String DATA = "ebonyrun/data/";
 
@@ -43,7 +43,7 @@
     }
 
     static String chunk(StepId step, int number) {
-        return data(step) + String.format(Locale.ROOT, "chunk/%04d", number);
+        return data(step) + "chunk/" + padded(number);
     }
 
     static String results(StepId step) {
@@ -51,7 +51,13 @@
     }
 
     static String result(StepId step, int position) {
-        return results(step) + String.format(Locale.ROOT, "%08d", position);
+        return results(step) + padded(position);
+    }
+
+    /** Returns a number with leading zeros, so that keys sort by it. */
+    private static String padded(int number) {
+        String digits = Integer.toString(number);
+        return "0".repeat(Math.max(0, DIGITS - digits.length())) + digits;
     }
 
     static String partial(StepId step) {
