--- /dev/null
+++ b/ebonyrun-base/src/main/java/org/ebonyrun/base/json/package-info.java
@@ -0,0 +1,5 @@
+/** Reading and writing of JSON trees. */
+@NullMarked
+package org.ebonyrun.base.json;
+
+import org.jspecify.annotations.NullMarked;
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/EntryLease.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/EntryLease.java
@@ -22,7 +22,7 @@
  */
 final class EntryLease {
     /** Time to live of the lease, in milliseconds. */
-    static final long TTL_MILLIS = 3_000;
+    static final long TTL_MILLIS = 2_000;
 
     private static final long RENEW_NANOS = Nanos.ofMillis(TTL_MILLIS / 3);
     private static final long RETRY_NANOS = Nanos.ofMillis(300);
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/StepCodec.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/StepCodec.java
@@ -5,9 +5,9 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.ArrayList;
 import java.util.List;
+import org.ebonyrun.base.json.JsonTrees;
 import org.ebonyrun.core.step.PartialText;
 import org.ebonyrun.core.step.SampleResult;
-import org.ebonyrun.daemon.store.Json;
 
 /**
  * Encodes what is kept of a step in the shared store. Stateless, thread safe. Decoders throw {@link
@@ -17,7 +17,7 @@
     private StepCodec() {}
 
     static byte[] manifest(StepManifest manifest) {
-        ObjectNode node = Json.mapper().createObjectNode();
+        ObjectNode node = JsonTrees.object();
         node.put("host", manifest.host());
         node.put("prefix", manifest.prefix());
         node.put("model", manifest.model());
@@ -25,11 +25,11 @@
         node.put("min_version", manifest.minVersion());
         node.put("samples", manifest.samples());
         node.put("accepted_at", manifest.acceptedAt());
-        return Json.write(node);
+        return JsonTrees.write(node);
     }
 
     static StepManifest manifest(byte[] value) {
-        JsonNode node = Json.tree(value);
+        JsonNode node = JsonTrees.read(value);
         return new StepManifest(
                 node.path("host").asText(),
                 node.path("prefix").asText(),
@@ -41,7 +41,7 @@
     }
 
     static byte[] results(List<SampleResult> results) {
-        ObjectNode root = Json.mapper().createObjectNode();
+        ObjectNode root = JsonTrees.object();
         ArrayNode array = root.putArray("results");
         for (SampleResult result : results) {
             ObjectNode node = array.addObject();
@@ -52,12 +52,12 @@
             ArrayNode versions = node.putArray("versions");
             result.versions().forEach(versions::add);
         }
-        return Json.write(root);
+        return JsonTrees.write(root);
     }
 
     static List<SampleResult> results(byte[] value) {
         List<SampleResult> results = new ArrayList<>();
-        for (JsonNode node : Json.tree(value).path("results")) {
+        for (JsonNode node : JsonTrees.read(value).path("results")) {
             results.add(
                     new SampleResult(
                             node.path("id").asText(),
@@ -70,7 +70,7 @@
     }
 
     static byte[] partial(List<PartialText> texts) {
-        ObjectNode root = Json.mapper().createObjectNode();
+        ObjectNode root = JsonTrees.object();
         ArrayNode array = root.putArray("texts");
         for (PartialText text : texts) {
             ObjectNode node = array.addObject();
@@ -81,12 +81,12 @@
             ArrayNode versions = node.putArray("versions");
             text.versions().forEach(versions::add);
         }
-        return Json.write(root);
+        return JsonTrees.write(root);
     }
 
     static List<PartialText> partial(byte[] value) {
         List<PartialText> texts = new ArrayList<>();
-        for (JsonNode node : Json.tree(value).path("texts")) {
+        for (JsonNode node : JsonTrees.read(value).path("texts")) {
             List<String> events = new ArrayList<>();
             node.path("events").forEach(event -> events.add(event.asText()));
             texts.add(
