--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/HostedEntry.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/HostedEntry.java
@@ -63,7 +63,7 @@
     /** A task for later. */
     private record Timed(long at, Runnable task) {}
 
-    private final HostedSettings mSettings;
+    private volatile HostedSettings mSettings;
     private final EventLog mLog;
     private final Duty<Runnable> mDuty;
     private final ProcessName mSelf;
@@ -104,7 +104,7 @@
         mCalls = new CallDesk(this, caller, mFleet, settings.domain());
         mSamples = new SampleDesk(this, caller, mFleet, (host, path) -> mRoutes.find(host, path));
         mSteps = new StepOwner(this, stepStore, mSamples.machine(), random);
-        mPlanner = new PlannerDesk(this, caller, store, stepStore, mFleet, settings, random);
+        mPlanner = new PlannerDesk(this, caller, store, stepStore, mFleet, () -> mSettings, random);
         mFrontDesk = new FrontDesk(this, mCalls, mSteps, stepStore, () -> mRoutes, random);
         mReader = new StepReader(this, store, stepStore, mSteps, mFrontDesk);
         mFrontDesk.bind(mReader);
@@ -415,6 +415,19 @@
         }
     }
 
+    /**
+     * Takes changed limits in. Addresses and names are those of the process and stay as they are; a
+     * change of them is logged and needs a restart.
+     */
+    public void reload(HostedSettings settings) {
+        HostedSettings before = mSettings;
+        mSettings = before.withLimitsOf(settings);
+        mLog.write(
+                LogLine.of("reload")
+                        .with("limits_changed", !before.equals(mSettings))
+                        .with("restart_needed", !mSettings.isSameProcess(settings)));
+    }
+
     /** Stops gracefully: finishes what callers wait for and hands steps over. */
     public void drain() throws InterruptedException {
         long begin = System.nanoTime();
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/HostedMain.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/HostedMain.java
@@ -14,6 +14,8 @@
 import org.ebonyrun.base.log.LogLine;
 import org.ebonyrun.core.settings.Problem;
 import org.ebonyrun.core.settings.SettingsNode;
+import sun.misc.Signal;
+import sun.misc.SignalHandler;
 
 /**
  * Starts the roles of a platform that has endpoints of its own. Stateless.
@@ -40,6 +42,8 @@
             System.exit(EXIT_USAGE);
         }
         if (args[0].equals(HostedSettings.ROLE_RESERVE)) {
+            // A process without settings has nothing to reload.
+            Signal.handle(new Signal("HUP"), SignalHandler.SIG_IGN);
             standBy();
             return;
         }
@@ -73,6 +77,7 @@
         try {
             HostedEntry entry = HostedEntry.start(parsed.settings(), log);
             Runtime.getRuntime().addShutdownHook(new Thread(() -> drain(entry), "drain"));
+            Signal.handle(new Signal("HUP"), signal -> reload(file, entry, log));
             standBy();
             return EXIT_OK;
         } catch (IOException e) {
@@ -82,6 +87,23 @@
         }
     }
 
+    /** Takes changed settings in; settings with problems change nothing. */
+    private static void reload(String file, HostedEntry entry, EventLog log) {
+        String text;
+        try {
+            text = Files.readString(Path.of(file));
+        } catch (IOException e) {
+            log.write(LogLine.of("reload.failed").with("why", e.getMessage()));
+            return;
+        }
+        HostedSettings.Parsed parsed = HostedSettings.parse(file, text);
+        if (parsed.problems().isEmpty()) {
+            entry.reload(parsed.settings());
+        } else {
+            log.write(LogLine.of("reload.failed").with("why", parsed.problems()));
+        }
+    }
+
     private static void drain(HostedEntry entry) {
         try {
             entry.drain();
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/HostedSettings.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/HostedSettings.java
@@ -84,6 +84,29 @@
         return new Parsed(settings, List.copyOf(problems));
     }
 
+    /** Returns whether a process with the other settings would have the same name and addresses. */
+    boolean isSameProcess(HostedSettings other) {
+        return vm.equals(other.vm)
+                && domain.equals(other.domain)
+                && front.equals(other.front)
+                && ready.equals(other.ready)
+                && store.equals(other.store);
+    }
+
+    /** Returns these settings with the limits of others. */
+    HostedSettings withLimitsOf(HostedSettings other) {
+        return new HostedSettings(
+                vm,
+                domain,
+                front,
+                ready,
+                store,
+                firstStart,
+                other.orderQuietMillis,
+                other.graceMillis,
+                other.keepMillis);
+    }
+
     private static InetSocketAddress address(SettingsNode node) {
         DaemonSettings.Listen listen =
                 needed(
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/PlannerDesk.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/PlannerDesk.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.OptionalLong;
 import java.util.Set;
+import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 import org.ebonyrun.base.log.LogLine;
 import org.ebonyrun.base.result.Result;
@@ -49,7 +50,7 @@
     private final SharedStore mShared;
     private final StepStore mStore;
     private final SwapMachine mMachine;
-    private final HostedSettings mSettings;
+    private final Supplier<HostedSettings> mSettings;
     private final RandomGenerator mRandom;
     private final Set<String> mRetired = new HashSet<>();
     private final Set<String> mRetireAsked = new HashSet<>();
@@ -67,7 +68,7 @@
             SharedStore shared,
             StepStore store,
             Fleet fleet,
-            HostedSettings settings,
+            Supplier<HostedSettings> settings,
             RandomGenerator random) {
         mParts = parts;
         mCaller = caller;
@@ -75,7 +76,7 @@
         mStore = store;
         mSettings = settings;
         mRandom = random;
-        mPredecessor = !settings.firstStart();
+        mPredecessor = !settings.get().firstStart();
         mMachine = SwapMachine.create(fleet, this);
     }
 
@@ -191,7 +192,7 @@
         mClaiming = false;
         mFence = fence;
         boolean waits = mPredecessor && !mSameHolder;
-        long quiet = waits ? Nanos.ofMillis(mSettings.orderQuietMillis()) : 0;
+        long quiet = waits ? Nanos.ofMillis(mSettings.get().orderQuietMillis()) : 0;
         mMachine.onHolding(fence, quiet, System.nanoTime());
         mParts.log()
                 .write(
@@ -244,7 +245,7 @@
             return;
         }
         mSweepAt = now + SWEEP_NANOS;
-        long before = System.currentTimeMillis() - mSettings.keepMillis() - KEEP_SLACK_MILLIS;
+        long before = System.currentTimeMillis() - mSettings.get().keepMillis() - KEEP_SLACK_MILLIS;
         for (StepId step : mParts.directory().over(before)) {
             mParts.log().write(LogLine.of("step.forgotten").with("step", step));
             mStore.forget(step);
@@ -299,7 +300,8 @@
             return;
         }
         mCaller.request(
-                        EndpointProtocol.order(endpoint.record(), mSettings.vm().value(), order),
+                        EndpointProtocol.order(
+                                endpoint.record(), mSettings.get().vm().value(), order),
                         "endpoint.order")
                 .thenAcceptAsync(result -> onReply(endpoint, order, result), mParts.executor());
     }
--- a/ebonyrun-daemon/src/test/java/org/ebonyrun/daemon/hosted/HostedSettingsTest.java
+++ b/ebonyrun-daemon/src/test/java/org/ebonyrun/daemon/hosted/HostedSettingsTest.java
@@ -33,6 +33,18 @@
         assertThat(HostedMain.isHosted("role: entry"), is(false));
     }
 
+    @Test
+    void aReloadChangesLimitsAndNothingElse() {
+        HostedSettings before = HostedSettings.parse("f", WHOLE).settings();
+        String changed = WHOLE.replace("grace: 8s", "grace: 9s").replace("edge-1", "edge-2");
+        HostedSettings after = before.withLimitsOf(HostedSettings.parse("f", changed).settings());
+
+        assertThat(after.graceMillis(), is(9_000L));
+        assertThat(after.vm(), is(before.vm()));
+        assertThat(after.isSameProcess(before), is(true));
+        assertThat(after.isSameProcess(HostedSettings.parse("f", changed).settings()), is(false));
+    }
+
     @ParameterizedTest
     @CsvSource(
             delimiter = '|',
