--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/ArchiveRun.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/ArchiveRun.java
@@ -56,7 +56,7 @@
         while (!listed && System.nanoTime() - end < 0) {
             post(caller, front, scene.callPath(), "call", scene.callBody());
             post(caller, front, scene.stepPath(), step, scene.stepBody());
-            URI results = URI.create("http://" + front + scene.resultsPath(step));
+            URI results = URI.create("http://" + front + scene.resultsPath(step, 0));
             HttpReply reply = get(caller, results);
             listed = reply.text().contains("done");
             new CountDownLatch(1).await(PAUSE_MILLIS, TimeUnit.MILLISECONDS);
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/EntryLease.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/EntryLease.java
@@ -16,16 +16,19 @@
  *
  * <p>Invariant: {@link #isValid} counts from the moment at which the call that granted or renewed
  * the lease was sent, so this entry never counts on it longer than the store does. A lease is taken
- * when something is owned and renewed only while something is.
+ * when something is to be owned, and kept for a while after nothing is.
  *
  * <p>Not thread safe; every callback and method runs on the duty behind {@code executor}.
  */
 final class EntryLease {
     /** Time to live of the lease, in milliseconds. */
-    static final long TTL_MILLIS = 2_000;
+    static final long TTL_MILLIS = 2_500;
 
-    private static final long RENEW_NANOS = Nanos.ofMillis(TTL_MILLIS / 3);
-    private static final long RETRY_NANOS = Nanos.ofMillis(300);
+    private static final long RENEW_NANOS = Nanos.ofMillis(TTL_MILLIS / 5);
+    private static final long RETRY_NANOS = Nanos.ofMillis(50);
+    // How long the lease is kept for the next step after nothing is owned any more.
+    private static final long KEEP_NANOS = Nanos.ofMillis(15_000);
+    private static final int GRANT_TRIES = 3;
 
     private final SharedStore mStore;
     private final Executor mExecutor;
@@ -36,6 +39,8 @@
     private long mExpiresAt;
     private long mNextRenewAt;
     private boolean mCalling;
+    private long mNeededAt;
+    private int mGrantTries;
 
     EntryLease(SharedStore store, Executor executor, EventLog log, Runnable onLost) {
         mStore = store;
@@ -61,17 +66,22 @@
             return;
         }
         mWaiters.add(use);
+        mNeededAt = now;
         if (!mCalling) {
+            mGrantTries = 0;
             grant(now);
         }
     }
 
     /** Renews the lease while {@code needed}. */
     void onTick(boolean needed, long now) {
+        if (needed) {
+            mNeededAt = now;
+        }
         if (mId == 0 || mCalling || now - mNextRenewAt < 0) {
             return;
         }
-        if (!needed) {
+        if (now - mNeededAt > KEEP_NANOS) {
             if (now - mExpiresAt >= 0) {
                 mId = 0;
             }
@@ -97,6 +107,10 @@
 
     private void onGranted(Result<StoreLease> result, long sentAt) {
         mCalling = false;
+        if (!result.isOk() && ++mGrantTries < GRANT_TRIES) {
+            grant(System.nanoTime());
+            return;
+        }
         result.fold(
                 lease -> {
                     mId = lease.id();
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/HostedEntry.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/HostedEntry.java
@@ -217,7 +217,7 @@
         }
         mWatches.forEach(watch -> watch.onTick(now));
         mLease.onTick(mSteps.isNeeded() || mPlanner.isHolding(), now);
-        mSteps.onTick(mDirectory.orphans(mSelf), now);
+        mSteps.onTick(mDirectory.concerning(mSelf), now);
         mPlanner.onTick(now);
         mSamples.machine().onTick(now);
         mCalls.onTick(now);
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/KnownStep.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/KnownStep.java
@@ -15,11 +15,12 @@
     boolean mDone;
 
     /**
-     * Returns whether a process must take the step: nobody owns it, or an earlier process of the
-     * same VM does, which can't run any more.
+     * Returns whether a process must see to the step: nobody owns it, an earlier process of the
+     * same VM does, which can't run any more, or the process itself does.
      */
-    boolean isOrphan(ProcessName self) {
+    boolean concerns(ProcessName self) {
         boolean open = mManifest != null && !mEnded && !mDone;
-        return open && (mOwner == null || self.isSuccessorOf(mOwner));
+        boolean own = mOwner != null && mOwner.equals(self.text());
+        return open && (mOwner == null || own || self.isSuccessorOf(mOwner));
     }
 }
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/StepDirectory.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/StepDirectory.java
@@ -35,16 +35,16 @@
         return mPlanner;
     }
 
-    /** Returns the steps that a process may take. */
-    List<StepId> orphans(ProcessName self) {
-        List<StepId> orphans = new ArrayList<>();
+    /** Returns the open steps that a process owns or may take. */
+    List<StepId> concerning(ProcessName self) {
+        List<StepId> concerning = new ArrayList<>();
         mSteps.forEach(
                 (id, step) -> {
-                    if (step.isOrphan(self)) {
-                        orphans.add(id);
+                    if (step.concerns(self)) {
+                        concerning.add(id);
                     }
                 });
-        return orphans;
+        return concerning;
     }
 
     /** Returns the steps that are over and were accepted before a time. */
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/StepOwner.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/StepOwner.java
@@ -77,6 +77,8 @@
     private final Map<StepId, Owned> mOwned = new HashMap<>();
     private final Map<StepId, Long> mClaimAt = new HashMap<>();
     private final Set<StepId> mClaiming = new HashSet<>();
+    private final Set<StepId> mAccepting = new HashSet<>();
+    private final Set<StepId> mOver = new HashSet<>();
     private boolean mDraining;
 
     StepOwner(EntryParts parts, StepStore store, StepMachine machine, RandomGenerator random) {
@@ -88,7 +90,7 @@
 
     /** Returns whether this entry owns a step or is about to. */
     boolean isNeeded() {
-        return !mOwned.isEmpty() || !mClaiming.isEmpty();
+        return !mOwned.isEmpty() || !mClaiming.isEmpty() || !mAccepting.isEmpty();
     }
 
     boolean owns(StepId id) {
@@ -152,6 +154,7 @@
                         spec.minVersion(),
                         spec.samples().size(),
                         acceptedAt);
+        mAccepting.add(spec.id());
         mStore.accept(spec.id(), manifest, submission, mParts.self().text(), lease)
                 .thenAcceptAsync(
                         result -> onAccepted(spec, route, result, answer), mParts.executor());
@@ -159,6 +162,12 @@
 
     private void onAccepted(
             StepSpec spec, Route route, Result<Commit> result, Consumer<Result<Boolean>> answer) {
+        mAccepting.remove(spec.id());
+        boolean unknown = result.fold(commit -> false, fault -> !fault.isNotRun());
+        if (unknown) {
+            readBack(spec.id(), result, answer);
+            return;
+        }
         Result<Boolean> outcome =
                 result.flatMap(
                         commit -> {
@@ -173,6 +182,25 @@
         answer.accept(outcome);
     }
 
+    /**
+     * Looks whether a step was accepted although the answer was lost. If it was, the watch tells
+     * who owns it; if it was not, it may still be, so the outcome stays unknown.
+     */
+    private void readBack(StepId id, Result<Commit> lost, Consumer<Result<Boolean>> answer) {
+        mStore.isAccepted(id)
+                .thenAcceptAsync(
+                        result -> {
+                            boolean accepted = result.fold(found -> found, fault -> false);
+                            mParts.log()
+                                    .write(
+                                            LogLine.of("step.readback")
+                                                    .with("step", id)
+                                                    .with("accepted", accepted));
+                            answer.accept(accepted ? Result.ok(true) : lost.map(commit -> false));
+                        },
+                        mParts.executor());
+    }
+
     private void begin(StepSpec spec, Route route, long revision, long ageMillis) {
         mParts.log()
                 .write(
@@ -246,6 +274,7 @@
         mMachine.onStored(id, System.nanoTime());
         if (append.mLast) {
             mOwned.remove(id);
+            mOver.add(id);
             mParts.log().write(LogLine.of("step.done").with("step", id));
         }
     }
@@ -356,7 +385,7 @@
     }
 
     /** Retries what the store did not answer and takes steps that nobody owns. */
-    void onTick(List<StepId> orphans, long now) {
+    void onTick(List<StepId> concerning, long now) {
         mOwned.forEach(
                 (id, owned) -> {
                     Append append = owned.mAppend;
@@ -367,13 +396,30 @@
         if (mDraining) {
             return;
         }
-        mClaimAt.keySet().retainAll(new HashSet<>(orphans));
-        for (StepId id : orphans) {
-            if (mOwned.containsKey(id)) {
+        Set<StepId> open = new HashSet<>(concerning);
+        mClaimAt.keySet().retainAll(open);
+        mOver.retainAll(open);
+        for (StepId id : concerning) {
+            KnownStep known = mParts.directory().get(id);
+            if (known != null) {
+                seeTo(id, known, now);
+            }
+        }
+    }
+
+    private void seeTo(StepId id, KnownStep known, long now) {
+        boolean named = mParts.self().text().equals(known.mOwner);
+        boolean busy = mClaiming.contains(id) || mAccepting.contains(id) || mOver.contains(id);
+        if (mOwned.containsKey(id)) {
+            if (known.mOwner == null) {
                 reclaimOwn(id);
-            } else if (!mClaiming.contains(id)) {
-                claimWhenDue(id, now);
             }
+        } else if (named && !busy) {
+            // A lost answer hid that this process took the step.
+            mClaiming.add(id);
+            load(id, known.mOwnerRevision);
+        } else if (!busy) {
+            claimWhenDue(id, now);
         }
     }
 
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/StepStore.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/StepStore.java
@@ -5,6 +5,7 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import org.ebonyrun.base.result.Result;
 import org.ebonyrun.core.step.PartialText;
@@ -76,6 +77,12 @@
         return chunks;
     }
 
+    /** Returns whether a step is accepted. */
+    CompletableFuture<Result<Boolean>> isAccepted(StepId id) {
+        return mStore.get(StepKeys.live(id, StepKeys.MANIFEST))
+                .thenApply(result -> result.map(Optional::isPresent));
+    }
+
     /**
      * Takes a step.
      *
--- a/ebonyrun-daemon/src/test/java/org/ebonyrun/daemon/hosted/HostedEntryTest.java
+++ b/ebonyrun-daemon/src/test/java/org/ebonyrun/daemon/hosted/HostedEntryTest.java
@@ -6,6 +6,7 @@
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.not;
 
+import com.fasterxml.jackson.databind.JsonNode;
 import java.io.IOException;
 import java.io.OutputStream;
 import java.net.InetAddress;
@@ -15,6 +16,7 @@
 import java.net.URI;
 import java.nio.charset.StandardCharsets;
 import java.util.function.Predicate;
+import org.ebonyrun.base.json.JsonTrees;
 import org.ebonyrun.base.log.EventLog;
 import org.ebonyrun.platform.standin.StandinEndpoint;
 import org.ebonyrun.platform.standin.StandinScene;
@@ -99,13 +101,19 @@
         until(HttpReply::isSuccess, front, "POST", mScene.callPath(), "warm");
     }
 
-    private HttpReply results(String front, String step) {
-        return until(
-                reply -> reply.text().contains("sample-1") && reply.text().contains("sample-2"),
-                front,
-                "GET",
-                mScene.resultsPath(step),
-                "");
+    /** Reads all results of a step, page by page as a trainer does, and returns their text. */
+    private String results(String front, String step) {
+        StringBuilder pages = new StringBuilder();
+        int next = 0;
+        for (int i = 0; i < MOST_TRIES && next < mScene.samples(); i++) {
+            HttpReply page = send(front, "GET", mScene.resultsPath(step, next), "", "");
+            if (page.isSuccess()) {
+                JsonNode json = JsonTrees.read(page.body());
+                json.path("results").forEach(result -> pages.append(result).append('\n'));
+                next = json.path("next").asInt();
+            }
+        }
+        return pages.toString();
     }
 
     @Test
@@ -146,13 +154,13 @@
                 send(mSecond, "POST", mScene.stepPath(), "st1", mScene.stepBody()).status(),
                 is(202));
         String text = StandinEndpoint.text("sample-1", mScene.events()).replace("\n", "\\n");
-        HttpReply own = results(mFirst, "st1");
-        HttpReply other = results(mSecond, "st1");
+        String own = results(mFirst, "st1");
+        String other = results(mSecond, "st1");
 
-        assertThat(own.text(), containsString("\"text\":\"" + text + "\""));
-        assertThat(own.text(), containsString("\"score\":\"stamp-score-1\""));
-        assertThat(own.text(), containsString("\"versions\":[1]"));
-        assertThat(other.text(), is(own.text()));
+        assertThat(own, containsString("\"text\":\"" + text + "\""));
+        assertThat(own, containsString("\"score\":\"stamp-score-1\""));
+        assertThat(own, containsString("\"versions\":[1]"));
+        assertThat(other, is(own));
         assertThat(mScene.endpoint().seen().stream().filter("sample-1@0"::equals).count(), is(1L));
         assertThat(send(mSecond, "GET", mScene.samplePath("st1"), "", "").body().length, is(3));
     }
@@ -163,7 +171,7 @@
         send(mFirst, "POST", mScene.stepPath(), "st2", mScene.stepBody());
         String text = StandinEndpoint.text("sample-1", mScene.events()).replace("\n", "\\n");
 
-        assertThat(results(mFirst, "st2").text(), containsString(text));
+        assertThat(results(mFirst, "st2"), containsString(text));
         assertThat(mScene.endpoint().seen().stream().anyMatch(run -> run.endsWith("@2")), is(true));
     }
 
@@ -174,7 +182,7 @@
 
         assertThat(send(mSecond, "DELETE", mScene.endPath("st3"), "", "").status(), is(200));
         assertThat(send(mFirst, "DELETE", mScene.endPath("st3"), "", "").status(), is(200));
-        assertThat(results(mSecond, "st3").status(), is(200));
+        assertThat(results(mSecond, "st3"), containsString("sample-2"));
     }
 
     @Test
@@ -184,7 +192,7 @@
         mFirstEntry.drain();
         mScene.endpoint().refuseNext(0);
 
-        assertThat(results(mSecond, "st4").text(), containsString("sample-2"));
+        assertThat(results(mSecond, "st4"), containsString("sample-2"));
     }
 
     @Test
@@ -209,12 +217,29 @@
         assertThat(send(mFirst, "POST", mScene.callPath(), "c", "x").status(), is(200));
         mScene.platform().refuseWith(call -> 0);
         assertThat(
-                until(reply -> reply.status() == 404, mSecond, "GET", mScene.resultsPath("st5"), "")
+                until(
+                                reply -> reply.status() == 404,
+                                mSecond,
+                                "GET",
+                                mScene.resultsPath("st5", 0),
+                                "")
                         .status(),
                 is(404));
         assertThat(mScene.endpoint().seen(), not(hasItem("sample-1@0")));
     }
 
+    @Test
+    void aStepWhoseAcceptanceWasNotAnsweredIsFoundAndRunByItsOwner() {
+        // The first step brings the lease, so that the next call of the store is the acceptance.
+        send(mFirst, "POST", mScene.stepPath(), "st6", mScene.stepBody());
+        results(mFirst, "st6");
+        mScene.platform().loseCommits(1);
+        int status = send(mFirst, "POST", mScene.stepPath(), "st7", mScene.stepBody()).status();
+
+        assertThat(status, is(202));
+        assertThat(results(mSecond, "st7"), containsString("sample-2"));
+    }
+
     @Test
     void aNamedVersionIsLoaded() {
         mScene.platform().put("op/version/m", "{\"model\":\"m\",\"version\":3}");
