Keep samples where they are while their endpoint works; try endpoints for a named version

Also, owners learned of loaded weights from records a heartbeat late, and the planner loaded ahead for one model before it loaded what another needed. Change: silence is that of the endpoint, a stalled run moves only to an idle endpoint, long gaps count in part; a waiting sample tries an outdated endpoint every 120 ms, naming the version; loads below the bound go first and without delay once the lag is known.

--- a/ebonyrun-core/src/main/java/org/ebonyrun/core/fleet/Endpoint.java
+++ b/ebonyrun-core/src/main/java/org/ebonyrun/core/fleet/Endpoint.java
@@ -15,6 +15,9 @@
 public final class Endpoint {
     private static final long FIRST_BACKOFF_NANOS = Nanos.ofMillis(400);
     private static final long MAX_BACKOFF_NANOS = Nanos.ofMillis(3_000);
+    // Time between two tries of an endpoint that had outdated weights.
+    private static final long TRY_NANOS = Nanos.ofMillis(120);
+    private static final double MAX_GAP = 3;
     private static final double SMOOTHING = 0.2;
 
     private EndpointRecord mRecord;
@@ -27,6 +30,9 @@
     private double mPaceNanos;
     private long mPaceAt;
     private int mLoading;
+    private long mSignAt;
+    private boolean mTried;
+    private long mTriedAt;
 
     Endpoint(EndpointRecord record) {
         mRecord = record;
@@ -109,9 +115,23 @@
         return mVersions.getOrDefault(model, 0);
     }
 
-    /** Notes the time between two events of one stream, in nanoseconds. */
+    /** Notes that something arrived from the endpoint. */
+    public void onSign(long now) {
+        mSignAt = now;
+    }
+
+    /** Returns how long nothing has arrived from the endpoint, in nanoseconds. */
+    public long silentNanos(long now) {
+        return now - mSignAt;
+    }
+
+    /**
+     * Notes the time between two events of one stream, in nanoseconds. A long gap counts in part:
+     * it may be that of one stream that gave way to others.
+     */
     public void onPace(double nanos, long now) {
-        mPaceNanos = mPaceNanos == 0 ? nanos : mPaceNanos + SMOOTHING * (nanos - mPaceNanos);
+        double counted = mPaceNanos == 0 ? nanos : Math.min(nanos, MAX_GAP * mPaceNanos);
+        mPaceNanos = mPaceNanos == 0 ? counted : mPaceNanos + SMOOTHING * (counted - mPaceNanos);
         mPaceAt = now;
     }
 
@@ -131,6 +151,16 @@
         }
     }
 
+    /** Returns whether an endpoint with outdated weights may be tried now, and notes the try. */
+    public boolean tryAt(long now) {
+        if (mTried && now - mTriedAt < TRY_NANOS) {
+            return false;
+        }
+        mTried = true;
+        mTriedAt = now;
+        return true;
+    }
+
     /** Marks the endpoint as busy with an order of this process, or as done with it. */
     public void setLoading(boolean loading) {
         mLoading = loading ? 1 : 0;
--- a/ebonyrun-core/src/main/java/org/ebonyrun/core/step/RunEnd.java
+++ b/ebonyrun-core/src/main/java/org/ebonyrun/core/step/RunEnd.java
@@ -10,6 +10,8 @@
     NOT_RUN,
     /** Another endpoint has the address. */
     WRONG_INSTANCE,
+    /** The endpoint has another weight version than the run named; it was not run. */
+    WRONG_VERSION,
     /** The endpoint ran the sample and failed. */
     FAILED,
     /** The sample can never be generated. */
--- /dev/null
+++ b/ebonyrun-core/src/main/java/org/ebonyrun/core/step/RunTerms.java
@@ -0,0 +1,9 @@
+package org.ebonyrun.core.step;
+
+/**
+ * How an endpoint is to treat a run.
+ *
+ * @param urgency its priority, zero the highest
+ * @param expectedVersion the only weight version under which it may run; zero for any
+ */
+public record RunTerms(int urgency, int expectedVersion) {}
--- a/ebonyrun-core/src/main/java/org/ebonyrun/core/step/SampleScheduler.java
+++ b/ebonyrun-core/src/main/java/org/ebonyrun/core/step/SampleScheduler.java
@@ -20,7 +20,8 @@
 final class SampleScheduler {
     private static final long FIRST_EVENT_NANOS = Nanos.ofMillis(1_500);
     private static final long SILENT_NANOS = Nanos.ofMillis(1_000);
-    private static final long MIN_RUN_NANOS = Nanos.ofMillis(250);
+    private static final long STALLED_NANOS = Nanos.ofMillis(2_500);
+    private static final long MIN_RUN_NANOS = Nanos.ofMillis(600);
     private static final long PACE_AGE_NANOS = Nanos.ofMillis(2_500);
     // How many times slower than the best pace an endpoint is when its samples move.
     private static final double SLOW_FACTOR = 2.0;
@@ -54,6 +55,26 @@
         return Optional.ofNullable(choice);
     }
 
+    /**
+     * Returns an endpoint whose last known weight version is below the bound, when it is time to
+     * try it again: records lag behind by a heartbeat, while an endpoint that still has the old
+     * version refuses at once.
+     */
+    Optional<Endpoint> chooseOutdated(SampleRun sample, long now) {
+        StepSpec step = sample.mStep.mSpec;
+        if (step.model().isEmpty()) {
+            return Optional.empty();
+        }
+        for (Endpoint endpoint : serving(sample)) {
+            boolean outdated = endpoint.version(step.model()) < step.minVersion();
+            boolean room = endpoint.active() < endpoint.record().slots();
+            if (outdated && room && !endpoint.isAvoided(now) && endpoint.tryAt(now)) {
+                return Optional.of(endpoint);
+            }
+        }
+        return Optional.empty();
+    }
+
     private List<Endpoint> serving(SampleRun sample) {
         List<WeightedService> services = sample.mStep.mRoute.services();
         ServiceName service = services.get(0).service();
@@ -110,9 +131,13 @@
         }
         long silent = now - sample.mLastEventAt;
         long allowed = sample.mRunEvents == 0 ? FIRST_EVENT_NANOS : SILENT_NANOS;
-        if (silent > allowed) {
+        if (silent > allowed && endpoint.silentNanos(now) > allowed) {
             endpoint.onFailure(now);
-            return "no event for " + Nanos.toMillis(silent) + " ms";
+            return "endpoint is silent for " + Nanos.toMillis(silent) + " ms";
+        }
+        // A run may wait in the endpoint's queue, or have given way to a more urgent one.
+        if (silent > STALLED_NANOS && isElsewhereIdle(sample, now)) {
+            return "stalled for " + Nanos.toMillis(silent) + " ms";
         }
         if (now - sample.mStartedAt < MIN_RUN_NANOS || sample.mRunEvents == 0) {
             return "";
@@ -131,6 +156,16 @@
         return "";
     }
 
+    private boolean isElsewhereIdle(SampleRun sample, long now) {
+        for (Endpoint other : serving(sample)) {
+            boolean idle = 2 * other.active() < other.record().slots();
+            if (other != sample.mEndpoint && idle && isFit(other, sample, now)) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     /** Returns the priority of a sample at its endpoint. */
     int urgency(SampleRun sample, long now) {
         if (sample.mRank == GroupOrder.SPARE) {
--- a/ebonyrun-core/src/main/java/org/ebonyrun/core/step/StepMachine.java
+++ b/ebonyrun-core/src/main/java/org/ebonyrun/core/step/StepMachine.java
@@ -6,7 +6,9 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import org.ebonyrun.base.time.Nanos;
+import org.ebonyrun.core.fleet.Endpoint;
 import org.ebonyrun.core.fleet.Fleet;
 import org.ebonyrun.core.route.Route;
 import org.ebonyrun.core.step.SampleRun.State;
@@ -41,6 +43,7 @@
     private final Map<StepId, StepRun> mSteps = new LinkedHashMap<>();
     private final Map<Long, SampleRun> mRuns = new HashMap<>();
     private long mRunCount;
+    private final Map<String, Integer> mNamed = new HashMap<>();
     private boolean mDraining;
 
     private StepMachine(Fleet fleet, StepOutputs outputs) {
@@ -113,6 +116,11 @@
         dispatch(now);
     }
 
+    /** Notes that a trainer named a weight version. */
+    public void onNamed(String model, int version) {
+        mNamed.merge(model, version, Math::max);
+    }
+
     /** Stops a step that its trainer ended. */
     public void onEnded(StepId id) {
         StepRun step = mSteps.remove(id);
@@ -180,6 +188,7 @@
             return;
         }
         sample.mEndpoint.onAlive();
+        sample.mEndpoint.onSign(now);
         sample.mRunVersion = version;
         sample.mLastEventAt = now;
         if (version > 0 && !sample.mStep.mSpec.model().isEmpty()) {
@@ -236,6 +245,7 @@
         if (sample.mRunEvents > 0) {
             sample.mEndpoint.onPace(now - sample.mLastEventAt, now);
         }
+        sample.mEndpoint.onSign(now);
         sample.mRunEvents++;
         sample.mLastEventAt = now;
         sample.mEvents.add(data);
@@ -251,6 +261,7 @@
         switch (end) {
             case COMPLETE -> onTextWhole(sample, now);
             case UNFRAMED -> requeue(sample, now, 0);
+            case WRONG_VERSION -> requeue(sample, now, 0);
             case NOT_RUN -> {
                 sample.mEndpoint.avoidFor(NOT_RUN_NANOS, now);
                 requeue(sample, now, NOT_RUN_NANOS);
@@ -447,7 +458,12 @@
             if (sample.mTextWhole) {
                 startScore(sample);
             } else {
-                mScheduler.choose(sample, now).ifPresent(endpoint -> start(sample, endpoint, now));
+                Optional<Endpoint> fit = mScheduler.choose(sample, now);
+                if (fit.isPresent()) {
+                    start(sample, fit.get(), 0, now);
+                } else {
+                    tryNamedVersion(sample, now);
+                }
             }
         }
     }
@@ -468,7 +484,18 @@
         return waiting;
     }
 
-    private void start(SampleRun sample, org.ebonyrun.core.fleet.Endpoint endpoint, long now) {
+    /** Tries an endpoint that may have loaded the named version since its last record. */
+    private void tryNamedVersion(SampleRun sample, long now) {
+        StepSpec spec = sample.mStep.mSpec;
+        int named = mNamed.getOrDefault(spec.model(), 0);
+        if (named >= spec.minVersion() && named > 0) {
+            mScheduler
+                    .chooseOutdated(sample, now)
+                    .ifPresent(endpoint -> start(sample, endpoint, named, now));
+        }
+    }
+
+    private void start(SampleRun sample, Endpoint endpoint, int expectedVersion, long now) {
         sample.mRun = ++mRunCount;
         sample.mState = State.RUNNING;
         sample.mEndpoint = endpoint;
@@ -485,6 +512,6 @@
                 sample.mSpec,
                 endpoint,
                 sample.mEvents.size(),
-                urgency);
+                new RunTerms(urgency, expectedVersion));
     }
 }
--- a/ebonyrun-core/src/main/java/org/ebonyrun/core/step/StepOutputs.java
+++ b/ebonyrun-core/src/main/java/org/ebonyrun/core/step/StepOutputs.java
@@ -10,7 +10,7 @@
      *
      * @param run the number of the run within this process
      * @param lastEvent the event after which the stream goes on; zero for the beginning
-     * @param urgency the priority at the endpoint, zero the highest
+     * @param terms how the endpoint is to treat it
      */
     void startRun(
             long run,
@@ -18,7 +18,7 @@
             SampleSpec sample,
             Endpoint endpoint,
             int lastEvent,
-            int urgency);
+            RunTerms terms);
 
     /** Closes the connection of a run whose stream is not needed any more. */
     void cancelRun(long run, String reason);
--- a/ebonyrun-core/src/main/java/org/ebonyrun/core/swap/SwapMachine.java
+++ b/ebonyrun-core/src/main/java/org/ebonyrun/core/swap/SwapMachine.java
@@ -33,8 +33,8 @@
     private static final int MIN_LOADING = 2;
     // A named version is acted on after the step that follows it can tell its bound.
     private static final long SETTLE_NANOS = Nanos.ofMillis(150);
-    private static final long FIRST_LOOK_NANOS = Nanos.ofMillis(950);
-    private static final long NEXT_LOOK_NANOS = Nanos.ofMillis(250);
+    private static final long FIRST_LOOK_NANOS = Nanos.ofMillis(750);
+    private static final long NEXT_LOOK_NANOS = Nanos.ofMillis(150);
     private static final long RETRY_NANOS = Nanos.ofMillis(400);
     private static final long INSPECT_TIMEOUT_NANOS = Nanos.ofMillis(1_500);
     // How long an order may go without effect before it is given again.
@@ -204,9 +204,14 @@
         for (Job job : List.copyOf(mJobs.values())) {
             watch(job, now);
         }
-        for (Map.Entry<String, Named> entry : mNamed.entrySet()) {
-            if (now - entry.getValue().at() >= SETTLE_NANOS) {
-                plan(entry.getKey(), entry.getValue().version(), now);
+        // What is below its bound serves nobody, so it goes before what will be with the next
+        // version.
+        for (boolean ahead : new boolean[] {false, true}) {
+            for (Map.Entry<String, Named> entry : mNamed.entrySet()) {
+                long settle = mLags.containsKey(entry.getKey()) ? 0 : SETTLE_NANOS;
+                if (now - entry.getValue().at() >= settle) {
+                    plan(entry.getKey(), entry.getValue().version(), ahead, now);
+                }
             }
         }
     }
@@ -246,7 +251,7 @@
         }
     }
 
-    private void plan(String model, int named, long now) {
+    private void plan(String model, int named, boolean aheadOnly, long now) {
         List<Endpoint> engines = engines(model);
         int lag = mLags.getOrDefault(model, DEFAULT_LAG);
         int needed = Math.max(mBounds.getOrDefault(model, 0), named - lag);
@@ -266,7 +271,7 @@
             boolean below = endpoint.version(model) < needed;
             boolean ahead = endpoint.version(model) == needed && needed < named && surplus > 0;
             surplus--;
-            if (below || ahead) {
+            if (aheadOnly ? ahead : below) {
                 begin(endpoint, model, named, engines.size(), now);
             }
         }
--- a/ebonyrun-core/src/test/java/org/ebonyrun/core/step/FakeStepOutputs.java
+++ b/ebonyrun-core/src/test/java/org/ebonyrun/core/step/FakeStepOutputs.java
@@ -9,7 +9,7 @@
 /** Records what a step machine decides. */
 final class FakeStepOutputs implements StepOutputs {
     /** One run. */
-    record Run(long run, String sample, String endpoint, int lastEvent, int urgency) {}
+    record Run(long run, String sample, String endpoint, int lastEvent, RunTerms terms) {}
 
     /** Results that are to be stored. */
     record Store(StepId step, int position, List<SampleResult> results, boolean last) {}
@@ -31,8 +31,8 @@
             SampleSpec sample,
             Endpoint endpoint,
             int lastEvent,
-            int urgency) {
-        Run started = new Run(run, sample.id(), endpoint.id(), lastEvent, urgency);
+            RunTerms terms) {
+        Run started = new Run(run, sample.id(), endpoint.id(), lastEvent, terms);
         mRuns.add(started);
         mOpen.put(run, started);
     }
--- a/ebonyrun-core/src/test/java/org/ebonyrun/core/step/StepMachineTest.java
+++ b/ebonyrun-core/src/test/java/org/ebonyrun/core/step/StepMachineTest.java
@@ -126,6 +126,26 @@
         assertThat(mOutputs.mRuns.size(), is(1));
     }
 
+    @Test
+    void anOutdatedEndpointIsTriedForTheNamedVersionOnceInAWhile() {
+        endpoint("e", 1);
+        mMachine.onNamed(Endpoints.MODEL, 3);
+        own(step(1, sample("a", "g", 1, false), sample("b", "g", 1, false)), false);
+        assertThat(mOutputs.mRuns.size(), is(1));
+        assertThat(mOutputs.last().terms().expectedVersion(), is(3));
+
+        mMachine.onRunEnd(1, RunEnd.WRONG_VERSION, 10 * MILLI);
+        mMachine.onTick(100 * MILLI);
+        assertThat(mOutputs.mRuns.size(), is(1));
+        mMachine.onTick(120 * MILLI);
+        assertThat(mOutputs.mRuns.size(), is(2));
+
+        mMachine.onRunBegun(2, 3, 130 * MILLI);
+        mMachine.onTick(131 * MILLI);
+        assertThat(mOutputs.mRuns.size(), is(3));
+        assertThat(mOutputs.last().terms().expectedVersion(), is(0));
+    }
+
     @Test
     void aRunThatTurnsOutToBeBelowTheBoundAddsNothing() {
         endpoint("e", 2);
@@ -178,6 +198,32 @@
         assertThat(mOutputs.last().lastEvent(), is(1));
     }
 
+    @Test
+    void aRunThatGaveWayToOthersStaysWhileItsEndpointWorks() {
+        mFleet.onRecord(Endpoints.record("e1", 2, 2));
+        mFleet.onRecord(Endpoints.record("e2", 2, 2));
+        own(
+                step(
+                        1,
+                        sample("a", "g", 4, false),
+                        sample("b", "g", 3, false),
+                        sample("c", "g", 2, false),
+                        sample("d", "g", 1, false)),
+                false);
+        for (int run = 1; run <= 4; run++) {
+            mMachine.onRunBegun(run, 2, 0);
+            events(run, 1, 1, 0);
+        }
+        for (int i = 2; i < 30; i++) {
+            for (int run = 2; run <= 4; run++) {
+                mMachine.onEvent(run, i, "d", 0, i * 100 * MILLI);
+            }
+            mMachine.onTick(i * 100 * MILLI);
+        }
+
+        assertThat(mOutputs.mReasons, is(empty()));
+    }
+
     @Test
     void aSampleThatFailsEachTimeIsGivenUpAfterTheAttemptsOfItsRoute() {
         endpoint("e1", 2);
--- a/ebonyrun-core/src/test/java/org/ebonyrun/core/swap/SwapMachineTest.java
+++ b/ebonyrun-core/src/test/java/org/ebonyrun/core/swap/SwapMachineTest.java
@@ -30,6 +30,7 @@
         final List<SwapOrder> mOrders = new ArrayList<>();
         final List<Endpoint> mInspected = new ArrayList<>();
         final Map<String, Integer> mVersions = new HashMap<>();
+        final Map<String, Integer> mBefore = new HashMap<>();
         final Map<String, Long> mLoadedAt = new HashMap<>();
         final Map<String, Integer> mCounts = new HashMap<>();
         final List<Long> mFenced = new ArrayList<>();
@@ -75,6 +76,7 @@
                 SwapOrder order = mEngines.mOrders.get(mAnswered);
                 mEngines.mCounts.merge(order.endpoint(), 1, Integer::sum);
                 mEngines.mLoadedAt.put(order.endpoint(), now + LOAD_NANOS);
+                mEngines.mBefore.put(order.endpoint(), mEngines.mVersions.get(order.endpoint()));
                 mEngines.mVersions.put(order.endpoint(), order.version());
                 mMachine.onReply(mFleet.get(order.endpoint()), OrderReply.ACCEPTED, now);
             }
@@ -92,7 +94,8 @@
 
     private void answer(Endpoint endpoint, long now) {
         boolean busy = mEngines.mLoadedAt.getOrDefault(endpoint.id(), 0L) > now;
-        int version = mEngines.mVersions.get(endpoint.id()) - (busy ? 1 : 0);
+        Map<String, Integer> versions = busy ? mEngines.mBefore : mEngines.mVersions;
+        int version = versions.get(endpoint.id());
         EndpointState state =
                 new EndpointState(
                         Map.of(Endpoints.MODEL, version),
@@ -138,6 +141,25 @@
         assertThat(mMostLoading, lessThanOrEqualTo(2));
     }
 
+    @Test
+    void whatIsBelowItsBoundLoadsBeforeWhatWillBe() {
+        String other = "a-model";
+        for (Endpoint endpoint : mFleet.serving(Endpoints.SERVICE)) {
+            endpoint.learnVersion(other, 1);
+        }
+        mMachine.onHolding(7, 0, 0);
+        mMachine.onNamed(other, 2, 0);
+        mMachine.onStep(other, 2, 1);
+        mMachine.onNamed(Endpoints.MODEL, 3, 0);
+        mMachine.onStep(Endpoints.MODEL, 3, 2);
+        mMachine.onTick(Nanos.PER_SECOND);
+        for (Endpoint endpoint : List.copyOf(mEngines.mInspected)) {
+            answer(endpoint, Nanos.PER_SECOND);
+        }
+
+        assertThat(mEngines.mOrders.get(0).model(), is(Endpoints.MODEL));
+    }
+
     @Test
     void aTrainerThatWantsTheNewestHasAllLoad() {
         mMachine.onHolding(7, 0, 0);
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/HostedEntry.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/HostedEntry.java
@@ -334,6 +334,7 @@
                             .with("model", named.model())
                             .with("version", named.version()));
             mPlanner.machine().onNamed(named.model(), named.version(), System.nanoTime());
+            mSamples.machine().onNamed(named.model(), named.version());
         } else if (event instanceof OperatorEvent.RetireAsked retire) {
             mPlanner.onRetire(retire.vm());
         }
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/SampleDesk.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/SampleDesk.java
@@ -11,6 +11,7 @@
 import org.ebonyrun.core.fleet.Fleet;
 import org.ebonyrun.core.route.Route;
 import org.ebonyrun.core.step.RunEnd;
+import org.ebonyrun.core.step.RunTerms;
 import org.ebonyrun.core.step.SampleResult;
 import org.ebonyrun.core.step.SampleSpec;
 import org.ebonyrun.core.step.ScoreCall;
@@ -71,8 +72,9 @@
             SampleSpec sample,
             Endpoint endpoint,
             int lastEvent,
-            int urgency) {
-        SampleExchange exchange = new SampleExchange(run, sample.id(), mParts.executor(), this);
+            RunTerms terms) {
+        SampleExchange exchange =
+                new SampleExchange(run, sample.id(), endpoint.id(), mParts.executor(), this);
         mRuns.put(run, exchange);
         mParts.log()
                 .write(
@@ -83,11 +85,12 @@
                                 .with("endpoint", endpoint.id())
                                 .with("version", endpoint.version(step.model()))
                                 .with("active", endpoint.active())
+                                .with("expected_version", terms.expectedVersion())
                                 .with("after", lastEvent));
         exchange.setExchange(
                 mCaller.send(
                         EndpointProtocol.run(
-                                endpoint.record(), step.host(), sample, lastEvent, urgency),
+                                endpoint.record(), step.host(), sample, lastEvent, terms),
                         exchange));
     }
 
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/SampleExchange.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/SampleExchange.java
@@ -33,6 +33,7 @@
 
     private final long mRun;
     private final String mSample;
+    private final String mEndpoint;
     private final Executor mExecutor;
     private final Sink mSink;
     private List<SseEvent> mEvents = new ArrayList<>();
@@ -42,9 +43,10 @@
     private boolean mStream;
     private boolean mBroken;
 
-    SampleExchange(long run, String sample, Executor executor, Sink sink) {
+    SampleExchange(long run, String sample, String endpoint, Executor executor, Sink sink) {
         mRun = run;
         mSample = sample;
+        mEndpoint = endpoint;
         mExecutor = executor;
         mSink = sink;
     }
@@ -96,7 +98,7 @@
             return RunEnd.BROKEN;
         }
         if (!mStream) {
-            return EndpointProtocol.runEnd(mHead);
+            return EndpointProtocol.runEnd(mHead, mEndpoint);
         }
         if (!mParser.isBetweenEvents()) {
             return RunEnd.BROKEN;
