Give a sample up when its score has failed as often as allowed; keep long texts; finish steps in the grace period

Also, long samples started again from nothing with a new owner, and a stopping entry handed its steps over after 1.2 s, at times to an entry that was about to be cut off. Ruled out: waiting for weights (orders were given within 0.1 s of the named version). Change: errors of the service are counted over rounds; texts from 12 events on are kept with results every 0.6 s and continued by the next owner; a stopping entry refuses new steps and finishes those it has for half of the grace period.

--- a/ebonyrun-core/src/main/java/org/ebonyrun/core/step/SampleRun.java
+++ b/ebonyrun-core/src/main/java/org/ebonyrun/core/step/SampleRun.java
@@ -39,7 +39,7 @@
     int mRunVersion;
     int mRunEvents;
     int mFailures;
-    int mScoreFailures;
+    int mScoreErrors;
     long mNotBefore;
 
     SampleRun(StepRun step, SampleSpec spec, int rank) {
--- a/ebonyrun-core/src/main/java/org/ebonyrun/core/step/StepMachine.java
+++ b/ebonyrun-core/src/main/java/org/ebonyrun/core/step/StepMachine.java
@@ -44,7 +44,6 @@
     private final Map<Long, SampleRun> mRuns = new HashMap<>();
     private long mRunCount;
     private final Map<String, Integer> mNamed = new HashMap<>();
-    private boolean mDraining;
 
     private StepMachine(Fleet fleet, StepOutputs outputs) {
         mFleet = fleet;
@@ -149,23 +148,29 @@
         }
     }
 
-    /** Starts no more runs; what runs goes on. */
-    public void onDrain() {
-        mDraining = true;
-    }
-
-    /** Stops all runs of a step and returns the texts of its unfinished samples. */
-    public List<PartialText> handOver(StepId id) {
+    /**
+     * Returns the texts of unfinished samples that are worth keeping in case this process is lost.
+     *
+     * @param leastEvents how many events a text must have
+     */
+    public List<PartialText> unfinished(StepId id, int leastEvents) {
         StepRun step = mSteps.get(id);
         List<PartialText> texts = new ArrayList<>();
         if (step == null) {
             return texts;
         }
         for (SampleRun sample : step.mSamples.values()) {
-            if (sample.mState != State.FINISHED && !sample.mEvents.isEmpty()) {
+            boolean worth = sample.mEvents.size() >= leastEvents;
+            if (sample.mState != State.FINISHED && worth) {
                 texts.add(sample.partial());
             }
         }
+        return texts;
+    }
+
+    /** Stops all runs of a step and returns the texts of its unfinished samples. */
+    public List<PartialText> handOver(StepId id) {
+        List<PartialText> texts = unfinished(id, 1);
         onLost(id);
         return texts;
     }
@@ -322,8 +327,15 @@
         mOutputs.score(sample.mRun, sample.mStep.mSpec, sample.mSpec);
     }
 
-    /** Notes how a try to score a sample ended. */
-    public void onScoreEnd(long run, ScoreEnd end, String score, long now) {
+    /**
+     * Notes how a call that scores a sample ended.
+     *
+     * @param score what the service said; empty unless it scored the sample
+     * @param errors how many times the service answered the call with an error of its own
+     * @param allowed after how many such errors the sample is given up
+     */
+    public void onScoreEnd(
+            long run, ScoreEnd end, String score, int errors, int allowed, long now) {
         SampleRun sample = mRuns.remove(run);
         if (sample == null || sample.mState != State.SCORING) {
             return;
@@ -332,27 +344,15 @@
             finish(sample, done(sample, score), now);
             return;
         }
-        if (end == ScoreEnd.FAILED) {
-            sample.mScoreFailures++;
+        sample.mScoreErrors += errors;
+        if (sample.mScoreErrors >= allowed) {
+            finish(sample, SampleResult.givenUp(sample.mSpec.id()), now);
+            return;
         }
         sample.mState = State.WAITING;
         sample.mNotBefore = now + SCORE_RETRY_NANOS;
     }
 
-    /** Gives up a sample whose scoring service failed as often as its route allows. */
-    public void onScoreGivenUp(long run, long now) {
-        SampleRun sample = mRuns.remove(run);
-        if (sample != null && sample.mState == State.SCORING) {
-            finish(sample, SampleResult.givenUp(sample.mSpec.id()), now);
-        }
-    }
-
-    /** Returns how often the service failed to score the sample of a run. */
-    public int scoreFailures(long run) {
-        SampleRun sample = mRuns.get(run);
-        return sample == null ? 0 : sample.mScoreFailures;
-    }
-
     private static SampleResult done(SampleRun sample, String score) {
         String text = String.join("\n", sample.mEvents);
         return new SampleResult(sample.mSpec.id(), true, text, sample.distinctVersions(), score);
@@ -451,9 +451,6 @@
     }
 
     private void dispatch(long now) {
-        if (mDraining) {
-            return;
-        }
         for (SampleRun sample : waiting(now)) {
             if (sample.mTextWhole) {
                 startScore(sample);
--- a/ebonyrun-core/src/test/java/org/ebonyrun/core/step/StepMachineTest.java
+++ b/ebonyrun-core/src/test/java/org/ebonyrun/core/step/StepMachineTest.java
@@ -22,6 +22,7 @@
 import org.ebonyrun.core.route.WeightedService;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
@@ -77,7 +78,7 @@
         events(1, 1, EVENTS, 0);
         mMachine.onRunEnd(1, RunEnd.COMPLETE, 0);
         long score = mOutputs.mScores.keySet().iterator().next();
-        mMachine.onScoreEnd(score, ScoreEnd.SCORED, "stamp", 0);
+        mMachine.onScoreEnd(score, ScoreEnd.SCORED, "stamp", 0, 4, 0);
 
         FakeStepOutputs.Store store = mOutputs.mStores.get(0);
         assertThat(store.last(), is(true));
@@ -91,6 +92,25 @@
         assertThat(mMachine.size(), is(0));
     }
 
+    @ParameterizedTest
+    @CsvSource({"4, 1", "3, 2", "0, 0"})
+    void aSampleIsGivenUpOnceItsScoreHasFailedAsOftenAsAllowed(int errors, int calls) {
+        endpoint("e", 2);
+        own(step(1, sample("a", "g", 1, true)), false);
+        mMachine.onRunBegun(1, 2, 0);
+        events(1, 1, EVENTS, 0);
+        mMachine.onRunEnd(1, RunEnd.COMPLETE, 0);
+        for (int i = 0; i < 5 && mOutputs.mStores.isEmpty(); i++) {
+            long score = mOutputs.mScores.keySet().stream().reduce((x, y) -> y).orElseThrow();
+            ScoreEnd end = errors == 0 ? ScoreEnd.UNKNOWN : ScoreEnd.FAILED;
+            mMachine.onScoreEnd(score, end, "", errors, 4, i * 200 * MILLI);
+            mMachine.onTick(i * 200 * MILLI + 150 * MILLI);
+        }
+
+        assertThat(mOutputs.mStores.size(), is(calls == 0 ? 0 : 1));
+        assertThat(mOutputs.mScores.size(), is(calls == 0 ? 6 : calls));
+    }
+
     @ParameterizedTest
     @EnumSource(
             value = RunEnd.class,
@@ -264,6 +284,23 @@
         assertThat(mOutputs.last().lastEvent(), is(2));
     }
 
+    @Test
+    void longTextsOfUnfinishedSamplesAreWorthKeeping() {
+        endpoint("e", 2);
+        own(step(1, sample("a", "g", 2, false), sample("b", "g", 1, false)), false);
+        mMachine.onRunBegun(1, 2, 0);
+        mMachine.onRunBegun(2, 2, 0);
+        events(1, 1, 5, 0);
+        events(2, 1, 4, 0);
+
+        List<PartialText> texts = mMachine.unfinished(STEP, 5);
+        assertThat(texts.size(), is(1));
+        assertThat(texts.get(0).id(), is("a"));
+        assertThat(texts.get(0).events().size(), is(5));
+        mMachine.onRunEnd(1, RunEnd.COMPLETE, 0);
+        assertThat(mMachine.unfinished(STEP, 5), is(empty()));
+    }
+
     @Test
     void resultsOfAnEarlierOwnerKeepTheirPositionsAndAreNotRunAgain() {
         endpoint("e", 2);
@@ -332,7 +369,7 @@
             for (Long run : List.copyOf(mOutputs.mScores.keySet())) {
                 mOutputs.mScores.remove(run);
                 ScoreEnd end = ScoreEnd.values()[random.nextInt(3)];
-                mMachine.onScoreEnd(run, end, "stamp", now);
+                mMachine.onScoreEnd(run, end, "stamp", random.nextInt(2), 4, now);
             }
             if (stored < mOutputs.mStores.size() && random.nextInt(3) == 0) {
                 FakeStepOutputs.Store store = mOutputs.mStores.get(stored++);
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/CallDesk.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/CallDesk.java
@@ -2,7 +2,6 @@
 
 import java.util.HashMap;
 import java.util.Map;
-import java.util.function.BiConsumer;
 import org.ebonyrun.base.id.FailureDomain;
 import org.ebonyrun.base.log.LogLine;
 import org.ebonyrun.core.call.AttemptEnd;
@@ -35,7 +34,18 @@
     private record Client(
             @Nullable FrontExchange caller,
             @Nullable ScoreCall score,
-            @Nullable BiConsumer<ScoreEnd, String> onScore) {}
+            @Nullable ScoreListener onScore) {}
+
+    /** Hears how a call that scores a sample ended. */
+    interface ScoreListener {
+        /**
+         * The call ended.
+         *
+         * @param score what the service said; empty unless it scored the sample
+         * @param errors how many times the service answered with an error of its own
+         */
+        void onEnd(ScoreEnd end, String score, int errors);
+    }
 
     private final EntryParts mParts;
     private final HttpCaller mCaller;
@@ -45,6 +55,7 @@
     private final Map<Long, CallExchange> mAttempts = new HashMap<>();
     private final Map<Long, CallSpec> mSpecs = new HashMap<>();
     private final Map<Long, Long> mErrors = new HashMap<>();
+    private final Map<Long, Integer> mErrorCounts = new HashMap<>();
     private long mCount;
 
     CallDesk(EntryParts parts, HttpCaller caller, Fleet fleet, FailureDomain domain) {
@@ -66,7 +77,7 @@
     }
 
     /** Takes a call that scores a sample. */
-    void onScore(CallSpec spec, ScoreCall score, BiConsumer<ScoreEnd, String> end, long now) {
+    void onScore(CallSpec spec, ScoreCall score, ScoreListener end, long now) {
         mClients.put(spec.id(), new Client(null, score, end));
         mMachine.onCall(spec, now);
     }
@@ -143,6 +154,7 @@
     @Override
     public void deliver(CallSpec call, long attempt) {
         CallExchange exchange = mAttempts.remove(attempt);
+        int errors = mErrorCounts.getOrDefault(call.id(), 0);
         Client client = finish(call);
         HttpHead head = exchange == null ? null : exchange.head();
         if (client == null || head == null) {
@@ -150,7 +162,7 @@
         }
         FrontExchange caller = client.caller();
         if (caller == null) {
-            endScore(client, head);
+            endScore(client, head, errors);
         } else if (caller.isBegun()) {
             caller.finish();
         } else {
@@ -158,15 +170,15 @@
         }
     }
 
-    private static void endScore(Client client, HttpHead head) {
-        BiConsumer<ScoreEnd, String> end = client.onScore();
+    private static void endScore(Client client, HttpHead head, int errors) {
+        ScoreListener end = client.onScore();
         if (end == null) {
             return;
         }
         if (head.isSuccess()) {
-            end.accept(ScoreEnd.SCORED, EndpointProtocol.signature(head));
+            end.onEnd(ScoreEnd.SCORED, EndpointProtocol.signature(head), errors);
         } else {
-            end.accept(ScoreEnd.FAILED, "");
+            end.onEnd(ScoreEnd.FAILED, "", errors);
         }
     }
 
@@ -180,12 +192,13 @@
                                 .with("retry_after_ms", retryAfterMillis)
                                 .with("open_calls", mMachine.size())
                                 .with("why", reason));
+        int errors = mErrorCounts.getOrDefault(call.id(), 0);
         Client client = finish(call);
         if (client == null) {
             return;
         }
         if (client.onScore() != null) {
-            client.onScore().accept(ScoreEnd.UNKNOWN, "");
+            client.onScore().onEnd(ScoreEnd.UNKNOWN, "", errors);
         } else if (client.caller() != null) {
             client.caller()
                     .respond(
@@ -204,13 +217,14 @@
                                 .with("service", call.service())
                                 .with("timeout", timeout)
                                 .with("why", reason));
+        int errors = mErrorCounts.getOrDefault(call.id(), 0);
         Client client = finish(call);
         if (client == null) {
             return;
         }
         FrontExchange caller = client.caller();
         if (client.onScore() != null) {
-            client.onScore().accept(ScoreEnd.UNKNOWN, "");
+            client.onScore().onEnd(ScoreEnd.UNKNOWN, "", errors);
         } else if (caller != null && caller.isBegun()) {
             caller.abort();
         } else if (caller != null) {
@@ -226,6 +240,7 @@
         if (client != null && client.caller() != null) {
             mCallOf.remove(client.caller());
         }
+        mErrorCounts.remove(call.id());
         Long error = mErrors.remove(call.id());
         if (error != null) {
             mAttempts.remove(error);
@@ -270,6 +285,7 @@
                                 .with("detail", exchange.detail()));
         mSpecs.remove(exchange.attempt());
         if (end == AttemptEnd.SERVER_ERROR) {
+            mErrorCounts.merge(call.id(), 1, Integer::sum);
             Long earlier = mErrors.put(call.id(), exchange.attempt());
             if (earlier != null) {
                 mAttempts.remove(earlier);
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/HostedEntry.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/HostedEntry.java
@@ -57,7 +57,8 @@
     // Callers may still arrive until the platform has noticed that the entry is not ready.
     private static final long DRAIN_QUIET_NANOS = Nanos.ofMillis(1_000);
     private static final long DRAIN_LEAST_NANOS = Nanos.ofMillis(3_000);
-    private static final long HANDOVER_AFTER_NANOS = Nanos.ofMillis(1_200);
+    // Part of the grace period in which steps may still be finished here.
+    private static final double FINISH_SHARE = 0.5;
     private static final double DRAIN_SHARE = 0.85;
 
     /** A task for later. */
@@ -85,6 +86,7 @@
     private volatile FrontLimits mLimits = FrontLimits.DEFAULT;
     private volatile boolean mReady;
     private volatile boolean mDraining;
+    private volatile int mOwnedSteps;
     private boolean mStoreAway;
     private long mStoreAwaySince;
     private long mSweepAt;
@@ -161,6 +163,11 @@
         mLater.add(new Timed(System.nanoTime() + nanos, task));
     }
 
+    @Override
+    public boolean isDraining() {
+        return mDraining;
+    }
+
     @Override
     public boolean isStoreAway() {
         return mStoreAway;
@@ -226,6 +233,7 @@
             mSweepAt = now + SWEEP_NANOS;
             mFront.sweep(now);
         }
+        mOwnedSteps = mSteps.size();
         updateReady(now);
     }
 
@@ -440,19 +448,17 @@
                 () -> {
                     mSteps.onDrain();
                     mPlanner.onDrain();
-                    mSamples.machine().onDrain();
                 });
-        boolean handedOver = false;
+        long finish = (long) (FINISH_SHARE * Nanos.ofMillis(mSettings.graceMillis()));
         CountDownLatch never = new CountDownLatch(1);
         while (System.nanoTime() - limit < 0) {
             never.await(DRAIN_STEP_MILLIS, TimeUnit.MILLISECONDS);
             long now = System.nanoTime();
             mFront.drain(now, DRAIN_QUIET_NANOS);
-            if (now - begin > HANDOVER_AFTER_NANOS) {
+            if (now - begin > finish) {
                 mDuty.post(mSteps::handOver);
-                handedOver = mSteps.size() == 0;
             }
-            if (handedOver && now - begin > DRAIN_LEAST_NANOS && mFront.busy() == 0) {
+            if (mOwnedSteps == 0 && now - begin > DRAIN_LEAST_NANOS && mFront.busy() == 0) {
                 break;
             }
         }
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/HostedMain.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/HostedMain.java
@@ -8,8 +8,6 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
-import java.util.logging.Level;
-import java.util.logging.Logger;
 import org.ebonyrun.base.log.EventLog;
 import org.ebonyrun.base.log.LogLine;
 import org.ebonyrun.core.settings.Problem;
@@ -72,8 +70,8 @@
             System.out.println(file + ": valid");
             return EXIT_OK;
         }
-        Logger.getLogger("org.glassfish.grizzly").setLevel(Level.OFF);
         EventLog log = EventLog.start(new FileOutputStream(FileDescriptor.out));
+        LibraryLog.route("org.glassfish.grizzly", log);
         try {
             HostedEntry entry = HostedEntry.start(parsed.settings(), log);
             Runtime.getRuntime().addShutdownHook(new Thread(() -> drain(entry), "drain"));
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/SampleDesk.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/SampleDesk.java
@@ -139,7 +139,7 @@
                 score == null ? Optional.empty() : mRoutes.find(score.host(), score.path());
         if (score == null || route.isEmpty()) {
             mParts.log().write(LogLine.of("score.unrouted").with("request", sample.id()));
-            mMachine.onScoreEnd(run, ScoreEnd.UNKNOWN, "", now);
+            mMachine.onScoreEnd(run, ScoreEnd.UNKNOWN, "", 0, 1, now);
             return;
         }
         long goal = Nanos.ofMillis(route.get().call().goalMillis());
@@ -153,17 +153,12 @@
                         now + SCORE_GOALS * goal,
                         true);
         int allowed = route.get().call().maxAttempts();
-        mCalls.onScore(call, score, (end, text) -> onScore(run, end, text, allowed), now);
-    }
-
-    private void onScore(long run, ScoreEnd end, String score, int allowed) {
-        long now = System.nanoTime();
-        boolean exhausted = end == ScoreEnd.FAILED && mMachine.scoreFailures(run) + 1 >= allowed;
-        if (exhausted) {
-            mMachine.onScoreGivenUp(run, now);
-        } else {
-            mMachine.onScoreEnd(run, end, score, now);
-        }
+        mCalls.onScore(
+                call,
+                score,
+                (end, text, errors) ->
+                        mMachine.onScoreEnd(run, end, text, errors, allowed, System.nanoTime()),
+                now);
     }
 
     @Override
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/StepOwner.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/StepOwner.java
@@ -14,6 +14,7 @@
 import org.ebonyrun.base.result.Result;
 import org.ebonyrun.base.time.Nanos;
 import org.ebonyrun.core.route.Route;
+import org.ebonyrun.core.step.PartialText;
 import org.ebonyrun.core.step.SampleResult;
 import org.ebonyrun.core.step.StepId;
 import org.ebonyrun.core.step.StepMachine;
@@ -42,11 +43,19 @@
     private static final long CLAIM_PER_STEP_NANOS = Nanos.ofMillis(60);
     private static final long CLAIM_JITTER_NANOS = Nanos.ofMillis(40);
 
+    // How often texts of unfinished samples are kept, and how long they must be. A lost owner then
+    // costs a long sample at most this time and the events of its last moments.
+    private static final long CHECKPOINT_NANOS = Nanos.ofMillis(600);
+    private static final int CHECKPOINT_EVENTS = 12;
+    private static final int CHECKPOINT_BYTES = 400_000;
+    private static final byte[] NOTHING = new byte[0];
+
     /** A step that this entry owns. */
     private static final class Owned {
         final Route mRoute;
         long mRevision;
         @Nullable Append mAppend;
+        long mCheckpointAt = System.nanoTime();
 
         Owned(Route route, long revision) {
             mRoute = route;
@@ -58,14 +67,16 @@
     private static final class Append {
         final int mPosition;
         final byte[] mValue;
+        final byte[] mPartial;
         final boolean mLast;
         boolean mCalling;
         boolean mClaim;
         long mRetryAt;
 
-        Append(int position, byte[] value, boolean last) {
+        Append(int position, byte[] value, byte[] partial, boolean last) {
             mPosition = position;
             mValue = value;
+            mPartial = partial;
             mLast = last;
         }
     }
@@ -221,10 +232,50 @@
         if (owned == null) {
             return;
         }
-        owned.mAppend = new Append(position, StepCodec.results(results), last);
+        byte[] partial = last ? NOTHING : partialWhenDue(id, owned, System.nanoTime());
+        owned.mAppend = new Append(position, StepCodec.results(results), partial, last);
         send(id, owned);
     }
 
+    /** Returns the texts to keep now; empty if it is too soon or there are none worth it. */
+    private byte[] partialWhenDue(StepId id, Owned owned, long now) {
+        if (now - owned.mCheckpointAt < CHECKPOINT_NANOS) {
+            return NOTHING;
+        }
+        owned.mCheckpointAt = now;
+        List<PartialText> texts = mMachine.unfinished(id, CHECKPOINT_EVENTS);
+        if (texts.isEmpty()) {
+            return NOTHING;
+        }
+        byte[] partial = StepCodec.partial(texts);
+        return partial.length > CHECKPOINT_BYTES ? NOTHING : partial;
+    }
+
+    /**
+     * Keeps texts of a step that lists nothing for a while. A failure costs no more than a rerun.
+     */
+    private void checkpoint(StepId id, Owned owned, long now) {
+        byte[] partial = partialWhenDue(id, owned, now);
+        if (partial.length > 0) {
+            mStore.checkpoint(id, owned.mRevision, partial)
+                    .thenAcceptAsync(
+                            result ->
+                                    result.fold(
+                                            commit -> commit,
+                                            fault -> {
+                                                mParts.log()
+                                                        .write(
+                                                                LogLine.of("step.uncheckpointed")
+                                                                        .with("step", id)
+                                                                        .with(
+                                                                                "why",
+                                                                                fault.detail()));
+                                                return null;
+                                            }),
+                            mParts.executor());
+        }
+    }
+
     private void send(StepId id, Owned owned) {
         Append append = owned.mAppend;
         if (append == null) {
@@ -235,7 +286,13 @@
             claimAgain(id, owned, append);
             return;
         }
-        mStore.append(id, owned.mRevision, append.mPosition, append.mValue, append.mLast)
+        mStore.append(
+                        id,
+                        owned.mRevision,
+                        append.mPosition,
+                        append.mValue,
+                        append.mPartial,
+                        append.mLast)
                 .thenAcceptAsync(
                         result -> onAppended(id, owned, append, result), mParts.executor());
     }
@@ -389,7 +446,9 @@
         mOwned.forEach(
                 (id, owned) -> {
                     Append append = owned.mAppend;
-                    if (append != null && !append.mCalling && now - append.mRetryAt >= 0) {
+                    if (append == null && !mParts.isStoreAway()) {
+                        checkpoint(id, owned, now);
+                    } else if (append != null && !append.mCalling && now - append.mRetryAt >= 0) {
                         send(id, owned);
                     }
                 });
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/StepStore.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/StepStore.java
@@ -100,9 +100,18 @@
                         .build());
     }
 
-    /** Stores results from a position on, if the owner's key is unchanged. */
+    /**
+     * Stores results from a position on, if the owner's key is unchanged.
+     *
+     * @param partial texts of unfinished samples to keep with them; empty to leave them as they are
+     */
     CompletableFuture<Result<Commit>> append(
-            StepId id, long ownerRevision, int position, byte[] results, boolean last) {
+            StepId id,
+            long ownerRevision,
+            int position,
+            byte[] results,
+            byte[] partial,
+            boolean last) {
         String ownerKey = StepKeys.live(id, StepKeys.OWNER);
         String resultKey = StepKeys.result(id, position);
         Transaction.Builder transaction =
@@ -110,12 +119,24 @@
                         .expect(ownerKey, ownerRevision)
                         .expect(resultKey, Transaction.ABSENT)
                         .write(resultKey, results);
+        if (partial.length > 0) {
+            transaction.write(StepKeys.partial(id), partial);
+        }
         if (last) {
             transaction.write(StepKeys.live(id, StepKeys.DONE), new byte[] {'1'});
         }
         return mStore.commit(transaction.build());
     }
 
+    /** Keeps texts of unfinished samples, if the owner's key is unchanged. */
+    CompletableFuture<Result<Commit>> checkpoint(StepId id, long ownerRevision, byte[] partial) {
+        return mStore.commit(
+                Transaction.builder()
+                        .expect(StepKeys.live(id, StepKeys.OWNER), ownerRevision)
+                        .write(StepKeys.partial(id), partial)
+                        .build());
+    }
+
     /** Notes that the trainer ended a step. */
     CompletableFuture<Result<Commit>> end(StepId id) {
         String key = StepKeys.live(id, StepKeys.END);
