--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/EntryParts.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/EntryParts.java
@@ -3,6 +3,9 @@
 import java.util.concurrent.Executor;
 import org.ebonyrun.base.log.EventLog;
 import org.ebonyrun.core.route.Route;
+import org.ebonyrun.core.step.StepId;
+import org.ebonyrun.ports.store.Commit;
+import org.ebonyrun.ports.store.StoreItem;
 
 /**
  * What the parts of an entry share.
@@ -34,6 +37,17 @@
     /** Returns the name under which this process owns keys. */
     ProcessName self();
 
+    /** Returns the revision of a step's owner key if this process wrote it; zero if not. */
+    default long ownRevision(Commit commit, StepId id) {
+        String key = StepKeys.live(id, StepKeys.OWNER);
+        for (StoreItem item : commit.current()) {
+            if (item.key().equals(key) && item.text().equals(self().text())) {
+                return item.revision();
+            }
+        }
+        return 0;
+    }
+
     /** Returns the route of a stored step. */
     Route routeOf(StepManifest manifest);
 }
--- /dev/null
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/OwnedStep.java
@@ -0,0 +1,20 @@
+package org.ebonyrun.daemon.hosted;
+
+import org.jspecify.annotations.Nullable;
+
+/**
+ * A step that this entry owns.
+ *
+ * <p>Not thread safe; confined to the entry's duty.
+ */
+final class OwnedStep {
+    /** The revision of the owner's key, as this entry wrote it. */
+    long mRevision;
+
+    @Nullable PendingResults mPending;
+    long mCheckpointAt = System.nanoTime();
+
+    OwnedStep(long revision) {
+        mRevision = revision;
+    }
+}
--- /dev/null
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/ResultWriter.java
@@ -0,0 +1,243 @@
+package org.ebonyrun.daemon.hosted;
+
+import java.util.List;
+import org.ebonyrun.base.log.LogLine;
+import org.ebonyrun.base.result.Result;
+import org.ebonyrun.base.time.Nanos;
+import org.ebonyrun.core.step.PartialText;
+import org.ebonyrun.core.step.SampleResult;
+import org.ebonyrun.core.step.StepId;
+import org.ebonyrun.core.step.StepMachine;
+import org.ebonyrun.ports.store.Commit;
+import org.ebonyrun.ports.store.CommitOutcome;
+import org.ebonyrun.ports.store.StoreItem;
+import org.ebonyrun.ports.store.Transaction;
+
+/**
+ * Stores results of owned steps, and texts of unfinished samples beside them.
+ *
+ * <p>Invariants: results are stored only by a transaction that expects the owner's key as this
+ * entry wrote it; a transaction whose outcome is unknown is repeated unchanged until the store
+ * tells.
+ *
+ * <p>Not thread safe; confined to the entry's duty.
+ */
+final class ResultWriter {
+    private static final long RETRY_NANOS = Nanos.ofMillis(150);
+    // How often texts of unfinished samples are kept, and how long they must be. A lost owner then
+    // costs a long sample at most this time and the events of its last moments.
+    private static final long CHECKPOINT_NANOS = Nanos.ofMillis(600);
+    private static final int CHECKPOINT_EVENTS = 12;
+    private static final int CHECKPOINT_BYTES = 400_000;
+    private static final byte[] NOTHING = new byte[0];
+
+    /** Says who owns steps. */
+    interface Owner {
+        /** Returns whether a step is still owned by the same claim. */
+        boolean isCurrent(StepId id, OwnedStep owned);
+
+        /** The last results of a step are stored. */
+        void onLast(StepId id);
+
+        /** The step is no longer owned. */
+        void onLost(StepId id, String why);
+    }
+
+    private final EntryParts mParts;
+    private final StepStore mStore;
+    private final StepMachine mMachine;
+    private final Owner mOwner;
+
+    ResultWriter(EntryParts parts, StepStore store, StepMachine machine, Owner owner) {
+        mParts = parts;
+        mStore = store;
+        mMachine = machine;
+        mOwner = owner;
+    }
+
+    /** Repeats what the store did not answer, and keeps texts of steps that list nothing. */
+    void onTick(StepId id, OwnedStep owned, long now) {
+        PendingResults pending = owned.mPending;
+        if (pending == null && !mParts.isStoreAway()) {
+            checkpoint(id, owned, now);
+        } else if (pending != null && !pending.mCalling && now - pending.mRetryAt >= 0) {
+            send(id, owned);
+        }
+    }
+
+    /** Stores results. */
+    void append(
+            StepId id, OwnedStep owned, int position, List<SampleResult> results, boolean last) {
+        byte[] partial = last ? NOTHING : partialWhenDue(id, owned, System.nanoTime());
+        owned.mPending = new PendingResults(position, StepCodec.results(results), partial, last);
+        send(id, owned);
+    }
+
+    /** Returns the texts to keep now; empty if it is too soon or there are none worth it. */
+    private byte[] partialWhenDue(StepId id, OwnedStep owned, long now) {
+        if (now - owned.mCheckpointAt < CHECKPOINT_NANOS) {
+            return NOTHING;
+        }
+        owned.mCheckpointAt = now;
+        List<PartialText> texts = mMachine.unfinished(id, CHECKPOINT_EVENTS);
+        if (texts.isEmpty()) {
+            return NOTHING;
+        }
+        byte[] partial = StepCodec.partial(texts);
+        return partial.length > CHECKPOINT_BYTES ? NOTHING : partial;
+    }
+
+    /**
+     * Keeps texts of a step that lists nothing for a while. A failure costs no more than a rerun.
+     */
+    private void checkpoint(StepId id, OwnedStep owned, long now) {
+        byte[] partial = partialWhenDue(id, owned, now);
+        if (partial.length > 0) {
+            mStore.checkpoint(id, owned.mRevision, partial)
+                    .thenAcceptAsync(
+                            result ->
+                                    result.fold(
+                                            commit -> commit,
+                                            fault -> {
+                                                mParts.log()
+                                                        .write(
+                                                                LogLine.of("step.uncheckpointed")
+                                                                        .with("step", id)
+                                                                        .with(
+                                                                                "why",
+                                                                                fault.detail()));
+                                                return null;
+                                            }),
+                            mParts.executor());
+        }
+    }
+
+    private void send(StepId id, OwnedStep owned) {
+        PendingResults append = owned.mPending;
+        if (append == null) {
+            return;
+        }
+        append.mCalling = true;
+        if (append.mClaim) {
+            claimAgain(id, owned, append);
+            return;
+        }
+        mStore.append(
+                        id,
+                        owned.mRevision,
+                        append.mPosition,
+                        append.mValue,
+                        append.mPartial,
+                        append.mLast)
+                .thenAcceptAsync(
+                        result -> onAppended(id, owned, append, result), mParts.executor());
+    }
+
+    private void onAppended(
+            StepId id, OwnedStep owned, PendingResults append, Result<Commit> result) {
+        append.mCalling = false;
+        if (!mOwner.isCurrent(id, owned)) {
+            return;
+        }
+        result.fold(
+                commit -> {
+                    if (commit.isCommitted() || holds(commit, id, append)) {
+                        onStored(id, owned, append);
+                    } else if (ownerChanged(commit, id, owned)) {
+                        mOwner.onLost(id, "another entry owns the step");
+                    } else {
+                        append.mClaim = true;
+                        send(id, owned);
+                    }
+                    return commit;
+                },
+                fault -> {
+                    append.mRetryAt = System.nanoTime() + RETRY_NANOS;
+                    mParts.log()
+                            .write(
+                                    LogLine.of("step.store.retry")
+                                            .with("step", id)
+                                            .with("position", append.mPosition)
+                                            .with("fault", fault.detail()));
+                    return null;
+                });
+    }
+
+    private void onStored(StepId id, OwnedStep owned, PendingResults append) {
+        owned.mPending = null;
+        mMachine.onStored(id, System.nanoTime());
+        if (append.mLast) {
+            mOwner.onLast(id);
+        }
+    }
+
+    /** Returns whether the conflict shows that the same results were stored before. */
+    private static boolean holds(Commit commit, StepId id, PendingResults append) {
+        String key = StepKeys.result(id, append.mPosition);
+        for (StoreItem item : commit.current()) {
+            if (item.key().equals(key) && java.util.Arrays.equals(item.value(), append.mValue)) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    private boolean ownerChanged(Commit commit, StepId id, OwnedStep owned) {
+        String key = StepKeys.live(id, StepKeys.OWNER);
+        String resultKey =
+                StepKeys.result(id, owned.mPending == null ? 0 : owned.mPending.mPosition);
+        for (StoreItem item : commit.current()) {
+            boolean other = item.key().equals(key) && item.revision() != owned.mRevision;
+            if (other || item.key().equals(resultKey)) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    private void claimAgain(StepId id, OwnedStep owned, PendingResults append) {
+        mParts.lease()
+                .with(
+                        lease -> {
+                            if (lease == 0) {
+                                append.mCalling = false;
+                                append.mRetryAt = System.nanoTime() + RETRY_NANOS;
+                                return;
+                            }
+                            mStore.claim(id, Transaction.ABSENT, mParts.self().text(), lease)
+                                    .thenAcceptAsync(
+                                            result -> onClaimedAgain(id, owned, append, result),
+                                            mParts.executor());
+                        },
+                        System.nanoTime());
+    }
+
+    private void onClaimedAgain(
+            StepId id, OwnedStep owned, PendingResults append, Result<Commit> result) {
+        append.mCalling = false;
+        if (!mOwner.isCurrent(id, owned)) {
+            return;
+        }
+        result.fold(
+                commit -> {
+                    if (commit.isCommitted()) {
+                        owned.mRevision = commit.revision();
+                        append.mClaim = false;
+                        send(id, owned);
+                    } else if (mParts.ownRevision(commit, id) != 0) {
+                        owned.mRevision = mParts.ownRevision(commit, id);
+                        append.mClaim = false;
+                        send(id, owned);
+                    } else if (commit.outcome() == CommitOutcome.LEASE_ENDED) {
+                        append.mRetryAt = System.nanoTime() + RETRY_NANOS;
+                    } else {
+                        mOwner.onLost(id, "another entry owns the step, or it is over");
+                    }
+                    return commit;
+                },
+                fault -> {
+                    append.mRetryAt = System.nanoTime() + RETRY_NANOS;
+                    return null;
+                });
+    }
+}
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/StepOwner.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/StepOwner.java
@@ -14,7 +14,6 @@
 import org.ebonyrun.base.result.Result;
 import org.ebonyrun.base.time.Nanos;
 import org.ebonyrun.core.route.Route;
-import org.ebonyrun.core.step.PartialText;
 import org.ebonyrun.core.step.SampleResult;
 import org.ebonyrun.core.step.StepId;
 import org.ebonyrun.core.step.StepMachine;
@@ -22,74 +21,34 @@
 import org.ebonyrun.platform.StepDecoder;
 import org.ebonyrun.ports.store.Commit;
 import org.ebonyrun.ports.store.CommitOutcome;
-import org.ebonyrun.ports.store.StoreItem;
 import org.ebonyrun.ports.store.Transaction;
 import org.jspecify.annotations.Nullable;
 
 /**
- * Which steps this entry owns: accepts new ones, takes those whose owner is gone, stores results
- * under the ownership, and hands over.
+ * Which steps this entry owns: accepts new ones, takes those whose owner is gone, and hands over.
  *
- * <p>Invariants: results are stored only by a transaction that expects the owner's key as this
- * entry wrote it; a transaction whose outcome is unknown is repeated unchanged until the store
- * tells.
+ * <p>Invariant: a step is owned here only if the store has, or had, an owner's key that this
+ * process wrote; of two processes that believe they own a step, the store lets one list results.
  *
  * <p>Not thread safe; confined to the entry's duty.
  */
-final class StepOwner {
+final class StepOwner implements ResultWriter.Owner {
     private static final long RETRY_NANOS = Nanos.ofMillis(150);
     // Entries that own less take an orphan sooner.
     private static final long CLAIM_BASE_NANOS = Nanos.ofMillis(20);
     private static final long CLAIM_PER_STEP_NANOS = Nanos.ofMillis(60);
     private static final long CLAIM_JITTER_NANOS = Nanos.ofMillis(40);
 
-    // How often texts of unfinished samples are kept, and how long they must be. A lost owner then
-    // costs a long sample at most this time and the events of its last moments.
-    private static final long CHECKPOINT_NANOS = Nanos.ofMillis(600);
-    private static final int CHECKPOINT_EVENTS = 12;
-    private static final int CHECKPOINT_BYTES = 400_000;
-    private static final byte[] NOTHING = new byte[0];
-
-    /** A step that this entry owns. */
-    private static final class Owned {
-        final Route mRoute;
-        long mRevision;
-        @Nullable Append mAppend;
-        long mCheckpointAt = System.nanoTime();
-
-        Owned(Route route, long revision) {
-            mRoute = route;
-            mRevision = revision;
-        }
-    }
-
-    /** Results that are being stored. */
-    private static final class Append {
-        final int mPosition;
-        final byte[] mValue;
-        final byte[] mPartial;
-        final boolean mLast;
-        boolean mCalling;
-        boolean mClaim;
-        long mRetryAt;
-
-        Append(int position, byte[] value, byte[] partial, boolean last) {
-            mPosition = position;
-            mValue = value;
-            mPartial = partial;
-            mLast = last;
-        }
-    }
-
     private final EntryParts mParts;
     private final StepStore mStore;
     private final StepMachine mMachine;
     private final RandomGenerator mRandom;
-    private final Map<StepId, Owned> mOwned = new HashMap<>();
+    private final Map<StepId, OwnedStep> mOwned = new HashMap<>();
     private final Map<StepId, Long> mClaimAt = new HashMap<>();
     private final Set<StepId> mClaiming = new HashSet<>();
     private final Set<StepId> mAccepting = new HashSet<>();
     private final Set<StepId> mOver = new HashSet<>();
+    private final ResultWriter mWriter;
     private boolean mDraining;
 
     StepOwner(EntryParts parts, StepStore store, StepMachine machine, RandomGenerator random) {
@@ -97,6 +56,7 @@
         mStore = store;
         mMachine = machine;
         mRandom = random;
+        mWriter = new ResultWriter(parts, store, machine, this);
     }
 
     /** Returns whether this entry owns a step or is about to. */
@@ -222,200 +182,32 @@
                                 .with("bound", spec.minVersion())
                                 .with("number", spec.number())
                                 .with("fence", revision));
-        mOwned.put(spec.id(), new Owned(route, revision));
+        mOwned.put(spec.id(), new OwnedStep(revision));
         mMachine.onOwned(spec, route, List.of(), List.of(), ageMillis, System.nanoTime());
     }
 
     /** Stores results. */
     void append(StepId id, int position, List<SampleResult> results, boolean last) {
-        Owned owned = mOwned.get(id);
-        if (owned == null) {
-            return;
-        }
-        byte[] partial = last ? NOTHING : partialWhenDue(id, owned, System.nanoTime());
-        owned.mAppend = new Append(position, StepCodec.results(results), partial, last);
-        send(id, owned);
-    }
-
-    /** Returns the texts to keep now; empty if it is too soon or there are none worth it. */
-    private byte[] partialWhenDue(StepId id, Owned owned, long now) {
-        if (now - owned.mCheckpointAt < CHECKPOINT_NANOS) {
-            return NOTHING;
-        }
-        owned.mCheckpointAt = now;
-        List<PartialText> texts = mMachine.unfinished(id, CHECKPOINT_EVENTS);
-        if (texts.isEmpty()) {
-            return NOTHING;
-        }
-        byte[] partial = StepCodec.partial(texts);
-        return partial.length > CHECKPOINT_BYTES ? NOTHING : partial;
-    }
-
-    /**
-     * Keeps texts of a step that lists nothing for a while. A failure costs no more than a rerun.
-     */
-    private void checkpoint(StepId id, Owned owned, long now) {
-        byte[] partial = partialWhenDue(id, owned, now);
-        if (partial.length > 0) {
-            mStore.checkpoint(id, owned.mRevision, partial)
-                    .thenAcceptAsync(
-                            result ->
-                                    result.fold(
-                                            commit -> commit,
-                                            fault -> {
-                                                mParts.log()
-                                                        .write(
-                                                                LogLine.of("step.uncheckpointed")
-                                                                        .with("step", id)
-                                                                        .with(
-                                                                                "why",
-                                                                                fault.detail()));
-                                                return null;
-                                            }),
-                            mParts.executor());
-        }
-    }
-
-    private void send(StepId id, Owned owned) {
-        Append append = owned.mAppend;
-        if (append == null) {
-            return;
-        }
-        append.mCalling = true;
-        if (append.mClaim) {
-            claimAgain(id, owned, append);
-            return;
+        OwnedStep owned = mOwned.get(id);
+        if (owned != null) {
+            mWriter.append(id, owned, position, results, last);
         }
-        mStore.append(
-                        id,
-                        owned.mRevision,
-                        append.mPosition,
-                        append.mValue,
-                        append.mPartial,
-                        append.mLast)
-                .thenAcceptAsync(
-                        result -> onAppended(id, owned, append, result), mParts.executor());
     }
 
-    private void onAppended(StepId id, Owned owned, Append append, Result<Commit> result) {
-        append.mCalling = false;
-        if (mOwned.get(id) != owned) {
-            return;
-        }
-        result.fold(
-                commit -> {
-                    if (commit.isCommitted() || holds(commit, id, append)) {
-                        onStored(id, owned, append);
-                    } else if (ownerChanged(commit, id, owned)) {
-                        lose(id, "another entry owns the step");
-                    } else {
-                        append.mClaim = true;
-                        send(id, owned);
-                    }
-                    return commit;
-                },
-                fault -> {
-                    append.mRetryAt = System.nanoTime() + RETRY_NANOS;
-                    mParts.log()
-                            .write(
-                                    LogLine.of("step.store.retry")
-                                            .with("step", id)
-                                            .with("position", append.mPosition)
-                                            .with("fault", fault.detail()));
-                    return null;
-                });
+    @Override
+    public boolean isCurrent(StepId id, OwnedStep owned) {
+        return mOwned.get(id) == owned;
     }
 
-    private void onStored(StepId id, Owned owned, Append append) {
-        owned.mAppend = null;
-        mMachine.onStored(id, System.nanoTime());
-        if (append.mLast) {
-            mOwned.remove(id);
-            mOver.add(id);
-            mParts.log().write(LogLine.of("step.done").with("step", id));
-        }
-    }
-
-    /** Returns whether the conflict shows that the same results were stored before. */
-    private static boolean holds(Commit commit, StepId id, Append append) {
-        String key = StepKeys.result(id, append.mPosition);
-        for (StoreItem item : commit.current()) {
-            if (item.key().equals(key) && java.util.Arrays.equals(item.value(), append.mValue)) {
-                return true;
-            }
-        }
-        return false;
-    }
-
-    private boolean ownerChanged(Commit commit, StepId id, Owned owned) {
-        String key = StepKeys.live(id, StepKeys.OWNER);
-        String resultKey = StepKeys.result(id, owned.mAppend == null ? 0 : owned.mAppend.mPosition);
-        for (StoreItem item : commit.current()) {
-            boolean other = item.key().equals(key) && item.revision() != owned.mRevision;
-            if (other || item.key().equals(resultKey)) {
-                return true;
-            }
-        }
-        return false;
-    }
-
-    private void claimAgain(StepId id, Owned owned, Append append) {
-        mParts.lease()
-                .with(
-                        lease -> {
-                            if (lease == 0) {
-                                append.mCalling = false;
-                                append.mRetryAt = System.nanoTime() + RETRY_NANOS;
-                                return;
-                            }
-                            mStore.claim(id, Transaction.ABSENT, mParts.self().text(), lease)
-                                    .thenAcceptAsync(
-                                            result -> onClaimedAgain(id, owned, append, result),
-                                            mParts.executor());
-                        },
-                        System.nanoTime());
-    }
-
-    private void onClaimedAgain(StepId id, Owned owned, Append append, Result<Commit> result) {
-        append.mCalling = false;
-        if (mOwned.get(id) != owned) {
-            return;
-        }
-        result.fold(
-                commit -> {
-                    if (commit.isCommitted()) {
-                        owned.mRevision = commit.revision();
-                        append.mClaim = false;
-                        send(id, owned);
-                    } else if (ownRevision(commit, id) != 0) {
-                        owned.mRevision = ownRevision(commit, id);
-                        append.mClaim = false;
-                        send(id, owned);
-                    } else if (commit.outcome() == CommitOutcome.LEASE_ENDED) {
-                        append.mRetryAt = System.nanoTime() + RETRY_NANOS;
-                    } else {
-                        lose(id, "another entry owns the step, or it is over");
-                    }
-                    return commit;
-                },
-                fault -> {
-                    append.mRetryAt = System.nanoTime() + RETRY_NANOS;
-                    return null;
-                });
-    }
-
-    /** Returns the revision of the owner's key if it is this process's; zero if not. */
-    private long ownRevision(Commit commit, StepId id) {
-        String key = StepKeys.live(id, StepKeys.OWNER);
-        for (StoreItem item : commit.current()) {
-            if (item.key().equals(key) && item.text().equals(mParts.self().text())) {
-                return item.revision();
-            }
-        }
-        return 0;
+    @Override
+    public void onLast(StepId id) {
+        mOwned.remove(id);
+        mOver.add(id);
+        mParts.log().write(LogLine.of("step.done").with("step", id));
     }
 
-    private void lose(StepId id, String why) {
+    @Override
+    public void onLost(StepId id, String why) {
         mOwned.remove(id);
         mMachine.onLost(id);
         mParts.log().write(LogLine.of("step.lost").with("step", id).with("why", why));
@@ -430,28 +222,20 @@
             mMachine.onEnded(id);
             mParts.log().write(LogLine.of("step.ended").with("step", id));
         }
-        Owned owned = mOwned.get(id);
+        OwnedStep owned = mOwned.get(id);
         boolean other =
                 owned != null
                         && known.mOwner != null
                         && !known.mOwner.equals(mParts.self().text())
                         && known.mOwnerRevision > owned.mRevision;
         if (other) {
-            lose(id, "owned by " + known.mOwner);
+            onLost(id, "owned by " + known.mOwner);
         }
     }
 
     /** Retries what the store did not answer and takes steps that nobody owns. */
     void onTick(List<StepId> concerning, long now) {
-        mOwned.forEach(
-                (id, owned) -> {
-                    Append append = owned.mAppend;
-                    if (append == null && !mParts.isStoreAway()) {
-                        checkpoint(id, owned, now);
-                    } else if (append != null && !append.mCalling && now - append.mRetryAt >= 0) {
-                        send(id, owned);
-                    }
-                });
+        mOwned.forEach((id, owned) -> mWriter.onTick(id, owned, now));
         if (mDraining) {
             return;
         }
@@ -503,14 +287,16 @@
 
     private void onReclaimed(StepId id, Result<Commit> result) {
         mClaiming.remove(id);
-        Owned owned = mOwned.get(id);
+        OwnedStep owned = mOwned.get(id);
         if (owned == null) {
             return;
         }
         result.map(
                 commit -> {
                     long revision =
-                            commit.isCommitted() ? commit.revision() : ownRevision(commit, id);
+                            commit.isCommitted()
+                                    ? commit.revision()
+                                    : mParts.ownRevision(commit, id);
                     if (revision != 0) {
                         owned.mRevision = Math.max(owned.mRevision, revision);
                     }
@@ -562,7 +348,7 @@
                                             commit ->
                                                     commit.isCommitted()
                                                             ? commit.revision()
-                                                            : ownRevision(commit, id),
+                                                            : mParts.ownRevision(commit, id),
                                             fault -> 0L);
                             if (revision == 0) {
                                 mClaiming.remove(id);
@@ -608,7 +394,7 @@
         }
         Route route = mParts.routeOf(manifest);
         long age = System.currentTimeMillis() - manifest.acceptedAt();
-        mOwned.put(id, new Owned(route, revision));
+        mOwned.put(id, new OwnedStep(revision));
         mParts.log()
                 .write(
                         LogLine.of("step.taken")
@@ -629,8 +415,8 @@
     /** Hands all steps over, with the text that they have. */
     void handOver() {
         for (StepId id : new ArrayList<>(mOwned.keySet())) {
-            Owned owned = mOwned.get(id);
-            if (owned == null || owned.mAppend != null) {
+            OwnedStep owned = mOwned.get(id);
+            if (owned == null || owned.mPending != null) {
                 continue;
             }
             mOwned.remove(id);
