--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/EntryParts.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/EntryParts.java
@@ -19,9 +19,6 @@
     /** Runs a task on the entry's duty after a time. */
     void later(long nanos, Runnable task);
 
-    /** Returns whether the entry stops. */
-    boolean isDraining();
-
     /** Returns whether the shared store does not answer. */
     boolean isStoreAway();
 
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/FrontDesk.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/FrontDesk.java
@@ -150,10 +150,6 @@
             exchange.respond(ACCEPTED, FrontProtocol.own(id), NOTHING);
             return;
         }
-        if (mParts.isDraining()) {
-            refuse(exchange, id, "this entry stops");
-            return;
-        }
         if (mParts.isStoreAway()) {
             refuse(exchange, id, "the shared store does not answer");
             return;
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/HostedEntry.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/HostedEntry.java
@@ -50,6 +50,14 @@
 public final class HostedEntry implements EntryParts, DutyHandler<Runnable> {
     private static final int RING = 16_384;
     private static final long TICK_NANOS = Nanos.ofMillis(20);
+    // A configuration is in force within two seconds of its acknowledgement, also after a
+    // connection
+    // has fallen silent; endpoints change in bursts, and work stops going to a leaving one in time.
+    private static final StoreWatch.Pace OPERATOR_PACE = new StoreWatch.Pace(2_500, 0);
+    private static final StoreWatch.Pace ENDPOINT_PACE =
+            new StoreWatch.Pace(3_000, Nanos.ofMillis(250));
+    private static final StoreWatch.Pace LIVE_PACE =
+            new StoreWatch.Pace(3_500, Nanos.ofMillis(100));
     private static final long SWEEP_NANOS = Nanos.ofMillis(500);
     // Longest silence of the store after which the entry asks callers to go elsewhere.
     private static final long STORE_SILENCE_NANOS = Nanos.ofMillis(1_500);
@@ -111,9 +119,9 @@
         mReader = new StepReader(this, store, stepStore, mSteps, mFrontDesk);
         mFrontDesk.bind(mReader);
         mSamples.bind(mCalls, mSteps, mReader);
-        mWatches.add(watch(store, OperatorDecoder.PREFIX, this::onOperator));
-        mWatches.add(watch(store, EndpointDecoder.PREFIX, this::onEndpoint));
-        mWatches.add(watch(store, StepKeys.LIVE, this::onLive));
+        mWatches.add(watch(store, OperatorDecoder.PREFIX, OPERATOR_PACE, this::onOperator));
+        mWatches.add(watch(store, EndpointDecoder.PREFIX, ENDPOINT_PACE, this::onEndpoint));
+        mWatches.add(watch(store, StepKeys.LIVE, LIVE_PACE, this::onLive));
         mTransport.start();
         FrontServer.bind(mTransport, settings.ready(), new ReadyDesk(() -> mReady), () -> mLimits);
         mFront =
@@ -163,11 +171,6 @@
         mLater.add(new Timed(System.nanoTime() + nanos, task));
     }
 
-    @Override
-    public boolean isDraining() {
-        return mDraining;
-    }
-
     @Override
     public boolean isStoreAway() {
         return mStoreAway;
@@ -261,10 +264,12 @@
         void onKey(StoreChange change, boolean snapshot);
     }
 
-    private StoreWatch watch(SharedStore store, String prefix, KeyHandler handler) {
+    private StoreWatch watch(
+            SharedStore store, String prefix, StoreWatch.Pace pace, KeyHandler handler) {
         return new StoreWatch(
                 store,
                 prefix,
+                pace,
                 executor(),
                 new StoreWatch.Listener() {
                     @Override
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/StoreWatch.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/StoreWatch.java
@@ -16,18 +16,26 @@
  * Follows the keys of one prefix: reads them all, then waits for changes; reads them all again when
  * the store no longer knows what changed.
  *
- * <p>A watch is answered after at most {@link #WAIT_MILLIS}, so a connection that fell silent is
- * noticed within that time and a short slack.
+ * <p>A call is answered after at most the wait of its {@link Pace}, so a connection that fell
+ * silent is noticed within that time and a short slack.
  *
  * <p>Not thread safe; every callback and method runs on the duty behind {@code executor}.
  */
 final class StoreWatch {
-    private static final long WAIT_MILLIS = 2_000;
     // A short wait after a fault, so that the store's return is noticed soon.
     private static final long WAIT_AFTER_FAULT_MILLIS = 200;
     private static final long RETRY_NANOS = Nanos.ofMillis(250);
     private static final int MAX_PAGES = 1_000;
 
+    /**
+     * How often a watch calls the store.
+     *
+     * @param waitMillis how long a call waits for a change, in milliseconds
+     * @param gatherNanos how long to wait after a change, so that those that follow come with one
+     *     call, in nanoseconds
+     */
+    record Pace(long waitMillis, long gatherNanos) {}
+
     /** Hears what a watch finds. */
     interface Listener {
         /** All keys of the prefix, after the first read and after a gap. */
@@ -45,19 +53,21 @@
 
     private final SharedStore mStore;
     private final String mPrefix;
+    private final Pace mPace;
     private final Executor mExecutor;
     private final Listener mListener;
     private boolean mSynced;
     private boolean mWaiting;
     private boolean mStopped;
     private boolean mFaulty;
-    private long mRetryAt;
-    private boolean mRetrying;
+    private long mResumeAt;
+    private boolean mResuming;
     private long mRevision;
 
-    StoreWatch(SharedStore store, String prefix, Executor executor, Listener listener) {
+    StoreWatch(SharedStore store, String prefix, Pace pace, Executor executor, Listener listener) {
         mStore = store;
         mPrefix = prefix;
+        mPace = pace;
         mExecutor = executor;
         mListener = listener;
     }
@@ -77,10 +87,10 @@
         return mSynced;
     }
 
-    /** Tries again after a fault. */
+    /** Goes on after a fault or a change. */
     void onTick(long now) {
-        if (mRetrying && !mWaiting && now - mRetryAt >= 0) {
-            mRetrying = false;
+        if (mResuming && !mWaiting && now - mResumeAt >= 0) {
+            mResuming = false;
             if (mRevision == 0) {
                 start();
             } else {
@@ -123,7 +133,7 @@
             return;
         }
         mWaiting = true;
-        long wait = mFaulty ? WAIT_AFTER_FAULT_MILLIS : WAIT_MILLIS;
+        long wait = mFaulty ? WAIT_AFTER_FAULT_MILLIS : mPace.waitMillis();
         mStore.watch(mPrefix, mRevision, wait).thenAcceptAsync(this::onChanges, mExecutor);
     }
 
@@ -139,7 +149,11 @@
                     } else {
                         changes.changes().forEach(mListener::onChange);
                         mRevision = Math.max(mRevision, changes.revision());
-                        follow();
+                        if (changes.changes().isEmpty() || mPace.gatherNanos() == 0) {
+                            follow();
+                        } else {
+                            resumeAfter(mPace.gatherNanos());
+                        }
                     }
                     return changes;
                 },
@@ -149,8 +163,12 @@
     private <T> T onFault(Fault fault) {
         mListener.onFault(fault);
         mFaulty = true;
-        mRetrying = true;
-        mRetryAt = System.nanoTime() + RETRY_NANOS;
+        resumeAfter(RETRY_NANOS);
         return null;
     }
+
+    private void resumeAfter(long nanos) {
+        mResuming = true;
+        mResumeAt = System.nanoTime() + nanos;
+    }
 }
