--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/ArchiveRun.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/ArchiveRun.java
@@ -42,6 +42,8 @@
                                 + front
                                 + "\", ready: \""
                                 + text(freeAddress())
+                                + "\", metrics: \""
+                                + text(freeAddress())
                                 + "\"}",
                         "store: \"" + text(scene.store()) + "\"",
                         "first_start: true",
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/CallDesk.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/CallDesk.java
@@ -4,6 +4,7 @@
 import java.util.Map;
 import org.ebonyrun.base.id.FailureDomain;
 import org.ebonyrun.base.log.LogLine;
+import org.ebonyrun.base.time.Nanos;
 import org.ebonyrun.core.call.AttemptEnd;
 import org.ebonyrun.core.call.CallMachine;
 import org.ebonyrun.core.call.CallOutputs;
@@ -145,14 +146,22 @@
     @Override
     public void cancel(long attempt) {
         CallExchange exchange = mAttempts.remove(attempt);
-        mSpecs.remove(attempt);
+        CallSpec call = mSpecs.remove(attempt);
         if (exchange != null) {
             exchange.cancel();
         }
+        if (call != null) {
+            mParts.log()
+                    .write(
+                            LogLine.of("call.cancelled")
+                                    .with("request", call.requestId())
+                                    .with("attempt", attempt));
+        }
     }
 
     @Override
     public void deliver(CallSpec call, long attempt) {
+        mParts.metrics().count(EntryMetrics.CALLS, "answered");
         CallExchange exchange = mAttempts.remove(attempt);
         int errors = mErrorCounts.getOrDefault(call.id(), 0);
         Client client = finish(call);
@@ -184,6 +193,7 @@
 
     @Override
     public void refuse(CallSpec call, long retryAfterMillis, String reason) {
+        mParts.metrics().count(EntryMetrics.CALLS, "refused");
         mParts.log()
                 .write(
                         LogLine.of("call.refused")
@@ -210,6 +220,7 @@
 
     @Override
     public void fail(CallSpec call, boolean timeout, String reason) {
+        mParts.metrics().count(EntryMetrics.CALLS, timeout ? "timeout" : "failed");
         mParts.log()
                 .write(
                         LogLine.of("call.failed")
@@ -237,6 +248,8 @@
 
     private @Nullable Client finish(CallSpec call) {
         Client client = mClients.remove(call.id());
+        double seconds = (System.nanoTime() - call.arrivedAt()) / (double) Nanos.PER_SECOND;
+        mParts.metrics().onCallSeconds(seconds);
         if (client != null && client.caller() != null) {
             mCallOf.remove(client.caller());
         }
@@ -275,6 +288,7 @@
             return;
         }
         HttpHead head = exchange.head();
+        mParts.metrics().count(EntryMetrics.ATTEMPTS, end.name());
         mParts.log()
                 .write(
                         LogLine.of("call.attempt")
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/EntryParts.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/EntryParts.java
@@ -25,6 +25,9 @@
     /** Returns the log. */
     EventLog log();
 
+    /** Returns the metrics. */
+    EntryMetrics metrics();
+
     /** Returns the entry's lease. */
     EntryLease lease();
 
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/HostedEntry.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/HostedEntry.java
@@ -3,9 +3,11 @@
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.PriorityQueue;
 import java.util.Random;
+import java.util.TreeMap;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.Executor;
 import java.util.concurrent.TimeUnit;
@@ -78,6 +80,7 @@
     private final ProcessName mSelf;
     private final PriorityQueue<Timed> mLater =
             new PriorityQueue<>((a, b) -> Long.signum(a.at() - b.at()));
+    private final EntryMetrics mMetrics = new EntryMetrics();
     private final Fleet mFleet = Fleet.create();
     private final StepDirectory mDirectory;
     private final EntryLease mLease;
@@ -124,6 +127,11 @@
         mWatches.add(watch(store, StepKeys.LIVE, LIVE_PACE, this::onLive));
         mTransport.start();
         FrontServer.bind(mTransport, settings.ready(), new ReadyDesk(() -> mReady), () -> mLimits);
+        FrontServer.bind(
+                mTransport,
+                settings.metrics(),
+                new MetricsDesk(executor(), () -> mMetrics.text(gauges())),
+                () -> mLimits);
         mFront =
                 FrontServer.bind(
                         mTransport,
@@ -176,6 +184,25 @@
         return mStoreAway;
     }
 
+    @Override
+    public EntryMetrics metrics() {
+        return mMetrics;
+    }
+
+    private Map<String, Double> gauges() {
+        Map<String, Double> gauges = new TreeMap<>();
+        gauges.put("ebonyrun_entry_open_calls", (double) mCalls.size());
+        gauges.put("ebonyrun_entry_owned_steps", (double) mSteps.size());
+        gauges.put("ebonyrun_entry_running_samples", (double) mSamples.machine().running());
+        gauges.put("ebonyrun_entry_endpoints", (double) mFleet.all().size());
+        gauges.put("ebonyrun_entry_config_version", (double) mRoutes.version());
+        gauges.put("ebonyrun_entry_ready", mReady ? 1.0 : 0.0);
+        gauges.put("ebonyrun_entry_store_away", mStoreAway ? 1.0 : 0.0);
+        gauges.put("ebonyrun_entry_planner", mPlanner.isHolding() ? 1.0 : 0.0);
+        gauges.put("ebonyrun_entry_log_lines_dropped", (double) mLog.dropped());
+        return gauges;
+    }
+
     @Override
     public EventLog log() {
         return mLog;
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/HostedSettings.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/HostedSettings.java
@@ -21,6 +21,7 @@
  * @param domain where the VM runs
  * @param front where callers arrive
  * @param ready where the platform asks whether the entry is ready
+ * @param metrics where metrics are read
  * @param store where the shared store is
  * @param firstStart whether the whole system starts for the first time
  * @param orderQuietMillis how long a new planner waits before its first order, in milliseconds
@@ -32,6 +33,7 @@
         FailureDomain domain,
         InetSocketAddress front,
         InetSocketAddress ready,
+        InetSocketAddress metrics,
         InetSocketAddress store,
         boolean firstStart,
         long orderQuietMillis,
@@ -64,7 +66,7 @@
         SettingsNode root = SettingsNode.parse(file, text, problems);
         root.allow(KEYS);
         SettingsNode listen = root.get("listen");
-        listen.allow(Set.of("front", "ready"));
+        listen.allow(Set.of("front", "ready", "metrics"));
         SettingsNode limits = root.get("limits");
         limits.allow(LIMIT_KEYS);
         HostedSettings settings =
@@ -76,6 +78,7 @@
                                 FailureDomain.of("unknown")),
                         address(listen.get("front")),
                         address(listen.get("ready")),
+                        address(listen.get("metrics")),
                         address(root.get("store")),
                         root.get("first_start").text("false").equals("true"),
                         limits.get("order_quiet").read(Units::millis, DEFAULT_QUIET_MILLIS),
@@ -90,6 +93,7 @@
                 && domain.equals(other.domain)
                 && front.equals(other.front)
                 && ready.equals(other.ready)
+                && metrics.equals(other.metrics)
                 && store.equals(other.store);
     }
 
@@ -100,6 +104,7 @@
                 domain,
                 front,
                 ready,
+                metrics,
                 store,
                 firstStart,
                 other.orderQuietMillis,
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/PlannerDesk.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/PlannerDesk.java
@@ -55,6 +55,7 @@
     private final Set<String> mRetired = new HashSet<>();
     private final Set<String> mRetireAsked = new HashSet<>();
     private boolean mPredecessor;
+    private String mLastHolder = "";
     private boolean mSameHolder;
     private boolean mClaiming;
     private boolean mDraining;
@@ -98,6 +99,7 @@
         boolean mine = holder != null && holder.text().equals(mParts.self().text());
         if (holder != null && !mine) {
             mPredecessor = true;
+            mLastHolder = holder.text();
         }
         if (mMachine.isHolding() && !mine && revision > mFence) {
             release("the planner's key is " + (holder == null ? "gone" : holder.text()));
@@ -198,6 +200,7 @@
                 .write(
                         LogLine.of("planner.holding")
                                 .with("fence", fence)
+                                .with("before", mLastHolder)
                                 .with("quiet_ms", Nanos.toMillis(quiet)));
     }
 
@@ -311,6 +314,7 @@
                 result.fold(
                         answer -> EndpointProtocol.orderReply(answer.status()),
                         fault -> fault.isNotRun() ? OrderReply.REFUSED : OrderReply.UNKNOWN);
+        mParts.metrics().count(EntryMetrics.ORDERS, reply.name());
         mParts.log()
                 .write(
                         LogLine.of("order")
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/SampleDesk.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/SampleDesk.java
@@ -99,6 +99,7 @@
         SampleExchange exchange = mRuns.remove(run);
         if (exchange != null) {
             exchange.cancel();
+            mParts.metrics().count(EntryMetrics.RUNS, "STOPPED");
             mParts.log().write(LogLine.of("sample.stopped").with("run", run).with("why", reason));
         }
     }
@@ -122,6 +123,7 @@
         if (mRuns.remove(run) == null) {
             return;
         }
+        mParts.metrics().count(EntryMetrics.RUNS, end.name());
         mParts.log()
                 .write(
                         LogLine.of("sample.run")
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/StepOwner.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/StepOwner.java
@@ -173,6 +173,7 @@
     }
 
     private void begin(StepSpec spec, Route route, long revision, long ageMillis) {
+        mParts.metrics().count(EntryMetrics.STEPS, "accepted");
         mParts.log()
                 .write(
                         LogLine.of("step.owned")
@@ -203,6 +204,7 @@
     public void onLast(StepId id) {
         mOwned.remove(id);
         mOver.add(id);
+        mParts.metrics().count(EntryMetrics.STEPS, "done");
         mParts.log().write(LogLine.of("step.done").with("step", id));
     }
 
@@ -210,6 +212,7 @@
     public void onLost(StepId id, String why) {
         mOwned.remove(id);
         mMachine.onLost(id);
+        mParts.metrics().count(EntryMetrics.STEPS, "lost");
         mParts.log().write(LogLine.of("step.lost").with("step", id).with("why", why));
     }
 
@@ -395,6 +398,7 @@
         Route route = mParts.routeOf(manifest);
         long age = System.currentTimeMillis() - manifest.acceptedAt();
         mOwned.put(id, new OwnedStep(revision));
+        mParts.metrics().count(EntryMetrics.STEPS, "taken");
         mParts.log()
                 .write(
                         LogLine.of("step.taken")
--- a/ebonyrun-daemon/src/test/java/org/ebonyrun/daemon/hosted/HostedEntryTest.java
+++ b/ebonyrun-daemon/src/test/java/org/ebonyrun/daemon/hosted/HostedEntryTest.java
@@ -39,6 +39,7 @@
     private HttpCaller mCaller;
     private String mFirst;
     private String mSecond;
+    private String mMetrics;
     private HostedEntry mFirstEntry;
 
     @BeforeEach
@@ -47,6 +48,7 @@
         mCaller = HttpCaller.start();
         mFirst = text(freeAddress());
         mSecond = text(freeAddress());
+        mMetrics = text(freeAddress());
         mFirstEntry = entry("edge-1", mFirst);
         entry("edge-2", mSecond);
         untilReady(mFirst);
@@ -65,6 +67,9 @@
                         .replace("edge-1", vm)
                         .replace("10.1.0.35:8144", front)
                         .replace("10.1.0.35:8140", text(freeAddress()))
+                        .replace(
+                                "10.1.0.35:9464",
+                                vm.equals("edge-1") ? mMetrics : text(freeAddress()))
                         .replace("10.200.1.7:8142", text(mScene.store()));
         HostedSettings parsed = HostedSettings.parse("test", settings).settings();
         return HostedEntry.start(parsed, EventLog.start(OutputStream.nullOutputStream()));
@@ -195,6 +200,16 @@
         assertThat(results(mSecond, "st4"), containsString("sample-2"));
     }
 
+    @Test
+    void metricsCountWhatTheEntryDid() {
+        send(mFirst, "POST", mScene.callPath(), "c1", mScene.callBody());
+        String text = send(mMetrics, "GET", "/metrics", "", "").text();
+
+        assertThat(text, containsString("ebonyrun_entry_calls_total{end=\"answered\"}"));
+        assertThat(text, containsString("ebonyrun_entry_call_seconds_bucket{le=\"0.005\"}"));
+        assertThat(text, containsString("ebonyrun_entry_config_version 1.0"));
+    }
+
     @Test
     void aNewConfigurationIsInForceAndAnOlderOneIsNot() {
         String without = mScene.config(3).replace("/call/", "/moved/");
--- a/ebonyrun-daemon/src/test/java/org/ebonyrun/daemon/hosted/HostedSettingsTest.java
+++ b/ebonyrun-daemon/src/test/java/org/ebonyrun/daemon/hosted/HostedSettingsTest.java
@@ -16,7 +16,8 @@
                     "role: hosted-entry",
                     "vm: edge-1",
                     "failure_domain: hall-a",
-                    "listen: {front: \"10.1.0.35:8144\", ready: \"10.1.0.35:8140\"}",
+                    "listen: {front: \"10.1.0.35:8144\", ready: \"10.1.0.35:8140\","
+                            + " metrics: \"10.1.0.35:9464\"}",
                     "store: \"10.200.1.7:8142\"",
                     "first_start: true",
                     "limits: {order_quiet: 500ms, grace: 8s, keep_results: 120s}");
