Give each model a pool of engines where several are trained; gather changes of endpoints longer

Each load also changed a record and woke all 27 entries. Change: a model's pool has as many engines as make one share load for each version; neighbours overlap. With two models on six engines the pool is the whole, as before.

--- a/ebonyrun-core/src/main/java/org/ebonyrun/core/fleet/Endpoint.java
+++ b/ebonyrun-core/src/main/java/org/ebonyrun/core/fleet/Endpoint.java
@@ -2,6 +2,7 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Set;
 import org.ebonyrun.base.time.Nanos;
 
 /**
@@ -110,6 +111,11 @@
         mVersions.merge(model, version, Math::max);
     }
 
+    /** Returns the models whose version is known. */
+    public Set<String> models() {
+        return Set.copyOf(mVersions.keySet());
+    }
+
     /** Returns the weight version of a model; zero if unknown. */
     public int version(String model) {
         return mVersions.getOrDefault(model, 0);
--- a/ebonyrun-core/src/main/java/org/ebonyrun/core/swap/SwapMachine.java
+++ b/ebonyrun-core/src/main/java/org/ebonyrun/core/swap/SwapMachine.java
@@ -252,8 +252,9 @@
     }
 
     private void plan(String model, int named, boolean aheadOnly, long now) {
-        List<Endpoint> engines = engines(model);
         int lag = mLags.getOrDefault(model, DEFAULT_LAG);
+        List<Endpoint> all = engines(model);
+        List<Endpoint> engines = EnginePools.pool(all, model, lag);
         int needed = Math.max(mBounds.getOrDefault(model, 0), named - lag);
         engines.sort(
                 Comparator.comparingInt((Endpoint endpoint) -> endpoint.version(model))
@@ -272,7 +273,7 @@
             boolean ahead = endpoint.version(model) == needed && needed < named && surplus > 0;
             surplus--;
             if (aheadOnly ? ahead : below) {
-                begin(endpoint, model, named, engines.size(), now);
+                begin(endpoint, model, named, all.size(), now);
             }
         }
     }
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/HostedEntry.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/HostedEntry.java
@@ -57,9 +57,9 @@
     // has fallen silent; endpoints change in bursts, and work stops going to a leaving one in time.
     private static final StoreWatch.Pace OPERATOR_PACE = new StoreWatch.Pace(2_500, 0);
     private static final StoreWatch.Pace ENDPOINT_PACE =
-            new StoreWatch.Pace(3_000, Nanos.ofMillis(250));
+            new StoreWatch.Pace(3_000, Nanos.ofMillis(700));
     private static final StoreWatch.Pace LIVE_PACE =
-            new StoreWatch.Pace(3_500, Nanos.ofMillis(100));
+            new StoreWatch.Pace(3_500, Nanos.ofMillis(150));
     private static final long SWEEP_NANOS = Nanos.ofMillis(500);
     // Longest silence of the store after which the entry asks callers to go elsewhere.
     private static final long STORE_SILENCE_NANOS = Nanos.ofMillis(1_500);
