--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/entry/ConfigApi.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/entry/ConfigApi.java
@@ -99,16 +99,20 @@
                         result ->
                                 result.fold(
                                         config -> {
-                                            adopt(config);
-                                            return send(out, config);
+                                            adoptAndSend(config, out);
+                                            return true;
                                         },
                                         fault -> sendFault(out, fault)));
         return true;
     }
 
-    private void adopt(StoredConfig config) {
+    /** Answers only when the configuration is in force here, so that the next call sees it. */
+    private void adoptAndSend(StoredConfig config, Responder out) {
         mContext.mConfigDuty.post(
-                (machine, now) -> machine.onConfig(config.version(), config.text()));
+                (machine, now) -> {
+                    machine.onConfig(config.version(), config.text());
+                    send(out, config);
+                });
     }
 
     private static boolean send(Responder out, StoredConfig config) {
