--- a/ebonyrun-core/src/main/java/org/ebonyrun/core/fleet/Fleet.java
+++ b/ebonyrun-core/src/main/java/org/ebonyrun/core/fleet/Fleet.java
@@ -9,6 +9,7 @@
 import java.util.Set;
 import org.ebonyrun.base.id.ServiceName;
 import org.ebonyrun.base.time.Nanos;
+import org.jspecify.annotations.Nullable;
 
 /**
  * The endpoints of all services.
@@ -116,7 +117,7 @@
     }
 
     /** Returns the endpoint with an id, or null. */
-    public @org.jspecify.annotations.Nullable Endpoint get(String id) {
+    public @Nullable Endpoint get(String id) {
         return mEndpoints.get(id);
     }
 
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/CallDesk.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/CallDesk.java
@@ -11,6 +11,7 @@
 import org.ebonyrun.core.call.CallSpec;
 import org.ebonyrun.core.fleet.Endpoint;
 import org.ebonyrun.core.fleet.Fleet;
+import org.ebonyrun.core.route.RouteKind;
 import org.ebonyrun.core.step.ScoreCall;
 import org.ebonyrun.core.step.ScoreEnd;
 import org.ebonyrun.platform.EndpointProtocol;
@@ -106,9 +107,7 @@
         if (client == null) {
             return;
         }
-        boolean streaming =
-                client.caller() != null
-                        && call.route().kind() == org.ebonyrun.core.route.RouteKind.STREAM;
+        boolean streaming = client.caller() != null && call.route().kind() == RouteKind.STREAM;
         CallExchange exchange =
                 new CallExchange(attempt, call.requestId(), streaming, mParts.executor(), this);
         mAttempts.put(attempt, exchange);
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/HostedEntry.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/HostedEntry.java
@@ -13,6 +13,7 @@
 import java.util.concurrent.TimeUnit;
 import org.ebonyrun.base.duty.Duty;
 import org.ebonyrun.base.duty.DutyHandler;
+import org.ebonyrun.base.id.ServiceName;
 import org.ebonyrun.base.log.EventLog;
 import org.ebonyrun.base.log.LogLine;
 import org.ebonyrun.base.result.Fault;
@@ -237,7 +238,7 @@
                 manifest.host(),
                 manifest.prefix(),
                 RouteKind.STEPS,
-                List.of(new WeightedService(org.ebonyrun.base.id.ServiceName.of("closed"), 1)),
+                List.of(new WeightedService(ServiceName.of("closed"), 1)),
                 new CallTerms(1, 1, 1, 0),
                 StepTerms.NONE);
     }
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/KnownStep.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/KnownStep.java
@@ -14,6 +14,11 @@
     boolean mEnded;
     boolean mDone;
 
+    /** Returns whether no live key of the step is left. */
+    boolean isForgotten() {
+        return mManifest == null && mOwner == null && !mEnded && !mDone;
+    }
+
     /**
      * Returns whether a process must see to the step: nobody owns it, an earlier process of the
      * same VM does, which can't run any more, or the process itself does.
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/ResultWriter.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/ResultWriter.java
@@ -1,5 +1,6 @@
 package org.ebonyrun.daemon.hosted;
 
+import java.util.Arrays;
 import java.util.List;
 import org.ebonyrun.base.log.LogLine;
 import org.ebonyrun.base.result.Result;
@@ -175,7 +176,7 @@
     private static boolean holds(Commit commit, StepId id, PendingResults append) {
         String key = StepKeys.result(id, append.mPosition);
         for (StoreItem item : commit.current()) {
-            if (item.key().equals(key) && java.util.Arrays.equals(item.value(), append.mValue)) {
+            if (item.key().equals(key) && Arrays.equals(item.value(), append.mValue)) {
                 return true;
             }
         }
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/StepDirectory.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/StepDirectory.java
@@ -80,7 +80,11 @@
         }
         try {
             StepId id = StepKeys.step(key);
-            apply(mSteps.computeIfAbsent(id, ignored -> new KnownStep()), key, item);
+            KnownStep step = mSteps.computeIfAbsent(id, ignored -> new KnownStep());
+            apply(step, key, item);
+            if (step.isForgotten()) {
+                mSteps.remove(id);
+            }
             return id;
         } catch (IllegalArgumentException e) {
             mLog.write(LogLine.of("store.unreadable").with("key", key).with("why", e.getMessage()));
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/StepOwner.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/StepOwner.java
@@ -11,6 +11,7 @@
 import java.util.random.RandomGenerator;
 import org.ebonyrun.base.log.LogLine;
 import org.ebonyrun.base.result.Fault;
+import org.ebonyrun.base.result.FaultCode;
 import org.ebonyrun.base.result.Result;
 import org.ebonyrun.base.time.Nanos;
 import org.ebonyrun.core.route.Route;
@@ -103,10 +104,7 @@
 
     private static Fault noLease() {
         return Fault.notRun(
-                org.ebonyrun.base.result.FaultCode.PLATFORM_UNAVAILABLE,
-                "step.accept",
-                "",
-                "no lease can be had");
+                FaultCode.PLATFORM_UNAVAILABLE, "step.accept", "", "no lease can be had");
     }
 
     private void accept(
@@ -395,6 +393,10 @@
                                     .with("why", e.getMessage()));
             return true;
         }
+        if (stored.listed().size() >= spec.samples().size()) {
+            // It was finished before; the key that says so is on its way here.
+            return true;
+        }
         Route route = mParts.routeOf(manifest);
         long age = System.currentTimeMillis() - manifest.acceptedAt();
         mOwned.put(id, new OwnedStep(revision));
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/StepReader.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/StepReader.java
@@ -7,8 +7,10 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.BiConsumer;
+import java.util.function.Consumer;
 import org.ebonyrun.base.log.LogLine;
 import org.ebonyrun.base.result.Fault;
+import org.ebonyrun.base.result.FaultCode;
 import org.ebonyrun.base.result.Result;
 import org.ebonyrun.base.time.Nanos;
 import org.ebonyrun.core.step.SampleResult;
@@ -248,8 +250,7 @@
     }
 
     private static Fault unknown(String detail) {
-        return Fault.notRun(
-                org.ebonyrun.base.result.FaultCode.PLATFORM_UNAVAILABLE, "step.read", "", detail);
+        return Fault.notRun(FaultCode.PLATFORM_UNAVAILABLE, "step.read", "", detail);
     }
 
     /** Reads the body of a sample. */
@@ -322,8 +323,7 @@
     }
 
     /** Gives {@code use} the manifest of a step, or ends the read if there is none. */
-    void withManifest(
-            StepId step, FrontExchange to, java.util.function.Consumer<StepManifest> use) {
+    void withManifest(StepId step, FrontExchange to, Consumer<StepManifest> use) {
         KnownStep known = mParts.directory().get(step);
         StepManifest manifest = known == null ? null : known.mManifest;
         if (manifest != null) {
@@ -337,7 +337,7 @@
     private void onManifest(
             StepId step,
             FrontExchange to,
-            java.util.function.Consumer<StepManifest> use,
+            Consumer<StepManifest> use,
             Result<Optional<StoreItem>> result) {
         result.fold(
                 item -> {
--- /dev/null
+++ b/ebonyrun-daemon/src/test/java/org/ebonyrun/daemon/hosted/StepDirectoryTest.java
@@ -0,0 +1,86 @@
+package org.ebonyrun.daemon.hosted;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.contains;
+import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.nullValue;
+
+import java.io.OutputStream;
+import java.nio.charset.StandardCharsets;
+import org.ebonyrun.base.id.VmId;
+import org.ebonyrun.base.log.EventLog;
+import org.ebonyrun.core.step.StepId;
+import org.ebonyrun.ports.store.StoreChange;
+import org.ebonyrun.ports.store.StoreItem;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+class StepDirectoryTest {
+    private static final StepId STEP = StepId.of("st");
+    private static final ProcessName SELF = new ProcessName(VmId.of("edge-1"), 0xabc);
+    private static final byte[] MANIFEST =
+            StepCodec.manifest(new StepManifest("h", "/p/", "m", 1, 1, 2, 1_000));
+
+    private final StepDirectory mDirectory =
+            new StepDirectory(EventLog.start(OutputStream.nullOutputStream()));
+    private long mRevision;
+
+    private void put(String part, byte[] value) {
+        String key = StepKeys.live(STEP, part);
+        mRevision++;
+        mDirectory.onChange(
+                new StoreChange(key, mRevision, new StoreItem(key, value, mRevision, 0)));
+    }
+
+    private void remove(String part) {
+        mDirectory.onChange(new StoreChange(StepKeys.live(STEP, part), ++mRevision, null));
+    }
+
+    @ParameterizedTest
+    @CsvSource({
+        "'', true",
+        "edge-1/abc, true",
+        "edge-1/def, true",
+        "edge-2/def, false",
+        "edge-11/abc, false"
+    })
+    void aStepConcernsItsOwnerAndWhoMayTakeIt(String owner, boolean concerns) {
+        put(StepKeys.MANIFEST, MANIFEST);
+        if (!owner.isEmpty()) {
+            put(StepKeys.OWNER, owner.getBytes(StandardCharsets.UTF_8));
+        }
+
+        assertThat(mDirectory.concerning(SELF).contains(STEP), is(concerns));
+    }
+
+    @ParameterizedTest
+    @CsvSource({"end", "done"})
+    void aStepThatIsOverConcernsNobodyAndIsForgottenInTime(String part) {
+        put(StepKeys.MANIFEST, MANIFEST);
+        put(part, new byte[] {'1'});
+
+        assertThat(mDirectory.concerning(SELF), is(empty()));
+        assertThat(mDirectory.over(1_000), is(empty()));
+        assertThat(mDirectory.over(1_001), contains(STEP));
+    }
+
+    @Test
+    void aStepWithoutKeysIsNotKnown() {
+        put(StepKeys.MANIFEST, MANIFEST);
+        put(StepKeys.OWNER, new byte[] {'x'});
+        remove(StepKeys.OWNER);
+        assertThat(mDirectory.concerning(SELF), contains(STEP));
+        remove(StepKeys.MANIFEST);
+
+        assertThat(mDirectory.get(STEP), is(nullValue()));
+    }
+
+    @Test
+    void anUnreadableManifestNamesNoStepToTake() {
+        put(StepKeys.MANIFEST, "{".getBytes(StandardCharsets.UTF_8));
+
+        assertThat(mDirectory.concerning(SELF), is(empty()));
+    }
+}
--- a/ebonyrun-ports/src/main/java/org/ebonyrun/ports/http/FrontServer.java
+++ b/ebonyrun-ports/src/main/java/org/ebonyrun/ports/http/FrontServer.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.util.Locale;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.Supplier;
@@ -183,7 +184,7 @@
         private boolean isKeepAlive(HttpRequestPacket packet, HttpHeaders headers) {
             String connection = headers.first("Connection").orElse("");
             return packet.getProtocol() == Protocol.HTTP_1_1
-                    && !connection.toLowerCase(java.util.Locale.ROOT).contains("close");
+                    && !connection.toLowerCase(Locale.ROOT).contains("close");
         }
 
         private HttpHeaders headers(HttpRequestPacket packet) {
--- /dev/null
+++ b/ebonyrun-ports/src/test/java/org/ebonyrun/ports/http/SseEventParserTest.java
@@ -0,0 +1,63 @@
+package org.ebonyrun.ports.http;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.contains;
+import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.is;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+class SseEventParserTest {
+    private final List<SseEvent> mEvents = new ArrayList<>();
+    private final SseEventParser mParser = SseEventParser.create(mEvents::add);
+
+    private void feed(String text) {
+        mParser.feed(text.getBytes(StandardCharsets.UTF_8));
+    }
+
+    @Test
+    void readsNumberDataAndOtherFields() {
+        feed("x-weight-versions: 7\nid: 3\ndata: a\ndata: b\n\n");
+
+        assertThat(mEvents, contains(new SseEvent(3, "a\nb", Map.of("x-weight-versions", "7"))));
+        assertThat(mParser.isBetweenEvents(), is(true));
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"id: 3\ndata: a\n", "id: 3\ndata", "data: a", "id: 3\n"})
+    void anEventWithoutItsEndIsNotPassedOn(String text) {
+        feed(text);
+
+        assertThat(mEvents, is(empty()));
+        assertThat(mParser.isBetweenEvents(), is(false));
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"x", "-1", "99999999999", "1.5", ""})
+    void aNumberThatIsNoneIsNotTaken(String number) {
+        feed("id: " + number + "\ndata: a\n\n");
+
+        assertThat(mEvents.get(0).id(), is(-1L));
+    }
+
+    @Property(seed = "1", tries = 2000)
+    void eventsDoNotDependOnHowTheBytesArrive(@ForAll byte[] bytes, @ForAll int cut) {
+        List<SseEvent> whole = new ArrayList<>();
+        SseEventParser.create(whole::add).feed(bytes);
+        List<SseEvent> parts = new ArrayList<>();
+        SseEventParser parser = SseEventParser.create(parts::add);
+        int at = Math.floorMod(cut, bytes.length + 1);
+        parser.feed(java.util.Arrays.copyOfRange(bytes, 0, at));
+        parser.feed(java.util.Arrays.copyOfRange(bytes, at, bytes.length));
+
+        assertThat(parts, is(whole));
+    }
+}
