--- /dev/null
+++ b/ebonyrun-ports/src/test/java/org/ebonyrun/ports/http/FrontServerTest.java
@@ -0,0 +1,172 @@
+package org.ebonyrun.ports.http;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.containsString;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.startsWith;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.LinkedBlockingQueue;
+import org.ebonyrun.base.time.Nanos;
+import org.glassfish.grizzly.nio.transport.TCPNIOTransport;
+import org.glassfish.grizzly.nio.transport.TCPNIOTransportBuilder;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+class FrontServerTest {
+    private static final FrontLimits LIMITS = new FrontLimits(300, 100, 1_000, 2_000);
+    private static final int SOCKET_TIMEOUT_MILLIS = 10_000;
+
+    private final BlockingQueue<FrontExchange> mRequests = new LinkedBlockingQueue<>();
+    private final CountDownLatch mAbandoned = new CountDownLatch(1);
+    private TCPNIOTransport mTransport;
+    private FrontServer mServer;
+    private InetSocketAddress mAddress;
+
+    @BeforeEach
+    void start() throws IOException {
+        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            mAddress = new InetSocketAddress("127.0.0.1", socket.getLocalPort());
+        }
+        mTransport = TCPNIOTransportBuilder.newInstance().setSelectorRunnersCount(1).build();
+        mTransport.start();
+        FrontListener listener =
+                new FrontListener() {
+                    @Override
+                    public void onRequest(FrontExchange exchange) {
+                        mRequests.add(exchange);
+                    }
+
+                    @Override
+                    public void onAbandoned(FrontExchange exchange) {
+                        mAbandoned.countDown();
+                    }
+                };
+        mServer = FrontServer.bind(mTransport, mAddress, listener, () -> LIMITS);
+    }
+
+    @AfterEach
+    void stop() throws IOException {
+        mTransport.shutdownNow();
+    }
+
+    private Socket send(String text) throws IOException {
+        Socket socket = new Socket(mAddress.getHostString(), mAddress.getPort());
+        socket.setSoTimeout(SOCKET_TIMEOUT_MILLIS);
+        socket.getOutputStream().write(text.getBytes(StandardCharsets.US_ASCII));
+        return socket;
+    }
+
+    /** Reads until the server closes the connection. */
+    private static String readAll(Socket socket) throws IOException {
+        return new String(socket.getInputStream().readAllBytes(), StandardCharsets.US_ASCII);
+    }
+
+    private static byte[] bytes(String text) {
+        return text.getBytes(StandardCharsets.US_ASCII);
+    }
+
+    @Test
+    void aChunkedBodyIsHandedOverWhole() throws Exception {
+        String request =
+                "PUT /a/b?c=d HTTP/1.1\r\nHost: h\r\nConnection: close\r\n"
+                        + "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n";
+        try (Socket socket = send(request)) {
+            FrontExchange exchange = mRequests.take();
+            assertThat(exchange.method(), is("PUT"));
+            assertThat(exchange.target(), is("/a/b?c=d"));
+            assertThat(exchange.body(), is(bytes("abcde")));
+            exchange.respond(200, HttpHeaders.of("X-Any", "1"), bytes("ok"));
+
+            String answer = readAll(socket);
+            assertThat(answer, startsWith("HTTP/1.1 200"));
+            assertThat(answer, containsString("X-Any: 1\r\n"));
+            assertThat(answer, containsString("\r\n\r\nok"));
+        }
+    }
+
+    @Test
+    void requestsOfOneConnectionAreAnsweredInTheirOrder() throws Exception {
+        String first = "GET /1 HTTP/1.1\r\nHost: h\r\n\r\n";
+        String second = "GET /2 HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n";
+        try (Socket socket = send(first + second)) {
+            FrontExchange one = mRequests.take();
+            assertThat(one.target(), is("/1"));
+            assertThat(mRequests.isEmpty(), is(true));
+            one.respond(200, HttpHeaders.empty(), bytes("first"));
+            FrontExchange two = mRequests.take();
+            assertThat(two.target(), is("/2"));
+            two.respond(200, HttpHeaders.empty(), bytes("second"));
+
+            String answers = readAll(socket);
+            assertThat(answers.indexOf("first") < answers.indexOf("second"), is(true));
+        }
+    }
+
+    @Test
+    void aBodyAboveTheLimitIsRefused() throws Exception {
+        String body = "x".repeat(101);
+        String request = "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 101\r\n\r\n" + body;
+        try (Socket socket = send(request)) {
+            assertThat(readAll(socket), startsWith("HTTP/1.1 413"));
+        }
+        assertThat(mRequests.isEmpty(), is(true));
+    }
+
+    @Test
+    void headersAboveTheLimitAreRefused() throws Exception {
+        String request = "GET / HTTP/1.1\r\nHost: h\r\nX-Long: " + "x".repeat(301) + "\r\n\r\n";
+        try (Socket socket = send(request)) {
+            assertThat(readAll(socket), startsWith("HTTP/1.1 431"));
+        }
+        assertThat(mRequests.isEmpty(), is(true));
+    }
+
+    @Test
+    void slowHeadersEndTheConnectionAndARequestInProgressDoesNot() throws Exception {
+        try (Socket slow = send("GET / HTTP/1.1\r\nHo");
+                Socket working = send("GET /w HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n")) {
+            FrontExchange exchange = mRequests.take();
+            // The slow bytes were sent first, so they have arrived once the later request has.
+            mServer.sweep(System.nanoTime() + Nanos.ofMillis(1_001));
+            mServer.sweep(System.nanoTime() + Nanos.ofMillis(60_000));
+            assertThat(readAll(slow), is(""));
+            exchange.respond(200, HttpHeaders.empty(), bytes("ok"));
+            assertThat(readAll(working), containsString("ok"));
+        }
+    }
+
+    @Test
+    void aCallerThatLeavesIsNoticedAndItsAnswerGoesNowhere() throws Exception {
+        FrontExchange exchange;
+        try (Socket socket = send("GET / HTTP/1.1\r\nHost: h\r\n\r\n")) {
+            exchange = mRequests.take();
+        }
+        mAbandoned.await();
+        exchange.respond(200, HttpHeaders.empty(), bytes("late"));
+
+        assertThat(exchange.isBegun(), is(false));
+    }
+
+    @Test
+    void anAnswerThatIsCutNeverLooksComplete() throws Exception {
+        try (Socket socket = send("GET / HTTP/1.1\r\nHost: h\r\n\r\n")) {
+            FrontExchange exchange = mRequests.take();
+            exchange.begin(200, HttpHeaders.empty());
+            exchange.write(bytes("part"));
+            byte[] head = socket.getInputStream().readNBytes("HTTP/1.1 200".length());
+            exchange.abort();
+
+            assertThat(new String(head, StandardCharsets.US_ASCII), is("HTTP/1.1 200"));
+            assertThat(readAll(socket).endsWith("0\r\n\r\n"), is(false));
+        }
+    }
+}
