--- a/ebonyrun-core/src/main/java/org/ebonyrun/core/call/CallMachine.java
+++ b/ebonyrun-core/src/main/java/org/ebonyrun/core/call/CallMachine.java
@@ -188,9 +188,7 @@
         if (trySend(call, now)) {
             return;
         }
-        if (call.mRefusedBy.size() > 0) {
-            call.mRefusedBy.clear();
-        }
+        call.mRefusedBy.clear();
         call.mNextTryAt = now + RETRY_NANOS;
         if (!call.mSpec.background() && isHopeless(call, now)) {
             refuseOrFail(call, now);
--- a/ebonyrun-core/src/main/java/org/ebonyrun/core/call/PendingCall.java
+++ b/ebonyrun-core/src/main/java/org/ebonyrun/core/call/PendingCall.java
@@ -26,7 +26,6 @@
     long mNextTryAt;
     long mSentAt;
     boolean mCommitted;
-    boolean mEverSent;
 
     PendingCall(CallSpec spec) {
         mSpec = spec;
--- a/ebonyrun-core/src/main/java/org/ebonyrun/core/fleet/Endpoint.java
+++ b/ebonyrun-core/src/main/java/org/ebonyrun/core/fleet/Endpoint.java
@@ -30,7 +30,7 @@
     private boolean mGone;
     private double mPaceNanos;
     private long mPaceAt;
-    private int mLoading;
+    private boolean mLoading;
     private long mSignAt;
     private boolean mTried;
     private long mTriedAt;
@@ -169,11 +169,11 @@
 
     /** Marks the endpoint as busy with an order of this process, or as done with it. */
     public void setLoading(boolean loading) {
-        mLoading = loading ? 1 : 0;
+        mLoading = loading;
     }
 
     /** Returns whether an order of this process keeps the endpoint busy. */
     public boolean isLoading() {
-        return mLoading > 0;
+        return mLoading;
     }
 }
--- a/ebonyrun-core/src/main/java/org/ebonyrun/core/step/StepMachine.java
+++ b/ebonyrun-core/src/main/java/org/ebonyrun/core/step/StepMachine.java
@@ -175,12 +175,6 @@
         return texts;
     }
 
-    /** Returns whether an owned step has results that are not stored yet. */
-    public boolean isStoring() {
-        return mSteps.values().stream()
-                .anyMatch(step -> !step.mStoring.isEmpty() || !step.mFinished.isEmpty());
-    }
-
     /** Returns how many samples run at endpoints. */
     public int running() {
         return (int) mRuns.values().stream().filter(s -> s.mState == State.RUNNING).count();
--- a/ebonyrun-core/src/main/java/org/ebonyrun/core/step/StepRun.java
+++ b/ebonyrun-core/src/main/java/org/ebonyrun/core/step/StepRun.java
@@ -52,10 +52,6 @@
         return mListed.size() + mStoring.size() + mFinished.size() == mSamples.size();
     }
 
-    int wholeGroups() {
-        return mWholeGroups;
-    }
-
     /** Returns whether the trainer still waits for groups. */
     boolean isWanted() {
         return mWholeGroups < mSpec.wantedGroups();
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/StepOwner.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/StepOwner.java
@@ -144,7 +144,7 @@
                                 return Result.err(noLease());
                             }
                             if (commit.isCommitted()) {
-                                begin(spec, route, commit.revision(), 0);
+                                begin(spec, route, commit.revision());
                             }
                             return Result.ok(true);
                         });
@@ -170,7 +170,7 @@
                         mParts.executor());
     }
 
-    private void begin(StepSpec spec, Route route, long revision, long ageMillis) {
+    private void begin(StepSpec spec, Route route, long revision) {
         mParts.metrics().count(EntryMetrics.STEPS, "accepted");
         mParts.log()
                 .write(
@@ -182,7 +182,7 @@
                                 .with("number", spec.number())
                                 .with("fence", revision));
         mOwned.put(spec.id(), new OwnedStep(revision));
-        mMachine.onOwned(spec, route, List.of(), List.of(), ageMillis, System.nanoTime());
+        mMachine.onOwned(spec, route, List.of(), List.of(), 0, System.nanoTime());
     }
 
     /** Stores results. */
--- /dev/null
+++ b/ebonyrun-ports/src/main/java/org/ebonyrun/ports/http/LineCutter.java
@@ -0,0 +1,40 @@
+package org.ebonyrun.ports.http;
+
+import java.io.ByteArrayOutputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.function.Consumer;
+
+/**
+ * Cuts a stream of bytes into lines of UTF-8 text without their ends.
+ *
+ * <p>Not thread safe; used by one stream.
+ */
+final class LineCutter {
+    private static final int MAX_LINE_BYTES = 1 << 20;
+
+    private final Consumer<String> mSink;
+    private final ByteArrayOutputStream mLine = new ByteArrayOutputStream();
+
+    LineCutter(Consumer<String> sink) {
+        mSink = sink;
+    }
+
+    /** Consumes bytes; returns false once an unfinished line is longer than one mebibyte. */
+    boolean feed(byte[] bytes) {
+        for (byte b : bytes) {
+            if (b == '\n') {
+                String line = mLine.toString(StandardCharsets.UTF_8);
+                mLine.reset();
+                mSink.accept(line);
+            } else if (b != '\r') {
+                mLine.write(b);
+            }
+        }
+        return mLine.size() <= MAX_LINE_BYTES;
+    }
+
+    /** Returns whether the stream stands between two lines. */
+    boolean isBetweenLines() {
+        return mLine.size() == 0;
+    }
+}
--- a/ebonyrun-ports/src/main/java/org/ebonyrun/ports/http/SseEventParser.java
+++ b/ebonyrun-ports/src/main/java/org/ebonyrun/ports/http/SseEventParser.java
@@ -1,7 +1,5 @@
 package org.ebonyrun.ports.http;
 
-import java.io.ByteArrayOutputStream;
-import java.nio.charset.StandardCharsets;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.function.Consumer;
@@ -13,11 +11,10 @@
  * on. A line above the limit makes the stream invalid, and {@link #feed} says so.
  */
 public final class SseEventParser {
-    private static final int MAX_LINE_BYTES = 1 << 20;
     private static final int MAX_NUMBER_DIGITS = 9;
 
     private final Consumer<SseEvent> mSink;
-    private final ByteArrayOutputStream mLine = new ByteArrayOutputStream();
+    private final LineCutter mLines = new LineCutter(this::onLine);
     private final StringBuilder mData = new StringBuilder();
     private final Map<String, String> mFields = new HashMap<>();
     private long mId = -1;
@@ -34,24 +31,15 @@
 
     /** Consumes bytes of the stream; returns false once a line is longer than one mebibyte. */
     public boolean feed(byte[] bytes) {
-        for (byte b : bytes) {
-            if (b == '\n') {
-                endLine();
-            } else if (b != '\r') {
-                mLine.write(b);
-            }
-        }
-        return mLine.size() <= MAX_LINE_BYTES;
+        return mLines.feed(bytes);
     }
 
     /** Returns whether the stream stands between two events. */
     public boolean isBetweenEvents() {
-        return mLine.size() == 0 && !mHasData && mId < 0 && mFields.isEmpty();
+        return mLines.isBetweenLines() && !mHasData && mId < 0 && mFields.isEmpty();
     }
 
-    private void endLine() {
-        String line = mLine.toString(StandardCharsets.UTF_8);
-        mLine.reset();
+    private void onLine(String line) {
         if (line.isEmpty()) {
             endEvent();
             return;
--- a/ebonyrun-ports/src/main/java/org/ebonyrun/ports/http/SseParser.java
+++ b/ebonyrun-ports/src/main/java/org/ebonyrun/ports/http/SseParser.java
@@ -1,7 +1,5 @@
 package org.ebonyrun.ports.http;
 
-import java.io.ByteArrayOutputStream;
-import java.nio.charset.StandardCharsets;
 import java.util.function.Consumer;
 
 /**
@@ -11,11 +9,10 @@
  * {@link #feed} says so.
  */
 public final class SseParser {
-    private static final int MAX_LINE_BYTES = 1 << 20;
     private static final String DATA = "data:";
 
     private final Consumer<String> mSink;
-    private final ByteArrayOutputStream mLine = new ByteArrayOutputStream();
+    private final LineCutter mLines = new LineCutter(this::onLine);
 
     private SseParser(Consumer<String> sink) {
         mSink = sink;
@@ -28,19 +25,10 @@
 
     /** Consumes bytes of the stream; returns false once a line is longer than one mebibyte. */
     public boolean feed(byte[] bytes) {
-        for (byte b : bytes) {
-            if (b == '\n') {
-                endLine();
-            } else if (b != '\r') {
-                mLine.write(b);
-            }
-        }
-        return mLine.size() <= MAX_LINE_BYTES;
+        return mLines.feed(bytes);
     }
 
-    private void endLine() {
-        String line = mLine.toString(StandardCharsets.UTF_8);
-        mLine.reset();
+    private void onLine(String line) {
         if (line.startsWith(DATA)) {
             mSink.accept(line.substring(DATA.length()).strip());
         }
