Go on with the texts that an ended step left

Cause: groups that were not whole when their trainer went on are asked for again, and the trainer waits for them whatever else is complete. Change: an owner keeps the unlisted texts of a step that its trainer ended; the entry that accepts the trainer's next step reads them and goes on after their last event, if each of their versions is within the new bound. A whole text is only scored again. Tests: CarriedTextsTest, StepMachineTest, StepDirectoryTest, and HostedEntryTest against the stand-in, whose endpoint can now break all streams off at an event. Calls to the store are counted by kind in the metrics.

--- a/ebonyrun-core/src/main/java/org/ebonyrun/core/step/StepMachine.java
+++ b/ebonyrun-core/src/main/java/org/ebonyrun/core/step/StepMachine.java
@@ -82,7 +82,7 @@
      * Begins to run a step.
      *
      * @param listed what earlier owners listed
-     * @param partial texts that an earlier owner handed over
+     * @param partial texts that an earlier owner, or an earlier step, left
      * @param ageMillis how long ago the step was submitted, in milliseconds
      */
     public void onOwned(
@@ -120,12 +120,20 @@
         mNamed.merge(model, version, Math::max);
     }
 
-    /** Stops a step that its trainer ended. */
-    public void onEnded(StepId id) {
+    /**
+     * Stops a step that its trainer ended.
+     *
+     * @return the texts that are not listed, for the case that the trainer asks for them again
+     */
+    public List<PartialText> onEnded(StepId id) {
+        List<PartialText> texts = new ArrayList<>(unfinished(id, 1));
         StepRun step = mSteps.remove(id);
-        if (step != null) {
-            stop(step, "the trainer ended the step");
+        if (step == null) {
+            return texts;
         }
+        step.unlisted().filter(SampleResult::done).map(PartialText::whole).forEach(texts::add);
+        stop(step, "the trainer ended the step");
+        return texts;
     }
 
     /** Stops a step that another process owns now. */
--- a/ebonyrun-core/src/main/java/org/ebonyrun/core/step/StepRun.java
+++ b/ebonyrun-core/src/main/java/org/ebonyrun/core/step/StepRun.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.stream.Stream;
 import org.ebonyrun.core.route.Route;
 
 /**
@@ -52,6 +53,11 @@
         return mListed.size() + mStoring.size() + mFinished.size() == mSamples.size();
     }
 
+    /** Returns the results that are not listed yet. */
+    Stream<SampleResult> unlisted() {
+        return Stream.concat(mStoring.stream(), mFinished.stream());
+    }
+
     /** Returns whether the trainer still waits for groups. */
     boolean isWanted() {
         return mWholeGroups < mSpec.wantedGroups();
--- /dev/null
+++ b/ebonyrun-core/src/test/java/org/ebonyrun/core/step/CarriedTextsTest.java
@@ -0,0 +1,79 @@
+package org.ebonyrun.core.step;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.contains;
+import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.is;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+class CarriedTextsTest {
+    private static final int BOUND = 4;
+
+    private static StepSpec step(String... samples) {
+        List<SampleSpec> specs = new ArrayList<>();
+        for (String id : samples) {
+            specs.add(new SampleSpec(id, "/g", Map.of(), new byte[0], 1, "g-" + id, null));
+        }
+        return new StepSpec(StepId.of("step"), "x", "/", 5, "m", BOUND, 1, specs);
+    }
+
+    private static PartialText text(String id, int... versions) {
+        List<String> events = new ArrayList<>();
+        List<Integer> numbers = new ArrayList<>();
+        for (int version : versions) {
+            numbers.add(version);
+            events.add("d" + numbers.size());
+        }
+        return new PartialText(id, events, numbers, false);
+    }
+
+    @ParameterizedTest
+    @CsvSource({
+        "4, 4, false, true",
+        "4, 5, false, true",
+        "3, 4, false, false",
+        "3, 3, false, false",
+        "5, 5, true, true",
+        "4, 5, true, false"
+    })
+    void aTextIsUsedOnlyIfTheBoundAllowsEachOfItsVersions(
+            int first, int second, boolean singleVersion, boolean used) {
+        PartialText text = text("a", first, second);
+        List<PartialText> fitting =
+                CarriedTexts.fitting(step("a"), singleVersion, List.of(), List.of(text));
+
+        assertThat(fitting.equals(List.of(text)), is(used));
+    }
+
+    @Test
+    void textsOfOtherSamplesAndEmptyOnesAreLeftOut() {
+        List<PartialText> kept = List.of(text("other", 4), text("a"));
+
+        assertThat(CarriedTexts.fitting(step("a"), false, List.of(), kept), is(empty()));
+    }
+
+    @Test
+    void aListedTextGoesBeforeAPartOfItAndIsWhole() {
+        SampleResult listed = new SampleResult("a", true, "d1\nd2\nd3", List.of(4, 5), "score");
+        List<PartialText> fitting =
+                CarriedTexts.fitting(step("a"), false, List.of(listed), List.of(text("a", 4)));
+
+        PartialText whole = new PartialText("a", List.of("d1", "d2", "d3"), List.of(4, 5, 5), true);
+        assertThat(fitting, contains(whole));
+    }
+
+    @Test
+    void aSampleThatWasGivenUpIsGeneratedAgain() {
+        List<SampleResult> listed = List.of(SampleResult.givenUp("a"));
+
+        assertThat(CarriedTexts.fitting(step("a"), false, listed, List.of()), is(empty()));
+        assertThrows(IllegalArgumentException.class, () -> PartialText.whole(listed.get(0)));
+    }
+}
--- a/ebonyrun-core/src/test/java/org/ebonyrun/core/step/StepMachineTest.java
+++ b/ebonyrun-core/src/test/java/org/ebonyrun/core/step/StepMachineTest.java
@@ -318,6 +318,46 @@
         assertThat(mOutputs.last().sample(), is("b"));
     }
 
+    @Test
+    void anEndedStepLeavesTheTextsThatAreNotListed() {
+        endpoint("e", 2);
+        own(step(2, sample("a", "g", 2, false), sample("b", "h", 1, false)), false);
+        long whole = mOutputs.mRuns.get(0).run();
+        long begun = mOutputs.mRuns.get(1).run();
+        mMachine.onRunBegun(whole, 2, 0);
+        mMachine.onRunBegun(begun, 2, 0);
+        events(whole, 1, EVENTS, 0);
+        events(begun, 1, 2, 0);
+        mMachine.onRunEnd(whole, RunEnd.COMPLETE, 0);
+
+        List<PartialText> texts = mMachine.onEnded(STEP);
+        assertThat(texts.size(), is(2));
+        assertThat(texts.get(0).complete(), is(false));
+        assertThat(texts.get(0).events(), contains("d1", "d2"));
+        assertThat(texts.get(1).complete(), is(true));
+        assertThat(texts.get(1).events(), contains("d1", "d2", "d3"));
+        assertThat(mMachine.onEnded(STEP), is(empty()));
+    }
+
+    @Test
+    void aWholeTextOfAnEarlierStepIsOnlyScored() {
+        endpoint("e", 2);
+        SampleResult result = new SampleResult("a", true, "d1\nd2", List.of(2, 3), "old");
+        mMachine.onOwned(
+                step(1, sample("a", "g", 1, true)),
+                route(false),
+                List.of(),
+                List.of(PartialText.whole(result)),
+                0,
+                0);
+        assertThat(mOutputs.mRuns, is(empty()));
+        long score = mOutputs.mScores.keySet().iterator().next();
+        mMachine.onScoreEnd(score, ScoreEnd.SCORED, "new", 0, 4, 0);
+
+        SampleResult expected = new SampleResult("a", true, "d1\nd2", List.of(2, 3), "new");
+        assertThat(mOutputs.mStores.get(0).results(), contains(expected));
+    }
+
     @Test
     void anEndedStepStopsItsRuns() {
         endpoint("e", 2);
--- /dev/null
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/CountedStore.java
@@ -0,0 +1,84 @@
+package org.ebonyrun.daemon.hosted;
+
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.LongAdder;
+import org.ebonyrun.base.result.Result;
+import org.ebonyrun.ports.store.Commit;
+import org.ebonyrun.ports.store.SharedStore;
+import org.ebonyrun.ports.store.StoreChanges;
+import org.ebonyrun.ports.store.StoreItem;
+import org.ebonyrun.ports.store.StoreLease;
+import org.ebonyrun.ports.store.StorePage;
+import org.ebonyrun.ports.store.Transaction;
+
+/**
+ * Counts the calls to a store by their kind.
+ *
+ * <p>Thread safe if the store behind it is.
+ */
+final class CountedStore implements SharedStore {
+    private final SharedStore mStore;
+    private final Map<String, LongAdder> mCounts = new ConcurrentHashMap<>();
+
+    CountedStore(SharedStore store) {
+        mStore = store;
+    }
+
+    /** Returns how many calls of each kind were made. */
+    Map<String, Long> counts() {
+        Map<String, Long> counts = new TreeMap<>();
+        mCounts.forEach((kind, count) -> counts.put(kind, count.sum()));
+        return counts;
+    }
+
+    private void count(String kind) {
+        mCounts.computeIfAbsent(kind, ignored -> new LongAdder()).increment();
+    }
+
+    @Override
+    public CompletableFuture<Result<Optional<StoreItem>>> get(String key) {
+        count("get");
+        return mStore.get(key);
+    }
+
+    @Override
+    public CompletableFuture<Result<StorePage>> range(String prefix, String after) {
+        count("range");
+        return mStore.range(prefix, after);
+    }
+
+    @Override
+    public CompletableFuture<Result<StoreChanges>> watch(
+            String prefix, long afterRevision, long waitMillis) {
+        count("watch");
+        return mStore.watch(prefix, afterRevision, waitMillis);
+    }
+
+    @Override
+    public CompletableFuture<Result<Commit>> commit(Transaction transaction) {
+        count("commit");
+        return mStore.commit(transaction);
+    }
+
+    @Override
+    public CompletableFuture<Result<StoreLease>> grant(long ttlMillis) {
+        count("grant");
+        return mStore.grant(ttlMillis);
+    }
+
+    @Override
+    public CompletableFuture<Result<Boolean>> renew(long lease) {
+        count("renew");
+        return mStore.renew(lease);
+    }
+
+    @Override
+    public CompletableFuture<Result<Boolean>> end(long lease) {
+        count("end");
+        return mStore.end(lease);
+    }
+}
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/EntryMetrics.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/EntryMetrics.java
@@ -39,6 +39,7 @@
     /** Orders to endpoints, by the answer. */
     static final String ORDERS = "ebonyrun_entry_orders";
 
+    private static final String STORE_CALLS = "ebonyrun_entry_store_calls";
     private static final String CALL_SECONDS = "ebonyrun_entry_call_seconds";
     private static final double[] BOUNDS = {
         0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, Double.POSITIVE_INFINITY
@@ -67,10 +68,12 @@
      * Returns all metrics as text.
      *
      * @param gauges values that are read at this moment, by name
+     * @param storeCalls calls to the shared store, by kind
      */
-    byte[] text(Map<String, Double> gauges) {
+    byte[] text(Map<String, Double> gauges, Map<String, Long> storeCalls) {
         List<MetricSnapshot> snapshots = new ArrayList<>();
-        mCounts.forEach((name, ends) -> snapshots.add(counter(name, ends)));
+        mCounts.forEach((name, ends) -> snapshots.add(counter(name, "end", ends)));
+        snapshots.add(counter(STORE_CALLS, "kind", storeCalls));
         gauges.forEach((name, value) -> snapshots.add(gauge(name, value)));
         snapshots.add(callSeconds());
         ByteArrayOutputStream out = new ByteArrayOutputStream();
@@ -82,13 +85,13 @@
         return out.toByteArray();
     }
 
-    private static CounterSnapshot counter(String name, Map<String, Long> ends) {
+    private static CounterSnapshot counter(String name, String label, Map<String, Long> counts) {
         CounterSnapshot.Builder counter = CounterSnapshot.builder().name(name);
-        ends.forEach(
-                (end, count) ->
+        counts.forEach(
+                (value, count) ->
                         counter.dataPoint(
                                 CounterSnapshot.CounterDataPointSnapshot.builder()
-                                        .labels(Labels.of("end", end))
+                                        .labels(Labels.of(label, value))
                                         .value(count)
                                         .build()));
         return counter.build();
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/HostedEntry.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/HostedEntry.java
@@ -110,7 +110,7 @@
         mDuty = Duty.create("entry", RING, this, MonotonicClock.system(), TICK_NANOS);
         mTransport = transport();
         HttpCaller caller = HttpCaller.on(mTransport);
-        SharedStore store = StoreClient.create(settings.store(), caller);
+        CountedStore store = new CountedStore(StoreClient.create(settings.store(), caller));
         StepStore stepStore = new StepStore(store);
         Random random = new Random();
         mDirectory = new StepDirectory(log);
@@ -131,7 +131,7 @@
         FrontServer.bind(
                 mTransport,
                 settings.metrics(),
-                new MetricsDesk(executor(), () -> mMetrics.text(gauges())),
+                new MetricsDesk(executor(), () -> mMetrics.text(gauges(), store.counts())),
                 () -> mLimits);
         mFront =
                 FrontServer.bind(
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/OwnedStep.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/OwnedStep.java
@@ -11,6 +11,9 @@
     /** The revision of the owner's key, as this entry wrote it. */
     long mRevision;
 
+    /** Whether its samples run; a new step first waits for texts of the step before. */
+    boolean mRunning;
+
     @Nullable PendingResults mPending;
     long mCheckpointAt = System.nanoTime();
 
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/ResultWriter.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/ResultWriter.java
@@ -94,25 +94,37 @@
     private void checkpoint(StepId id, OwnedStep owned, long now) {
         byte[] partial = partialWhenDue(id, owned, now);
         if (partial.length > 0) {
-            mStore.checkpoint(id, owned.mRevision, partial)
-                    .thenAcceptAsync(
-                            result ->
-                                    result.fold(
-                                            commit -> commit,
-                                            fault -> {
-                                                mParts.log()
-                                                        .write(
-                                                                LogLine.of("step.uncheckpointed")
-                                                                        .with("step", id)
-                                                                        .with(
-                                                                                "why",
-                                                                                fault.detail()));
-                                                return null;
-                                            }),
-                            mParts.executor());
+            keep(id, owned, partial);
         }
     }
 
+    /** Keeps texts of a step that has ended, for a later step that asks for them again. */
+    void keepTexts(StepId id, OwnedStep owned, List<PartialText> texts) {
+        byte[] partial = texts.isEmpty() ? NOTHING : StepCodec.partial(texts);
+        if (partial.length > CHECKPOINT_BYTES) {
+            logUnkept(id, "texts have " + partial.length + " bytes");
+        } else if (partial.length > 0) {
+            keep(id, owned, partial);
+        }
+    }
+
+    private void keep(StepId id, OwnedStep owned, byte[] partial) {
+        mStore.checkpoint(id, owned.mRevision, partial)
+                .thenAcceptAsync(
+                        result ->
+                                result.fold(
+                                        commit -> commit,
+                                        fault -> {
+                                            logUnkept(id, fault.detail());
+                                            return null;
+                                        }),
+                        mParts.executor());
+    }
+
+    private void logUnkept(StepId id, String why) {
+        mParts.log().write(LogLine.of("step.uncheckpointed").with("step", id).with("why", why));
+    }
+
     private void send(StepId id, OwnedStep owned) {
         PendingResults append = owned.mPending;
         if (append == null) {
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/StepDirectory.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/StepDirectory.java
@@ -61,6 +61,28 @@
         return over;
     }
 
+    /**
+     * Returns the newest step of the same trainer before one with this manifest, if it ended before
+     * every sample was listed; null if there is none.
+     */
+    @Nullable StepId unfinishedBefore(StepManifest manifest) {
+        StepId before = null;
+        int number = -1;
+        for (Map.Entry<StepId, KnownStep> entry : mSteps.entrySet()) {
+            StepManifest other = entry.getValue().mManifest;
+            boolean newer =
+                    other != null
+                            && other.isOfSameTrainer(manifest)
+                            && other.number() < manifest.number()
+                            && other.number() > number;
+            if (newer) {
+                number = other.number();
+                before = entry.getValue().mDone ? null : entry.getKey();
+            }
+        }
+        return before;
+    }
+
     void onSnapshot(List<StoreItem> items) {
         mSteps.clear();
         mPlanner = null;
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/StepManifest.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/StepManifest.java
@@ -18,4 +18,9 @@
         int number,
         int minVersion,
         int samples,
-        long acceptedAt) {}
+        long acceptedAt) {
+    /** Returns whether the same trainer asked for both steps. */
+    boolean isOfSameTrainer(StepManifest other) {
+        return host.equals(other.host) && prefix.equals(other.prefix) && model.equals(other.model);
+    }
+}
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/StepOwner.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/StepOwner.java
@@ -15,6 +15,8 @@
 import org.ebonyrun.base.result.Result;
 import org.ebonyrun.base.time.Nanos;
 import org.ebonyrun.core.route.Route;
+import org.ebonyrun.core.step.CarriedTexts;
+import org.ebonyrun.core.step.PartialText;
 import org.ebonyrun.core.step.SampleResult;
 import org.ebonyrun.core.step.StepId;
 import org.ebonyrun.core.step.StepMachine;
@@ -39,6 +41,8 @@
     private static final long CLAIM_BASE_NANOS = Nanos.ofMillis(20);
     private static final long CLAIM_PER_STEP_NANOS = Nanos.ofMillis(60);
     private static final long CLAIM_JITTER_NANOS = Nanos.ofMillis(40);
+    // How long a new step waits for texts of the step before it.
+    private static final long CARRY_WAIT_NANOS = Nanos.ofMillis(150);
 
     private final EntryParts mParts;
     private final StepStore mStore;
@@ -126,11 +130,16 @@
         mAccepting.add(spec.id());
         mStore.accept(spec.id(), manifest, submission, mParts.self().text(), lease)
                 .thenAcceptAsync(
-                        result -> onAccepted(spec, route, result, answer), mParts.executor());
+                        result -> onAccepted(spec, manifest, route, result, answer),
+                        mParts.executor());
     }
 
     private void onAccepted(
-            StepSpec spec, Route route, Result<Commit> result, Consumer<Result<Boolean>> answer) {
+            StepSpec spec,
+            StepManifest manifest,
+            Route route,
+            Result<Commit> result,
+            Consumer<Result<Boolean>> answer) {
         mAccepting.remove(spec.id());
         boolean unknown = result.fold(commit -> false, fault -> !fault.isNotRun());
         if (unknown) {
@@ -144,7 +153,7 @@
                                 return Result.err(noLease());
                             }
                             if (commit.isCommitted()) {
-                                begin(spec, route, commit.revision());
+                                begin(spec, manifest, route, commit.revision());
                             }
                             return Result.ok(true);
                         });
@@ -170,7 +179,7 @@
                         mParts.executor());
     }
 
-    private void begin(StepSpec spec, Route route, long revision) {
+    private void begin(StepSpec spec, StepManifest manifest, Route route, long revision) {
         mParts.metrics().count(EntryMetrics.STEPS, "accepted");
         mParts.log()
                 .write(
@@ -181,8 +190,58 @@
                                 .with("bound", spec.minVersion())
                                 .with("number", spec.number())
                                 .with("fence", revision));
-        mOwned.put(spec.id(), new OwnedStep(revision));
-        mMachine.onOwned(spec, route, List.of(), List.of(), 0, System.nanoTime());
+        OwnedStep owned = new OwnedStep(revision);
+        mOwned.put(spec.id(), owned);
+        StepId before = mParts.directory().unfinishedBefore(manifest);
+        if (before == null) {
+            run(spec, route, owned, List.of());
+            return;
+        }
+        mStore.load(before)
+                .thenAcceptAsync(
+                        result -> run(spec, route, owned, carried(spec, route, before, result)),
+                        mParts.executor());
+        mParts.later(CARRY_WAIT_NANOS, () -> run(spec, route, owned, List.of()));
+    }
+
+    /** Returns what the step before left for a step. A failure costs no more than a rerun. */
+    private List<PartialText> carried(
+            StepSpec spec, Route route, StepId before, Result<StoredStep> result) {
+        return result.fold(
+                stored -> {
+                    List<PartialText> texts =
+                            CarriedTexts.fitting(
+                                    spec,
+                                    route.step().singleVersion(),
+                                    stored.listed(),
+                                    stored.partial());
+                    mParts.log()
+                            .write(
+                                    LogLine.of("step.carried")
+                                            .with("step", spec.id())
+                                            .with("before", before)
+                                            .with("listed", stored.listed().size())
+                                            .with("partial", stored.partial().size())
+                                            .with("used", texts.size()));
+                    return texts;
+                },
+                fault -> {
+                    mParts.log()
+                            .write(
+                                    LogLine.of("step.carried.unread")
+                                            .with("step", spec.id())
+                                            .with("before", before)
+                                            .with("why", fault.detail()));
+                    return List.of();
+                });
+    }
+
+    /** Runs an accepted step, unless it runs or is no longer owned. */
+    private void run(StepSpec spec, Route route, OwnedStep owned, List<PartialText> carried) {
+        if (isCurrent(spec.id(), owned) && !owned.mRunning) {
+            owned.mRunning = true;
+            mMachine.onOwned(spec, route, List.of(), carried, 0, System.nanoTime());
+        }
     }
 
     /** Stores results. */
@@ -219,11 +278,18 @@
         if (known == null) {
             return;
         }
-        if (known.mEnded && mOwned.remove(id) != null) {
-            mMachine.onEnded(id);
-            mParts.log().write(LogLine.of("step.ended").with("step", id));
-        }
         OwnedStep owned = mOwned.get(id);
+        if (known.mEnded && owned != null) {
+            mOwned.remove(id);
+            List<PartialText> texts = mMachine.onEnded(id);
+            mWriter.keepTexts(id, owned, texts);
+            mParts.log()
+                    .write(
+                            LogLine.of("step.ended")
+                                    .with("step", id)
+                                    .with("unlisted", texts.size()));
+            return;
+        }
         boolean other =
                 owned != null
                         && known.mOwner != null
@@ -399,7 +465,9 @@
         }
         Route route = mParts.routeOf(manifest);
         long age = System.currentTimeMillis() - manifest.acceptedAt();
-        mOwned.put(id, new OwnedStep(revision));
+        OwnedStep owned = new OwnedStep(revision);
+        owned.mRunning = true;
+        mOwned.put(id, owned);
         mParts.metrics().count(EntryMetrics.STEPS, "taken");
         mParts.log()
                 .write(
--- a/ebonyrun-daemon/src/test/java/org/ebonyrun/daemon/hosted/HostedEntryTest.java
+++ b/ebonyrun-daemon/src/test/java/org/ebonyrun/daemon/hosted/HostedEntryTest.java
@@ -15,9 +15,12 @@
 import java.net.Socket;
 import java.net.URI;
 import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.function.BooleanSupplier;
 import java.util.function.Predicate;
 import org.ebonyrun.base.json.JsonTrees;
 import org.ebonyrun.base.log.EventLog;
+import org.ebonyrun.core.step.StepId;
 import org.ebonyrun.platform.standin.StandinEndpoint;
 import org.ebonyrun.platform.standin.StandinScene;
 import org.ebonyrun.ports.http.HttpCall;
@@ -102,6 +105,12 @@
         return reply;
     }
 
+    /** Waits until something holds; each look takes the time of an exchange. */
+    private void untilTrue(BooleanSupplier wanted) {
+        until(reply -> wanted.getAsBoolean(), mFirst, "POST", mScene.callPath(), "look");
+        assertThat(wanted.getAsBoolean(), is(true));
+    }
+
     private void untilReady(String front) {
         until(HttpReply::isSuccess, front, "POST", mScene.callPath(), "warm");
     }
@@ -190,6 +199,23 @@
         assertThat(results(mSecond, "st3"), containsString("sample-2"));
     }
 
+    @Test
+    void aLaterStepGoesOnWithTheTextsThatAnEndedOneLeft() {
+        mScene.endpoint().breakAllAt(2);
+        send(mFirst, "POST", mScene.stepPath(), "st8", mScene.stepBody(1));
+        untilTrue(() -> mScene.endpoint().seen().containsAll(List.of("sample-1@2", "sample-2@2")));
+        send(mSecond, "DELETE", mScene.endPath("st8"), "", "");
+        String texts = StepKeys.partial(StepId.of("st8"));
+        untilTrue(() -> mScene.platform().store().get(texts) != null);
+        mScene.endpoint().breakAllAt(0);
+        send(mSecond, "POST", mScene.stepPath(), "st9", mScene.stepBody(2));
+        String text = StandinEndpoint.text("sample-2", mScene.events()).replace("\n", "\\n");
+
+        assertThat(results(mFirst, "st9"), containsString("\"text\":\"" + text + "\""));
+        List<String> seen = mScene.endpoint().seen();
+        assertThat(seen.stream().filter(run -> run.matches("sample.*@0")).count(), is(2L));
+    }
+
     @Test
     void aStepWhoseOwnerStopsIsFinishedByAnotherEntry() throws InterruptedException {
         mScene.endpoint().refuseNext(1_000_000);
--- a/ebonyrun-daemon/src/test/java/org/ebonyrun/daemon/hosted/StepDirectoryTest.java
+++ b/ebonyrun-daemon/src/test/java/org/ebonyrun/daemon/hosted/StepDirectoryTest.java
@@ -83,4 +83,28 @@
 
         assertThat(mDirectory.concerning(SELF), is(empty()));
     }
+
+    private void know(String id, String model, int number) {
+        String key = StepKeys.live(StepId.of(id), StepKeys.MANIFEST);
+        StepManifest manifest = new StepManifest("h", "/p/", model, number, 1, 2, 1_000);
+        StoreItem item = new StoreItem(key, StepCodec.manifest(manifest), ++mRevision, 0);
+        mDirectory.onChange(new StoreChange(key, mRevision, item));
+    }
+
+    @ParameterizedTest
+    @CsvSource({"m, 4, third", "m, 3, second", "m, 1, none", "n, 9, none", "other, 9, none"})
+    void theStepBeforeIsTheNewestOfTheSameTrainerUnlessItIsDone(
+            String model, int number, String expected) {
+        know("first", "m", 1);
+        know("second", "m", 2);
+        know("third", "m", 3);
+        know("whole", "n", 1);
+        String done = StepKeys.live(StepId.of("whole"), StepKeys.DONE);
+        StoreItem item = new StoreItem(done, new byte[] {'1'}, ++mRevision, 0);
+        mDirectory.onChange(new StoreChange(done, mRevision, item));
+        StepManifest manifest = new StepManifest("h", "/p/", model, number, 1, 2, 2_000);
+
+        StepId before = mDirectory.unfinishedBefore(manifest);
+        assertThat(before == null ? "none" : before.toString(), is(expected));
+    }
 }
