Notice the store's return within a probe, call the store less

Ruled out: the time to come back that refusals name (trainers were back within 300 ms each time); a lease that lapsed. Change: StoreHealth asks once every 250 ms while the store is away and has all watches go on at its return; a call that fails otherwise leads to one probe. Entries that own nothing follow steps and configuration in larger bites; watches wait longer; leases are renewed every 0.8 s and kept for 2 s; texts travel with results; the end of a step that is done is not stored. A probe sent before the return first counted against the store after it: away and back in turns; probes now name their round (test).

--- a/ebonyrun-core/src/main/java/org/ebonyrun/core/step/StepMachine.java
+++ b/ebonyrun-core/src/main/java/org/ebonyrun/core/step/StepMachine.java
@@ -27,7 +27,7 @@
  * <p>Not thread safe; confined to one duty.
  */
 public final class StepMachine {
-    private static final long STORE_AGE_NANOS = Nanos.ofMillis(400);
+    private static final long STORE_AGE_NANOS = Nanos.ofMillis(600);
     private static final int STORE_BYTES = 256 * 1024;
     private static final long NOT_RUN_NANOS = Nanos.ofMillis(60);
     private static final long BROKEN_NANOS = Nanos.ofMillis(30);
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/EntryLease.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/EntryLease.java
@@ -24,10 +24,12 @@
     /** Time to live of the lease, in milliseconds. */
     static final long TTL_MILLIS = 2_500;
 
-    private static final long RENEW_NANOS = Nanos.ofMillis(TTL_MILLIS / 5);
+    // Leaves time for three tries that get no answer and one that does.
+    private static final long RENEW_NANOS = Nanos.ofMillis(800);
     private static final long RETRY_NANOS = Nanos.ofMillis(50);
-    // How long the lease is kept for the next step after nothing is owned any more.
-    private static final long KEEP_NANOS = Nanos.ofMillis(15_000);
+    // How long the lease is kept for the next step after nothing is owned any more. A new one
+    // costs one call and an exchange before the step is accepted, a renewal costs one call.
+    private static final long KEEP_NANOS = Nanos.ofMillis(2_000);
     private static final int GRANT_TRIES = 3;
 
     private final SharedStore mStore;
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/FrontDesk.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/FrontDesk.java
@@ -197,6 +197,13 @@
     }
 
     private void end(FrontExchange exchange, StepId step) {
+        KnownStep known = mParts.directory().get(step);
+        if (known != null && known.mDone) {
+            // Nothing runs that the end could stop.
+            mParts.log().write(LogLine.of("step.end").with("step", step).with("done", true));
+            exchange.respond(OK, HttpHeaders.empty(), NOTHING);
+            return;
+        }
         mReader.withManifest(
                 step,
                 exchange,
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/HostedEntry.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/HostedEntry.java
@@ -11,12 +11,14 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.Executor;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
 import org.ebonyrun.base.duty.Duty;
 import org.ebonyrun.base.duty.DutyHandler;
 import org.ebonyrun.base.id.ServiceName;
 import org.ebonyrun.base.log.EventLog;
 import org.ebonyrun.base.log.LogLine;
 import org.ebonyrun.base.result.Fault;
+import org.ebonyrun.base.result.Result;
 import org.ebonyrun.base.time.MonotonicClock;
 import org.ebonyrun.base.time.Nanos;
 import org.ebonyrun.core.fleet.EndpointRecord;
@@ -53,14 +55,21 @@
 public final class HostedEntry implements EntryParts, DutyHandler<Runnable> {
     private static final int RING = 16_384;
     private static final long TICK_NANOS = Nanos.ofMillis(20);
-    // A configuration is in force within two seconds of its acknowledgement, also after a
-    // connection
-    // has fallen silent; endpoints change in bursts, and work stops going to a leaving one in time.
-    private static final StoreWatch.Pace OPERATOR_PACE = new StoreWatch.Pace(2_500, 0);
+    // The waits bound how long a connection that fell silent stays unnoticed; each costs every
+    // entry
+    // one call. The gathering times are below what a leaving endpoint, and a trainer between two
+    // steps, allow.
+    private static final StoreWatch.Pace OPERATOR_PACE = new StoreWatch.Pace(4_000, 0);
     private static final StoreWatch.Pace ENDPOINT_PACE =
-            new StoreWatch.Pace(3_000, Nanos.ofMillis(700));
+            new StoreWatch.Pace(4_000, Nanos.ofMillis(1_200));
     private static final StoreWatch.Pace LIVE_PACE =
-            new StoreWatch.Pace(3_500, Nanos.ofMillis(150));
+            new StoreWatch.Pace(5_000, Nanos.ofMillis(300));
+    // For an entry that owns nothing: it needs steps only to take them when their owner is gone.
+    private static final StoreWatch.Pace IDLE_LIVE_PACE =
+            new StoreWatch.Pace(5_000, Nanos.ofMillis(2_000));
+    // For the same: versions are named often, and a configuration may wait for this long.
+    private static final StoreWatch.Pace IDLE_OPERATOR_PACE =
+            new StoreWatch.Pace(4_000, Nanos.ofMillis(700));
     private static final long SWEEP_NANOS = Nanos.ofMillis(500);
     // Longest silence of the store after which the entry asks callers to go elsewhere.
     private static final long STORE_SILENCE_NANOS = Nanos.ofMillis(1_500);
@@ -99,8 +108,8 @@
     private volatile boolean mReady;
     private volatile boolean mDraining;
     private volatile int mOwnedSteps;
-    private boolean mStoreAway;
-    private long mStoreAwaySince;
+    private final ObservedStore mStore;
+    private final StoreHealth mHealth = new StoreHealth(healthListener());
     private long mSweepAt;
 
     private HostedEntry(HostedSettings settings, EventLog log) throws IOException {
@@ -110,28 +119,32 @@
         mDuty = Duty.create("entry", RING, this, MonotonicClock.system(), TICK_NANOS);
         mTransport = transport();
         HttpCaller caller = HttpCaller.on(mTransport);
-        CountedStore store = new CountedStore(StoreClient.create(settings.store(), caller));
-        StepStore stepStore = new StepStore(store);
+        mStore =
+                new ObservedStore(
+                        StoreClient.create(settings.store(), caller),
+                        fault -> executor().execute(() -> mHealth.onDoubt(System.nanoTime())));
+        StepStore stepStore = new StepStore(mStore);
         Random random = new Random();
         mDirectory = new StepDirectory(log);
-        mLease = new EntryLease(store, executor(), log, this::onLeaseLost);
+        mLease = new EntryLease(mStore, executor(), log, this::onLeaseLost);
         mCalls = new CallDesk(this, caller, mFleet, settings.domain());
         mSamples = new SampleDesk(this, caller, mFleet, (host, path) -> mRoutes.find(host, path));
         mSteps = new StepOwner(this, stepStore, mSamples.machine(), random);
-        mPlanner = new PlannerDesk(this, caller, store, stepStore, mFleet, () -> mSettings, random);
+        mPlanner =
+                new PlannerDesk(this, caller, mStore, stepStore, mFleet, () -> mSettings, random);
         mFrontDesk = new FrontDesk(this, mCalls, mSteps, stepStore, () -> mRoutes, random);
-        mReader = new StepReader(this, store, stepStore, mSteps, mFrontDesk);
+        mReader = new StepReader(this, mStore, stepStore, mSteps, mFrontDesk);
         mFrontDesk.bind(mReader);
         mSamples.bind(mCalls, mSteps, mReader);
-        mWatches.add(watch(store, OperatorDecoder.PREFIX, OPERATOR_PACE, this::onOperator));
-        mWatches.add(watch(store, EndpointDecoder.PREFIX, ENDPOINT_PACE, this::onEndpoint));
-        mWatches.add(watch(store, StepKeys.LIVE, LIVE_PACE, this::onLive));
+        mWatches.add(watch(mStore, OperatorDecoder.PREFIX, this::operatorPace, this::onOperator));
+        mWatches.add(watch(mStore, EndpointDecoder.PREFIX, () -> ENDPOINT_PACE, this::onEndpoint));
+        mWatches.add(watch(mStore, StepKeys.LIVE, this::livePace, this::onLive));
         mTransport.start();
         FrontServer.bind(mTransport, settings.ready(), new ReadyDesk(() -> mReady), () -> mLimits);
         FrontServer.bind(
                 mTransport,
                 settings.metrics(),
-                new MetricsDesk(executor(), () -> mMetrics.text(gauges(), store.counts())),
+                new MetricsDesk(executor(), () -> mMetrics.text(gauges(), mStore.counts())),
                 () -> mLimits);
         mFront =
                 FrontServer.bind(
@@ -182,7 +195,7 @@
 
     @Override
     public boolean isStoreAway() {
-        return mStoreAway;
+        return mHealth.isAway();
     }
 
     @Override
@@ -198,7 +211,7 @@
         gauges.put("ebonyrun_entry_endpoints", (double) mFleet.all().size());
         gauges.put("ebonyrun_entry_config_version", (double) mRoutes.version());
         gauges.put("ebonyrun_entry_ready", mReady ? 1.0 : 0.0);
-        gauges.put("ebonyrun_entry_store_away", mStoreAway ? 1.0 : 0.0);
+        gauges.put("ebonyrun_entry_store_away", mHealth.isAway() ? 1.0 : 0.0);
         gauges.put("ebonyrun_entry_planner", mPlanner.isHolding() ? 1.0 : 0.0);
         gauges.put("ebonyrun_entry_log_lines_dropped", (double) mLog.dropped());
         return gauges;
@@ -253,6 +266,7 @@
         while (!mLater.isEmpty() && now - mLater.peek().at() >= 0) {
             mLater.poll().task().run();
         }
+        mHealth.onTick(now);
         mWatches.forEach(watch -> watch.onTick(now));
         mLease.onTick(mSteps.isNeeded() || mPlanner.isHolding(), now);
         mSteps.onTick(mDirectory.concerning(mSelf), now);
@@ -270,7 +284,7 @@
 
     private void updateReady(long now) {
         boolean synced = mWatches.stream().allMatch(StoreWatch::isSynced) && mRoutes.isKnown();
-        boolean reachable = !mStoreAway || now - mStoreAwaySince < STORE_SILENCE_NANOS;
+        boolean reachable = mHealth.awayNanos(now) < STORE_SILENCE_NANOS;
         boolean ready = synced && reachable && !mDraining;
         if (ready != mReady) {
             mReady = ready;
@@ -292,8 +306,20 @@
         void onKey(StoreChange change, boolean snapshot);
     }
 
+    private boolean isIdle() {
+        return !mSteps.isNeeded() && !mPlanner.isHolding();
+    }
+
+    private StoreWatch.Pace livePace() {
+        return isIdle() ? IDLE_LIVE_PACE : LIVE_PACE;
+    }
+
+    private StoreWatch.Pace operatorPace() {
+        return isIdle() ? IDLE_OPERATOR_PACE : OPERATOR_PACE;
+    }
+
     private StoreWatch watch(
-            SharedStore store, String prefix, StoreWatch.Pace pace, KeyHandler handler) {
+            SharedStore store, String prefix, Supplier<StoreWatch.Pace> pace, KeyHandler handler) {
         return new StoreWatch(
                 store,
                 prefix,
@@ -312,12 +338,12 @@
 
                     @Override
                     public void onAnswer() {
-                        onStoreAnswer();
+                        mHealth.onAnswer();
                     }
 
                     @Override
                     public void onFault(Fault fault) {
-                        onStoreFault(prefix, fault);
+                        mHealth.onFault(prefix + ": " + fault.detail(), System.nanoTime());
                     }
                 });
     }
@@ -336,21 +362,33 @@
                 item -> handler.onKey(new StoreChange(item.key(), item.revision(), item), true));
     }
 
-    private void onStoreAnswer() {
-        if (mStoreAway) {
-            mStoreAway = false;
-            mFleet.onStoreBack(System.nanoTime());
-            mLog.write(LogLine.of("store.back"));
-        }
+    private StoreHealth.Listener healthListener() {
+        return new StoreHealth.Listener() {
+            @Override
+            public void probe(int round) {
+                mStore.get(StepKeys.PLANNER)
+                        .thenAcceptAsync(result -> onProbeEnd(round, result), executor());
+            }
+
+            @Override
+            public void onAway(String why) {
+                mFleet.onStoreAway();
+                mLog.write(LogLine.of("store.away").with("why", why));
+            }
+
+            @Override
+            public void onBack() {
+                long now = System.nanoTime();
+                mFleet.onStoreBack(now);
+                mWatches.forEach(StoreWatch::onStoreBack);
+                mLog.write(LogLine.of("store.back"));
+            }
+        };
     }
 
-    private void onStoreFault(String prefix, Fault fault) {
-        if (!mStoreAway) {
-            mStoreAway = true;
-            mStoreAwaySince = System.nanoTime();
-            mFleet.onStoreAway();
-            mLog.write(LogLine.of("store.away").with("prefix", prefix).with("why", fault.detail()));
-        }
+    private void onProbeEnd(int round, Result<Optional<StoreItem>> result) {
+        String fault = result.fold(item -> "", Fault::detail);
+        mHealth.onProbeEnd(round, fault, System.nanoTime());
     }
 
     private void onOperator(StoreChange change, boolean snapshot) {
@@ -431,7 +469,9 @@
             }
         } else if (item == null) {
             mLog.write(
-                    LogLine.of("endpoint.removed").with("endpoint", id).with("away", mStoreAway));
+                    LogLine.of("endpoint.removed")
+                            .with("endpoint", id)
+                            .with("away", mHealth.isAway()));
             mFleet.onRemoved(id, System.nanoTime());
         }
     }
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/CountedStore.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/ObservedStore.java
@@ -6,6 +6,8 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.LongAdder;
+import java.util.function.Consumer;
+import org.ebonyrun.base.result.Fault;
 import org.ebonyrun.base.result.Result;
 import org.ebonyrun.ports.store.Commit;
 import org.ebonyrun.ports.store.SharedStore;
@@ -16,16 +18,24 @@
 import org.ebonyrun.ports.store.Transaction;
 
 /**
- * Counts the calls to a store by their kind.
+ * Counts the calls to a store by their kind, and tells which of them got no proper answer.
  *
- * <p>Thread safe if the store behind it is.
+ * <p>Watches are told of by whoever watches, since their silence is found late. Thread safe if the
+ * store behind it is.
  */
-final class CountedStore implements SharedStore {
+final class ObservedStore implements SharedStore {
     private final SharedStore mStore;
+    private final Consumer<Fault> mOnFault;
     private final Map<String, LongAdder> mCounts = new ConcurrentHashMap<>();
 
-    CountedStore(SharedStore store) {
+    /**
+     * Observes the calls to a store.
+     *
+     * @param onFault hears of each call but a watch that got no proper answer, on any thread
+     */
+    ObservedStore(SharedStore store, Consumer<Fault> onFault) {
         mStore = store;
+        mOnFault = onFault;
     }
 
     /** Returns how many calls of each kind were made. */
@@ -39,16 +49,27 @@
         mCounts.computeIfAbsent(kind, ignored -> new LongAdder()).increment();
     }
 
+    private <T> CompletableFuture<Result<T>> observed(CompletableFuture<Result<T>> call) {
+        return call.thenApply(
+                result ->
+                        result.fold(
+                                value -> result,
+                                fault -> {
+                                    mOnFault.accept(fault);
+                                    return result;
+                                }));
+    }
+
     @Override
     public CompletableFuture<Result<Optional<StoreItem>>> get(String key) {
         count("get");
-        return mStore.get(key);
+        return observed(mStore.get(key));
     }
 
     @Override
     public CompletableFuture<Result<StorePage>> range(String prefix, String after) {
         count("range");
-        return mStore.range(prefix, after);
+        return observed(mStore.range(prefix, after));
     }
 
     @Override
@@ -61,24 +82,24 @@
     @Override
     public CompletableFuture<Result<Commit>> commit(Transaction transaction) {
         count("commit");
-        return mStore.commit(transaction);
+        return observed(mStore.commit(transaction));
     }
 
     @Override
     public CompletableFuture<Result<StoreLease>> grant(long ttlMillis) {
         count("grant");
-        return mStore.grant(ttlMillis);
+        return observed(mStore.grant(ttlMillis));
     }
 
     @Override
     public CompletableFuture<Result<Boolean>> renew(long lease) {
         count("renew");
-        return mStore.renew(lease);
+        return observed(mStore.renew(lease));
     }
 
     @Override
     public CompletableFuture<Result<Boolean>> end(long lease) {
         count("end");
-        return mStore.end(lease);
+        return observed(mStore.end(lease));
     }
 }
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/ResultWriter.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/ResultWriter.java
@@ -27,7 +27,9 @@
     private static final long RETRY_NANOS = Nanos.ofMillis(150);
     // How often texts of unfinished samples are kept, and how long they must be. A lost owner then
     // costs a long sample at most this time and the events of its last moments.
-    private static final long CHECKPOINT_NANOS = Nanos.ofMillis(600);
+    private static final long CHECKPOINT_NANOS = Nanos.ofMillis(800);
+    // The same for texts that travel with results, which costs no further call.
+    private static final long CHECKPOINT_WITH_RESULTS_NANOS = Nanos.ofMillis(400);
     private static final int CHECKPOINT_EVENTS = 12;
     private static final int CHECKPOINT_BYTES = 400_000;
     private static final byte[] NOTHING = new byte[0];
@@ -59,9 +61,12 @@
     /** Repeats what the store did not answer, and keeps texts of steps that list nothing. */
     void onTick(StepId id, OwnedStep owned, long now) {
         PendingResults pending = owned.mPending;
-        if (pending == null && !mParts.isStoreAway()) {
+        if (mParts.isStoreAway()) {
+            return;
+        }
+        if (pending == null) {
             checkpoint(id, owned, now);
-        } else if (pending != null && !pending.mCalling && now - pending.mRetryAt >= 0) {
+        } else if (!pending.mCalling && now - pending.mRetryAt >= 0) {
             send(id, owned);
         }
     }
@@ -69,14 +74,18 @@
     /** Stores results. */
     void append(
             StepId id, OwnedStep owned, int position, List<SampleResult> results, boolean last) {
-        byte[] partial = last ? NOTHING : partialWhenDue(id, owned, System.nanoTime());
+        byte[] partial = NOTHING;
+        if (!last) {
+            long now = System.nanoTime();
+            partial = partialWhenDue(id, owned, CHECKPOINT_WITH_RESULTS_NANOS, now);
+        }
         owned.mPending = new PendingResults(position, StepCodec.results(results), partial, last);
         send(id, owned);
     }
 
     /** Returns the texts to keep now; empty if it is too soon or there are none worth it. */
-    private byte[] partialWhenDue(StepId id, OwnedStep owned, long now) {
-        if (now - owned.mCheckpointAt < CHECKPOINT_NANOS) {
+    private byte[] partialWhenDue(StepId id, OwnedStep owned, long everyNanos, long now) {
+        if (now - owned.mCheckpointAt < everyNanos) {
             return NOTHING;
         }
         owned.mCheckpointAt = now;
@@ -92,7 +101,7 @@
      * Keeps texts of a step that lists nothing for a while. A failure costs no more than a rerun.
      */
     private void checkpoint(StepId id, OwnedStep owned, long now) {
-        byte[] partial = partialWhenDue(id, owned, now);
+        byte[] partial = partialWhenDue(id, owned, CHECKPOINT_NANOS, now);
         if (partial.length > 0) {
             keep(id, owned, partial);
         }
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/StoreWatch.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/StoreWatch.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.Executor;
+import java.util.function.Supplier;
 import org.ebonyrun.base.result.Fault;
 import org.ebonyrun.base.result.Result;
 import org.ebonyrun.base.time.Nanos;
@@ -17,13 +18,13 @@
  * the store no longer knows what changed.
  *
  * <p>A call is answered after at most the wait of its {@link Pace}, so a connection that fell
- * silent is noticed within that time and a short slack.
+ * silent is noticed within that time and a short slack. After a fault the watch rests until it is
+ * told that the store is back.
  *
  * <p>Not thread safe; every callback and method runs on the duty behind {@code executor}.
  */
 final class StoreWatch {
-    // A short wait after a fault, so that the store's return is noticed soon.
-    private static final long WAIT_AFTER_FAULT_MILLIS = 200;
+    // The least time between a call that failed and the next.
     private static final long RETRY_NANOS = Nanos.ofMillis(250);
     private static final int MAX_PAGES = 1_000;
 
@@ -53,18 +54,32 @@
 
     private final SharedStore mStore;
     private final String mPrefix;
-    private final Pace mPace;
+    private final Supplier<Pace> mPace;
     private final Executor mExecutor;
     private final Listener mListener;
     private boolean mSynced;
     private boolean mWaiting;
     private boolean mStopped;
     private boolean mFaulty;
-    private long mResumeAt;
+    private long mCalledAt;
+    private int mCalls;
+    private boolean mGathering;
+    private long mChangedAt;
     private boolean mResuming;
+    private long mResumeAt;
     private long mRevision;
 
-    StoreWatch(SharedStore store, String prefix, Pace pace, Executor executor, Listener listener) {
+    /**
+     * Creates a watch that does not follow yet.
+     *
+     * @param pace how often to call the store at present
+     */
+    StoreWatch(
+            SharedStore store,
+            String prefix,
+            Supplier<Pace> pace,
+            Executor executor,
+            Listener listener) {
         mStore = store;
         mPrefix = prefix;
         mPace = pace;
@@ -87,9 +102,12 @@
         return mSynced;
     }
 
-    /** Goes on after a fault or a change. */
+    /** Goes on after a change, or after the store's return. */
     void onTick(long now) {
-        if (mResuming && !mWaiting && now - mResumeAt >= 0) {
+        if (mGathering && now - mChangedAt >= mPace.get().gatherNanos()) {
+            mGathering = false;
+            follow();
+        } else if (mResuming && now - mResumeAt >= 0) {
             mResuming = false;
             if (mRevision == 0) {
                 start();
@@ -99,17 +117,40 @@
         }
     }
 
+    /**
+     * Goes on after the store's return: asks again after a fault, and abandons a call that waits,
+     * since its answer may have been lost meanwhile.
+     */
+    void onStoreBack() {
+        if (mFaulty || mWaiting) {
+            mFaulty = false;
+            mWaiting = false;
+            mCalls++;
+            mResuming = true;
+            mResumeAt = mCalledAt + RETRY_NANOS;
+        }
+    }
+
     private void read(String after, List<StoreItem> items, long revision) {
-        mWaiting = true;
+        int call = begin();
         mStore.range(mPrefix, after)
-                .thenAcceptAsync(result -> onPage(result, items, revision), mExecutor);
+                .thenAcceptAsync(result -> onPage(call, result, items, revision), mExecutor);
     }
 
-    private void onPage(Result<StorePage> result, List<StoreItem> items, long revision) {
+    /** Notes that a call is made; returns its number. */
+    private int begin() {
+        mWaiting = true;
+        mCalledAt = System.nanoTime();
+        return ++mCalls;
+    }
+
+    private void onPage(int call, Result<StorePage> result, List<StoreItem> items, long revision) {
+        if (call != mCalls) {
+            return;
+        }
         mWaiting = false;
         result.fold(
                 page -> {
-                    mFaulty = false;
                     mListener.onAnswer();
                     items.addAll(page.items());
                     // The first page's revision covers every change after it.
@@ -132,16 +173,18 @@
         if (mStopped) {
             return;
         }
-        mWaiting = true;
-        long wait = mFaulty ? WAIT_AFTER_FAULT_MILLIS : mPace.waitMillis();
-        mStore.watch(mPrefix, mRevision, wait).thenAcceptAsync(this::onChanges, mExecutor);
+        int call = begin();
+        mStore.watch(mPrefix, mRevision, mPace.get().waitMillis())
+                .thenAcceptAsync(result -> onChanges(call, result), mExecutor);
     }
 
-    private void onChanges(Result<StoreChanges> result) {
+    private void onChanges(int call, Result<StoreChanges> result) {
+        if (call != mCalls) {
+            return;
+        }
         mWaiting = false;
         result.fold(
                 changes -> {
-                    mFaulty = false;
                     mListener.onAnswer();
                     if (changes.historyGone()) {
                         mRevision = 0;
@@ -149,10 +192,11 @@
                     } else {
                         changes.changes().forEach(mListener::onChange);
                         mRevision = Math.max(mRevision, changes.revision());
-                        if (changes.changes().isEmpty() || mPace.gatherNanos() == 0) {
+                        if (changes.changes().isEmpty()) {
                             follow();
                         } else {
-                            resumeAfter(mPace.gatherNanos());
+                            mGathering = true;
+                            mChangedAt = System.nanoTime();
                         }
                     }
                     return changes;
@@ -161,14 +205,8 @@
     }
 
     private <T> T onFault(Fault fault) {
-        mListener.onFault(fault);
         mFaulty = true;
-        resumeAfter(RETRY_NANOS);
+        mListener.onFault(fault);
         return null;
     }
-
-    private void resumeAfter(long nanos) {
-        mResuming = true;
-        mResumeAt = System.nanoTime() + nanos;
-    }
 }
--- /dev/null
+++ b/ebonyrun-daemon/src/test/java/org/ebonyrun/daemon/hosted/StoreHealthTest.java
@@ -0,0 +1,115 @@
+package org.ebonyrun.daemon.hosted;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.contains;
+import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.ebonyrun.base.time.Nanos;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+class StoreHealthTest {
+    private static final long TICK = Nanos.ofMillis(20);
+    private static final long TIMEOUT = Nanos.ofMillis(1_000);
+
+    private final List<String> mSaid = new ArrayList<>();
+    private int mProbes;
+    private final StoreHealth mHealth =
+            new StoreHealth(
+                    new StoreHealth.Listener() {
+                        @Override
+                        public void probe(int round) {
+                            mProbes++;
+                        }
+
+                        @Override
+                        public void onAway(String why) {
+                            mSaid.add("away " + why);
+                        }
+
+                        @Override
+                        public void onBack() {
+                            mSaid.add("back");
+                        }
+                    });
+
+    @Test
+    void aFaultOfAWatchMeansAwayUntilAProbeIsAnswered() {
+        mHealth.onFault("timeout", 0);
+        assertThat(mHealth.isAway(), is(true));
+        assertThat(mHealth.awayNanos(TICK), is(TICK));
+        mHealth.onProbeEnd(0, "", TICK);
+
+        assertThat(mHealth.isAway(), is(false));
+        assertThat(mSaid, contains("away timeout", "back"));
+    }
+
+    @Test
+    void aFaultOfAnotherCallAsksOnceAndDecidesNothing() {
+        mHealth.onDoubt(0);
+        mHealth.onDoubt(TICK);
+        assertThat(mProbes, is(1));
+        mHealth.onProbeEnd(0, "", 2 * TICK);
+        for (int i = 0; i < 100; i++) {
+            mHealth.onTick(i * TICK);
+        }
+
+        assertThat(mProbes, is(1));
+        assertThat(mSaid, is(empty()));
+    }
+
+    @Test
+    void aProbeThatFailsMeansAwayToo() {
+        mHealth.onDoubt(0);
+        mHealth.onProbeEnd(0, "timeout", TIMEOUT);
+
+        assertThat(mSaid, contains("away timeout"));
+        assertThat(mProbes, is(2));
+    }
+
+    @Test
+    void aProbeFromBeforeTheReturnSaysNothingOfTheTimeAfterIt() {
+        mHealth.onFault("timeout", 0);
+        mHealth.onTick(StoreHealth.PROBE_NANOS);
+        mHealth.onProbeEnd(0, "", TIMEOUT / 2);
+        mHealth.onProbeEnd(0, "timeout", TIMEOUT);
+        assertThat(mHealth.isAway(), is(false));
+        mHealth.onDoubt(TIMEOUT);
+        mHealth.onProbeEnd(1, "timeout", 2 * TIMEOUT);
+
+        assertThat(mHealth.isAway(), is(true));
+    }
+
+    @ParameterizedTest
+    @ValueSource(ints = {1, 7, 20, 33, 51, 100, 325})
+    void theReturnIsNoticedWithinOneProbe(int ticksAway) {
+        long back = ticksAway * TICK;
+        List<Long> sent = new ArrayList<>();
+        mHealth.onFault("timeout", 0);
+        sent.add(0L);
+        long now = 0;
+        while (mHealth.isAway()) {
+            now += TICK;
+            while (!sent.isEmpty() && now - sent.get(0) >= TIMEOUT) {
+                sent.remove(0);
+                mHealth.onProbeEnd(0, "timeout", now);
+            }
+            int before = mProbes;
+            mHealth.onTick(now);
+            if (mProbes > before) {
+                sent.add(now);
+            }
+            assertThat(sent.size(), lessThanOrEqualTo(StoreHealth.MAX_OPEN));
+            if (mProbes > before && now >= back) {
+                mHealth.onProbeEnd(0, "", now);
+            }
+        }
+
+        assertThat(now - back, lessThanOrEqualTo(StoreHealth.PROBE_NANOS + TICK));
+    }
+}
