Put order and placement of calls and samples behind interfaces, with baselines

Cause: the decisions had nothing to be measured against, and a scheduler that sorted the endpoints and looked for the best pace once for each waiting sample. Change: CallOrder, CallPlacement, SampleOrder, SamplePlacement with the product's decisions as small classes; baselines (arrival order, static priority, round robin) stand beside the tests. Endpoints of a service are looked up once a round; a step for whose samples there is no endpoint is not tried again in the round.

--- a/ebonyrun-core/src/main/java/org/ebonyrun/core/call/CallMachine.java
+++ b/ebonyrun-core/src/main/java/org/ebonyrun/core/call/CallMachine.java
@@ -25,36 +25,41 @@
  * <p>Not thread safe; confined to one duty.
  */
 public final class CallMachine {
-    // Part of an endpoint's slots that background calls of one process may use.
-    private static final double BACKGROUND_SHARE = 0.7;
     // A second endpoint is tried when the first has used this part of the goal.
     private static final double HEDGE_SHARE = 0.5;
     private static final long RETRY_NANOS = Nanos.ofMillis(25);
     private static final long FULL_NANOS = Nanos.ofMillis(40);
     private static final long WRONG_INSTANCE_NANOS = Nanos.ofMillis(1_500);
-    private static final long DEFAULT_ANSWER_NANOS = Nanos.ofMillis(30);
     // Time kept to bring a refusal back to the caller before its deadline.
     private static final long ANSWER_MARGIN_NANOS = Nanos.ofMillis(15);
     private static final long MIN_RETRY_AFTER_MILLIS = 50;
     private static final long MAX_RETRY_AFTER_MILLIS = 1_000;
-    private static final double REMOTE_DOMAIN_FACTOR = 1.15;
 
     private final Fleet mFleet;
-    private final FailureDomain mDomain;
+    private final CallOrder mOrder;
+    private final CallPlacement mPlacement;
     private final CallOutputs mOutputs;
     private final Map<Long, PendingCall> mCalls = new LinkedHashMap<>();
     private final Map<Long, PendingCall> mByAttempt = new HashMap<>();
     private long mAttempts;
 
-    private CallMachine(Fleet fleet, FailureDomain domain, CallOutputs outputs) {
+    private CallMachine(
+            Fleet fleet, CallOrder order, CallPlacement placement, CallOutputs outputs) {
         mFleet = fleet;
-        mDomain = domain;
+        mOrder = order;
+        mPlacement = placement;
         mOutputs = outputs;
     }
 
-    /** Creates a machine without calls. */
+    /** Creates a machine without calls, in a failure domain. */
     public static CallMachine create(Fleet fleet, FailureDomain domain, CallOutputs outputs) {
-        return new CallMachine(fleet, domain, outputs);
+        return create(fleet, new UrgentCallsFirst(), FastestAnswer.in(domain), outputs);
+    }
+
+    /** Creates a machine without calls that decides by a given order and placement. */
+    public static CallMachine create(
+            Fleet fleet, CallOrder order, CallPlacement placement, CallOutputs outputs) {
+        return new CallMachine(fleet, order, placement, outputs);
     }
 
     /** Returns the number of calls that are not answered yet. */
@@ -167,10 +172,7 @@
                 waiting.add(call);
             }
         }
-        waiting.sort(
-                Comparator.comparing((PendingCall call) -> call.mSpec.background())
-                        .thenComparing(call -> call.mSpec.route().call().priority())
-                        .thenComparing(call -> call.mSpec.endsAt()));
+        waiting.sort(Comparator.comparing(call -> call.mSpec, mOrder));
         for (PendingCall call : waiting) {
             advance(call, now);
         }
@@ -213,7 +215,7 @@
         double pace = 0;
         for (Endpoint endpoint : serving) {
             slots += endpoint.record().slots();
-            pace += answerNanos(endpoint);
+            pace += FastestAnswer.answerNanos(endpoint);
         }
         long ahead = mCalls.values().stream().filter(other -> other.mOpen.isEmpty()).count();
         double waitNanos = pace / serving.size() * (1 + (double) ahead / slots);
@@ -254,6 +256,7 @@
         call.mSentAt = now;
         mByAttempt.put(attempt, call);
         endpoint.onSent();
+        mPlacement.onSent(endpoint);
         long left = Math.max(1, Nanos.toMillis(call.mSpec.endsAt() - now));
         mOutputs.send(call.mSpec, attempt, endpoint, left);
         return true;
@@ -269,7 +272,8 @@
             if (endpoint.isAvoided(now) && call.mUsed.contains(endpoint.id())) {
                 continue;
             }
-            double cost = cost(endpoint, call, now);
+            boolean tried = call.mUsed.contains(endpoint.id());
+            double cost = mPlacement.cost(endpoint, tried, now);
             if (cost < bestCost) {
                 best = endpoint;
                 bestCost = cost;
@@ -278,31 +282,11 @@
         return best;
     }
 
-    private static boolean hasRoom(Endpoint endpoint, PendingCall call) {
-        int slots = endpoint.record().slots();
-        int room = call.mSpec.background() ? (int) Math.ceil(BACKGROUND_SHARE * slots) : slots;
+    private boolean hasRoom(Endpoint endpoint, PendingCall call) {
+        int room = mPlacement.room(endpoint, call.mSpec.background());
         return endpoint.active() < room && !call.mOpen.containsValue(endpoint);
     }
 
-    private double cost(Endpoint endpoint, PendingCall call, long now) {
-        double load = (endpoint.active() + 1.0) / endpoint.record().slots();
-        double cost = answerNanos(endpoint) * (1 + load);
-        if (!endpoint.record().domain().equals(mDomain)) {
-            cost *= REMOTE_DOMAIN_FACTOR;
-        }
-        if (call.mUsed.contains(endpoint.id())) {
-            cost *= 4;
-        }
-        if (endpoint.isAvoided(now)) {
-            cost *= 1_000;
-        }
-        return cost;
-    }
-
-    private static double answerNanos(Endpoint endpoint) {
-        return endpoint.paceNanos() == 0 ? DEFAULT_ANSWER_NANOS : endpoint.paceNanos();
-    }
-
     private void cancelOthers(PendingCall call, long kept) {
         for (Long attempt : List.copyOf(call.mOpen.keySet())) {
             if (attempt != kept) {
--- /dev/null
+++ b/ebonyrun-core/src/main/java/org/ebonyrun/core/call/CallPlacement.java
@@ -0,0 +1,24 @@
+package org.ebonyrun.core.call;
+
+import org.ebonyrun.core.fleet.Endpoint;
+
+/** Says at which endpoint a call should run. */
+public interface CallPlacement {
+    /**
+     * Returns how many calls of this process an endpoint may have.
+     *
+     * @param background whether the next one is a background call
+     */
+    int room(Endpoint endpoint, boolean background);
+
+    /**
+     * Returns what it costs to send a call to an endpoint; the least costly one gets it.
+     *
+     * @param tried whether the call was sent there before
+     * @param now the time, in nanoseconds of the monotonic clock
+     */
+    double cost(Endpoint endpoint, boolean tried, long now);
+
+    /** Notes that a call was sent to an endpoint. */
+    void onSent(Endpoint endpoint);
+}
--- /dev/null
+++ b/ebonyrun-core/src/main/java/org/ebonyrun/core/call/FastestAnswer.java
@@ -0,0 +1,64 @@
+package org.ebonyrun.core.call;
+
+import org.ebonyrun.base.id.FailureDomain;
+import org.ebonyrun.base.time.Nanos;
+import org.ebonyrun.core.fleet.Endpoint;
+
+/**
+ * Places a call where the answer is expected first, in its own failure domain if that is about as
+ * good, and keeps a part of each endpoint's slots from background calls.
+ *
+ * <p>Answers the load of short calls to a service some of whose endpoints are slow or failing.
+ * Immutable and thread safe.
+ */
+public final class FastestAnswer implements CallPlacement {
+    // Part of an endpoint's slots that background calls of one process may use.
+    private static final double BACKGROUND_SHARE = 0.7;
+    private static final double REMOTE_DOMAIN_FACTOR = 1.15;
+    private static final double TRIED_FACTOR = 4;
+    private static final double AVOIDED_FACTOR = 1_000;
+    private static final long DEFAULT_ANSWER_NANOS = Nanos.ofMillis(30);
+
+    private final FailureDomain mDomain;
+
+    private FastestAnswer(FailureDomain domain) {
+        mDomain = domain;
+    }
+
+    /** Creates a placement for a process in a failure domain. */
+    public static FastestAnswer in(FailureDomain domain) {
+        return new FastestAnswer(domain);
+    }
+
+    /** Returns how long an endpoint is expected to take for an answer, in nanoseconds. */
+    static double answerNanos(Endpoint endpoint) {
+        return endpoint.paceNanos() == 0 ? DEFAULT_ANSWER_NANOS : endpoint.paceNanos();
+    }
+
+    @Override
+    public int room(Endpoint endpoint, boolean background) {
+        int slots = endpoint.record().slots();
+        return background ? (int) Math.ceil(BACKGROUND_SHARE * slots) : slots;
+    }
+
+    @Override
+    public double cost(Endpoint endpoint, boolean tried, long now) {
+        double load = (endpoint.active() + 1.0) / endpoint.record().slots();
+        double cost = answerNanos(endpoint) * (1 + load);
+        if (!endpoint.record().domain().equals(mDomain)) {
+            cost *= REMOTE_DOMAIN_FACTOR;
+        }
+        if (tried) {
+            cost *= TRIED_FACTOR;
+        }
+        if (endpoint.isAvoided(now)) {
+            cost *= AVOIDED_FACTOR;
+        }
+        return cost;
+    }
+
+    @Override
+    public void onSent(Endpoint endpoint) {
+        // The endpoint itself counts what it has.
+    }
+}
--- /dev/null
+++ b/ebonyrun-core/src/main/java/org/ebonyrun/core/step/PaceShares.java
@@ -0,0 +1,41 @@
+package org.ebonyrun.core.step;
+
+import org.ebonyrun.core.fleet.Endpoint;
+
+/**
+ * Gives each endpoint samples in proportion to its pace.
+ *
+ * <p>Answers the load of a pool in which some endpoints are several times slower than others.
+ * Immutable and thread safe.
+ */
+final class PaceShares implements SamplePlacement {
+    // How much slower than the best pace still earns all slots.
+    private static final double TOLERANCE = 1.3;
+
+    /** Returns whether an endpoint is about as fast as the best one. */
+    static boolean isFast(Endpoint endpoint, double bestPace) {
+        return endpoint.paceNanos() > 0 && endpoint.paceNanos() < TOLERANCE * bestPace;
+    }
+
+    @Override
+    public int room(Endpoint endpoint, double bestPace) {
+        int slots = endpoint.record().slots();
+        if (endpoint.paceNanos() == 0 || bestPace == 0) {
+            return slots;
+        }
+        double share = Math.min(1, TOLERANCE * bestPace / endpoint.paceNanos());
+        return Math.max(1, (int) Math.round(share * slots));
+    }
+
+    @Override
+    public double cost(Endpoint endpoint, SampleRun sample, double bestPace) {
+        double pace = endpoint.paceNanos() == 0 ? 1 : endpoint.paceNanos() / Math.max(1, bestPace);
+        double cost = (endpoint.active() + 1.0) / endpoint.record().slots() * Math.max(1, pace);
+        return endpoint.id().equals(sample.mAvoid) ? cost + 1 : cost;
+    }
+
+    @Override
+    public void onSent(Endpoint endpoint) {
+        // The endpoint itself counts what it has.
+    }
+}
--- /dev/null
+++ b/ebonyrun-core/src/main/java/org/ebonyrun/core/step/SamplePlacement.java
@@ -0,0 +1,20 @@
+package org.ebonyrun.core.step;
+
+import org.ebonyrun.core.fleet.Endpoint;
+
+/** Says at which endpoint a sample should run. */
+interface SamplePlacement {
+    /**
+     * Returns how many samples of this process an endpoint may have.
+     *
+     * @param bestPace the best time between two events at an endpoint of the service, in
+     *     nanoseconds; zero if unknown
+     */
+    int room(Endpoint endpoint, double bestPace);
+
+    /** Returns what it costs to run a sample at an endpoint; the least costly one gets it. */
+    double cost(Endpoint endpoint, SampleRun sample, double bestPace);
+
+    /** Notes that a sample was sent to an endpoint. */
+    void onSent(Endpoint endpoint);
+}
--- a/ebonyrun-core/src/main/java/org/ebonyrun/core/step/SampleScheduler.java
+++ b/ebonyrun-core/src/main/java/org/ebonyrun/core/step/SampleScheduler.java
@@ -1,6 +1,8 @@
 package org.ebonyrun.core.step;
 
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import org.ebonyrun.base.id.ServiceName;
 import org.ebonyrun.base.time.Nanos;
@@ -12,8 +14,8 @@
  * Chooses endpoints for samples, and tells when a sample is better off elsewhere.
  *
  * <p>Answers the load of a pool in which some endpoints are several times slower than others or
- * silent: an endpoint gets samples in proportion to its pace, and a sample leaves an endpoint that
- * has fallen behind when a fast one has room.
+ * silent: a sample leaves an endpoint that has fallen behind when a fast one has room. What a
+ * service has is looked up once a round, however many samples wait.
  *
  * <p>Not thread safe; confined to the duty of its machine.
  */
@@ -30,23 +32,43 @@
     private static final int URGENCY_SPARE = 6;
     private static final long LATE_NANOS = Nanos.ofMillis(3_000);
 
+    /** The step and the service for which a sample needs an endpoint. */
+    record Demand(StepRun step, ServiceName service) {}
+
+    /** The endpoints of one service in one round, and the best pace among them. */
+    private record Pool(List<Endpoint> endpoints, double bestPace) {}
+
     private final Fleet mFleet;
+    private final SamplePlacement mPlacement;
+    private final Map<ServiceName, Pool> mPools = new HashMap<>();
 
-    SampleScheduler(Fleet fleet) {
+    SampleScheduler(Fleet fleet, SamplePlacement placement) {
         mFleet = fleet;
+        mPlacement = placement;
+    }
+
+    /** Returns for what a sample needs an endpoint. */
+    static Demand demand(SampleRun sample) {
+        return new Demand(sample.mStep, service(sample));
+    }
+
+    /** Begins a round of decisions, in which no endpoint comes, goes or changes its pace. */
+    void beginRound() {
+        mPools.clear();
     }
 
     /** Returns the endpoint at which a sample should run now, if one has room. */
     Optional<Endpoint> choose(SampleRun sample, long now) {
-        List<Endpoint> serving = serving(sample);
-        double best = bestPace(serving, now);
+        Pool pool = pool(sample, now);
+        double best = pool.bestPace();
         Endpoint choice = null;
         double least = Double.MAX_VALUE;
-        for (Endpoint endpoint : serving) {
-            if (!isFit(endpoint, sample, now) || endpoint.active() >= room(endpoint, best)) {
+        for (Endpoint endpoint : pool.endpoints()) {
+            boolean full = endpoint.active() >= mPlacement.room(endpoint, best);
+            if (full || !isFit(endpoint, sample, now)) {
                 continue;
             }
-            double cost = cost(endpoint, sample, best);
+            double cost = mPlacement.cost(endpoint, sample, best);
             if (cost < least) {
                 least = cost;
                 choice = endpoint;
@@ -65,7 +87,7 @@
         if (step.model().isEmpty()) {
             return Optional.empty();
         }
-        for (Endpoint endpoint : serving(sample)) {
+        for (Endpoint endpoint : pool(sample, now).endpoints()) {
             boolean outdated = endpoint.version(step.model()) < step.minVersion();
             boolean room = endpoint.active() < endpoint.record().slots();
             if (outdated && room && !endpoint.isAvoided(now) && endpoint.tryAt(now)) {
@@ -75,14 +97,29 @@
         return Optional.empty();
     }
 
-    private List<Endpoint> serving(SampleRun sample) {
+    /** Notes that a sample was sent to an endpoint. */
+    void onSent(Endpoint endpoint) {
+        endpoint.onSent();
+        mPlacement.onSent(endpoint);
+    }
+
+    private Pool pool(SampleRun sample, long now) {
+        return mPools.computeIfAbsent(
+                service(sample),
+                service -> {
+                    List<Endpoint> serving = mFleet.serving(service);
+                    return new Pool(serving, bestPace(serving, now));
+                });
+    }
+
+    private static ServiceName service(SampleRun sample) {
         List<WeightedService> services = sample.mStep.mRoute.services();
         ServiceName service = services.get(0).service();
         if (services.size() > 1) {
             int index = Math.floorMod(sample.mSpec.id().hashCode(), services.size());
             service = services.get(index).service();
         }
-        return mFleet.serving(service);
+        return service;
     }
 
     private static boolean isFit(Endpoint endpoint, SampleRun sample, long now) {
@@ -96,21 +133,6 @@
         return fresh && same && !endpoint.isAvoided(now) && !endpoint.isLoading();
     }
 
-    private static int room(Endpoint endpoint, double bestPace) {
-        int slots = endpoint.record().slots();
-        if (endpoint.paceNanos() == 0 || bestPace == 0) {
-            return slots;
-        }
-        double share = Math.min(1, 1.3 * bestPace / endpoint.paceNanos());
-        return Math.max(1, (int) Math.round(share * slots));
-    }
-
-    private static double cost(Endpoint endpoint, SampleRun sample, double bestPace) {
-        double pace = endpoint.paceNanos() == 0 ? 1 : endpoint.paceNanos() / Math.max(1, bestPace);
-        double cost = (endpoint.active() + 1.0) / endpoint.record().slots() * Math.max(1, pace);
-        return endpoint.id().equals(sample.mAvoid) ? cost + 1 : cost;
-    }
-
     private static double bestPace(List<Endpoint> endpoints, long now) {
         double best = 0;
         for (Endpoint endpoint : endpoints) {
@@ -142,14 +164,14 @@
         if (now - sample.mStartedAt < MIN_RUN_NANOS || sample.mRunEvents == 0) {
             return "";
         }
-        List<Endpoint> serving = serving(sample);
-        double best = bestPace(serving, now);
+        Pool pool = pool(sample, now);
+        double best = pool.bestPace();
         if (best == 0 || endpoint.paceNanos() < SLOW_FACTOR * best) {
             return "";
         }
-        for (Endpoint other : serving) {
-            boolean fast = other.paceNanos() > 0 && other.paceNanos() < 1.3 * best;
-            if (fast && isFit(other, sample, now) && other.active() < room(other, best)) {
+        for (Endpoint other : pool.endpoints()) {
+            boolean room = other.active() < mPlacement.room(other, best);
+            if (PaceShares.isFast(other, best) && isFit(other, sample, now) && room) {
                 return "endpoint is slow: " + Nanos.toMillis((long) endpoint.paceNanos()) + " ms";
             }
         }
@@ -157,7 +179,7 @@
     }
 
     private boolean isElsewhereIdle(SampleRun sample, long now) {
-        for (Endpoint other : serving(sample)) {
+        for (Endpoint other : pool(sample, now).endpoints()) {
             boolean idle = 2 * other.active() < other.record().slots();
             if (other != sample.mEndpoint && idle && isFit(other, sample, now)) {
                 return true;
--- a/ebonyrun-core/src/main/java/org/ebonyrun/core/step/StepMachine.java
+++ b/ebonyrun-core/src/main/java/org/ebonyrun/core/step/StepMachine.java
@@ -1,12 +1,13 @@
 package org.ebonyrun.core.step;
 
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import org.ebonyrun.base.time.Nanos;
 import org.ebonyrun.core.fleet.Endpoint;
 import org.ebonyrun.core.fleet.Fleet;
@@ -39,21 +40,30 @@
 
     private final Fleet mFleet;
     private final StepOutputs mOutputs;
+    private final SampleOrder mOrder;
     private final SampleScheduler mScheduler;
     private final Map<StepId, StepRun> mSteps = new LinkedHashMap<>();
     private final Map<Long, SampleRun> mRuns = new HashMap<>();
     private long mRunCount;
     private final Map<String, Integer> mNamed = new HashMap<>();
 
-    private StepMachine(Fleet fleet, StepOutputs outputs) {
+    private StepMachine(
+            Fleet fleet, SampleOrder order, SamplePlacement placement, StepOutputs outputs) {
         mFleet = fleet;
+        mOrder = order;
         mOutputs = outputs;
-        mScheduler = new SampleScheduler(fleet);
+        mScheduler = new SampleScheduler(fleet, placement);
     }
 
     /** Creates a machine that owns no step. */
     public static StepMachine create(Fleet fleet, StepOutputs outputs) {
-        return new StepMachine(fleet, outputs);
+        return create(fleet, new WantedGroupsFirst(), new PaceShares(), outputs);
+    }
+
+    /** Creates a machine that owns no step and decides by a given order and placement. */
+    static StepMachine create(
+            Fleet fleet, SampleOrder order, SamplePlacement placement, StepOutputs outputs) {
+        return new StepMachine(fleet, order, placement, outputs);
     }
 
     /** Returns the number of steps that are owned and not finished. */
@@ -409,6 +419,7 @@
             store(step, now, false);
             giveUpExpired(step, now);
         }
+        mScheduler.beginRound();
         for (SampleRun sample : List.copyOf(mRuns.values())) {
             String reason = mScheduler.reasonToMove(sample, now);
             if (!reason.isEmpty()) {
@@ -453,20 +464,30 @@
     }
 
     private void dispatch(long now) {
+        mScheduler.beginRound();
+        Set<SampleScheduler.Demand> unmet = new HashSet<>();
         for (SampleRun sample : waiting(now)) {
             if (sample.mTextWhole) {
                 startScore(sample);
-            } else {
-                Optional<Endpoint> fit = mScheduler.choose(sample, now);
-                if (fit.isPresent()) {
-                    start(sample, fit.get(), 0, now);
-                } else {
-                    tryNamedVersion(sample, now);
+            } else if (!unmet.contains(SampleScheduler.demand(sample)) && !place(sample, now)) {
+                // Samples without text differ in nothing that decides whether they fit.
+                if (sample.mEvents.isEmpty()) {
+                    unmet.add(SampleScheduler.demand(sample));
                 }
             }
         }
     }
 
+    /** Starts a sample; returns whether there was an endpoint for it. */
+    private boolean place(SampleRun sample, long now) {
+        Optional<Endpoint> fit = mScheduler.choose(sample, now);
+        if (fit.isPresent()) {
+            start(sample, fit.get(), 0, now);
+            return true;
+        }
+        return tryNamedVersion(sample, now);
+    }
+
     private List<SampleRun> waiting(long now) {
         List<SampleRun> waiting = new ArrayList<>();
         for (StepRun step : mSteps.values()) {
@@ -476,22 +497,20 @@
                 }
             }
         }
-        waiting.sort(
-                Comparator.comparingInt((SampleRun sample) -> sample.mRank)
-                        .thenComparingLong(sample -> sample.mStep.mDueAt)
-                        .thenComparingLong(sample -> -sample.mSpec.expectedTokens()));
+        waiting.sort(mOrder);
         return waiting;
     }
 
     /** Tries an endpoint that may have loaded the named version since its last record. */
-    private void tryNamedVersion(SampleRun sample, long now) {
+    private boolean tryNamedVersion(SampleRun sample, long now) {
         StepSpec spec = sample.mStep.mSpec;
         int named = mNamed.getOrDefault(spec.model(), 0);
-        if (named >= spec.minVersion() && named > 0) {
-            mScheduler
-                    .chooseOutdated(sample, now)
-                    .ifPresent(endpoint -> start(sample, endpoint, named, now));
+        if (named < spec.minVersion() || named == 0) {
+            return false;
         }
+        Optional<Endpoint> outdated = mScheduler.chooseOutdated(sample, now);
+        outdated.ifPresent(endpoint -> start(sample, endpoint, named, now));
+        return outdated.isPresent();
     }
 
     private void start(SampleRun sample, Endpoint endpoint, int expectedVersion, long now) {
@@ -502,7 +521,7 @@
         sample.mLastEventAt = now;
         sample.mRunVersion = 0;
         sample.mRunEvents = 0;
-        endpoint.onSent();
+        mScheduler.onSent(endpoint);
         mRuns.put(sample.mRun, sample);
         int urgency = mScheduler.urgency(sample, now);
         mOutputs.startRun(
--- /dev/null
+++ b/ebonyrun-core/src/test/java/org/ebonyrun/core/VirtualClock.java
@@ -0,0 +1,48 @@
+package org.ebonyrun.core;
+
+import java.util.PriorityQueue;
+import java.util.function.LongConsumer;
+
+/** Runs tasks in the order of their times, without waiting. */
+public final class VirtualClock {
+    private record Task(long at, long number, LongConsumer action) {}
+
+    private final PriorityQueue<Task> mTasks =
+            new PriorityQueue<>(
+                    (a, b) ->
+                            a.at() == b.at()
+                                    ? Long.compare(a.number(), b.number())
+                                    : Long.compare(a.at(), b.at()));
+    private long mCount;
+    private long mNow;
+
+    /** Returns the time, in nanoseconds. */
+    public long now() {
+        return mNow;
+    }
+
+    /** Runs a task at a time, or now if that has passed. */
+    public void at(long time, LongConsumer action) {
+        mTasks.add(new Task(Math.max(time, mNow), mCount++, action));
+    }
+
+    /** Runs a task again and again. */
+    public void every(long period, LongConsumer action) {
+        at(
+                mNow + period,
+                now -> {
+                    action.accept(now);
+                    every(period, action);
+                });
+    }
+
+    /** Runs all tasks up to a time. */
+    public void runUntil(long end) {
+        while (!mTasks.isEmpty() && mTasks.peek().at() <= end) {
+            Task task = mTasks.poll();
+            mNow = task.at();
+            task.action().accept(mNow);
+        }
+        mNow = end;
+    }
+}
--- /dev/null
+++ b/ebonyrun-core/src/test/java/org/ebonyrun/core/call/StaticPriorityCallOrder.java
@@ -0,0 +1,15 @@
+package org.ebonyrun.core.call;
+
+import java.util.Comparator;
+
+/** A baseline: calls by the priority of their route, then by arrival. */
+final class StaticPriorityCallOrder implements CallOrder {
+    private static final Comparator<CallSpec> ORDER =
+            Comparator.comparingInt((CallSpec call) -> call.route().call().priority())
+                    .thenComparingLong(CallSpec::arrivedAt);
+
+    @Override
+    public int compare(CallSpec a, CallSpec b) {
+        return ORDER.compare(a, b);
+    }
+}
--- /dev/null
+++ b/ebonyrun-core/src/test/java/org/ebonyrun/core/step/ArrivalSampleOrder.java
@@ -0,0 +1,10 @@
+package org.ebonyrun.core.step;
+
+/** A baseline: samples in the order in which they were submitted. */
+final class ArrivalSampleOrder implements SampleOrder {
+    @Override
+    public int compare(SampleRun a, SampleRun b) {
+        // The machine sorts a list in this order, and sorting keeps it.
+        return 0;
+    }
+}
