--- a/ebonyrun-core/src/test/java/org/ebonyrun/core/call/CallMachineTest.java
+++ b/ebonyrun-core/src/test/java/org/ebonyrun/core/call/CallMachineTest.java
@@ -20,7 +20,6 @@
 import org.ebonyrun.core.route.Route;
 import org.ebonyrun.core.route.RouteKind;
 import org.ebonyrun.core.route.StepTerms;
-import org.ebonyrun.core.route.WeightedService;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
@@ -36,14 +35,7 @@
             CallMachine.create(mFleet, FailureDomain.of("a"), mOutputs);
 
     private static Route route(RouteKind kind, int priority) {
-        return new Route(
-                "r",
-                "x",
-                "/",
-                kind,
-                List.of(new WeightedService(Endpoints.SERVICE, 1)),
-                new CallTerms(800, 150, ATTEMPTS, priority),
-                StepTerms.NONE);
+        return Endpoints.route(kind, new CallTerms(800, 150, ATTEMPTS, priority), StepTerms.NONE);
     }
 
     private static CallSpec call(long id, RouteKind kind, boolean background, long now) {
--- a/ebonyrun-core/src/test/java/org/ebonyrun/core/call/RoundRobinCalls.java
+++ b/ebonyrun-core/src/test/java/org/ebonyrun/core/call/RoundRobinCalls.java
@@ -1,13 +1,11 @@
 package org.ebonyrun.core.call;
 
-import java.util.HashMap;
-import java.util.Map;
 import org.ebonyrun.core.fleet.Endpoint;
+import org.ebonyrun.core.fleet.Turns;
 
 /** A baseline: each endpoint in turn, all its slots for any call. */
 final class RoundRobinCalls implements CallPlacement {
-    private final Map<String, Long> mSentAt = new HashMap<>();
-    private long mSent;
+    private final Turns mTurns = new Turns();
 
     @Override
     public int room(Endpoint endpoint, boolean background) {
@@ -16,11 +14,11 @@
 
     @Override
     public double cost(Endpoint endpoint, boolean tried, long now) {
-        return mSentAt.getOrDefault(endpoint.id(), 0L);
+        return mTurns.of(endpoint);
     }
 
     @Override
     public void onSent(Endpoint endpoint) {
-        mSentAt.put(endpoint.id(), ++mSent);
+        mTurns.onSent(endpoint);
     }
 }
--- a/ebonyrun-core/src/test/java/org/ebonyrun/core/call/ServiceLoad.java
+++ b/ebonyrun-core/src/test/java/org/ebonyrun/core/call/ServiceLoad.java
@@ -16,7 +16,6 @@
 import org.ebonyrun.core.route.Route;
 import org.ebonyrun.core.route.RouteKind;
 import org.ebonyrun.core.route.StepTerms;
-import org.ebonyrun.core.route.WeightedService;
 
 /**
  * People's lookups and bursts of background scores at one service, in virtual time.
@@ -78,12 +77,8 @@
     }
 
     private static Route route(int priority) {
-        return new Route(
-                "r",
-                "x",
-                "/",
+        return Endpoints.route(
                 RouteKind.IDEMPOTENT,
-                List.of(new WeightedService(Endpoints.SERVICE, 1)),
                 new CallTerms(3_000, Nanos.toMillis(GOAL_NANOS), 3, priority),
                 StepTerms.NONE);
     }
--- a/ebonyrun-core/src/test/java/org/ebonyrun/core/fleet/Endpoints.java
+++ b/ebonyrun-core/src/test/java/org/ebonyrun/core/fleet/Endpoints.java
@@ -1,9 +1,15 @@
 package org.ebonyrun.core.fleet;
 
 import java.net.InetSocketAddress;
+import java.util.List;
 import java.util.Map;
 import org.ebonyrun.base.id.FailureDomain;
 import org.ebonyrun.base.id.ServiceName;
+import org.ebonyrun.core.route.CallTerms;
+import org.ebonyrun.core.route.Route;
+import org.ebonyrun.core.route.RouteKind;
+import org.ebonyrun.core.route.StepTerms;
+import org.ebonyrun.core.route.WeightedService;
 
 /** Records of endpoints for tests. */
 public final class Endpoints {
@@ -33,4 +39,9 @@
                 leaving,
                 Map.of(MODEL, version));
     }
+
+    /** Returns a route to the service of all records here. */
+    public static Route route(RouteKind kind, CallTerms call, StepTerms step) {
+        return new Route("r", "x", "/", kind, List.of(new WeightedService(SERVICE, 1)), call, step);
+    }
 }
--- a/ebonyrun-core/src/test/java/org/ebonyrun/core/step/RoundRobinPlacement.java
+++ b/ebonyrun-core/src/test/java/org/ebonyrun/core/step/RoundRobinPlacement.java
@@ -1,13 +1,11 @@
 package org.ebonyrun.core.step;
 
-import java.util.HashMap;
-import java.util.Map;
 import org.ebonyrun.core.fleet.Endpoint;
+import org.ebonyrun.core.fleet.Turns;
 
 /** A baseline: each endpoint in turn, all its slots. */
 final class RoundRobinPlacement implements SamplePlacement {
-    private final Map<String, Long> mSentAt = new HashMap<>();
-    private long mSent;
+    private final Turns mTurns = new Turns();
 
     @Override
     public int room(Endpoint endpoint, double bestPace) {
@@ -16,11 +14,11 @@
 
     @Override
     public double cost(Endpoint endpoint, SampleRun sample, double bestPace) {
-        return mSentAt.getOrDefault(endpoint.id(), 0L);
+        return mTurns.of(endpoint);
     }
 
     @Override
     public void onSent(Endpoint endpoint) {
-        mSentAt.put(endpoint.id(), ++mSent);
+        mTurns.onSent(endpoint);
     }
 }
--- a/ebonyrun-core/src/test/java/org/ebonyrun/core/step/StepMachineTest.java
+++ b/ebonyrun-core/src/test/java/org/ebonyrun/core/step/StepMachineTest.java
@@ -19,7 +19,6 @@
 import org.ebonyrun.core.route.Route;
 import org.ebonyrun.core.route.RouteKind;
 import org.ebonyrun.core.route.StepTerms;
-import org.ebonyrun.core.route.WeightedService;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -37,12 +36,8 @@
     private final StepMachine mMachine = StepMachine.create(mFleet, mOutputs);
 
     private static Route route(boolean singleVersion) {
-        return new Route(
-                "r",
-                "x",
-                "/",
+        return Endpoints.route(
                 RouteKind.STEPS,
-                List.of(new WeightedService(Endpoints.SERVICE, 1)),
                 new CallTerms(10_000, 500, 3, 0),
                 new StepTerms(7_500, 40_000, singleVersion));
     }
--- a/ebonyrun-core/src/test/java/org/ebonyrun/core/step/TrainerLoad.java
+++ b/ebonyrun-core/src/test/java/org/ebonyrun/core/step/TrainerLoad.java
@@ -16,7 +16,6 @@
 import org.ebonyrun.core.route.Route;
 import org.ebonyrun.core.route.RouteKind;
 import org.ebonyrun.core.route.StepTerms;
-import org.ebonyrun.core.route.WeightedService;
 
 /**
  * Trainers that ask for step after step from a pool of endpoints, in virtual time.
@@ -35,12 +34,8 @@
     private static final int MEAN_EVENTS = 20;
     private static final int LONG_EVENTS = 100;
     private static final Route ROUTE =
-            new Route(
-                    "r",
-                    "x",
-                    "/",
+            Endpoints.route(
                     RouteKind.STEPS,
-                    List.of(new WeightedService(Endpoints.SERVICE, 1)),
                     new CallTerms(10_000, 500, 3, 0),
                     new StepTerms(7_500, 40_000, false));
 
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/HostedEntry.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/HostedEntry.java
@@ -1,5 +1,6 @@
 package org.ebonyrun.daemon.hosted;
 
+import java.io.Closeable;
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
@@ -52,7 +53,7 @@
  * <p>One I/O thread reads and writes all sockets; one duty holds all state and takes all decisions;
  * a bounded ring joins them. Thread safe: {@link #drain} may be called from any thread.
  */
-public final class HostedEntry implements EntryParts, DutyHandler<Runnable> {
+public final class HostedEntry implements EntryParts, DutyHandler<Runnable>, Closeable {
     private static final int RING = 16_384;
     private static final long TICK_NANOS = Nanos.ofMillis(20);
     // The waits bound how long a connection that fell silent stays unnoticed; each costs every
@@ -540,4 +541,12 @@
         mLog.write(LogLine.of("stopped").with("busy", mFront.busy()));
         mLog.close();
     }
+
+    /** Stops at once: closes all connections and hands nothing over. Does nothing if repeated. */
+    @Override
+    public void close() throws IOException {
+        mTransport.shutdownNow();
+        mDuty.close();
+        mLog.close();
+    }
 }
--- a/ebonyrun-daemon/src/test/java/org/ebonyrun/daemon/hosted/HostedEntryTest.java
+++ b/ebonyrun-daemon/src/test/java/org/ebonyrun/daemon/hosted/HostedEntryTest.java
@@ -6,130 +6,18 @@
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.not;
 
-import com.fasterxml.jackson.databind.JsonNode;
 import java.io.IOException;
-import java.io.OutputStream;
-import java.net.InetAddress;
-import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
-import java.net.URI;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
-import java.util.function.BooleanSupplier;
-import java.util.function.Predicate;
-import org.ebonyrun.base.json.JsonTrees;
-import org.ebonyrun.base.log.EventLog;
 import org.ebonyrun.core.step.StepId;
 import org.ebonyrun.platform.standin.StandinEndpoint;
-import org.ebonyrun.platform.standin.StandinScene;
-import org.ebonyrun.ports.http.HttpCall;
-import org.ebonyrun.ports.http.HttpCaller;
 import org.ebonyrun.ports.http.HttpReply;
-import org.junit.jupiter.api.AfterEach;
-import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
-class HostedEntryTest {
-    private static final int MOST_TRIES = 2_000;
-    private static final long TIMEOUT_MILLIS = 3_000;
-    // Above the time that the configuration allows for headers.
-    private static final int SOCKET_TIMEOUT_MILLIS = 10_000;
-
-    private StandinScene mScene;
-    private HttpCaller mCaller;
-    private String mFirst;
-    private String mSecond;
-    private String mMetrics;
-    private HostedEntry mFirstEntry;
-
-    @BeforeEach
-    void start() throws IOException {
-        mScene = StandinScene.start(freeAddress(), freeAddress());
-        mCaller = HttpCaller.start();
-        mFirst = text(freeAddress());
-        mSecond = text(freeAddress());
-        mMetrics = text(freeAddress());
-        mFirstEntry = entry("edge-1", mFirst);
-        entry("edge-2", mSecond);
-        untilReady(mFirst);
-        untilReady(mSecond);
-    }
-
-    @AfterEach
-    void stop() throws IOException {
-        mCaller.close();
-        mScene.close();
-    }
-
-    private HostedEntry entry(String vm, String front) throws IOException {
-        String settings =
-                HostedSettingsTest.WHOLE
-                        .replace("edge-1", vm)
-                        .replace("10.1.0.35:8144", front)
-                        .replace("10.1.0.35:8140", text(freeAddress()))
-                        .replace(
-                                "10.1.0.35:9464",
-                                vm.equals("edge-1") ? mMetrics : text(freeAddress()))
-                        .replace("10.200.1.7:8142", text(mScene.store()));
-        HostedSettings parsed = HostedSettings.parse("test", settings).settings();
-        return HostedEntry.start(parsed, EventLog.start(OutputStream.nullOutputStream()));
-    }
-
-    private static InetSocketAddress freeAddress() throws IOException {
-        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            return new InetSocketAddress("127.0.0.1", socket.getLocalPort());
-        }
-    }
-
-    private static String text(InetSocketAddress address) {
-        return address.getHostString() + ":" + address.getPort();
-    }
-
-    private HttpReply send(String front, String method, String path, String id, String body) {
-        byte[] bytes = body.getBytes(StandardCharsets.UTF_8);
-        URI uri = URI.create("http://" + front + path);
-        HttpCall call = HttpCall.to(method, uri, StandinScene.headers(id), bytes, TIMEOUT_MILLIS);
-        return mCaller.request(call, "test").join().fold(r -> r, f -> new HttpReply(0, bytes));
-    }
-
-    /** Repeats a request until its answer is as wanted; each try takes the time of an exchange. */
-    private HttpReply until(
-            Predicate<HttpReply> wanted, String front, String method, String path, String id) {
-        HttpReply reply = send(front, method, path, id, "");
-        for (int i = 0; i < MOST_TRIES && !wanted.test(reply); i++) {
-            reply = send(front, method, path, id, "");
-        }
-        return reply;
-    }
-
-    /** Waits until something holds; each look takes the time of an exchange. */
-    private void untilTrue(BooleanSupplier wanted) {
-        until(reply -> wanted.getAsBoolean(), mFirst, "POST", mScene.callPath(), "look");
-        assertThat(wanted.getAsBoolean(), is(true));
-    }
-
-    private void untilReady(String front) {
-        until(HttpReply::isSuccess, front, "POST", mScene.callPath(), "warm");
-    }
-
-    /** Reads all results of a step, page by page as a trainer does, and returns their text. */
-    private String results(String front, String step) {
-        StringBuilder pages = new StringBuilder();
-        int next = 0;
-        for (int i = 0; i < MOST_TRIES && next < mScene.samples(); i++) {
-            HttpReply page = send(front, "GET", mScene.resultsPath(step, next), "", "");
-            if (page.isSuccess()) {
-                JsonNode json = JsonTrees.read(page.body());
-                json.path("results").forEach(result -> pages.append(result).append('\n'));
-                next = json.path("next").asInt();
-            }
-        }
-        return pages.toString();
-    }
-
+class HostedEntryTest extends HostedFixture {
     @Test
     void aCallIsAnsweredByTheEndpointOfItsRoute() {
         HttpReply reply = send(mFirst, "POST", mScene.callPath(), "c1", mScene.callBody());
--- /dev/null
+++ b/ebonyrun-daemon/src/test/java/org/ebonyrun/daemon/hosted/HostedFixture.java
@@ -0,0 +1,145 @@
+package org.ebonyrun.daemon.hosted;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.io.IOException;
+import java.io.OutputStream;
+import java.net.BindException;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.URI;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.BooleanSupplier;
+import java.util.function.Predicate;
+import org.ebonyrun.base.json.JsonTrees;
+import org.ebonyrun.base.log.EventLog;
+import org.ebonyrun.platform.standin.StandinScene;
+import org.ebonyrun.ports.http.HttpCall;
+import org.ebonyrun.ports.http.HttpCaller;
+import org.ebonyrun.ports.http.HttpReply;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+
+/**
+ * A deployment of the stand-in with two entries, and a client of it.
+ *
+ * <p>Waits end with an event or after a number of exchanges, never after a time.
+ */
+abstract class HostedFixture {
+    static final int MOST_TRIES = 2_000;
+    // Below the ports that systems use for outgoing connections.
+    private static final int FIRST_PORT = 12_000;
+    private static final int PORTS = 18_000;
+    private static final AtomicInteger NEXT_PORT =
+            new AtomicInteger((int) ProcessHandle.current().pid() * 97);
+    static final long TIMEOUT_MILLIS = 3_000;
+    // Above the time that the configuration allows for headers.
+    static final int SOCKET_TIMEOUT_MILLIS = 10_000;
+
+    StandinScene mScene;
+    HttpCaller mCaller;
+    String mFirst;
+    String mSecond;
+    String mMetrics;
+    HostedEntry mFirstEntry;
+    HostedEntry mSecondEntry;
+
+    @BeforeEach
+    void start() throws IOException {
+        mScene = StandinScene.start(freeAddress(), freeAddress());
+        mCaller = HttpCaller.start();
+        mFirst = text(freeAddress());
+        mSecond = text(freeAddress());
+        mMetrics = text(freeAddress());
+        mFirstEntry = entry("edge-1", mFirst);
+        mSecondEntry = entry("edge-2", mSecond);
+        untilReady(mFirst);
+        untilReady(mSecond);
+    }
+
+    @AfterEach
+    void stop() throws IOException {
+        mFirstEntry.close();
+        mSecondEntry.close();
+        mCaller.close();
+        mScene.close();
+    }
+
+    HostedEntry entry(String vm, String front) throws IOException {
+        String settings =
+                HostedSettingsTest.WHOLE
+                        .replace("edge-1", vm)
+                        .replace("10.1.0.35:8144", front)
+                        .replace("10.1.0.35:8140", text(freeAddress()))
+                        .replace(
+                                "10.1.0.35:9464",
+                                vm.equals("edge-1") ? mMetrics : text(freeAddress()))
+                        .replace("10.200.1.7:8142", text(mScene.store()));
+        HostedSettings parsed = HostedSettings.parse("test", settings).settings();
+        return HostedEntry.start(parsed, EventLog.start(OutputStream.nullOutputStream()));
+    }
+
+    /** Returns an address that is free, with a port that no outgoing connection is given. */
+    static InetSocketAddress freeAddress() throws IOException {
+        for (int i = 0; i < PORTS; i++) {
+            int port = FIRST_PORT + Math.floorMod(NEXT_PORT.getAndIncrement(), PORTS);
+            InetSocketAddress address = new InetSocketAddress("127.0.0.1", port);
+            try (ServerSocket socket = new ServerSocket()) {
+                socket.bind(address);
+                return address;
+            } catch (BindException ignored) {
+                // Another process has it; the next may be free.
+            }
+        }
+        throw new IOException("no port is free from " + FIRST_PORT + " on");
+    }
+
+    static String text(InetSocketAddress address) {
+        return address.getHostString() + ":" + address.getPort();
+    }
+
+    HttpReply send(String front, String method, String path, String id, String body) {
+        byte[] bytes = body.getBytes(StandardCharsets.UTF_8);
+        URI uri = URI.create("http://" + front + path);
+        HttpCall call = HttpCall.to(method, uri, StandinScene.headers(id), bytes, TIMEOUT_MILLIS);
+        return mCaller.request(call, "test").join().fold(r -> r, f -> new HttpReply(0, bytes));
+    }
+
+    /** Repeats a request until its answer is as wanted; each try takes the time of an exchange. */
+    HttpReply until(
+            Predicate<HttpReply> wanted, String front, String method, String path, String id) {
+        HttpReply reply = send(front, method, path, id, "");
+        for (int i = 0; i < MOST_TRIES && !wanted.test(reply); i++) {
+            reply = send(front, method, path, id, "");
+        }
+        return reply;
+    }
+
+    /** Waits until something holds; each look takes the time of an exchange. */
+    void untilTrue(BooleanSupplier wanted) {
+        until(reply -> wanted.getAsBoolean(), mFirst, "POST", mScene.callPath(), "look");
+        assertThat(wanted.getAsBoolean(), is(true));
+    }
+
+    void untilReady(String front) {
+        until(HttpReply::isSuccess, front, "POST", mScene.callPath(), "warm");
+    }
+
+    /** Reads all results of a step, page by page as a trainer does, and returns their text. */
+    String results(String front, String step) {
+        StringBuilder pages = new StringBuilder();
+        int next = 0;
+        for (int i = 0; i < MOST_TRIES && next < mScene.samples(); i++) {
+            HttpReply page = send(front, "GET", mScene.resultsPath(step, next), "", "");
+            if (page.isSuccess()) {
+                JsonNode json = JsonTrees.read(page.body());
+                json.path("results").forEach(result -> pages.append(result).append('\n'));
+                next = json.path("next").asInt();
+            }
+        }
+        return pages.toString();
+    }
+}
