Treat stored texts that can't be read as a failed load

Cause, from reading the diff: an exception of the decoder ended the chain of calls, so a step whose stored values could not be read stayed in the list of claims for good. Now the load fails, is logged and repeated; a new step runs without the texts (test against the stand-in).

--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/StepOwner.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/StepOwner.java
@@ -432,7 +432,8 @@
                         result -> {
                             boolean loaded =
                                     result.fold(
-                                            stored -> adopt(id, stored, revision), fault -> false);
+                                            stored -> adopt(id, stored, revision),
+                                            fault -> logUnloaded(id, fault));
                             if (loaded) {
                                 mClaiming.remove(id);
                             } else {
@@ -442,6 +443,12 @@
                         mParts.executor());
     }
 
+    private boolean logUnloaded(StepId id, Fault fault) {
+        mParts.log()
+                .write(LogLine.of("step.unloaded").with("step", id).with("why", fault.detail()));
+        return false;
+    }
+
     private boolean adopt(StepId id, StoredStep stored, long revision) {
         KnownStep known = mParts.directory().get(id);
         StepManifest manifest = known == null ? null : known.mManifest;
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/StepStore.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/StepStore.java
@@ -7,6 +7,8 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import org.ebonyrun.base.result.Fault;
+import org.ebonyrun.base.result.FaultCode;
 import org.ebonyrun.base.result.Result;
 import org.ebonyrun.core.step.PartialText;
 import org.ebonyrun.core.step.SampleResult;
@@ -199,13 +201,13 @@
     /** Reads the bulk of a step. */
     CompletableFuture<Result<StoredStep>> load(StepId id) {
         return readAll(StepKeys.data(id), "", new ArrayList<>(), 0)
-                .thenApply(result -> result.map(StepStore::stored));
+                .thenApply(result -> result.flatMap(StepStore::read));
     }
 
     /** Reads the results of a step. */
     CompletableFuture<Result<StoredStep>> loadResults(StepId id) {
         return readAll(StepKeys.results(id), "", new ArrayList<>(), 0)
-                .thenApply(result -> result.map(StepStore::stored));
+                .thenApply(result -> result.flatMap(StepStore::read));
     }
 
     private CompletableFuture<Result<StorePage>> readAll(
@@ -235,6 +237,17 @@
                                                         Result.err(fault))));
     }
 
+    private static Result<StoredStep> read(StorePage page) {
+        try {
+            return Result.ok(stored(page));
+        } catch (IllegalArgumentException e) {
+            String detail = "stored values can't be read: " + e.getMessage();
+            return Result.err(
+                    Fault.unknown(FaultCode.PLATFORM_UNAVAILABLE, "step.load", "", detail));
+        }
+    }
+
+    /** Decodes what is kept of a step; throws {@link IllegalArgumentException} if it can't. */
     private static StoredStep stored(StorePage page) {
         ByteArrayOutputStream submission = new ByteArrayOutputStream();
         List<SampleResult> listed = new ArrayList<>();
--- a/ebonyrun-daemon/src/test/java/org/ebonyrun/daemon/hosted/HostedEntryTest.java
+++ b/ebonyrun-daemon/src/test/java/org/ebonyrun/daemon/hosted/HostedEntryTest.java
@@ -104,6 +104,23 @@
         assertThat(seen.stream().filter(run -> run.matches("sample.*@0")).count(), is(2L));
     }
 
+    @Test
+    void unreadableTextsOfAnEndedStepAreNotUsed() {
+        mScene.endpoint().breakAllAt(2);
+        send(mFirst, "POST", mScene.stepPath(), "st10", mScene.stepBody(1));
+        untilTrue(() -> mScene.endpoint().seen().contains("sample-1@2"));
+        send(mSecond, "DELETE", mScene.endPath("st10"), "", "");
+        String texts = StepKeys.partial(StepId.of("st10"));
+        untilTrue(() -> mScene.platform().store().get(texts) != null);
+        String broken = "{\"texts\":[{\"id\":\"sample-1\",\"events\":[\"x\"],\"versions\":[]}]}";
+        mScene.platform().put(texts, broken);
+        mScene.endpoint().breakAllAt(0);
+        send(mSecond, "POST", mScene.stepPath(), "st11", mScene.stepBody(2));
+        String text = StandinEndpoint.text("sample-1", mScene.events()).replace("\n", "\\n");
+
+        assertThat(results(mFirst, "st11"), containsString("\"text\":\"" + text + "\""));
+    }
+
     @Test
     void aStepWhoseOwnerStopsIsFinishedByAnotherEntry() throws InterruptedException {
         mScene.endpoint().refuseNext(1_000_000);
