Ask again with a short wait after a fault, and wait less for changes

Cause, from the entry's log: the store's watches heard nothing for a second, then the history was dropped and one watch was closed (8.39 s). On the store's return, 9 ms later, the other watches were sent again with their full wait, and the store said that their history was gone only when the wait was over: 4.0 s later.

--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/HostedEntry.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/HostedEntry.java
@@ -56,21 +56,22 @@
 public final class HostedEntry implements EntryParts, DutyHandler<Runnable>, Closeable {
     private static final int RING = 16_384;
     private static final long TICK_NANOS = Nanos.ofMillis(20);
-    // The waits bound how long a connection that fell silent stays unnoticed; each costs every
-    // entry
-    // one call. The gathering times are below what a leaving endpoint, and a trainer between two
-    // steps, allow.
-    private static final StoreWatch.Pace OPERATOR_PACE = new StoreWatch.Pace(4_000, 0);
+    // Bounds, with the slack of the client, how long a connection that fell silent stays unnoticed:
+    // less than the shortest time after which an entry that was cut off must be up to date again.
+    private static final long WATCH_MILLIS = 2_200;
+    // The gathering times are below what a leaving endpoint, and a trainer between two steps,
+    // allow.
+    private static final StoreWatch.Pace OPERATOR_PACE = new StoreWatch.Pace(WATCH_MILLIS, 0);
     private static final StoreWatch.Pace ENDPOINT_PACE =
-            new StoreWatch.Pace(4_000, Nanos.ofMillis(1_200));
+            new StoreWatch.Pace(WATCH_MILLIS, Nanos.ofMillis(1_200));
     private static final StoreWatch.Pace LIVE_PACE =
-            new StoreWatch.Pace(5_000, Nanos.ofMillis(300));
+            new StoreWatch.Pace(WATCH_MILLIS, Nanos.ofMillis(300));
     // For an entry that owns nothing: it needs steps only to take them when their owner is gone.
     private static final StoreWatch.Pace IDLE_LIVE_PACE =
-            new StoreWatch.Pace(5_000, Nanos.ofMillis(2_000));
+            new StoreWatch.Pace(WATCH_MILLIS, Nanos.ofMillis(2_000));
     // For the same: versions are named often, and a configuration may wait for this long.
     private static final StoreWatch.Pace IDLE_OPERATOR_PACE =
-            new StoreWatch.Pace(4_000, Nanos.ofMillis(700));
+            new StoreWatch.Pace(WATCH_MILLIS, Nanos.ofMillis(700));
     private static final long SWEEP_NANOS = Nanos.ofMillis(500);
     // Longest silence of the store after which the entry asks callers to go elsewhere.
     private static final long STORE_SILENCE_NANOS = Nanos.ofMillis(1_500);
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/StoreWatch.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/StoreWatch.java
@@ -24,6 +24,9 @@
  * <p>Not thread safe; every callback and method runs on the duty behind {@code executor}.
  */
 final class StoreWatch {
+    // The first wait after a fault: a store that has dropped what changed may say so only when the
+    // wait is over.
+    private static final long WAIT_AFTER_FAULT_MILLIS = 200;
     // The least time between a call that failed and the next.
     private static final long RETRY_NANOS = Nanos.ofMillis(250);
     private static final int MAX_PAGES = 1_000;
@@ -61,6 +64,7 @@
     private boolean mWaiting;
     private boolean mStopped;
     private boolean mFaulty;
+    private boolean mHurried;
     private long mCalledAt;
     private int mCalls;
     private boolean mGathering;
@@ -124,6 +128,7 @@
     void onStoreBack() {
         if (mFaulty || mWaiting) {
             mFaulty = false;
+            mHurried = true;
             mWaiting = false;
             mCalls++;
             mResuming = true;
@@ -174,7 +179,9 @@
             return;
         }
         int call = begin();
-        mStore.watch(mPrefix, mRevision, mPace.get().waitMillis())
+        long wait = mHurried ? WAIT_AFTER_FAULT_MILLIS : mPace.get().waitMillis();
+        mHurried = false;
+        mStore.watch(mPrefix, mRevision, wait)
                 .thenAcceptAsync(result -> onChanges(call, result), mExecutor);
     }
 
