--- a/ebonyrun-core/src/main/java/org/ebonyrun/core/call/CallPlacement.java
+++ b/ebonyrun-core/src/main/java/org/ebonyrun/core/call/CallPlacement.java
@@ -19,6 +19,6 @@
      */
     double cost(Endpoint endpoint, boolean tried, long now);
 
-    /** Notes that a call was sent to an endpoint. */
-    void onSent(Endpoint endpoint);
+    /** Notes that a call was sent to an endpoint, which itself counts what it has. */
+    default void onSent(Endpoint endpoint) {}
 }
--- a/ebonyrun-core/src/main/java/org/ebonyrun/core/call/FastestAnswer.java
+++ b/ebonyrun-core/src/main/java/org/ebonyrun/core/call/FastestAnswer.java
@@ -56,9 +56,4 @@
         }
         return cost;
     }
-
-    @Override
-    public void onSent(Endpoint endpoint) {
-        // The endpoint itself counts what it has.
-    }
 }
--- a/ebonyrun-core/src/main/java/org/ebonyrun/core/step/PaceShares.java
+++ b/ebonyrun-core/src/main/java/org/ebonyrun/core/step/PaceShares.java
@@ -33,9 +33,4 @@
         double cost = (endpoint.active() + 1.0) / endpoint.record().slots() * Math.max(1, pace);
         return endpoint.id().equals(sample.mAvoid) ? cost + 1 : cost;
     }
-
-    @Override
-    public void onSent(Endpoint endpoint) {
-        // The endpoint itself counts what it has.
-    }
 }
--- a/ebonyrun-core/src/main/java/org/ebonyrun/core/step/SamplePlacement.java
+++ b/ebonyrun-core/src/main/java/org/ebonyrun/core/step/SamplePlacement.java
@@ -15,6 +15,6 @@
     /** Returns what it costs to run a sample at an endpoint; the least costly one gets it. */
     double cost(Endpoint endpoint, SampleRun sample, double bestPace);
 
-    /** Notes that a sample was sent to an endpoint. */
-    void onSent(Endpoint endpoint);
+    /** Notes that a sample was sent to an endpoint, which itself counts what it has. */
+    default void onSent(Endpoint endpoint) {}
 }
--- a/ebonyrun-core/src/main/java/org/ebonyrun/core/step/StepMachine.java
+++ b/ebonyrun-core/src/main/java/org/ebonyrun/core/step/StepMachine.java
@@ -469,11 +469,13 @@
         for (SampleRun sample : waiting(now)) {
             if (sample.mTextWhole) {
                 startScore(sample);
-            } else if (!unmet.contains(SampleScheduler.demand(sample)) && !place(sample, now)) {
-                // Samples without text differ in nothing that decides whether they fit.
-                if (sample.mEvents.isEmpty()) {
-                    unmet.add(SampleScheduler.demand(sample));
-                }
+                continue;
+            }
+            SampleScheduler.Demand demand = SampleScheduler.demand(sample);
+            boolean placed = !unmet.contains(demand) && place(sample, now);
+            // Samples without text differ in nothing that decides whether they fit.
+            if (!placed && sample.mEvents.isEmpty()) {
+                unmet.add(demand);
             }
         }
     }
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/CallExchange.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/CallExchange.java
@@ -4,9 +4,7 @@
 import java.util.concurrent.Executor;
 import org.ebonyrun.core.call.AttemptEnd;
 import org.ebonyrun.platform.EndpointProtocol;
-import org.ebonyrun.ports.http.HttpExchange;
 import org.ebonyrun.ports.http.HttpHead;
-import org.ebonyrun.ports.http.HttpListener;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -15,7 +13,7 @@
  * <p>The I/O thread collects the answer; the entry's duty reads it after {@link Sink#onEnd}. With
  * {@code streaming}, pieces of a success are passed on as they arrive.
  */
-final class CallExchange implements HttpListener {
+final class CallExchange extends EndpointExchange {
     /** Hears of the attempt on the entry's duty. */
     interface Sink {
         /** The head of a stream arrived. */
@@ -31,19 +29,16 @@
     private final long mAttempt;
     private final String mRequestId;
     private final boolean mStreaming;
-    private final Executor mExecutor;
     private final Sink mSink;
     private final ByteArrayOutputStream mBody = new ByteArrayOutputStream();
-    private @Nullable HttpHead mHead;
     private boolean mPassing;
-    private @Nullable HttpExchange mExchange;
     private String mDetail = "";
 
     CallExchange(long attempt, String requestId, boolean streaming, Executor executor, Sink sink) {
+        super(executor);
         mAttempt = attempt;
         mRequestId = requestId;
         mStreaming = streaming;
-        mExecutor = executor;
         mSink = sink;
     }
 
@@ -63,16 +58,6 @@
         return mDetail;
     }
 
-    void setExchange(HttpExchange exchange) {
-        mExchange = exchange;
-    }
-
-    void cancel() {
-        if (mExchange != null) {
-            mExchange.cancel();
-        }
-    }
-
     @Override
     public void onHead(HttpHead head) {
         mHead = head;
@@ -80,14 +65,14 @@
         boolean signed = EndpointProtocol.attemptEnd(head) == AttemptEnd.ANSWERED;
         mPassing = mStreaming && own && head.isSuccess() && signed;
         if (mPassing) {
-            mExecutor.execute(() -> mSink.onHead(this, head));
+            tell(() -> mSink.onHead(this, head));
         }
     }
 
     @Override
     public void onData(byte[] data) {
         if (mPassing) {
-            mExecutor.execute(() -> mSink.onPiece(this, data));
+            tell(() -> mSink.onPiece(this, data));
         } else {
             mBody.writeBytes(data);
         }
@@ -101,13 +86,13 @@
             mDetail = "the answer belongs to another request";
         }
         AttemptEnd end = own ? EndpointProtocol.attemptEnd(head) : AttemptEnd.LOST;
-        mExecutor.execute(() -> mSink.onEnd(this, end));
+        tell(() -> mSink.onEnd(this, end));
     }
 
     @Override
     public void onFailure(boolean sent, String detail) {
         mDetail = detail;
         AttemptEnd end = sent ? AttemptEnd.LOST : AttemptEnd.UNREACHABLE;
-        mExecutor.execute(() -> mSink.onEnd(this, end));
+        tell(() -> mSink.onEnd(this, end));
     }
 }
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/HostedEntry.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/HostedEntry.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.Executor;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import java.util.function.Supplier;
 import org.ebonyrun.base.duty.Duty;
 import org.ebonyrun.base.duty.DutyHandler;
@@ -39,13 +40,13 @@
 import org.ebonyrun.ports.http.FrontLimits;
 import org.ebonyrun.ports.http.FrontServer;
 import org.ebonyrun.ports.http.HttpCaller;
-import org.ebonyrun.ports.store.SharedStore;
 import org.ebonyrun.ports.store.StoreChange;
 import org.ebonyrun.ports.store.StoreItem;
 import org.glassfish.grizzly.nio.transport.TCPNIOTransport;
 import org.glassfish.grizzly.nio.transport.TCPNIOTransportBuilder;
 import org.glassfish.grizzly.strategies.SameThreadIOStrategy;
 import org.glassfish.grizzly.threadpool.ThreadPoolConfig;
+import org.jspecify.annotations.Nullable;
 
 /**
  * An entry that reaches endpoints and the shared store itself.
@@ -138,9 +139,19 @@
         mReader = new StepReader(this, mStore, stepStore, mSteps, mFrontDesk);
         mFrontDesk.bind(mReader);
         mSamples.bind(mCalls, mSteps, mReader);
-        mWatches.add(watch(mStore, OperatorDecoder.PREFIX, this::operatorPace, this::onOperator));
-        mWatches.add(watch(mStore, EndpointDecoder.PREFIX, () -> ENDPOINT_PACE, this::onEndpoint));
-        mWatches.add(watch(mStore, StepKeys.LIVE, this::livePace, this::onLive));
+        mWatches.add(
+                watch(
+                        OperatorDecoder.PREFIX,
+                        this::operatorPace,
+                        items -> items.forEach(this::onOperator),
+                        change -> onOperator(change.item())));
+        mWatches.add(
+                watch(
+                        EndpointDecoder.PREFIX,
+                        () -> ENDPOINT_PACE,
+                        this::onEndpoints,
+                        this::onEndpoint));
+        mWatches.add(watch(StepKeys.LIVE, this::livePace, this::onAllLive, this::onLiveChange));
         mTransport.start();
         FrontServer.bind(mTransport, settings.ready(), new ReadyDesk(() -> mReady), () -> mLimits);
         FrontServer.bind(
@@ -303,11 +314,6 @@
         mPlanner.onLeaseLost();
     }
 
-    /** Takes a change of one key in; the item is null if the key was removed. */
-    private interface KeyHandler {
-        void onKey(StoreChange change, boolean snapshot);
-    }
-
     private boolean isIdle() {
         return !mSteps.isNeeded() && !mPlanner.isHolding();
     }
@@ -321,21 +327,24 @@
     }
 
     private StoreWatch watch(
-            SharedStore store, String prefix, Supplier<StoreWatch.Pace> pace, KeyHandler handler) {
+            String prefix,
+            Supplier<StoreWatch.Pace> pace,
+            Consumer<List<StoreItem>> onSnapshot,
+            Consumer<StoreChange> onChange) {
         return new StoreWatch(
-                store,
+                mStore,
                 prefix,
                 pace,
                 executor(),
                 new StoreWatch.Listener() {
                     @Override
                     public void onSnapshot(List<StoreItem> items) {
-                        snapshot(prefix, items, handler);
+                        onSnapshot.accept(items);
                     }
 
                     @Override
                     public void onChange(StoreChange change) {
-                        handler.onKey(change, false);
+                        onChange.accept(change);
                     }
 
                     @Override
@@ -350,20 +359,6 @@
                 });
     }
 
-    private void snapshot(String prefix, List<StoreItem> items, KeyHandler handler) {
-        if (prefix.equals(StepKeys.LIVE)) {
-            mDirectory.onSnapshot(items);
-        }
-        if (prefix.equals(EndpointDecoder.PREFIX)) {
-            List<EndpointRecord> records = new ArrayList<>();
-            items.forEach(item -> record(item).ifPresent(records::add));
-            mFleet.onSnapshot(records, System.nanoTime());
-            return;
-        }
-        items.forEach(
-                item -> handler.onKey(new StoreChange(item.key(), item.revision(), item), true));
-    }
-
     private StoreHealth.Listener healthListener() {
         return new StoreHealth.Listener() {
             @Override
@@ -393,12 +388,12 @@
         mHealth.onProbeEnd(round, fault, System.nanoTime());
     }
 
-    private void onOperator(StoreChange change, boolean snapshot) {
-        String key = change.key();
-        StoreItem item = change.item();
+    /** Takes what the operator wrote in; null if a key was removed, which changes nothing. */
+    private void onOperator(@Nullable StoreItem item) {
         if (item == null) {
             return;
         }
+        String key = item.key();
         try {
             OperatorDecoder.decode(key, item.value()).ifPresent(this::apply);
         } catch (IllegalArgumentException e) {
@@ -454,7 +449,13 @@
         }
     }
 
-    private void onEndpoint(StoreChange change, boolean snapshot) {
+    private void onEndpoints(List<StoreItem> items) {
+        List<EndpointRecord> records = new ArrayList<>();
+        items.forEach(item -> record(item).ifPresent(records::add));
+        mFleet.onSnapshot(records, System.nanoTime());
+    }
+
+    private void onEndpoint(StoreChange change) {
         String key = change.key();
         StoreItem item = change.item();
         String id = EndpointDecoder.id(key);
@@ -478,10 +479,18 @@
         }
     }
 
-    private void onLive(StoreChange change, boolean snapshot) {
-        if (!snapshot) {
-            mDirectory.onChange(change);
-        }
+    private void onAllLive(List<StoreItem> items) {
+        mDirectory.onSnapshot(items);
+        items.forEach(item -> onLive(new StoreChange(item.key(), item.revision(), item)));
+    }
+
+    private void onLiveChange(StoreChange change) {
+        mDirectory.onChange(change);
+        onLive(change);
+    }
+
+    /** Takes the change of a key in that the directory knows already. */
+    private void onLive(StoreChange change) {
         String key = change.key();
         if (key.equals(StepKeys.PLANNER)) {
             mPlanner.onPlanner(change.item(), change.revision());
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/ResultWriter.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/ResultWriter.java
@@ -65,7 +65,7 @@
             return;
         }
         if (pending == null) {
-            checkpoint(id, owned, now);
+            keep(id, owned, partialWhenDue(id, owned, CHECKPOINT_NANOS, now));
         } else if (!pending.mCalling && now - pending.mRetryAt >= 0) {
             send(id, owned);
         }
@@ -89,35 +89,29 @@
             return NOTHING;
         }
         owned.mCheckpointAt = now;
-        List<PartialText> texts = mMachine.unfinished(id, CHECKPOINT_EVENTS);
-        if (texts.isEmpty()) {
-            return NOTHING;
-        }
-        byte[] partial = StepCodec.partial(texts);
-        return partial.length > CHECKPOINT_BYTES ? NOTHING : partial;
+        return encode(id, mMachine.unfinished(id, CHECKPOINT_EVENTS));
     }
 
-    /**
-     * Keeps texts of a step that lists nothing for a while. A failure costs no more than a rerun.
-     */
-    private void checkpoint(StepId id, OwnedStep owned, long now) {
-        byte[] partial = partialWhenDue(id, owned, CHECKPOINT_NANOS, now);
-        if (partial.length > 0) {
-            keep(id, owned, partial);
+    /** Returns texts as they are kept; empty if there are none or they take too much room. */
+    private byte[] encode(StepId id, List<PartialText> texts) {
+        byte[] partial = texts.isEmpty() ? NOTHING : StepCodec.partial(texts);
+        if (partial.length > CHECKPOINT_BYTES) {
+            logUnkept(id, "texts have " + partial.length + " bytes");
+            return NOTHING;
         }
+        return partial;
     }
 
     /** Keeps texts of a step that has ended, for a later step that asks for them again. */
     void keepTexts(StepId id, OwnedStep owned, List<PartialText> texts) {
-        byte[] partial = texts.isEmpty() ? NOTHING : StepCodec.partial(texts);
-        if (partial.length > CHECKPOINT_BYTES) {
-            logUnkept(id, "texts have " + partial.length + " bytes");
-        } else if (partial.length > 0) {
-            keep(id, owned, partial);
-        }
+        keep(id, owned, encode(id, texts));
     }
 
+    /** Keeps texts, if there are any. A failure costs no more than a rerun. */
     private void keep(StepId id, OwnedStep owned, byte[] partial) {
+        if (partial.length == 0) {
+            return;
+        }
         mStore.checkpoint(id, owned.mRevision, partial)
                 .thenAcceptAsync(
                         result ->
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/SampleExchange.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/SampleExchange.java
@@ -5,12 +5,9 @@
 import java.util.concurrent.Executor;
 import org.ebonyrun.core.step.RunEnd;
 import org.ebonyrun.platform.EndpointProtocol;
-import org.ebonyrun.ports.http.HttpExchange;
 import org.ebonyrun.ports.http.HttpHead;
-import org.ebonyrun.ports.http.HttpListener;
 import org.ebonyrun.ports.http.SseEvent;
 import org.ebonyrun.ports.http.SseEventParser;
-import org.jspecify.annotations.Nullable;
 
 /**
  * One run of a sample at an endpoint.
@@ -18,7 +15,7 @@
  * <p>The I/O thread cuts the stream into events; they reach the entry's duty in order, those of one
  * read together.
  */
-final class SampleExchange implements HttpListener {
+final class SampleExchange extends EndpointExchange {
     /** Hears of the run on the entry's duty. */
     interface Sink {
         /** The stream began. */
@@ -34,33 +31,20 @@
     private final long mRun;
     private final String mSample;
     private final String mEndpoint;
-    private final Executor mExecutor;
     private final Sink mSink;
     private List<SseEvent> mEvents = new ArrayList<>();
     private final SseEventParser mParser = SseEventParser.create(event -> mEvents.add(event));
-    private @Nullable HttpHead mHead;
-    private @Nullable HttpExchange mExchange;
     private boolean mStream;
     private boolean mBroken;
 
     SampleExchange(long run, String sample, String endpoint, Executor executor, Sink sink) {
+        super(executor);
         mRun = run;
         mSample = sample;
         mEndpoint = endpoint;
-        mExecutor = executor;
         mSink = sink;
     }
 
-    void setExchange(HttpExchange exchange) {
-        mExchange = exchange;
-    }
-
-    void cancel() {
-        if (mExchange != null) {
-            mExchange.cancel();
-        }
-    }
-
     @Override
     public void onHead(HttpHead head) {
         mHead = head;
@@ -69,7 +53,7 @@
         mBroken = !own;
         if (mStream) {
             int version = EndpointProtocol.version(head);
-            mExecutor.execute(() -> mSink.onBegun(mRun, version));
+            tell(() -> mSink.onBegun(mRun, version));
         }
     }
 
@@ -82,7 +66,7 @@
         if (!mEvents.isEmpty()) {
             List<SseEvent> events = mEvents;
             mEvents = new ArrayList<>();
-            mExecutor.execute(() -> mSink.onEvents(mRun, events));
+            tell(() -> mSink.onEvents(mRun, events));
         }
     }
 
@@ -90,7 +74,7 @@
     public void onEnd() {
         RunEnd end = end();
         String detail = mHead == null ? "no head" : "status " + mHead.status();
-        mExecutor.execute(() -> mSink.onEnd(mRun, end, detail));
+        tell(() -> mSink.onEnd(mRun, end, detail));
     }
 
     private RunEnd end() {
@@ -109,6 +93,6 @@
     @Override
     public void onFailure(boolean sent, String detail) {
         RunEnd end = sent ? RunEnd.BROKEN : RunEnd.UNREACHABLE;
-        mExecutor.execute(() -> mSink.onEnd(mRun, end, detail));
+        tell(() -> mSink.onEnd(mRun, end, detail));
     }
 }
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/StoreWatch.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/StoreWatch.java
@@ -62,7 +62,6 @@
     private final Listener mListener;
     private boolean mSynced;
     private boolean mWaiting;
-    private boolean mStopped;
     private boolean mFaulty;
     private boolean mHurried;
     private long mCalledAt;
@@ -96,11 +95,6 @@
         read("", new ArrayList<>(), 0);
     }
 
-    /** Stops following after the open call. */
-    void stop() {
-        mStopped = true;
-    }
-
     /** Returns whether all keys have been read once. */
     boolean isSynced() {
         return mSynced;
@@ -175,9 +169,6 @@
     }
 
     private void follow() {
-        if (mStopped) {
-            return;
-        }
         int call = begin();
         long wait = mHurried ? WAIT_AFTER_FAULT_MILLIS : mPace.get().waitMillis();
         mHurried = false;
