Say that a position has no result only when the store has told all changes

Ruled out: hand-over, cut history (gone=false in both), the position's listing, a load beside a watch.

ResultReader now goes on watching while a watch tells changes and the position is not among them. The random test over load, watch, listing, hand-over, end, lost history and restart found three more holes, closed here: an owner said 'none' while its own results were being stored, or without a valid lease; reads that waited at an owner were answered from its memory after the step had gone elsewhere; reads that waited over a hand-over and back missed what was listed in between. A read that finds nothing is logged (step.read.none).

--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/StepKeys.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/StepKeys.java
@@ -54,6 +54,11 @@
         return results(step) + padded(position);
     }
 
+    /** Returns the position of the first result under a key. */
+    static int position(String resultKey) {
+        return Integer.parseInt(resultKey.substring(resultKey.lastIndexOf('/') + 1));
+    }
+
     /** Returns a number with leading zeros, so that keys sort by it. */
     private static String padded(int number) {
         String digits = Integer.toString(number);
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/StepOwner.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/StepOwner.java
@@ -35,7 +35,7 @@
  *
  * <p>Not thread safe; confined to the entry's duty.
  */
-final class StepOwner implements ResultWriter.Owner {
+final class StepOwner implements ResultWriter.Owner, ResultReader.Ownership {
     private static final long RETRY_NANOS = Nanos.ofMillis(150);
     // Entries that own less take an orphan sooner.
     private static final long CLAIM_BASE_NANOS = Nanos.ofMillis(20);
@@ -69,16 +69,24 @@
         return !mOwned.isEmpty() || !mClaiming.isEmpty() || !mAccepting.isEmpty();
     }
 
-    boolean owns(StepId id) {
+    @Override
+    public boolean owns(StepId id) {
         return mOwned.containsKey(id);
     }
 
+    @Override
+    public boolean isCertain(StepId id) {
+        OwnedStep owned = mOwned.get(id);
+        boolean stored = owned != null && owned.mPending == null;
+        return stored && mParts.lease().isValid(System.nanoTime());
+    }
+
     int size() {
         return mOwned.size();
     }
 
-    /** Returns the results that are listed of an owned step. */
-    List<SampleResult> listed(StepId id) {
+    @Override
+    public List<SampleResult> listed(StepId id) {
         List<SampleResult> listed = mMachine.listed(id);
         return listed == null ? List.of() : listed;
     }
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/StepReader.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/StepReader.java
@@ -1,7 +1,5 @@
 package org.ebonyrun.daemon.hosted;
 
-import java.util.ArrayList;
-import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -12,7 +10,7 @@
 import org.ebonyrun.base.result.Fault;
 import org.ebonyrun.base.result.FaultCode;
 import org.ebonyrun.base.result.Result;
-import org.ebonyrun.base.time.Nanos;
+import org.ebonyrun.base.time.MonotonicClock;
 import org.ebonyrun.core.step.SampleResult;
 import org.ebonyrun.core.step.SampleSpec;
 import org.ebonyrun.core.step.StepId;
@@ -20,24 +18,18 @@
 import org.ebonyrun.platform.StepDecoder;
 import org.ebonyrun.ports.http.FrontExchange;
 import org.ebonyrun.ports.store.SharedStore;
-import org.ebonyrun.ports.store.StoreChange;
-import org.ebonyrun.ports.store.StoreChanges;
 import org.ebonyrun.ports.store.StoreItem;
 import org.jspecify.annotations.Nullable;
 
 /**
- * Answers reads of steps at any entry: from memory where the answer can't change any more, else
- * from the shared store.
+ * Answers reads of steps at any entry.
  *
- * <p>Invariants: a result in memory was acknowledged by the store, and has its position for good;
- * that a step does not exist is said only after the store said so.
+ * <p>Invariant: that a step does not exist is said only after the store said so.
  *
  * <p>Not thread safe; confined to the entry's duty.
  */
 final class StepReader {
-    private static final int MAX_STEPS = 24;
     private static final int MAX_SUBMISSIONS = 4;
-    private static final long MAX_WAIT_MILLIS = 1_000;
 
     /** How a read ends. */
     interface Answers {
@@ -54,38 +46,30 @@
         void unsure(FrontExchange to, Fault fault);
     }
 
-    /** The results of one step that are known here. */
-    private static final class Known {
-        final List<SampleResult> mResults = new ArrayList<>();
-        long mRevision;
-    }
-
-    /** A read that waits for the next result of a step that this entry owns. */
-    private record Waiter(FrontExchange to, StepId step, int from, long until) {}
-
     private final EntryParts mParts;
     private final SharedStore mShared;
     private final StepStore mStore;
-    private final StepOwner mOwner;
     private final Answers mAnswers;
-    private final Map<StepId, Known> mKnown = lru(MAX_STEPS);
+    private final ResultReader mResults;
     private final Map<StepId, StepSpec> mSubmissions = lru(MAX_SUBMISSIONS);
-    private final List<Waiter> mWaiters = new ArrayList<>();
 
     StepReader(
             EntryParts parts,
             SharedStore shared,
             StepStore store,
-            StepOwner owner,
+            ResultReader.Ownership owner,
             Answers answers) {
         mParts = parts;
         mShared = shared;
         mStore = store;
-        mOwner = owner;
         mAnswers = answers;
+        mResults =
+                new ResultReader(
+                        shared, owner, parts.executor(), MonotonicClock.system(), parts.log());
     }
 
-    private static <V> Map<StepId, V> lru(int most) {
+    /** Creates a map that keeps the steps that were used last. */
+    static <V> Map<StepId, V> lru(int most) {
         return new LinkedHashMap<>(most, 0.75f, true) {
             private static final long serialVersionUID = 1;
 
@@ -98,155 +82,40 @@
 
     /** Reads results. */
     void read(StepId step, int from, long waitMillis, FrontExchange to) {
-        withManifest(step, to, manifest -> read(step, manifest, from, waitMillis, to));
-    }
-
-    private void read(
-            StepId step, StepManifest manifest, int from, long waitMillis, FrontExchange to) {
-        Known known = mKnown.computeIfAbsent(step, ignored -> new Known());
-        boolean owned = mOwner.owns(step);
-        if (owned) {
-            adopt(known, mOwner.listed(step));
-        }
-        if (known.mResults.size() > from || from >= manifest.samples()) {
-            answer(to, manifest, from, known);
-        } else if (owned) {
-            long wait = Math.min(waitMillis, MAX_WAIT_MILLIS);
-            long until = System.nanoTime() + Nanos.ofMillis(wait);
-            mWaiters.add(new Waiter(to, step, from, until));
-        } else if (known.mRevision == 0) {
-            mStore.loadResults(step)
-                    .thenAcceptAsync(
-                            result -> onLoaded(step, manifest, from, waitMillis, to, result),
-                            mParts.executor());
-        } else {
-            watch(step, manifest, from, waitMillis, to, known);
-        }
-    }
-
-    private void onLoaded(
-            StepId step,
-            StepManifest manifest,
-            int from,
-            long waitMillis,
-            FrontExchange to,
-            Result<StoredStep> result) {
-        result.fold(
-                stored -> {
-                    Known known = mKnown.computeIfAbsent(step, ignored -> new Known());
-                    adopt(known, stored.listed());
-                    known.mRevision = Math.max(known.mRevision, stored.revision());
-                    if (known.mResults.size() > from || waitMillis <= 0) {
-                        answer(to, manifest, from, known);
-                    } else {
-                        watch(step, manifest, from, waitMillis, to, known);
-                    }
-                    return stored;
-                },
-                fault -> {
-                    mAnswers.unsure(to, fault);
-                    return null;
-                });
-    }
-
-    private static void adopt(Known known, List<SampleResult> listed) {
-        if (listed.size() > known.mResults.size()) {
-            known.mResults.addAll(listed.subList(known.mResults.size(), listed.size()));
-        }
-    }
-
-    private void watch(
-            StepId step,
-            StepManifest manifest,
-            int from,
-            long waitMillis,
-            FrontExchange to,
-            Known known) {
-        long wait = Math.max(1, Math.min(waitMillis, MAX_WAIT_MILLIS));
-        mShared.watch(StepKeys.results(step), known.mRevision, wait)
-                .thenAcceptAsync(
-                        result -> onWatched(step, manifest, from, to, known, result),
-                        mParts.executor());
-    }
-
-    private void onWatched(
-            StepId step,
-            StepManifest manifest,
-            int from,
-            FrontExchange to,
-            Known known,
-            Result<StoreChanges> result) {
-        result.fold(
-                changes -> {
-                    for (StoreChange change : changes.changes()) {
-                        extend(known, change);
-                    }
-                    boolean gap = changes.historyGone() || known.mRevision == 0;
-                    known.mRevision = gap ? 0 : Math.max(known.mRevision, changes.revision());
-                    if (known.mResults.size() <= from && gap) {
-                        mStore.loadResults(step)
-                                .thenAcceptAsync(
-                                        loaded -> onLoaded(step, manifest, from, 0, to, loaded),
-                                        mParts.executor());
-                    } else {
-                        answer(to, manifest, from, known);
-                    }
-                    return changes;
-                },
-                fault -> {
-                    mAnswers.unsure(to, fault);
-                    return null;
-                });
+        withManifest(
+                step,
+                to,
+                manifest ->
+                        mResults.read(
+                                step,
+                                manifest.samples(),
+                                from,
+                                waitMillis,
+                                reply(to, manifest.samples(), from)));
     }
 
-    /** Adds the results of a change; a gap makes the next read start from the store again. */
-    private static void extend(Known known, StoreChange change) {
-        StoreItem item = change.item();
-        if (item == null) {
-            return;
-        }
-        int position = Integer.parseInt(item.key().substring(item.key().lastIndexOf('/') + 1));
-        if (position == known.mResults.size()) {
-            known.mResults.addAll(StepCodec.results(item.value()));
-        } else if (position > known.mResults.size()) {
-            known.mRevision = 0;
-        }
-    }
+    private ResultReader.Reply reply(FrontExchange to, int total, int from) {
+        return new ResultReader.Reply() {
+            @Override
+            public void results(List<SampleResult> results) {
+                mAnswers.results(to, total, from, results);
+            }
 
-    private void answer(FrontExchange to, StepManifest manifest, int from, Known known) {
-        int begin = Math.min(from, known.mResults.size());
-        List<SampleResult> results = known.mResults.subList(begin, known.mResults.size());
-        mAnswers.results(to, manifest.samples(), from, results);
+            @Override
+            public void unsure(Fault fault) {
+                mAnswers.unsure(to, fault);
+            }
+        };
     }
 
     /** Takes in what the owner of a step, this entry, has listed. */
     void onListed(StepId step, List<SampleResult> listed) {
-        adopt(mKnown.computeIfAbsent(step, ignored -> new Known()), listed);
-        answerWaiters(System.nanoTime());
+        mResults.onListed(step, listed);
     }
 
-    /** Answers reads that have waited long enough. */
+    /** Ends reads that have waited long enough. */
     void onTick(long now) {
-        if (!mWaiters.isEmpty()) {
-            answerWaiters(now);
-        }
-    }
-
-    private void answerWaiters(long now) {
-        for (Iterator<Waiter> it = mWaiters.iterator(); it.hasNext(); ) {
-            Waiter waiter = it.next();
-            Known known = mKnown.computeIfAbsent(waiter.step(), ignored -> new Known());
-            KnownStep step = mParts.directory().get(waiter.step());
-            StepManifest manifest = step == null ? null : step.mManifest;
-            boolean due = known.mResults.size() > waiter.from() || now - waiter.until() >= 0;
-            if (due && manifest != null) {
-                it.remove();
-                answer(waiter.to(), manifest, waiter.from(), known);
-            } else if (due) {
-                it.remove();
-                mAnswers.unsure(waiter.to(), unknown("the step's manifest is not known yet"));
-            }
-        }
+        mResults.onTick(now);
     }
 
     private static Fault unknown(String detail) {
--- a/ebonyrun-daemon/src/test/java/org/ebonyrun/daemon/hosted/HostedSoakTest.java
+++ b/ebonyrun-daemon/src/test/java/org/ebonyrun/daemon/hosted/HostedSoakTest.java
@@ -63,6 +63,8 @@
             check(why, other, ended ? 0 : 1);
             // What was being stored when the step ended may still be listed.
             assertThat(why, other, ended ? startsWith(listed) : is(listed));
+            // What one entry has shown, the other shows too.
+            assertThat(why, listed(mFirst, step), startsWith(other));
             call();
         }
     }
