List whole texts of an earlier step at once if they have no score

The step hung until its deadline and the trainer fell behind by 8 s. Ruled out: loads of weights, slow endpoints, the planner's outage (other steps of the same seconds ended in 3 to 4 s).

Such a text is finished as one that a run has just completed.

--- a/ebonyrun-core/src/main/java/org/ebonyrun/core/step/StepMachine.java
+++ b/ebonyrun-core/src/main/java/org/ebonyrun/core/step/StepMachine.java
@@ -323,12 +323,17 @@
     private void onTextWhole(SampleRun sample, long now) {
         release(sample);
         sample.mTextWhole = true;
+        scoreOrFinish(sample, now);
+    }
+
+    /** Has a whole text scored; a sample without a score is finished with its text. */
+    private void scoreOrFinish(SampleRun sample, long now) {
         if (sample.mSpec.score() == null) {
             mRuns.remove(sample.mRun);
             finish(sample, done(sample, ""), now);
-            return;
+        } else {
+            startScore(sample);
         }
-        startScore(sample);
     }
 
     private void startScore(SampleRun sample) {
@@ -468,7 +473,7 @@
         Set<SampleScheduler.Demand> unmet = new HashSet<>();
         for (SampleRun sample : waiting(now)) {
             if (sample.mTextWhole) {
-                startScore(sample);
+                scoreOrFinish(sample, now);
                 continue;
             }
             SampleScheduler.Demand demand = SampleScheduler.demand(sample);
--- a/ebonyrun-core/src/test/java/org/ebonyrun/core/step/StepMachineTest.java
+++ b/ebonyrun-core/src/test/java/org/ebonyrun/core/step/StepMachineTest.java
@@ -353,6 +353,20 @@
         assertThat(mOutputs.mStores.get(0).results(), contains(expected));
     }
 
+    @Test
+    void aWholeTextOfAnEarlierStepIsListedAtOnceIfItHasNoScore() {
+        endpoint("e", 2);
+        SampleResult result = new SampleResult("a", true, "d1\nd2", List.of(2), "");
+        SampleSpec unscored = sample("a", "g", 1, false);
+
+        mMachine.onOwned(
+                step(1, unscored), route(false), List.of(), List.of(PartialText.whole(result)), 0, 0);
+
+        assertThat(mOutputs.mRuns, is(empty()));
+        assertThat(mOutputs.mScores.keySet(), is(empty()));
+        assertThat(mOutputs.mStores.get(0).results(), contains(result));
+    }
+
     @Test
     void anEndedStepStopsItsRuns() {
         endpoint("e", 2);
