--- a/ebonyrun-client/src/main/java/org/ebonyrun/client/ClientMain.java
+++ b/ebonyrun-client/src/main/java/org/ebonyrun/client/ClientMain.java
@@ -15,6 +15,7 @@
 import org.ebonyrun.client.command.DemoCommand;
 import org.ebonyrun.client.command.ExitStatus;
 import org.ebonyrun.client.command.ExperimentCommand;
+import org.ebonyrun.client.command.ExplainCommand;
 import org.ebonyrun.client.command.FaultsCommand;
 import org.ebonyrun.client.command.StandinCommand;
 import org.ebonyrun.client.command.StatusCommand;
@@ -31,6 +32,7 @@
                     new CallCommand(),
                     new StepCommand(),
                     new StandinCommand(),
+                    new ExplainCommand(),
                     new FaultsCommand(),
                     new ExperimentCommand(),
                     new DemoCommand());
--- a/ebonyrun-core/src/test/java/org/ebonyrun/core/step/StepMachineTest.java
+++ b/ebonyrun-core/src/test/java/org/ebonyrun/core/step/StepMachineTest.java
@@ -360,7 +360,12 @@
         SampleSpec unscored = sample("a", "g", 1, false);
 
         mMachine.onOwned(
-                step(1, unscored), route(false), List.of(), List.of(PartialText.whole(result)), 0, 0);
+                step(1, unscored),
+                route(false),
+                List.of(),
+                List.of(PartialText.whole(result)),
+                0,
+                0);
 
         assertThat(mOutputs.mRuns, is(empty()));
         assertThat(mOutputs.mScores.keySet(), is(empty()));
