--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/SampleDesk.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/SampleDesk.java
@@ -100,7 +100,12 @@
         if (exchange != null) {
             exchange.cancel();
             mParts.metrics().count(EntryMetrics.RUNS, "STOPPED");
-            mParts.log().write(LogLine.of("sample.stopped").with("run", run).with("why", reason));
+            mParts.log()
+                    .write(
+                            LogLine.of("sample.stopped")
+                                    .with("run", run)
+                                    .with("events", exchange.events())
+                                    .with("why", reason));
         }
     }
 
@@ -120,7 +125,8 @@
 
     @Override
     public void onEnd(long run, RunEnd end, String detail) {
-        if (mRuns.remove(run) == null) {
+        SampleExchange exchange = mRuns.remove(run);
+        if (exchange == null) {
             return;
         }
         mParts.metrics().count(EntryMetrics.RUNS, end.name());
@@ -128,6 +134,7 @@
                 .write(
                         LogLine.of("sample.run")
                                 .with("run", run)
+                                .with("events", exchange.events())
                                 .with("end", end)
                                 .with("detail", detail));
         mMachine.onRunEnd(run, end, System.nanoTime());
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/SampleExchange.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/SampleExchange.java
@@ -36,6 +36,7 @@
     private final SseEventParser mParser = SseEventParser.create(event -> mEvents.add(event));
     private boolean mStream;
     private boolean mBroken;
+    private volatile int mCount;
 
     SampleExchange(long run, String sample, String endpoint, Executor executor, Sink sink) {
         super(executor);
@@ -45,6 +46,11 @@
         mSink = sink;
     }
 
+    /** Returns how many events have arrived. */
+    int events() {
+        return mCount;
+    }
+
     @Override
     public void onHead(HttpHead head) {
         mHead = head;
@@ -65,6 +71,7 @@
         mBroken = !mParser.feed(data);
         if (!mEvents.isEmpty()) {
             List<SseEvent> events = mEvents;
+            mCount += events.size();
             mEvents = new ArrayList<>();
             tell(() -> mSink.onEvents(mRun, events));
         }
