--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/SampleDesk.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/SampleDesk.java
@@ -86,6 +86,7 @@
                                 .with("version", endpoint.version(step.model()))
                                 .with("active", endpoint.active())
                                 .with("expected_version", terms.expectedVersion())
+                                .with("expected_tokens", sample.expectedTokens())
                                 .with("after", lastEvent));
         exchange.setExchange(
                 mCaller.send(
