--- a/ebonyrun-core/src/main/java/org/ebonyrun/core/swap/SwapMachine.java
+++ b/ebonyrun-core/src/main/java/org/ebonyrun/core/swap/SwapMachine.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.TreeMap;
 import org.ebonyrun.base.time.Nanos;
 import org.ebonyrun.core.fleet.Endpoint;
@@ -20,10 +21,10 @@
  * bound, and about as many load for each named version, so that most of the pool serves all the
  * time.
  *
- * <p>Invariants: gives orders only while it holds the planner's lease and after the time that an
- * order of the holder before it may still count; at most one order to an endpoint is open; every
- * order names the count of orders that the endpoint had accepted, so one that comes late is
- * refused.
+ * <p>Invariants: gives orders only while it holds the planner's lease, and none to an endpoint
+ * while an order of a holder before it may still count there; at most one order to an endpoint is
+ * open; every order names the count of orders that the endpoint had accepted, so one that comes
+ * late is refused.
  *
  * <p>Not thread safe; confined to one duty.
  */
@@ -75,8 +76,12 @@
     private RouteTable mRoutes = RouteTable.empty();
     private boolean mSingleVersion;
     private boolean mHolding;
+    // When an endpoint was last ordered by this holder, and by holders before it.
+    private final Map<String, Long> mOwnOrders = new HashMap<>();
+    private final Map<String, Long> mEarlierOrders = new HashMap<>();
     private long mFence;
     private long mReadyAt;
+    private long mQuietNanos;
 
     private SwapMachine(Fleet fleet, SwapOutputs outputs) {
         mFleet = fleet;
@@ -89,15 +94,57 @@
     }
 
     /**
-     * Begins to give orders.
+     * Begins to give orders, not knowing which endpoints the holder before has ordered.
      *
      * @param fence the fencing token, higher than that of every holder before
-     * @param quietNanos how long to wait before the first order
+     * @param quietNanos how long orders of another holder count
      */
     public void onHolding(long fence, long quietNanos, long now) {
+        begin(fence, quietNanos);
+        mReadyAt = now + quietNanos;
+    }
+
+    /**
+     * Begins to give orders after a holder whose orders are known.
+     *
+     * @param fence the fencing token, higher than that of every holder before
+     * @param quietNanos how long orders of another holder count
+     * @param ages how long ago endpoints were ordered
+     */
+    public void onHolding(long fence, long quietNanos, OrderAges ages, long now) {
+        begin(fence, quietNanos);
+        mReadyAt = now;
+        ages.own().forEach((id, age) -> mOwnOrders.put(id, now - age));
+        ages.earlier().forEach((id, age) -> mEarlierOrders.put(id, now - age));
+    }
+
+    private void begin(long fence, long quietNanos) {
         mHolding = true;
         mFence = fence;
-        mReadyAt = now + quietNanos;
+        mQuietNanos = quietNanos;
+        mOwnOrders.clear();
+        mEarlierOrders.clear();
+    }
+
+    /**
+     * Returns how long ago endpoints were ordered whose orders may still count for another holder;
+     * empty if this is not known yet.
+     */
+    public Optional<OrderAges> orderAges(long now) {
+        return mHolding && now - mReadyAt >= 0
+                ? Optional.of(new OrderAges(ages(mOwnOrders, now), ages(mEarlierOrders, now)))
+                : Optional.empty();
+    }
+
+    private Map<String, Long> ages(Map<String, Long> orders, long now) {
+        Map<String, Long> ages = new HashMap<>();
+        orders.forEach(
+                (id, at) -> {
+                    if (now - at <= mQuietNanos) {
+                        ages.put(id, now - at);
+                    }
+                });
+        return ages;
     }
 
     /** Stops giving orders. */
@@ -235,6 +282,7 @@
 
     private void order(Job job, long now) {
         job.mOrdered = true;
+        mOwnOrders.put(job.mEndpoint.id(), now);
         job.mNextLookAt = now + FIRST_LOOK_NANOS;
         SwapMode mode = mSingleVersion ? SwapMode.WAIT : SwapMode.KEEP;
         mOutputs.order(
@@ -280,7 +328,10 @@
 
     private void begin(Endpoint endpoint, String model, int version, int engines, long now) {
         @Nullable Long retryAt = mRetryAt.get(endpoint.id());
-        boolean waits = retryAt != null && now - retryAt < 0;
+        @Nullable Long earlier = mEarlierOrders.get(endpoint.id());
+        boolean waits =
+                (retryAt != null && now - retryAt < 0)
+                        || (earlier != null && now - earlier < mQuietNanos);
         int most = Math.max(MIN_LOADING, (int) (LOADING_SHARE * engines));
         if (waits || mJobs.size() >= most || mJobs.containsKey(endpoint.id())) {
             return;
--- a/ebonyrun-core/src/test/java/org/ebonyrun/core/swap/SwapMachineTest.java
+++ b/ebonyrun-core/src/test/java/org/ebonyrun/core/swap/SwapMachineTest.java
@@ -2,6 +2,7 @@
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.hasItem;
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.lessThanOrEqualTo;
 
@@ -9,7 +10,9 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
+import java.util.stream.Collectors;
 import org.ebonyrun.base.time.Nanos;
 import org.ebonyrun.core.fleet.Endpoint;
 import org.ebonyrun.core.fleet.Endpoints;
@@ -123,6 +126,54 @@
         assertThat(mEngines.mOrders.get(0).fence(), is(7L));
     }
 
+    @Test
+    void aNewHolderOrdersAtOnceWhatTheOneBeforeHasNotOrderedLately() {
+        OrderAges ages = new OrderAges(Map.of(), Map.of("e1", Nanos.ofMillis(1_000)));
+        mMachine.onNamed(Endpoints.MODEL, 2, 0);
+        mMachine.onStep(Endpoints.MODEL, 2, 2);
+        mMachine.onHolding(7, Nanos.ofMillis(3_000), ages, 0);
+
+        run(0, Nanos.ofMillis(2_000));
+        assertThat(ordered(), is(Set.of("e2", "e3", "e4", "e5")));
+        run(Nanos.ofMillis(2_000), Nanos.ofMillis(3_500));
+        assertThat(ordered(), hasItem("e1"));
+    }
+
+    @Test
+    void aHolderGoesOnWithTheOrdersOfAnEarlierProcessOfItsVm() {
+        OrderAges ages = new OrderAges(Map.of("e1", 0L), Map.of());
+        mMachine.onNamed(Endpoints.MODEL, 2, 0);
+        mMachine.onStep(Endpoints.MODEL, 2, 2);
+        mMachine.onHolding(7, Nanos.ofMillis(3_000), ages, 0);
+
+        run(0, Nanos.ofMillis(500));
+        assertThat(ordered(), hasItem("e1"));
+    }
+
+    @Test
+    void theAgesOfOrdersAreToldToTheNextHolderAsLongAsTheyCount() {
+        long quiet = Nanos.ofMillis(3_000);
+        long now = Nanos.ofMillis(2_000);
+        mMachine.onHolding(7, quiet, 0);
+        assertThat(mMachine.orderAges(now), is(Optional.empty()));
+
+        OrderAges before =
+                new OrderAges(Map.of("e1", Nanos.ofMillis(500)), Map.of("e1", 0L, "e2", now));
+        mMachine.onHolding(8, quiet, before.asEarlier(), 0);
+        mMachine.onNamed(Endpoints.MODEL, 2, 0);
+        mMachine.onStep(Endpoints.MODEL, 2, 2);
+        run(0, now);
+        OrderAges ages = mMachine.orderAges(now).orElseThrow();
+
+        assertThat(ages.earlier(), is(Map.of("e1", now)));
+        assertThat(ages.own().keySet(), is(ordered()));
+        assertThat(ages.asEarlier().earlier().get("e1"), is(now));
+    }
+
+    private Set<String> ordered() {
+        return mEngines.mOrders.stream().map(SwapOrder::endpoint).collect(Collectors.toSet());
+    }
+
     @Test
     void eachNamedVersionIsLoadedByThePartThatFallsBelowTheBoundNext() {
         mMachine.onHolding(7, 0, 0);
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/PlannerDesk.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/PlannerDesk.java
@@ -3,17 +3,20 @@
 import java.nio.charset.StandardCharsets;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 import org.ebonyrun.base.log.LogLine;
 import org.ebonyrun.base.result.Result;
+import org.ebonyrun.base.time.MonotonicClock;
 import org.ebonyrun.base.time.Nanos;
 import org.ebonyrun.core.fleet.Endpoint;
 import org.ebonyrun.core.fleet.Fleet;
 import org.ebonyrun.core.step.StepId;
 import org.ebonyrun.core.swap.EndpointState;
+import org.ebonyrun.core.swap.OrderAges;
 import org.ebonyrun.core.swap.OrderReply;
 import org.ebonyrun.core.swap.SwapMachine;
 import org.ebonyrun.core.swap.SwapOrder;
@@ -33,8 +36,9 @@
  * Holds the planner's lease when nobody else does, and carries out what the planner decides. The
  * holder also removes steps that are over and tells operators that machines are empty.
  *
- * <p>Invariant: an order leaves only while the entry's lease is valid, so a holder that was paused
- * gives none after it was replaced.
+ * <p>Invariant: an order leaves only while the entry's lease is valid, and where endpoints don't
+ * check fences only once it is noted in the store, so a holder that was paused gives none after it
+ * was replaced.
  *
  * <p>Not thread safe; confined to the entry's duty.
  */
@@ -44,18 +48,23 @@
     private static final long RETRY_NANOS = Nanos.ofMillis(500);
     private static final long SWEEP_NANOS = Nanos.ofMillis(20_000);
     private static final long KEEP_SLACK_MILLIS = 60_000;
+    // The shortest time for which orders of another holder count that is worth a note of each
+    // order; below it, waiting costs trainers less than the calls.
+    private static final long NOTED_QUIET_MILLIS = 1_000;
 
     private final EntryParts mParts;
     private final HttpCaller mCaller;
     private final SharedStore mShared;
     private final StepStore mStore;
     private final SwapMachine mMachine;
+    private final OrderLog mOrders;
     private final Supplier<HostedSettings> mSettings;
     private final RandomGenerator mRandom;
     private final Set<String> mRetired = new HashSet<>();
     private final Set<String> mRetireAsked = new HashSet<>();
     private boolean mPredecessor;
     private String mLastHolder = "";
+    private long mLastFence;
     private boolean mSameHolder;
     private boolean mClaiming;
     private boolean mDraining;
@@ -79,6 +88,24 @@
         mRandom = random;
         mPredecessor = !settings.get().firstStart();
         mMachine = SwapMachine.create(fleet, this);
+        mOrders =
+                new OrderLog(
+                        shared,
+                        parts.executor(),
+                        MonotonicClock.system(),
+                        parts.log(),
+                        mMachine::orderAges,
+                        this::onKeyLost);
+    }
+
+    private void onKeyLost(String why) {
+        if (mMachine.isHolding()) {
+            release(why);
+        }
+    }
+
+    private boolean isNoted() {
+        return mSettings.get().orderQuietMillis() >= NOTED_QUIET_MILLIS;
     }
 
     SwapMachine machine() {
@@ -100,6 +127,7 @@
         if (holder != null && !mine) {
             mPredecessor = true;
             mLastHolder = holder.text();
+            mLastFence = holder.revision();
         }
         if (mMachine.isHolding() && !mine && revision > mFence) {
             release("the planner's key is " + (holder == null ? "gone" : holder.text()));
@@ -175,7 +203,6 @@
             onClaimFailed();
             return;
         }
-        // Orders of the same VM are those of one holder, whichever process gave them.
         mSameHolder = holder != null;
         mShared.commit(
                         Transaction.builder()
@@ -191,17 +218,40 @@
             onClaimFailed();
             return;
         }
+        if (isNoted()) {
+            mOrders.read(mLastFence, ages -> hold(fence, ages));
+        } else {
+            hold(fence, Optional.empty());
+        }
+    }
+
+    private void hold(long fence, Optional<OrderAges> ages) {
         mClaiming = false;
         mFence = fence;
-        boolean waits = mPredecessor && !mSameHolder;
-        long quiet = waits ? Nanos.ofMillis(mSettings.get().orderQuietMillis()) : 0;
-        mMachine.onHolding(fence, quiet, System.nanoTime());
+        mOrders.begin(fence);
+        long now = System.nanoTime();
+        long quiet = Nanos.ofMillis(mSettings.get().orderQuietMillis());
+        if (mSameHolder) {
+            // Orders of the same VM are those of one holder, whichever process gave them.
+            mMachine.onHolding(fence, quiet, ages.orElse(OrderAges.NONE), now);
+        } else if (!mPredecessor) {
+            mMachine.onHolding(fence, quiet, OrderAges.NONE, now);
+        } else if (ages.isPresent()) {
+            mMachine.onHolding(fence, quiet, ages.get().asEarlier(), now);
+        } else {
+            mMachine.onHolding(fence, quiet, now);
+        }
         mParts.log()
                 .write(
                         LogLine.of("planner.holding")
                                 .with("fence", fence)
                                 .with("before", mLastHolder)
+                                .with("same_holder", mSameHolder)
+                                .with("known_orders", ages.map(OrderAges::size).orElse(-1))
                                 .with("quiet_ms", Nanos.toMillis(quiet)));
+        if (mDraining) {
+            giveUp();
+        }
     }
 
     private long fence(Commit commit) {
@@ -259,13 +309,18 @@
     void onDrain() {
         mDraining = true;
         if (mMachine.isHolding()) {
-            release("this entry stops");
-            mShared.commit(
-                    Transaction.builder()
-                            .expect(StepKeys.PLANNER, mFence)
-                            .remove(StepKeys.PLANNER)
-                            .build());
+            giveUp();
+        }
+    }
+
+    private void giveUp() {
+        Transaction.Builder handOver =
+                Transaction.builder().expect(StepKeys.PLANNER, mFence).remove(StepKeys.PLANNER);
+        if (isNoted()) {
+            mOrders.addTo(handOver);
         }
+        release("this entry stops");
+        mShared.commit(handOver.build());
     }
 
     @Override
@@ -299,7 +354,21 @@
     @Override
     public void order(Endpoint endpoint, SwapOrder order) {
         if (!mParts.lease().isValid(System.nanoTime())) {
-            mMachine.onReply(endpoint, OrderReply.REFUSED, System.nanoTime());
+            refuse(endpoint);
+        } else if (isNoted()) {
+            mOrders.note(() -> give(endpoint, order), () -> refuse(endpoint));
+        } else {
+            give(endpoint, order);
+        }
+    }
+
+    private void refuse(Endpoint endpoint) {
+        mMachine.onReply(endpoint, OrderReply.REFUSED, System.nanoTime());
+    }
+
+    private void give(Endpoint endpoint, SwapOrder order) {
+        if (!mMachine.isHolding() || order.fence() != mFence) {
+            refuse(endpoint);
             return;
         }
         mCaller.request(
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/StepKeys.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/StepKeys.java
@@ -10,6 +10,9 @@
     /** The holder of the weight planner. */
     static final String PLANNER = LIVE + "planner";
 
+    /** When the planner ordered which endpoint; read by the next holder only. */
+    static final String ORDERS = "ebonyrun/planner/orders";
+
     static final String MANIFEST = "manifest";
     static final String OWNER = "owner";
     static final String END = "end";
--- /dev/null
+++ b/ebonyrun-daemon/src/test/java/org/ebonyrun/daemon/hosted/OrderLogTest.java
@@ -0,0 +1,134 @@
+package org.ebonyrun.daemon.hosted;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.contains;
+import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.is;
+
+import java.io.OutputStream;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import org.ebonyrun.base.log.EventLog;
+import org.ebonyrun.base.result.Fault;
+import org.ebonyrun.base.result.FaultCode;
+import org.ebonyrun.base.result.Result;
+import org.ebonyrun.base.time.Nanos;
+import org.ebonyrun.core.swap.OrderAges;
+import org.ebonyrun.ports.store.Commit;
+import org.ebonyrun.ports.store.CommitOutcome;
+import org.ebonyrun.ports.store.StoreItem;
+import org.ebonyrun.ports.store.Transaction;
+import org.junit.jupiter.api.Test;
+
+class OrderLogTest {
+    private static final long FENCE = 7;
+    private static final OrderAges AGES =
+            new OrderAges(Map.of("e1", Nanos.ofMillis(5)), Map.of("e2", Nanos.ofMillis(900)));
+
+    /** A store that keeps the note, and answers commits when the test says so. */
+    private static final class FakeStore extends StubStore {
+        final List<CompletableFuture<Result<Commit>>> mCommits = new ArrayList<>();
+        final List<Transaction> mTransactions = new ArrayList<>();
+
+        @Override
+        public CompletableFuture<Result<Commit>> commit(Transaction transaction) {
+            mTransactions.add(transaction);
+            mCommits.add(new CompletableFuture<>());
+            return mCommits.get(mCommits.size() - 1);
+        }
+
+        @Override
+        public CompletableFuture<Result<Optional<StoreItem>>> get(String key) {
+            Optional<StoreItem> item =
+                    mTransactions.stream()
+                            .reduce((first, second) -> second)
+                            .map(last -> new StoreItem(key, last.writes().get(0).value(), 1, 0));
+            return CompletableFuture.completedFuture(Result.ok(item));
+        }
+    }
+
+    private final FakeStore mStore = new FakeStore();
+    private final List<String> mSaid = new ArrayList<>();
+    private long mNow;
+    private final OrderLog mOrders =
+            new OrderLog(
+                    mStore,
+                    Runnable::run,
+                    () -> mNow,
+                    EventLog.start(OutputStream.nullOutputStream()),
+                    now -> Optional.of(AGES),
+                    why -> mSaid.add("lost"));
+
+    private void note(String order) {
+        mOrders.note(() -> mSaid.add("give " + order), () -> mSaid.add("refuse " + order));
+    }
+
+    private void answer(int call, CommitOutcome outcome) {
+        mStore.mCommits.get(call).complete(Result.ok(new Commit(outcome, 9, List.of())));
+    }
+
+    @Test
+    void anOrderIsGivenOnceItIsNotedUnderTheHoldersKey() {
+        mOrders.begin(FENCE);
+        note("a");
+        assertThat(mSaid, is(empty()));
+        Transaction.Expectation expected = mStore.mTransactions.get(0).expectations().get(0);
+        assertThat(expected, is(new Transaction.Expectation(StepKeys.PLANNER, FENCE)));
+
+        answer(0, CommitOutcome.COMMITTED);
+        assertThat(mSaid, contains("give a"));
+    }
+
+    @Test
+    void ordersThatComeWhileTheStoreIsAskedShareTheNextNote() {
+        mOrders.begin(FENCE);
+        note("a");
+        note("b");
+        note("c");
+        answer(0, CommitOutcome.COMMITTED);
+        answer(1, CommitOutcome.COMMITTED);
+
+        assertThat(mStore.mTransactions.size(), is(2));
+        assertThat(mSaid, contains("give a", "give b", "give c"));
+    }
+
+    @Test
+    void aHolderThatLostItsKeyGivesNoOrder() {
+        mOrders.begin(FENCE);
+        note("a");
+        answer(0, CommitOutcome.CONFLICT);
+
+        assertThat(mSaid, contains("refuse a", "lost"));
+    }
+
+    @Test
+    void anOrderWhoseNoteHasNoAnswerOrCameLateIsRefused() {
+        mOrders.begin(FENCE);
+        note("a");
+        Fault fault = Fault.unknown(FaultCode.PLATFORM_UNAVAILABLE, "test", "", "no answer");
+        mStore.mCommits.get(0).complete(Result.err(fault));
+        note("b");
+        mNow += Nanos.ofMillis(1_500);
+        answer(1, CommitOutcome.COMMITTED);
+
+        assertThat(mSaid, contains("refuse a", "refuse b"));
+    }
+
+    @Test
+    void theNextHolderReadsTheAgesOfTheHolderBeforeIt() {
+        mOrders.begin(FENCE);
+        List<Optional<OrderAges>> read = new ArrayList<>();
+        mOrders.read(0, read::add);
+        note("a");
+        mOrders.read(0, read::add);
+        mOrders.read(FENCE, read::add);
+        mOrders.read(FENCE + 1, read::add);
+
+        assertThat(
+                read,
+                contains(Optional.empty(), Optional.of(AGES), Optional.of(AGES), Optional.empty()));
+    }
+}
--- a/ebonyrun-daemon/src/test/java/org/ebonyrun/daemon/hosted/ResultReaderTest.java
+++ b/ebonyrun-daemon/src/test/java/org/ebonyrun/daemon/hosted/ResultReaderTest.java
@@ -8,7 +8,6 @@
 import java.io.OutputStream;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Optional;
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
 import org.ebonyrun.base.log.EventLog;
@@ -18,14 +17,10 @@
 import org.ebonyrun.base.time.Nanos;
 import org.ebonyrun.core.step.SampleResult;
 import org.ebonyrun.core.step.StepId;
-import org.ebonyrun.ports.store.Commit;
-import org.ebonyrun.ports.store.SharedStore;
 import org.ebonyrun.ports.store.StoreChange;
 import org.ebonyrun.ports.store.StoreChanges;
 import org.ebonyrun.ports.store.StoreItem;
-import org.ebonyrun.ports.store.StoreLease;
 import org.ebonyrun.ports.store.StorePage;
-import org.ebonyrun.ports.store.Transaction;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -44,7 +39,7 @@
     private static final int RUNS = 100;
 
     /** A store whose calls take effect, and are answered, when the test says so. */
-    private final class FakeStore implements SharedStore {
+    private final class FakeStore extends StubStore {
         private final List<StoreItem> mItems = new ArrayList<>();
         private long mRevision = 1;
         private long mOldest = 1;
@@ -113,31 +108,6 @@
             List<StoreChange> told = part ? found.subList(0, most) : found;
             return new StoreChanges(told, part ? told.get(most - 1).revision() : mRevision, false);
         }
-
-        @Override
-        public CompletableFuture<Result<Optional<StoreItem>>> get(String key) {
-            throw new UnsupportedOperationException("get " + key);
-        }
-
-        @Override
-        public CompletableFuture<Result<Commit>> commit(Transaction transaction) {
-            throw new UnsupportedOperationException("commit");
-        }
-
-        @Override
-        public CompletableFuture<Result<StoreLease>> grant(long ttlMillis) {
-            throw new UnsupportedOperationException("grant");
-        }
-
-        @Override
-        public CompletableFuture<Result<Boolean>> renew(long lease) {
-            throw new UnsupportedOperationException("renew");
-        }
-
-        @Override
-        public CompletableFuture<Result<Boolean>> end(long lease) {
-            throw new UnsupportedOperationException("end");
-        }
     }
 
     private final EventLog mLog = EventLog.start(OutputStream.nullOutputStream());
--- a/ebonyrun-daemon/src/test/java/org/ebonyrun/daemon/hosted/StoreWatchTest.java
+++ b/ebonyrun-daemon/src/test/java/org/ebonyrun/daemon/hosted/StoreWatchTest.java
@@ -7,26 +7,21 @@
 
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import org.ebonyrun.base.result.Fault;
 import org.ebonyrun.base.result.FaultCode;
 import org.ebonyrun.base.result.Result;
-import org.ebonyrun.ports.store.Commit;
-import org.ebonyrun.ports.store.SharedStore;
 import org.ebonyrun.ports.store.StoreChange;
 import org.ebonyrun.ports.store.StoreChanges;
 import org.ebonyrun.ports.store.StoreItem;
-import org.ebonyrun.ports.store.StoreLease;
 import org.ebonyrun.ports.store.StorePage;
-import org.ebonyrun.ports.store.Transaction;
 import org.junit.jupiter.api.Test;
 
 class StoreWatchTest {
     private static final long WAIT_MILLIS = 2_000;
 
     /** A store whose watches are answered by the test. */
-    private static final class FakeStore implements SharedStore {
+    private static final class FakeStore extends StubStore {
         final List<Long> mWaits = new ArrayList<>();
         final List<CompletableFuture<Result<StoreChanges>>> mWatches = new ArrayList<>();
         int mRanges;
@@ -45,31 +40,6 @@
             mWatches.add(new CompletableFuture<>());
             return mWatches.get(mWatches.size() - 1);
         }
-
-        @Override
-        public CompletableFuture<Result<Optional<StoreItem>>> get(String key) {
-            throw new UnsupportedOperationException("get " + key);
-        }
-
-        @Override
-        public CompletableFuture<Result<Commit>> commit(Transaction transaction) {
-            throw new UnsupportedOperationException("commit");
-        }
-
-        @Override
-        public CompletableFuture<Result<StoreLease>> grant(long ttlMillis) {
-            throw new UnsupportedOperationException("grant");
-        }
-
-        @Override
-        public CompletableFuture<Result<Boolean>> renew(long lease) {
-            throw new UnsupportedOperationException("renew");
-        }
-
-        @Override
-        public CompletableFuture<Result<Boolean>> end(long lease) {
-            throw new UnsupportedOperationException("end");
-        }
     }
 
     private final FakeStore mStore = new FakeStore();
--- /dev/null
+++ b/ebonyrun-daemon/src/test/java/org/ebonyrun/daemon/hosted/StubStore.java
@@ -0,0 +1,51 @@
+package org.ebonyrun.daemon.hosted;
+
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import org.ebonyrun.base.result.Result;
+import org.ebonyrun.ports.store.Commit;
+import org.ebonyrun.ports.store.SharedStore;
+import org.ebonyrun.ports.store.StoreChanges;
+import org.ebonyrun.ports.store.StoreItem;
+import org.ebonyrun.ports.store.StoreLease;
+import org.ebonyrun.ports.store.StorePage;
+import org.ebonyrun.ports.store.Transaction;
+
+/** A store of which a test takes over the calls that it expects; every other call fails. */
+class StubStore implements SharedStore {
+    @Override
+    public CompletableFuture<Result<Optional<StoreItem>>> get(String key) {
+        throw new UnsupportedOperationException("get " + key);
+    }
+
+    @Override
+    public CompletableFuture<Result<StorePage>> range(String prefix, String after) {
+        throw new UnsupportedOperationException("range " + prefix);
+    }
+
+    @Override
+    public CompletableFuture<Result<StoreChanges>> watch(
+            String prefix, long afterRevision, long waitMillis) {
+        throw new UnsupportedOperationException("watch " + prefix);
+    }
+
+    @Override
+    public CompletableFuture<Result<Commit>> commit(Transaction transaction) {
+        throw new UnsupportedOperationException("commit");
+    }
+
+    @Override
+    public CompletableFuture<Result<StoreLease>> grant(long ttlMillis) {
+        throw new UnsupportedOperationException("grant");
+    }
+
+    @Override
+    public CompletableFuture<Result<Boolean>> renew(long lease) {
+        throw new UnsupportedOperationException("renew");
+    }
+
+    @Override
+    public CompletableFuture<Result<Boolean>> end(long lease) {
+        throw new UnsupportedOperationException("end");
+    }
+}
