--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/HostedEntry.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/HostedEntry.java
@@ -57,22 +57,6 @@
 public final class HostedEntry implements EntryParts, DutyHandler<Runnable>, Closeable {
     private static final int RING = 16_384;
     private static final long TICK_NANOS = Nanos.ofMillis(20);
-    // Bounds, with the slack of the client, how long a connection that fell silent stays unnoticed:
-    // less than the shortest time after which an entry that was cut off must be up to date again.
-    private static final long WATCH_MILLIS = 2_200;
-    // The gathering times are below what a leaving endpoint, and a trainer between two steps,
-    // allow.
-    private static final StoreWatch.Pace OPERATOR_PACE = new StoreWatch.Pace(WATCH_MILLIS, 0);
-    private static final StoreWatch.Pace ENDPOINT_PACE =
-            new StoreWatch.Pace(WATCH_MILLIS, Nanos.ofMillis(1_200));
-    private static final StoreWatch.Pace LIVE_PACE =
-            new StoreWatch.Pace(WATCH_MILLIS, Nanos.ofMillis(300));
-    // For an entry that owns nothing: it needs steps only to take them when their owner is gone.
-    private static final StoreWatch.Pace IDLE_LIVE_PACE =
-            new StoreWatch.Pace(WATCH_MILLIS, Nanos.ofMillis(2_000));
-    // For the same: versions are named often, and a configuration may wait for this long.
-    private static final StoreWatch.Pace IDLE_OPERATOR_PACE =
-            new StoreWatch.Pace(WATCH_MILLIS, Nanos.ofMillis(700));
     private static final long SWEEP_NANOS = Nanos.ofMillis(500);
     // Longest silence of the store after which the entry asks callers to go elsewhere.
     private static final long STORE_SILENCE_NANOS = Nanos.ofMillis(1_500);
@@ -142,16 +126,21 @@
         mWatches.add(
                 watch(
                         OperatorDecoder.PREFIX,
-                        this::operatorPace,
+                        () -> StorePaces.operator(mSettings.limits(), isIdle()),
                         items -> items.forEach(this::onOperator),
                         change -> onOperator(change.item())));
         mWatches.add(
                 watch(
                         EndpointDecoder.PREFIX,
-                        () -> ENDPOINT_PACE,
+                        () -> StorePaces.endpoints(mSettings.limits(), isIdle()),
                         this::onEndpoints,
                         this::onEndpoint));
-        mWatches.add(watch(StepKeys.LIVE, this::livePace, this::onAllLive, this::onLiveChange));
+        mWatches.add(
+                watch(
+                        StepKeys.LIVE,
+                        () -> StorePaces.steps(mSettings.limits(), isIdle()),
+                        this::onAllLive,
+                        this::onLiveChange));
         mTransport.start();
         FrontServer.bind(mTransport, settings.ready(), new ReadyDesk(() -> mReady), () -> mLimits);
         FrontServer.bind(
@@ -318,14 +307,6 @@
         return !mSteps.isNeeded() && !mPlanner.isHolding();
     }
 
-    private StoreWatch.Pace livePace() {
-        return isIdle() ? IDLE_LIVE_PACE : LIVE_PACE;
-    }
-
-    private StoreWatch.Pace operatorPace() {
-        return isIdle() ? IDLE_OPERATOR_PACE : OPERATOR_PACE;
-    }
-
     private StoreWatch watch(
             String prefix,
             Supplier<StoreWatch.Pace> pace,
@@ -524,7 +505,8 @@
     /** Stops gracefully: finishes what callers wait for and hands steps over. */
     public void drain() throws InterruptedException {
         long begin = System.nanoTime();
-        long limit = begin + (long) (DRAIN_SHARE * Nanos.ofMillis(mSettings.graceMillis()));
+        long limit =
+                begin + (long) (DRAIN_SHARE * Nanos.ofMillis(mSettings.limits().graceMillis()));
         mDraining = true;
         mReady = false;
         mLog.write(LogLine.of("stop"));
@@ -533,7 +515,7 @@
                     mSteps.onDrain();
                     mPlanner.onDrain();
                 });
-        long finish = (long) (FINISH_SHARE * Nanos.ofMillis(mSettings.graceMillis()));
+        long finish = (long) (FINISH_SHARE * Nanos.ofMillis(mSettings.limits().graceMillis()));
         CountDownLatch never = new CountDownLatch(1);
         while (System.nanoTime() - limit < 0) {
             never.await(DRAIN_STEP_MILLIS, TimeUnit.MILLISECONDS);
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/HostedSettings.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/HostedSettings.java
@@ -9,7 +9,6 @@
 import org.ebonyrun.base.id.VmId;
 import org.ebonyrun.core.settings.Problem;
 import org.ebonyrun.core.settings.SettingsNode;
-import org.ebonyrun.core.settings.Units;
 import org.ebonyrun.daemon.DaemonSettings;
 
 /**
@@ -24,9 +23,7 @@
  * @param metrics where metrics are read
  * @param store where the shared store is
  * @param firstStart whether the whole system starts for the first time
- * @param orderQuietMillis how long a new planner waits before its first order, in milliseconds
- * @param graceMillis how long a graceful stop may take, in milliseconds
- * @param keepMillis how long the results of a step are kept after its submission, in milliseconds
+ * @param limits within which times things must be done
  */
 public record HostedSettings(
         VmId vm,
@@ -36,9 +33,7 @@
         InetSocketAddress metrics,
         InetSocketAddress store,
         boolean firstStart,
-        long orderQuietMillis,
-        long graceMillis,
-        long keepMillis) {
+        EntryLimits limits) {
     /** The role of a hosted entry. */
     public static final String ROLE = "hosted-entry";
 
@@ -47,10 +42,14 @@
 
     private static final Set<String> KEYS =
             Set.of("role", "vm", "failure_domain", "listen", "store", "first_start", "limits");
-    private static final Set<String> LIMIT_KEYS = Set.of("order_quiet", "grace", "keep_results");
-    private static final long DEFAULT_QUIET_MILLIS = 3_000;
-    private static final long DEFAULT_GRACE_MILLIS = 8_000;
-    private static final long DEFAULT_KEEP_MILLIS = 120_000;
+    private static final Set<String> LIMIT_KEYS =
+            Set.of(
+                    "order_quiet",
+                    "grace",
+                    "keep_results",
+                    "config_within",
+                    "leaving_within",
+                    "contact_within");
 
     /**
      * Settings and what is wrong with them.
@@ -81,9 +80,7 @@
                         address(listen.get("metrics")),
                         address(root.get("store")),
                         root.get("first_start").text("false").equals("true"),
-                        limits.get("order_quiet").read(Units::millis, DEFAULT_QUIET_MILLIS),
-                        limits.get("grace").read(Units::millis, DEFAULT_GRACE_MILLIS),
-                        limits.get("keep_results").read(Units::millis, DEFAULT_KEEP_MILLIS));
+                        EntryLimits.read(limits));
         return new Parsed(settings, List.copyOf(problems));
     }
 
@@ -100,16 +97,7 @@
     /** Returns these settings with the limits of others. */
     HostedSettings withLimitsOf(HostedSettings other) {
         return new HostedSettings(
-                vm,
-                domain,
-                front,
-                ready,
-                metrics,
-                store,
-                firstStart,
-                other.orderQuietMillis,
-                other.graceMillis,
-                other.keepMillis);
+                vm, domain, front, ready, metrics, store, firstStart, other.limits);
     }
 
     private static InetSocketAddress address(SettingsNode node) {
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/PlannerDesk.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/PlannerDesk.java
@@ -105,7 +105,7 @@
     }
 
     private boolean isNoted() {
-        return mSettings.get().orderQuietMillis() >= NOTED_QUIET_MILLIS;
+        return mSettings.get().limits().orderQuietMillis() >= NOTED_QUIET_MILLIS;
     }
 
     SwapMachine machine() {
@@ -230,7 +230,7 @@
         mFence = fence;
         mOrders.begin(fence);
         long now = System.nanoTime();
-        long quiet = Nanos.ofMillis(mSettings.get().orderQuietMillis());
+        long quiet = Nanos.ofMillis(mSettings.get().limits().orderQuietMillis());
         if (mSameHolder) {
             // Orders of the same VM are those of one holder, whichever process gave them.
             mMachine.onHolding(fence, quiet, ages.orElse(OrderAges.NONE), now);
@@ -298,7 +298,10 @@
             return;
         }
         mSweepAt = now + SWEEP_NANOS;
-        long before = System.currentTimeMillis() - mSettings.get().keepMillis() - KEEP_SLACK_MILLIS;
+        long before =
+                System.currentTimeMillis()
+                        - mSettings.get().limits().keepMillis()
+                        - KEEP_SLACK_MILLIS;
         for (StepId step : mParts.directory().over(before)) {
             mParts.log().write(LogLine.of("step.forgotten").with("step", step));
             mStore.forget(step);
--- a/ebonyrun-daemon/src/test/java/org/ebonyrun/daemon/hosted/HostedSettingsTest.java
+++ b/ebonyrun-daemon/src/test/java/org/ebonyrun/daemon/hosted/HostedSettingsTest.java
@@ -20,7 +20,8 @@
                             + " metrics: \"10.1.0.35:9464\"}",
                     "store: \"10.200.1.7:8142\"",
                     "first_start: true",
-                    "limits: {order_quiet: 500ms, grace: 8s, keep_results: 120s}");
+                    "limits: {order_quiet: 500ms, grace: 8s, keep_results: 120s, config_within: 2s,"
+                            + " leaving_within: 2s, contact_within: 3s}");
 
     @Test
     void readsWholeSettings() {
@@ -28,7 +29,7 @@
 
         assertThat(parsed.problems(), is(empty()));
         assertThat(parsed.settings().firstStart(), is(true));
-        assertThat(parsed.settings().orderQuietMillis(), is(500L));
+        assertThat(parsed.settings().limits().orderQuietMillis(), is(500L));
         assertThat(parsed.settings().front().getPort(), is(8144));
         assertThat(HostedMain.isHosted(WHOLE), is(true));
         assertThat(HostedMain.isHosted("role: entry"), is(false));
@@ -40,7 +41,7 @@
         String changed = WHOLE.replace("grace: 8s", "grace: 9s").replace("edge-1", "edge-2");
         HostedSettings after = before.withLimitsOf(HostedSettings.parse("f", changed).settings());
 
-        assertThat(after.graceMillis(), is(9_000L));
+        assertThat(after.limits().graceMillis(), is(9_000L));
         assertThat(after.vm(), is(before.vm()));
         assertThat(after.isSameProcess(before), is(true));
         assertThat(after.isSameProcess(HostedSettings.parse("f", changed).settings()), is(false));
@@ -52,6 +53,7 @@
             value = {
                 "vm: edge-1 | vm: '' | vm",
                 "grace: 8s | grace: soon | grace",
+                "config_within: 2s | config_within: 0s | config_within",
                 "10.200.1.7:8142 | nowhere | store",
                 "first_start: true | extra: 1 | extra"
             })
