--- a/ebonyrun-core/src/main/java/org/ebonyrun/core/step/StepMachine.java
+++ b/ebonyrun-core/src/main/java/org/ebonyrun/core/step/StepMachine.java
@@ -380,20 +380,21 @@
 
     private void finish(SampleRun sample, SampleResult result, long now) {
         StepRun step = sample.mStep;
-        boolean wasWanted = step.isWanted();
-        step.finish(sample, result, now);
-        boolean satisfied = wasWanted && !step.isWanted();
-        store(step, now, satisfied || step.isAllFinished());
+        boolean whole = step.finish(sample, result, now);
+        // Beyond the number of groups that it wants, a trainer waits for those of an earlier step.
+        step.mAwaited |= (whole && !step.isWanted()) || step.isAllFinished();
+        store(step, now);
     }
 
-    private void store(StepRun step, long now, boolean atOnce) {
+    private void store(StepRun step, long now) {
         if (step.mEnded || !step.mStoring.isEmpty() || step.mFinished.isEmpty()) {
             return;
         }
         boolean old = now - step.mFinishedSince >= STORE_AGE_NANOS;
-        if (!atOnce && !old && !step.isAllFinished() && bytes(step.mFinished) < STORE_BYTES) {
+        if (!step.mAwaited && !old && bytes(step.mFinished) < STORE_BYTES) {
             return;
         }
+        step.mAwaited = false;
         step.mStoring = List.copyOf(step.mFinished);
         step.mFinished.clear();
         boolean last = step.isAllFinished();
@@ -417,14 +418,14 @@
             mSteps.remove(id);
             return;
         }
-        store(step, now, !step.isWanted() && step.isAllFinished());
+        store(step, now);
     }
 
     /** Moves samples off slow endpoints, starts runs, stores results and gives samples up. */
     public void onTick(long now) {
         mFleet.onTick(now);
         for (StepRun step : List.copyOf(mSteps.values())) {
-            store(step, now, false);
+            store(step, now);
             giveUpExpired(step, now);
         }
         mScheduler.beginRound();
--- a/ebonyrun-core/src/main/java/org/ebonyrun/core/step/StepRun.java
+++ b/ebonyrun-core/src/main/java/org/ebonyrun/core/step/StepRun.java
@@ -29,6 +29,8 @@
     final List<SampleResult> mFinished = new ArrayList<>();
     List<SampleResult> mStoring = List.of();
     long mFinishedSince;
+    // Whether the trainer may wait for a result that is finished and not being stored.
+    boolean mAwaited;
     boolean mEnded;
     private final Map<String, Integer> mMissing = new HashMap<>();
     private int mWholeGroups;
@@ -58,7 +60,7 @@
         return Stream.concat(mStoring.stream(), mFinished.stream());
     }
 
-    /** Returns whether the trainer still waits for groups. */
+    /** Returns whether fewer groups are whole than the trainer wants. */
     boolean isWanted() {
         return mWholeGroups < mSpec.wantedGroups();
     }
