--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/SampleDesk.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/SampleDesk.java
@@ -1,5 +1,7 @@
 package org.ebonyrun.daemon.hosted;
 
+import static com.google.common.base.Preconditions.checkNotNull;
+
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -143,11 +145,11 @@
 
     @Override
     public void score(long run, StepSpec step, SampleSpec sample) {
-        ScoreCall score = sample.score();
+        ScoreCall score =
+                checkNotNull(sample.score(), "sample %s has no score to ask for", sample.id());
         long now = System.nanoTime();
-        Optional<Route> route =
-                score == null ? Optional.empty() : mRoutes.find(score.host(), score.path());
-        if (score == null || route.isEmpty()) {
+        Optional<Route> route = mRoutes.find(score.host(), score.path());
+        if (route.isEmpty()) {
             mParts.log().write(LogLine.of("score.unrouted").with("request", sample.id()));
             mMachine.onScoreEnd(run, ScoreEnd.UNKNOWN, "", 0, 1, now);
             return;
