Take no request any more once a stop is decided

Cause: after the last look at open requests the process still took requests for 50 ms, in which its lease ends. Ruled out: the grace time (8 s) and the endpoint (it answered in 31 ms).

The entry now closes its listening socket and every connection without a request, answers what it has read, and only then ends. A request that crosses the close is not passed on.

--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/HostedEntry.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/HostedEntry.java
@@ -528,6 +528,10 @@
                 break;
             }
         }
+        mFront.stop();
+        while (mFront.busy() > 0 && System.nanoTime() - limit < 0) {
+            never.await(DRAIN_STEP_MILLIS, TimeUnit.MILLISECONDS);
+        }
         mDuty.post(mLease::end);
         never.await(DRAIN_STEP_MILLIS, TimeUnit.MILLISECONDS);
         mLog.write(LogLine.of("stopped").with("busy", mFront.busy()));
--- a/ebonyrun-ports/src/main/java/org/ebonyrun/ports/http/FrontConnection.java
+++ b/ebonyrun-ports/src/main/java/org/ebonyrun/ports/http/FrontConnection.java
@@ -22,6 +22,7 @@
     private long mActiveAt;
     private long mHeaderSince;
     private boolean mClosing;
+    private boolean mEnded;
 
     FrontConnection(Connection<?> connection, FrontListener listener, long now) {
         mConnection = connection;
@@ -54,9 +55,15 @@
         mHeaderSince = 0;
     }
 
-    /** Passes a request on, or keeps it until the response before it is sent. */
+    /**
+     * Passes a request on, or keeps it until the response before it is sent; drops one that crosses
+     * the connection's end.
+     */
     void submit(FrontExchange exchange) {
         synchronized (this) {
+            if (mEnded) {
+                return;
+            }
             if (mCurrent != null) {
                 if (mWaiting.size() >= MAX_WAITING) {
                     close();
@@ -118,7 +125,8 @@
         boolean quiet;
         synchronized (this) {
             mClosing = true;
-            quiet = mCurrent == null && mReading == null && now - mActiveAt > quietNanos;
+            quiet = mCurrent == null && mReading == null && now - mActiveAt >= quietNanos;
+            mEnded |= quiet;
         }
         if (quiet) {
             mConnection.closeSilently();
--- a/ebonyrun-ports/src/main/java/org/ebonyrun/ports/http/FrontServer.java
+++ b/ebonyrun-ports/src/main/java/org/ebonyrun/ports/http/FrontServer.java
@@ -21,6 +21,7 @@
 import org.glassfish.grizzly.http.util.MimeHeaders;
 import org.glassfish.grizzly.nio.transport.TCPNIOBindingHandler;
 import org.glassfish.grizzly.nio.transport.TCPNIOTransport;
+import org.jspecify.annotations.Nullable;
 
 /**
  * An HTTP server that hands whole requests to a listener and answers them later, without a thread
@@ -36,7 +37,9 @@
     private final FrontListener mListener;
     private final Supplier<FrontLimits> mLimits;
     private final Map<Connection<?>, FrontConnection> mConnections = new ConcurrentHashMap<>();
+    private @Nullable Connection<?> mListening;
     private volatile boolean mDraining;
+    private volatile boolean mStopped;
 
     private FrontServer(FrontListener listener, Supplier<FrontLimits> limits) {
         mListener = listener;
@@ -57,16 +60,17 @@
         FrontServer server = new FrontServer(listener, limits);
         HttpServerFilter codec = new HttpServerFilter(true, CODEC_HEADER_BYTES, null, null);
         codec.setAllowPayloadForUndefinedHttpMethods(true);
-        TCPNIOBindingHandler.builder(transport)
-                .processor(
-                        FilterChainBuilder.stateless()
-                                .add(new TransportFilter())
-                                .add(server.new ActivityFilter())
-                                .add(codec)
-                                .add(server.new RequestFilter())
-                                .build())
-                .build()
-                .bind(address, BACKLOG);
+        server.mListening =
+                TCPNIOBindingHandler.builder(transport)
+                        .processor(
+                                FilterChainBuilder.stateless()
+                                        .add(new TransportFilter())
+                                        .add(server.new ActivityFilter())
+                                        .add(codec)
+                                        .add(server.new RequestFilter())
+                                        .build())
+                        .build()
+                        .bind(address, BACKLOG);
         return server;
     }
 
@@ -84,11 +88,29 @@
         mConnections.values().forEach(connection -> connection.drain(now, quietNanos));
     }
 
+    /**
+     * Takes no more requests: closes the listening socket and every connection without a request.
+     * Requests that are read or answered now go on, each the last of its connection. Once none is
+     * left, none can follow.
+     */
+    public void stop() {
+        mStopped = true;
+        if (mListening != null) {
+            mListening.closeSilently();
+        }
+        drain(System.nanoTime(), 0);
+    }
+
     /** Returns how many connections have a request that is read or answered now. */
     public int busy() {
         return (int) mConnections.values().stream().filter(FrontConnection::isBusy).count();
     }
 
+    /** Returns whether a connection on which nothing has arrived yet comes too late. */
+    private boolean isTooLate(Connection<?> connection) {
+        return mStopped && !mConnections.containsKey(connection);
+    }
+
     private FrontConnection of(Connection<?> connection) {
         return mConnections.computeIfAbsent(
                 connection, key -> new FrontConnection(key, mListener, System.nanoTime()));
@@ -98,6 +120,10 @@
     private final class ActivityFilter extends BaseFilter {
         @Override
         public NextAction handleRead(FilterChainContext ctx) throws IOException {
+            if (isTooLate(ctx.getConnection())) {
+                ctx.getConnection().closeSilently();
+                return ctx.getStopAction();
+            }
             of(ctx.getConnection()).onBytes(System.nanoTime());
             return ctx.getInvokeAction();
         }
--- a/ebonyrun-ports/src/test/java/org/ebonyrun/ports/http/FrontServerTest.java
+++ b/ebonyrun-ports/src/test/java/org/ebonyrun/ports/http/FrontServerTest.java
@@ -2,8 +2,10 @@
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.containsString;
+import static org.hamcrest.Matchers.endsWith;
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.startsWith;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 
 import java.io.IOException;
 import java.net.InetAddress;
@@ -93,6 +95,26 @@
         }
     }
 
+    @Test
+    void aServerThatStopsAnswersWhatItHasReadAndTakesNothingMore() throws Exception {
+        String request = "GET /1 HTTP/1.1\r\nHost: h\r\n\r\n";
+        try (Socket idle = send(request)) {
+            mRequests.take().respond(200, HttpHeaders.empty(), bytes("first"));
+            assertThat(idle.getInputStream().read() >= 0, is(true));
+            try (Socket busy = send(request)) {
+                FrontExchange exchange = mRequests.take();
+                mServer.stop();
+                assertThat(readAll(idle), endsWith("first"));
+                assertThat(mServer.busy(), is(1));
+
+                exchange.respond(200, HttpHeaders.empty(), bytes("second"));
+                assertThat(readAll(busy), endsWith("second"));
+                assertThrows(IOException.class, () -> send(request));
+                assertThat(mRequests.isEmpty(), is(true));
+            }
+        }
+    }
+
     @Test
     void requestsOfOneConnectionAreAnsweredInTheirOrder() throws Exception {
         String first = "GET /1 HTTP/1.1\r\nHost: h\r\n\r\n";
