--- a/ebonyrun-core/src/main/java/org/ebonyrun/core/fleet/Endpoint.java
+++ b/ebonyrun-core/src/main/java/org/ebonyrun/core/fleet/Endpoint.java
@@ -16,11 +16,8 @@
 public final class Endpoint {
     private static final long FIRST_BACKOFF_NANOS = Nanos.ofMillis(400);
     private static final long MAX_BACKOFF_NANOS = Nanos.ofMillis(3_000);
-    // Time between two tries of an endpoint that had outdated weights and may be loading.
+    // Time between two tries of an endpoint that had outdated weights.
     private static final long TRY_NANOS = Nanos.ofMillis(120);
-    // The same after it answered that its weights are outdated and it loads nothing. Below the time
-    // that a load takes, so that a try meets the load and those after it follow soon.
-    private static final long TRY_OUTDATED_NANOS = Nanos.ofMillis(400);
     private static final double MAX_GAP = 3;
     private static final double SMOOTHING = 0.2;
 
@@ -36,7 +33,7 @@
     private boolean mLoading;
     private long mSignAt;
     private boolean mTried;
-    private long mTryAt;
+    private long mTriedAt;
 
     Endpoint(EndpointRecord record) {
         mRecord = record;
@@ -162,20 +159,14 @@
 
     /** Returns whether an endpoint with outdated weights may be tried now, and notes the try. */
     public boolean tryAt(long now) {
-        if (mTried && now - mTryAt < 0) {
+        if (mTried && now - mTriedAt < TRY_NANOS) {
             return false;
         }
         mTried = true;
-        mTryAt = now + TRY_NANOS;
+        mTriedAt = now;
         return true;
     }
 
-    /** Notes that the endpoint answered a try: its weights are outdated and it loads nothing. */
-    public void onOutdated(long now) {
-        mTried = true;
-        mTryAt = now + TRY_OUTDATED_NANOS;
-    }
-
     /** Marks the endpoint as busy with an order of this process, or as done with it. */
     public void setLoading(boolean loading) {
         mLoading = loading;
--- a/ebonyrun-core/src/main/java/org/ebonyrun/core/step/StepMachine.java
+++ b/ebonyrun-core/src/main/java/org/ebonyrun/core/step/StepMachine.java
@@ -278,10 +278,7 @@
         switch (end) {
             case COMPLETE -> onTextWhole(sample, now);
             case UNFRAMED -> requeue(sample, now, 0);
-            case WRONG_VERSION -> {
-                sample.mEndpoint.onOutdated(now);
-                requeue(sample, now, 0);
-            }
+            case WRONG_VERSION -> requeue(sample, now, 0);
             case NOT_RUN -> {
                 sample.mEndpoint.avoidFor(NOT_RUN_NANOS, now);
                 requeue(sample, now, NOT_RUN_NANOS);
