--- a/ebonyrun-core/src/main/java/org/ebonyrun/core/step/StepMachine.java
+++ b/ebonyrun-core/src/main/java/org/ebonyrun/core/step/StepMachine.java
@@ -377,21 +377,20 @@
 
     private void finish(SampleRun sample, SampleResult result, long now) {
         StepRun step = sample.mStep;
-        boolean whole = step.finish(sample, result, now);
-        // Beyond the number of groups that it wants, a trainer waits for those of an earlier step.
-        step.mAwaited |= (whole && !step.isWanted()) || step.isAllFinished();
-        store(step, now);
+        boolean wasWanted = step.isWanted();
+        step.finish(sample, result, now);
+        boolean satisfied = wasWanted && !step.isWanted();
+        store(step, now, satisfied || step.isAllFinished());
     }
 
-    private void store(StepRun step, long now) {
+    private void store(StepRun step, long now, boolean atOnce) {
         if (step.mEnded || !step.mStoring.isEmpty() || step.mFinished.isEmpty()) {
             return;
         }
         boolean old = now - step.mFinishedSince >= STORE_AGE_NANOS;
-        if (!step.mAwaited && !old && bytes(step.mFinished) < STORE_BYTES) {
+        if (!atOnce && !old && !step.isAllFinished() && bytes(step.mFinished) < STORE_BYTES) {
             return;
         }
-        step.mAwaited = false;
         step.mStoring = List.copyOf(step.mFinished);
         step.mFinished.clear();
         boolean last = step.isAllFinished();
@@ -415,14 +414,14 @@
             mSteps.remove(id);
             return;
         }
-        store(step, now);
+        store(step, now, !step.isWanted() && step.isAllFinished());
     }
 
     /** Moves samples off slow endpoints, starts runs, stores results and gives samples up. */
     public void onTick(long now) {
         mFleet.onTick(now);
         for (StepRun step : List.copyOf(mSteps.values())) {
-            store(step, now);
+            store(step, now, false);
             giveUpExpired(step, now);
         }
         mScheduler.beginRound();
--- a/ebonyrun-core/src/main/java/org/ebonyrun/core/step/StepRun.java
+++ b/ebonyrun-core/src/main/java/org/ebonyrun/core/step/StepRun.java
@@ -29,8 +29,6 @@
     final List<SampleResult> mFinished = new ArrayList<>();
     List<SampleResult> mStoring = List.of();
     long mFinishedSince;
-    // Whether the trainer may wait for a result that is finished and not being stored.
-    boolean mAwaited;
     boolean mEnded;
     private final Map<String, Integer> mMissing = new HashMap<>();
     private int mWholeGroups;
@@ -60,7 +58,7 @@
         return Stream.concat(mStoring.stream(), mFinished.stream());
     }
 
-    /** Returns whether fewer groups are whole than the trainer wants. */
+    /** Returns whether the trainer still waits for groups. */
     boolean isWanted() {
         return mWholeGroups < mSpec.wantedGroups();
     }
