--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/StepDirectory.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/StepDirectory.java
@@ -1,11 +1,9 @@
 package org.ebonyrun.daemon.hosted;
 
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.TreeMap;
 import org.ebonyrun.base.log.EventLog;
 import org.ebonyrun.base.log.LogLine;
 import org.ebonyrun.core.step.StepId;
@@ -19,9 +17,6 @@
  * <p>Not thread safe; confined to the entry's duty.
  */
 final class StepDirectory {
-    // How many steps a trainer has open at a time as a rule.
-    private static final int STEPS_BEFORE = 2;
-
     private final EventLog mLog;
     private final Map<StepId, KnownStep> mSteps = new HashMap<>();
     private @Nullable StoreItem mPlanner;
@@ -67,27 +62,25 @@
     }
 
     /**
-     * Returns the steps whose texts a step with this manifest may go on with, the newest first: the
-     * last ones of the same trainer before it, without those of which every sample is listed. A
-     * trainer that has two steps open asks again for groups of the step before the last.
+     * Returns the newest step of the same trainer before one with this manifest, if it ended before
+     * every sample was listed; null if there is none.
      */
-    List<StepId> unfinishedBefore(StepManifest manifest) {
-        TreeMap<Integer, StepId> before = new TreeMap<>(Comparator.reverseOrder());
-        mSteps.forEach(
-                (id, step) -> {
-                    StepManifest other = step.mManifest;
-                    boolean earlier =
-                            other != null
-                                    && other.isOfSameTrainer(manifest)
-                                    && other.number() < manifest.number();
-                    if (earlier) {
-                        before.put(other.number(), id);
-                    }
-                });
-        return before.values().stream()
-                .limit(STEPS_BEFORE)
-                .filter(id -> !mSteps.get(id).mDone)
-                .toList();
+    @Nullable StepId unfinishedBefore(StepManifest manifest) {
+        StepId before = null;
+        int number = -1;
+        for (Map.Entry<StepId, KnownStep> entry : mSteps.entrySet()) {
+            StepManifest other = entry.getValue().mManifest;
+            boolean newer =
+                    other != null
+                            && other.isOfSameTrainer(manifest)
+                            && other.number() < manifest.number()
+                            && other.number() > number;
+            if (newer) {
+                number = other.number();
+                before = entry.getValue().mDone ? null : entry.getKey();
+            }
+        }
+        return before;
     }
 
     void onSnapshot(List<StoreItem> items) {
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/StepOwner.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/StepOwner.java
@@ -3,12 +3,10 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.OptionalLong;
 import java.util.Set;
-import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
 import org.ebonyrun.base.log.LogLine;
@@ -202,35 +200,19 @@
                                 .with("fence", revision));
         OwnedStep owned = new OwnedStep(revision);
         mOwned.put(spec.id(), owned);
-        List<StepId> before = mParts.directory().unfinishedBefore(manifest);
-        if (before.isEmpty()) {
+        StepId before = mParts.directory().unfinishedBefore(manifest);
+        if (before == null) {
             run(spec, route, owned, List.of());
             return;
         }
-        List<CompletableFuture<List<PartialText>>> texts = new ArrayList<>();
-        for (StepId step : before) {
-            texts.add(
-                    mStore.load(step)
-                            .thenApplyAsync(
-                                    result -> carried(spec, route, step, result),
-                                    mParts.executor()));
-        }
-        CompletableFuture.allOf(texts.toArray(CompletableFuture[]::new))
+        mStore.load(before)
                 .thenAcceptAsync(
-                        ignored -> run(spec, route, owned, newest(texts)), mParts.executor());
-        mParts.later(CARRY_WAIT_NANOS, () -> run(spec, route, owned, newest(texts)));
-    }
-
-    /** Returns the texts that have been read, of each sample that of the newest step. */
-    private static List<PartialText> newest(List<CompletableFuture<List<PartialText>>> read) {
-        Map<String, PartialText> newest = new LinkedHashMap<>();
-        for (CompletableFuture<List<PartialText>> texts : read) {
-            texts.getNow(List.of()).forEach(text -> newest.putIfAbsent(text.id(), text));
-        }
-        return List.copyOf(newest.values());
+                        result -> run(spec, route, owned, carried(spec, route, before, result)),
+                        mParts.executor());
+        mParts.later(CARRY_WAIT_NANOS, () -> run(spec, route, owned, List.of()));
     }
 
-    /** Returns what an earlier step left for a step. A failure costs no more than a rerun. */
+    /** Returns what the step before left for a step. A failure costs no more than a rerun. */
     private List<PartialText> carried(
             StepSpec spec, Route route, StepId before, Result<StoredStep> result) {
         return result.fold(
