--- a/ebonyrun-core/src/main/java/org/ebonyrun/core/step/PaceShares.java
+++ b/ebonyrun-core/src/main/java/org/ebonyrun/core/step/PaceShares.java
@@ -3,12 +3,10 @@
 import org.ebonyrun.core.fleet.Endpoint;
 
 /**
- * Gives each endpoint samples in proportion to its pace, and samples that the trainer may do
- * without to those with newer weights.
+ * Gives each endpoint samples in proportion to its pace.
  *
- * <p>Answers the load of a pool in which some endpoints are several times slower than others, and
- * of trainers that ask again for what they did without: a later step takes only texts that newer
- * weights generated. Immutable and thread safe.
+ * <p>Answers the load of a pool in which some endpoints are several times slower than others.
+ * Immutable and thread safe.
  */
 final class PaceShares implements SamplePlacement {
     // How much slower than the best pace still earns all slots.
@@ -33,11 +31,6 @@
     public double cost(Endpoint endpoint, SampleRun sample, double bestPace) {
         double pace = endpoint.paceNanos() == 0 ? 1 : endpoint.paceNanos() / Math.max(1, bestPace);
         double cost = (endpoint.active() + 1.0) / endpoint.record().slots() * Math.max(1, pace);
-        if (endpoint.id().equals(sample.mAvoid)) {
-            cost += 1;
-        }
-        StepSpec step = sample.mStep.mSpec;
-        boolean old = endpoint.version(step.model()) <= step.minVersion();
-        return sample.mRank == GroupOrder.SPARE && old ? cost + 1 : cost;
+        return endpoint.id().equals(sample.mAvoid) ? cost + 1 : cost;
     }
 }
