--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/EntryLease.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/EntryLease.java
@@ -12,7 +12,7 @@
 import org.ebonyrun.ports.store.StoreLease;
 
 /**
- * A lease of an entry, under which stand keys that say what it owns.
+ * The one lease of an entry, under which stand all keys that say what it owns.
  *
  * <p>Invariant: {@link #isValid} counts from the moment at which the call that granted or renewed
  * the lease was sent, so this entry never counts on it longer than the store does. A lease is taken
@@ -21,8 +21,11 @@
  * <p>Not thread safe; every callback and method runs on the duty behind {@code executor}.
  */
 final class EntryLease {
-    // Tries that must get no answer before a lease lapses; one more finds room between them.
-    private static final int RENEWALS = 3;
+    /** Time to live of the lease, in milliseconds. */
+    static final long TTL_MILLIS = 2_500;
+
+    // Leaves time for three tries that get no answer and one that does.
+    private static final long RENEW_NANOS = Nanos.ofMillis(800);
     private static final long RETRY_NANOS = Nanos.ofMillis(50);
     // How long the lease is kept for the next step after nothing is owned any more. A new one
     // costs one call and an exchange before the step is accepted, a renewal costs one call.
@@ -32,8 +35,6 @@
     private final SharedStore mStore;
     private final Executor mExecutor;
     private final EventLog mLog;
-    private final long mTtlMillis;
-    private final long mRenewNanos;
     private final Runnable mOnLost;
     private final List<LongConsumer> mWaiters = new ArrayList<>();
     private long mId;
@@ -43,16 +44,7 @@
     private long mNeededAt;
     private int mGrantTries;
 
-    /**
-     * Creates a lease that is not taken.
-     *
-     * @param ttlMillis its time to live, in milliseconds
-     * @param onLost hears that the lease has ended
-     */
-    EntryLease(
-            SharedStore store, Executor executor, EventLog log, long ttlMillis, Runnable onLost) {
-        mTtlMillis = ttlMillis;
-        mRenewNanos = Nanos.ofMillis(ttlMillis) / RENEWALS;
+    EntryLease(SharedStore store, Executor executor, EventLog log, Runnable onLost) {
         mStore = store;
         mExecutor = executor;
         mLog = log;
@@ -112,7 +104,7 @@
 
     private void grant(long now) {
         mCalling = true;
-        mStore.grant(mTtlMillis).thenAcceptAsync(result -> onGranted(result, now), mExecutor);
+        mStore.grant(TTL_MILLIS).thenAcceptAsync(result -> onGranted(result, now), mExecutor);
     }
 
     private void onGranted(Result<StoreLease> result, long sentAt) {
@@ -125,7 +117,7 @@
                 lease -> {
                     mId = lease.id();
                     mExpiresAt = sentAt + Nanos.ofMillis(lease.ttlMillis());
-                    mNextRenewAt = sentAt + mRenewNanos;
+                    mNextRenewAt = sentAt + RENEW_NANOS;
                     mLog.write(LogLine.of("lease.granted").with("lease", mId));
                     return lease;
                 },
@@ -147,8 +139,8 @@
         result.fold(
                 alive -> {
                     if (alive) {
-                        mExpiresAt = sentAt + Nanos.ofMillis(mTtlMillis);
-                        mNextRenewAt = sentAt + mRenewNanos;
+                        mExpiresAt = sentAt + Nanos.ofMillis(TTL_MILLIS);
+                        mNextRenewAt = sentAt + RENEW_NANOS;
                     } else {
                         mId = 0;
                         mLog.write(LogLine.of("lease.lost").with("lease", id));
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/HostedEntry.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/HostedEntry.java
@@ -57,8 +57,6 @@
 public final class HostedEntry implements EntryParts, DutyHandler<Runnable>, Closeable {
     private static final int RING = 16_384;
     private static final long TICK_NANOS = Nanos.ofMillis(20);
-    // Time to live of the lease under which steps are owned.
-    private static final long LEASE_MILLIS = 2_500;
     private static final long SWEEP_NANOS = Nanos.ofMillis(500);
     // Longest silence of the store after which the entry asks callers to go elsewhere.
     private static final long STORE_SILENCE_NANOS = Nanos.ofMillis(1_500);
@@ -115,7 +113,7 @@
         StepStore stepStore = new StepStore(mStore);
         Random random = new Random();
         mDirectory = new StepDirectory(log);
-        mLease = new EntryLease(mStore, executor(), log, LEASE_MILLIS, () -> {});
+        mLease = new EntryLease(mStore, executor(), log, this::onLeaseLost);
         mCalls = new CallDesk(this, caller, mFleet, settings.domain());
         mSamples = new SampleDesk(this, caller, mFleet, (host, path) -> mRoutes.find(host, path));
         mSteps = new StepOwner(this, stepStore, mSamples.machine(), random);
@@ -272,7 +270,7 @@
         }
         mHealth.onTick(now);
         mWatches.forEach(watch -> watch.onTick(now));
-        mLease.onTick(mSteps.isNeeded(), now);
+        mLease.onTick(mSteps.isNeeded() || mPlanner.isHolding(), now);
         mSteps.onTick(mDirectory.concerning(mSelf), now);
         mPlanner.onTick(now);
         mSamples.machine().onTick(now);
@@ -301,6 +299,10 @@
         }
     }
 
+    private void onLeaseLost() {
+        mPlanner.onLeaseLost();
+    }
+
     private boolean isIdle() {
         return !mSteps.isNeeded() && !mPlanner.isHolding();
     }
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/PlannerDesk.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/PlannerDesk.java
@@ -47,10 +47,6 @@
     private static final long CLAIM_JITTER_NANOS = Nanos.ofMillis(200);
     private static final long RETRY_NANOS = Nanos.ofMillis(500);
     private static final long SWEEP_NANOS = Nanos.ofMillis(20_000);
-    // Time to live of the planner's lease. Shorter than that of steps: the next holder loses
-    // nothing
-    // that the one before has begun.
-    private static final long LEASE_MILLIS = 1_500;
     private static final long KEEP_SLACK_MILLIS = 60_000;
     // The shortest time for which orders of another holder count that is worth a note of each
     // order; below it, waiting costs trainers less than the calls.
@@ -62,7 +58,6 @@
     private final StepStore mStore;
     private final SwapMachine mMachine;
     private final OrderLog mOrders;
-    private final EntryLease mLease;
     private final Supplier<HostedSettings> mSettings;
     private final RandomGenerator mRandom;
     private final Set<String> mRetired = new HashSet<>();
@@ -93,9 +88,6 @@
         mRandom = random;
         mPredecessor = !settings.get().firstStart();
         mMachine = SwapMachine.create(fleet, this);
-        mLease =
-                new EntryLease(
-                        shared, parts.executor(), parts.log(), LEASE_MILLIS, this::onLeaseLost);
         mOrders =
                 new OrderLog(
                         shared,
@@ -148,7 +140,8 @@
         mParts.log().write(LogLine.of("planner.released").with("why", why));
     }
 
-    private void onLeaseLost() {
+    /** Notes that the entry's lease has ended. */
+    void onLeaseLost() {
         if (mMachine.isHolding()) {
             release("the lease has ended");
         }
@@ -160,7 +153,6 @@
     }
 
     void onTick(long now) {
-        mLease.onTick(mMachine.isHolding() || mClaiming, now);
         StoreItem holder = mParts.directory().planner();
         boolean inherited = holder != null && mParts.self().isSuccessorOf(holder.text());
         boolean free = holder == null || inherited;
@@ -172,7 +164,7 @@
         if (!mMachine.isHolding()) {
             return;
         }
-        if (mLease.isValid(now)) {
+        if (mParts.lease().isValid(now)) {
             mMachine.onTick(now);
             answerRetirements();
             sweep(now);
@@ -188,15 +180,16 @@
             return;
         }
         mClaiming = true;
-        mLease.with(
-                lease -> {
-                    if (lease == 0) {
-                        onClaimFailed();
-                    } else {
-                        claim(lease);
-                    }
-                },
-                now);
+        mParts.lease()
+                .with(
+                        lease -> {
+                            if (lease == 0) {
+                                onClaimFailed();
+                            } else {
+                                claim(lease);
+                            }
+                        },
+                        now);
     }
 
     private void claim(long lease) {
@@ -363,7 +356,7 @@
 
     @Override
     public void order(Endpoint endpoint, SwapOrder order) {
-        if (!mLease.isValid(System.nanoTime())) {
+        if (!mParts.lease().isValid(System.nanoTime())) {
             refuse(endpoint);
         } else if (isNoted()) {
             mOrders.note(() -> give(endpoint, order), () -> refuse(endpoint));
