--- a/ebonyrun-core/src/main/java/org/ebonyrun/core/step/PaceShares.java
+++ b/ebonyrun-core/src/main/java/org/ebonyrun/core/step/PaceShares.java
@@ -3,18 +3,14 @@
 import org.ebonyrun.core.fleet.Endpoint;
 
 /**
- * Gives each endpoint samples in proportion to its pace, and leaves newer weights than a step needs
- * to later steps.
+ * Gives each endpoint samples in proportion to its pace.
  *
- * <p>Answers the load of a pool in which some endpoints are several times slower than others, and
- * of trainers that have two steps open: the later one may run at a part of the endpoints only.
+ * <p>Answers the load of a pool in which some endpoints are several times slower than others.
  * Immutable and thread safe.
  */
 final class PaceShares implements SamplePlacement {
     // How much slower than the best pace still earns all slots.
     private static final double TOLERANCE = 1.3;
-    // What newer weights than needed cost, in parts of a full endpoint's load.
-    private static final double NEWER_COST = 0.25;
 
     /** Returns whether an endpoint is about as fast as the best one. */
     static boolean isFast(Endpoint endpoint, double bestPace) {
@@ -35,11 +31,6 @@
     public double cost(Endpoint endpoint, SampleRun sample, double bestPace) {
         double pace = endpoint.paceNanos() == 0 ? 1 : endpoint.paceNanos() / Math.max(1, bestPace);
         double cost = (endpoint.active() + 1.0) / endpoint.record().slots() * Math.max(1, pace);
-        if (endpoint.id().equals(sample.mAvoid)) {
-            cost += 1;
-        }
-        StepSpec step = sample.mStep.mSpec;
-        boolean newer = endpoint.version(step.model()) > step.minVersion();
-        return newer ? cost + NEWER_COST : cost;
+        return endpoint.id().equals(sample.mAvoid) ? cost + 1 : cost;
     }
 }
--- a/ebonyrun-core/src/test/java/org/ebonyrun/core/step/StepMachineTest.java
+++ b/ebonyrun-core/src/test/java/org/ebonyrun/core/step/StepMachineTest.java
@@ -372,19 +372,6 @@
         assertThat(mOutputs.mStores.get(0).results(), contains(result));
     }
 
-    @Test
-    void newerWeightsThanNeededAreLeftToLaterStepsWhileOthersHaveRoom() {
-        endpoint("e1", BOUND + 1);
-        endpoint("e2", BOUND);
-        SampleSpec[] samples = {
-            sample("a", "g", 3, false), sample("b", "g", 2, false), sample("c", "g", 1, false)
-        };
-        own(step(1, samples), false);
-
-        List<String> chosen = mOutputs.mRuns.stream().map(FakeStepOutputs.Run::endpoint).toList();
-        assertThat(chosen, contains("e2", "e2", "e1"));
-    }
-
     @Test
     void anEndedStepStopsItsRuns() {
         endpoint("e", 2);
