Take noted orders for as much younger as a note may take

An order may be given up to a second after its note was made; a holder that claims in between, because the key was taken away, would otherwise wait for too short a time.

--- a/ebonyrun-core/src/main/java/org/ebonyrun/core/swap/OrderAges.java
+++ b/ebonyrun-core/src/main/java/org/ebonyrun/core/swap/OrderAges.java
@@ -5,7 +5,8 @@
 
 /**
  * How long ago endpoints were ordered, by the id of the endpoint. An endpoint that is missing was
- * ordered so long ago that its order no longer counts for another holder, or never.
+ * ordered so long ago that its order no longer counts for another holder, or never. An age below
+ * zero means that the order may still be on its way for that time.
  *
  * @param own ages of the orders of one holder, in nanoseconds; never above the true age
  * @param earlier ages of the orders of holders before it, in nanoseconds; never above the true age
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/OrderLog.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/OrderLog.java
@@ -31,14 +31,14 @@
  * store: endpoints that were not ordered lately are ordered by the next holder at once.
  *
  * <p>Invariants: an order is given only after the store has noted it, under the condition that the
- * planner's key is still this holder's, so a holder that lost its key gives none; a noted age is
- * never above the true one. Ages are times between two moments of one steady clock.
+ * planner's key is still this holder's, so a holder that lost its key gives none; an age that is
+ * read is never above the true one. Ages are times between two moments of one steady clock.
  *
  * <p>Not thread safe; confined to the duty behind {@code executor}.
  */
 final class OrderLog {
-    // A note that took longer to store than this is made again: the process may have been paused
-    // since, and another holder may have read the note.
+    // How long after it was noted an order may be given. One whose note takes longer to store is
+    // refused; a reader of the note takes it for younger by as much.
     private static final long NOTE_NANOS = Nanos.ofMillis(1_000);
     private static final String FENCE = "fence";
     private static final String OWN = "own_ms";
@@ -115,7 +115,11 @@
     private static Map<String, Long> ages(JsonNode millis) {
         Map<String, Long> ages = new HashMap<>();
         millis.properties()
-                .forEach(age -> ages.put(age.getKey(), Nanos.ofMillis(age.getValue().asLong())));
+                .forEach(
+                        age -> {
+                            long noted = Nanos.ofMillis(age.getValue().asLong());
+                            ages.put(age.getKey(), noted - NOTE_NANOS);
+                        });
         return ages;
     }
 
