--- a/ebonyrun-daemon/src/test/java/org/ebonyrun/daemon/hosted/OrderLogTest.java
+++ b/ebonyrun-daemon/src/test/java/org/ebonyrun/daemon/hosted/OrderLogTest.java
@@ -132,6 +132,6 @@
 
         assertThat(
                 read,
-                contains(Optional.empty(), Optional.of(AGES), Optional.of(AGES), Optional.empty()));
+                contains(Optional.empty(), Optional.of(READ), Optional.of(READ), Optional.empty()));
     }
 }
