--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/PlannerDesk.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/PlannerDesk.java
@@ -95,13 +95,7 @@
                         MonotonicClock.system(),
                         parts.log(),
                         mMachine::orderAges,
-                        this::onKeyLost);
-    }
-
-    private void onKeyLost(String why) {
-        if (mMachine.isHolding()) {
-            release(why);
-        }
+                        this::releaseIfHolding);
     }
 
     private boolean isNoted() {
@@ -142,8 +136,12 @@
 
     /** Notes that the entry's lease has ended. */
     void onLeaseLost() {
+        releaseIfHolding("the lease has ended");
+    }
+
+    private void releaseIfHolding(String why) {
         if (mMachine.isHolding()) {
-            release("the lease has ended");
+            release(why);
         }
     }
 
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/ResultReader.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/ResultReader.java
@@ -132,11 +132,10 @@
 
     private void proceed(Read read) {
         Known known = known(read.step());
-        boolean owned = mOwnership.owns(read.step());
         known.adopt(mOwnership.listed(read.step()));
         if (isAnswered(read, known)) {
-            read.reply().results(known.from(read.from()));
-        } else if (owned) {
+            answer(read, known);
+        } else if (mOwnership.owns(read.step())) {
             mWaiting.add(read);
         } else {
             askStore(read, known);
@@ -160,6 +159,10 @@
         return known.mResults.size() > read.from() || read.from() >= read.samples();
     }
 
+    private static void answer(Read read, Known known) {
+        read.reply().results(known.from(read.from()));
+    }
+
     private void onLoaded(Read read, Result<StoredStep> result) {
         result.fold(
                 stored -> {
@@ -167,7 +170,7 @@
                     known.adopt(stored.listed());
                     known.mRevision = Math.max(known.mRevision, stored.revision());
                     if (isAnswered(read, known)) {
-                        read.reply().results(known.from(read.from()));
+                        answer(read, known);
                     } else if (read.waitMillis(mClock.nanoTime()) > 0) {
                         watch(read, known);
                     } else {
@@ -192,11 +195,11 @@
                     } else {
                         take(known, changes);
                     }
-                    boolean none = !changes.historyGone() && changes.changes().isEmpty();
-                    if (none && known.mRevision != 0 && !isAnswered(read, known)) {
+                    boolean all = !changes.historyGone() && changes.changes().isEmpty();
+                    if (isAnswered(read, known)) {
+                        answer(read, known);
+                    } else if (all && known.mRevision != 0) {
                         sayNone(read, "watch", changes.revision());
-                    } else if (isAnswered(read, known)) {
-                        read.reply().results(known.from(read.from()));
                     } else {
                         askStore(read, known);
                     }
@@ -207,8 +210,7 @@
 
     private static void take(Known known, StoreChanges changes) {
         // A load that another read has to make stays necessary.
-        boolean current = known.mRevision != 0;
-        if (current) {
+        if (known.mRevision != 0) {
             known.mRevision = Math.max(known.mRevision, changes.revision());
         }
         changes.changes().forEach(known::extend);
@@ -253,7 +255,7 @@
             boolean due = now - read.until() >= 0;
             if (isAnswered(read, known)) {
                 it.remove();
-                read.reply().results(known.from(read.from()));
+                answer(read, known);
             } else if (due && mOwnership.isCertain(read.step())) {
                 it.remove();
                 sayNone(read, "owner", known.mRevision);
