Log which connection carried a request, and whose answer came on it

The logs could not tell the hypotheses apart: they name neither the connection nor the request that an unexpected answer belongs to. The lines that end a call's attempt and a sample's run now carry the number of the connection, how many requests it has carried and how long it was idle, and the id that an answer to another request names.

What a client keeps of a connection is one object now instead of two attributes; its behaviour is unchanged.

--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/CallDesk.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/CallDesk.java
@@ -149,12 +149,12 @@
         if (exchange != null) {
             exchange.cancel();
         }
-        if (call != null) {
-            mParts.log()
-                    .write(
-                            LogLine.of("call.cancelled")
-                                    .with("request", call.requestId())
-                                    .with("attempt", attempt));
+        if (call != null && exchange != null) {
+            LogLine line =
+                    LogLine.of("call.cancelled")
+                            .with("request", call.requestId())
+                            .with("attempt", attempt);
+            mParts.log().write(exchange.withConnection(line));
         }
     }
 
@@ -288,14 +288,14 @@
         }
         HttpHead head = exchange.head();
         mParts.metrics().count(EntryMetrics.ATTEMPTS, end.name());
-        mParts.log()
-                .write(
-                        LogLine.of("call.attempt")
-                                .with("request", call.requestId())
-                                .with("attempt", exchange.attempt())
-                                .with("end", end)
-                                .with("status", head == null ? 0 : head.status())
-                                .with("detail", exchange.detail()));
+        LogLine line =
+                LogLine.of("call.attempt")
+                        .with("request", call.requestId())
+                        .with("attempt", exchange.attempt())
+                        .with("end", end)
+                        .with("status", head == null ? 0 : head.status())
+                        .with("detail", exchange.detail());
+        mParts.log().write(exchange.withConnection(line));
         mSpecs.remove(exchange.attempt());
         if (end == AttemptEnd.SERVER_ERROR) {
             mErrorCounts.merge(call.id(), 1, Integer::sum);
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/CallExchange.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/CallExchange.java
@@ -83,7 +83,7 @@
         HttpHead head = mHead;
         boolean own = head != null && EndpointProtocol.belongsTo(head, mRequestId);
         if (!own) {
-            mDetail = "the answer belongs to another request";
+            mDetail = head == null ? "no head" : "answer to " + EndpointProtocol.named(head);
         }
         AttemptEnd end = own ? EndpointProtocol.attemptEnd(head) : AttemptEnd.LOST;
         tell(() -> mSink.onEnd(this, end));
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/EndpointExchange.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/EndpointExchange.java
@@ -1,6 +1,8 @@
 package org.ebonyrun.daemon.hosted;
 
 import java.util.concurrent.Executor;
+import org.ebonyrun.base.log.LogLine;
+import org.ebonyrun.ports.http.ConnectionUse;
 import org.ebonyrun.ports.http.HttpExchange;
 import org.ebonyrun.ports.http.HttpHead;
 import org.ebonyrun.ports.http.HttpListener;
@@ -32,12 +34,24 @@
         mExchange = exchange;
     }
 
+    private ConnectionUse connectionUse() {
+        return mExchange == null ? ConnectionUse.NONE : mExchange.connectionUse();
+    }
+
     final void cancel() {
         if (mExchange != null) {
             mExchange.cancel();
         }
     }
 
+    /** Adds to a line which connection carried the request. */
+    final LogLine withConnection(LogLine line) {
+        ConnectionUse use = connectionUse();
+        return line.with("connection", use.connection())
+                .with("connection_requests", use.requests())
+                .with("connection_idle_ms", use.idleMillis());
+    }
+
     /** Tells the entry's duty. */
     final void tell(Runnable task) {
         mExecutor.execute(task);
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/SampleDesk.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/SampleDesk.java
@@ -103,12 +103,12 @@
         if (exchange != null) {
             exchange.cancel();
             mParts.metrics().count(EntryMetrics.RUNS, "STOPPED");
-            mParts.log()
-                    .write(
-                            LogLine.of("sample.stopped")
-                                    .with("run", run)
-                                    .with("events", exchange.events())
-                                    .with("why", reason));
+            LogLine line =
+                    LogLine.of("sample.stopped")
+                            .with("run", run)
+                            .with("events", exchange.events())
+                            .with("why", reason);
+            mParts.log().write(exchange.withConnection(line));
         }
     }
 
@@ -133,13 +133,13 @@
             return;
         }
         mParts.metrics().count(EntryMetrics.RUNS, end.name());
-        mParts.log()
-                .write(
-                        LogLine.of("sample.run")
-                                .with("run", run)
-                                .with("events", exchange.events())
-                                .with("end", end)
-                                .with("detail", detail));
+        LogLine line =
+                LogLine.of("sample.run")
+                        .with("run", run)
+                        .with("events", exchange.events())
+                        .with("end", end)
+                        .with("detail", detail);
+        mParts.log().write(exchange.withConnection(line));
         mMachine.onRunEnd(run, end, System.nanoTime());
     }
 
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/SampleExchange.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/SampleExchange.java
@@ -80,10 +80,16 @@
     @Override
     public void onEnd() {
         RunEnd end = end();
-        String detail = mHead == null ? "no head" : "status " + mHead.status();
+        String detail = mHead == null ? "no head" : detail(mHead);
         tell(() -> mSink.onEnd(mRun, end, detail));
     }
 
+    private String detail(HttpHead head) {
+        String status = "status " + head.status();
+        boolean own = EndpointProtocol.belongsTo(head, mSample);
+        return own ? status : status + ", answer to " + EndpointProtocol.named(head);
+    }
+
     private RunEnd end() {
         if (mHead == null || mBroken) {
             return RunEnd.BROKEN;
--- a/ebonyrun-ports/src/main/java/org/ebonyrun/ports/http/ConnectionPool.java
+++ b/ebonyrun-ports/src/main/java/org/ebonyrun/ports/http/ConnectionPool.java
@@ -5,7 +5,6 @@
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.Map;
-import org.glassfish.grizzly.Connection;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -23,28 +22,28 @@
      * @param connection the connection
      * @param until the monotonic time in nanoseconds from which the server may close it
      */
-    private record Idle(Connection<?> connection, long until) {}
+    private record Idle(CallerConnection connection, long until) {}
 
     private final Map<InetSocketAddress, Deque<Idle>> mIdle = new HashMap<>();
 
     /** Takes an open connection, or returns null if there is none. */
-    synchronized @Nullable Connection<?> take(InetSocketAddress address, long now) {
+    synchronized @Nullable CallerConnection take(InetSocketAddress address, long now) {
         Deque<Idle> idle = mIdle.get(address);
         while (idle != null && !idle.isEmpty()) {
             Idle candidate = idle.pollFirst();
             if (candidate.connection().isOpen() && now - candidate.until() < 0) {
                 return candidate.connection();
             }
-            candidate.connection().closeSilently();
+            candidate.connection().close();
         }
         return null;
     }
 
     /** Puts a connection back, or closes it when enough are idle. */
-    synchronized void put(InetSocketAddress address, Connection<?> connection, long until) {
+    synchronized void put(InetSocketAddress address, CallerConnection connection, long until) {
         Deque<Idle> idle = mIdle.computeIfAbsent(address, ignored -> new ArrayDeque<>());
         if (idle.size() >= MAX_IDLE_PER_ADDRESS) {
-            connection.closeSilently();
+            connection.close();
         } else {
             idle.addFirst(new Idle(connection, until));
         }
@@ -54,13 +53,13 @@
     synchronized void drop(InetSocketAddress address) {
         Deque<Idle> idle = mIdle.remove(address);
         if (idle != null) {
-            idle.forEach(entry -> entry.connection().closeSilently());
+            idle.forEach(entry -> entry.connection().close());
         }
     }
 
     /** Closes all idle connections. */
     synchronized void clear() {
-        mIdle.values().forEach(idle -> idle.forEach(entry -> entry.connection().closeSilently()));
+        mIdle.values().forEach(idle -> idle.forEach(entry -> entry.connection().close()));
         mIdle.clear();
     }
 }
--- a/ebonyrun-ports/src/main/java/org/ebonyrun/ports/http/ExchangeFilter.java
+++ b/ebonyrun-ports/src/main/java/org/ebonyrun/ports/http/ExchangeFilter.java
@@ -5,8 +5,6 @@
 import org.glassfish.grizzly.Buffer;
 import org.glassfish.grizzly.CloseReason;
 import org.glassfish.grizzly.Connection;
-import org.glassfish.grizzly.Grizzly;
-import org.glassfish.grizzly.attributes.Attribute;
 import org.glassfish.grizzly.filterchain.BaseFilter;
 import org.glassfish.grizzly.filterchain.FilterChainContext;
 import org.glassfish.grizzly.filterchain.NextAction;
@@ -17,35 +15,21 @@
 /**
  * Hands the pieces of a response to the exchange that owns the connection.
  *
- * <p>Thread safe: the only state is in connection attributes.
+ * <p>Thread safe: the only state is in {@link CallerConnection}.
  */
 final class ExchangeFilter extends BaseFilter {
-    private static final Attribute<HttpExchange> EXCHANGE =
-            Grizzly.DEFAULT_ATTRIBUTE_BUILDER.createAttribute("ebonyrun.exchange");
-    private static final Attribute<Boolean> HEAD_SEEN =
-            Grizzly.DEFAULT_ATTRIBUTE_BUILDER.createAttribute("ebonyrun.head");
-
-    static void bind(Connection<?> connection, HttpExchange exchange) {
-        HEAD_SEEN.set(connection, Boolean.FALSE);
-        EXCHANGE.set(connection, exchange);
-    }
-
-    static void unbind(Connection<?> connection) {
-        EXCHANGE.remove(connection);
-    }
-
     @Override
     public NextAction handleRead(FilterChainContext ctx) throws IOException {
         HttpContent content = ctx.getMessage();
         Connection<?> connection = ctx.getConnection();
-        HttpExchange exchange = EXCHANGE.get(connection);
-        if (exchange == null) {
+        CallerConnection wrapped = CallerConnection.of(connection);
+        HttpExchange exchange = wrapped == null ? null : wrapped.exchange();
+        if (wrapped == null || exchange == null) {
             connection.closeSilently();
             return ctx.getStopAction();
         }
         HttpResponsePacket head = (HttpResponsePacket) content.getHttpHeader();
-        if (!Boolean.TRUE.equals(HEAD_SEEN.get(connection))) {
-            HEAD_SEEN.set(connection, Boolean.TRUE);
+        if (wrapped.beginsAnswer()) {
             exchange.head(head(head));
         }
         Buffer buffer = content.getContent();
@@ -93,7 +77,7 @@
 
     @Override
     public void exceptionOccurred(FilterChainContext ctx, Throwable error) {
-        HttpExchange exchange = EXCHANGE.get(ctx.getConnection());
+        HttpExchange exchange = CallerConnection.exchangeOn(ctx.getConnection());
         if (exchange != null) {
             exchange.fail("protocol: " + error.getMessage());
         }
@@ -102,7 +86,7 @@
 
     @Override
     public NextAction handleClose(FilterChainContext ctx) throws IOException {
-        HttpExchange exchange = EXCHANGE.get(ctx.getConnection());
+        HttpExchange exchange = CallerConnection.exchangeOn(ctx.getConnection());
         if (exchange != null) {
             exchange.fail("connection closed");
         }
--- a/ebonyrun-ports/src/main/java/org/ebonyrun/ports/http/HttpCaller.java
+++ b/ebonyrun-ports/src/main/java/org/ebonyrun/ports/http/HttpCaller.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ScheduledThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
 import org.ebonyrun.base.result.Fault;
 import org.ebonyrun.base.result.FaultCode;
 import org.ebonyrun.base.result.Result;
@@ -35,6 +36,7 @@
     private final TCPNIOConnectorHandler mConnector;
     private final ConnectionPool mPool = new ConnectionPool();
     private final ScheduledThreadPoolExecutor mTimer;
+    private final AtomicLong mOpened = new AtomicLong();
 
     private HttpCaller(TCPNIOTransport transport, boolean ownsTransport) {
         mTransport = transport;
@@ -89,7 +91,7 @@
             String detail = "timeout after " + call.timeoutMillis() + " ms";
             failAfter(exchange, call.timeoutMillis(), detail);
         }
-        Connection<?> idle = mPool.take(call.address(), System.nanoTime());
+        CallerConnection idle = mPool.take(call.address(), System.nanoTime());
         if (idle != null) {
             exchange.begin(idle);
         } else {
@@ -108,7 +110,8 @@
                     @Override
                     @SuppressWarnings("rawtypes")
                     public void completed(Connection connection) {
-                        exchange.begin(connection);
+                        exchange.begin(
+                                CallerConnection.open(connection, mOpened.incrementAndGet()));
                     }
 
                     @Override
--- a/ebonyrun-ports/src/main/java/org/ebonyrun/ports/http/HttpExchange.java
+++ b/ebonyrun-ports/src/main/java/org/ebonyrun/ports/http/HttpExchange.java
@@ -27,7 +27,8 @@
     private final HttpCall mCall;
     private final HttpListener mListener;
     private final ConnectionPool mPool;
-    private @Nullable Connection<?> mConnection;
+    private @Nullable CallerConnection mConnection;
+    private ConnectionUse mUse = ConnectionUse.NONE;
     private @Nullable ScheduledFuture<?> mTimeout;
     private @Nullable ScheduledFuture<?> mConnectTimeout;
     private long mIdleNanos = DEFAULT_IDLE_NANOS;
@@ -70,25 +71,31 @@
         }
     }
 
+    /** Returns which connection carries the exchange. */
+    public synchronized ConnectionUse connectionUse() {
+        return mUse;
+    }
+
     /** Writes the request on an open connection. */
-    void begin(Connection<?> connection) {
+    void begin(CallerConnection connection) {
+        long now = System.nanoTime();
         synchronized (this) {
             if (mDone) {
-                mPool.put(mCall.address(), connection, System.nanoTime() + DEFAULT_IDLE_NANOS);
+                mPool.put(mCall.address(), connection, now + DEFAULT_IDLE_NANOS);
                 return;
             }
             mConnection = connection;
+            mUse = connection.bind(this, now);
             mSent = true;
             if (mConnectTimeout != null) {
                 mConnectTimeout.cancel(false);
             }
         }
-        ExchangeFilter.bind(connection, this);
         if (!connection.isOpen()) {
             fail("connection closed");
             return;
         }
-        Writeable<SocketAddress> writeable = writeable(connection);
+        Writeable<SocketAddress> writeable = writeable(connection.connection());
         writeable.write(
                 packet(),
                 new EmptyCompletionHandler<WriteResult<HttpContent, SocketAddress>>() {
@@ -139,13 +146,14 @@
         if (!finish()) {
             return;
         }
-        Connection<?> connection = mConnection;
+        CallerConnection connection = mConnection;
         if (connection != null) {
-            ExchangeFilter.unbind(connection);
+            long now = System.nanoTime();
+            connection.unbind(now);
             if (keepAlive) {
-                mPool.put(mCall.address(), connection, System.nanoTime() + mIdleNanos);
+                mPool.put(mCall.address(), connection, now + mIdleNanos);
             } else {
-                connection.closeSilently();
+                connection.close();
             }
         }
         mListener.onEnd();
@@ -160,10 +168,10 @@
         if (!finish()) {
             return;
         }
-        Connection<?> connection = mConnection;
+        CallerConnection connection = mConnection;
         if (connection != null) {
-            ExchangeFilter.unbind(connection);
-            connection.closeSilently();
+            connection.unbind(System.nanoTime());
+            connection.close();
         }
         mListener.onFailure(sent, detail);
     }
