Tests of answers that come twice, which fail

A caller was told 503 of a call that ran, calls that run at most once ran twice or were lost, a sample was listed without text or given up after two failures, and a version was not ordered again.

--- /dev/null
+++ b/ebonyrun-daemon/src/test/java/org/ebonyrun/daemon/hosted/StutterFixture.java
@@ -0,0 +1,155 @@
+package org.ebonyrun.daemon.hosted;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.not;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.io.IOException;
+import java.net.URI;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.BooleanSupplier;
+import org.ebonyrun.base.json.JsonTrees;
+import org.ebonyrun.platform.standin.StandinScene;
+import org.ebonyrun.platform.standin.Stutter;
+import org.ebonyrun.platform.standin.StutteringEndpoint;
+import org.ebonyrun.platform.standin.StutteringEndpoint.Event;
+import org.ebonyrun.platform.standin.StutteringEndpoint.Received;
+import org.ebonyrun.ports.http.HttpCall;
+import org.ebonyrun.ports.http.HttpReply;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+
+/**
+ * Two entries whose only endpoint may answer a request twice.
+ *
+ * <p>Waits are looks at an entry that no endpoint hears of, so they don't touch its connections.
+ */
+abstract class StutterFixture extends HostedFixture {
+    // Long enough for the entry to try a request again, which takes it some of its ticks.
+    static final int LOOKS = 1_500;
+    private static final int MOST_PAGES = 60;
+    // Above the time for which an entry may keep an endpoint whose record is gone.
+    private static final int MOST_WARM_CALLS = 40_000;
+    private static final long CALLER_MILLIS = 15_000;
+    private static final int OK = 200;
+
+    StutteringEndpoint mEndpoint;
+
+    @BeforeEach
+    void replaceTheEndpoint() throws IOException {
+        mEndpoint = StutteringEndpoint.start("i-2", mScene.events(), Stutter.never());
+        mScene.unregister("i-1");
+        mScene.register(mEndpoint.id(), mEndpoint.address(), "ready", 1);
+        untilServed(mFirst, mEndpoint);
+        untilServed(mSecond, mEndpoint);
+    }
+
+    @AfterEach
+    void closeTheEndpoint() throws IOException {
+        mEndpoint.close();
+    }
+
+    /** Sends calls to an entry until an endpoint has received one. */
+    void untilServed(String front, StutteringEndpoint endpoint) {
+        boolean served = false;
+        for (int i = 0; i < MOST_WARM_CALLS && !served; i++) {
+            String id = "warm-" + front + "-" + i;
+            send(front, "POST", mScene.callPath(), id, "warm");
+            served = !endpoint.received(id).isEmpty();
+        }
+        assertThat(front + " uses " + endpoint.id(), served, is(true));
+    }
+
+    /** Sends a call whose caller waits for long. */
+    CompletableFuture<HttpReply> ask(String front, String path, String id, String body) {
+        return ask(front, path, id, body, CALLER_MILLIS);
+    }
+
+    CompletableFuture<HttpReply> ask(
+            String front, String path, String id, String body, long deadlineMillis) {
+        byte[] bytes = body.getBytes(StandardCharsets.UTF_8);
+        HttpCall call =
+                HttpCall.to(
+                        "POST",
+                        URI.create("http://" + front + path),
+                        StandinScene.headers(id, deadlineMillis),
+                        bytes,
+                        CALLER_MILLIS + TIMEOUT_MILLIS);
+        return mCaller.request(call, "test")
+                .thenApply(result -> result.fold(r -> r, fault -> new HttpReply(0, new byte[0])));
+    }
+
+    /** Looks at an entry until something holds, at most a number of times. */
+    void look(int most, BooleanSupplier wanted) {
+        for (int i = 0; i < most && !wanted.getAsBoolean(); i++) {
+            send(mSecond, "POST", "/none/1", "look", "");
+        }
+    }
+
+    /**
+     * Waits for the answer to a call, and releases what the endpoint holds back once the entry had
+     * time to send the call once more.
+     */
+    HttpReply answer(CompletableFuture<HttpReply> asked, String id) {
+        look(LOOKS, () -> asked.isDone() || mEndpoint.runs(id).size() > 1);
+        mEndpoint.release();
+        return asked.join();
+    }
+
+    void submit(String front, String step, String body) {
+        assertThat(step, send(front, "POST", mScene.stepPath(), step, body).status(), is(202));
+    }
+
+    /** Reads results of a step until there are as many as wanted. */
+    List<JsonNode> listed(String front, String step, int wanted) {
+        List<JsonNode> results = new ArrayList<>();
+        for (int i = 0; i < MOST_PAGES && results.size() < wanted; i++) {
+            String path = mScene.resultsPath(step, results.size());
+            HttpReply page = send(front, "GET", path, "", "");
+            if (page.isSuccess()) {
+                JsonTrees.read(page.body()).path("results").forEach(results::add);
+            }
+        }
+        assertThat(step + " lists " + results, results.size(), is(wanted));
+        return results;
+    }
+
+    /** Checks that a text is whole and that each of its pieces goes on where its run began. */
+    static void checkText(JsonNode result, int events, List<Received> received) {
+        String sample = result.path("id").asText();
+        String text = result.path("text").asText();
+        String why = sample + " is listed as " + result;
+        assertThat(why, result.path("state").asText(), is("done"));
+        assertThat(why, text, not(is("")));
+        String[] lines = text.split("\n");
+        assertThat(why, lines.length, is(events));
+        String run = "";
+        for (int i = 0; i < lines.length; i++) {
+            Event event = Event.parse(lines[i]);
+            assertThat(why, event.sample(), is(sample));
+            assertThat(why, event.number(), is(i + 1));
+            if (!event.run().equals(run)) {
+                run = event.run();
+                assertThat(why + ", run " + run, begin(run, received), is(i));
+            }
+        }
+    }
+
+    /** Returns the event after which a run was asked to go on. */
+    private static int begin(String run, List<Received> received) {
+        return received.stream()
+                .filter(r -> r.run().equals(run))
+                .mapToInt(r -> r.request().lastEvent())
+                .findFirst()
+                .orElseThrow(() -> new AssertionError("no run " + run));
+    }
+
+    static void checkOwn(HttpReply reply, String body) {
+        assertThat("status of the answer", reply.status(), is(OK));
+        assertThat("body of the answer", reply.text(), is(body));
+    }
+}
--- /dev/null
+++ b/ebonyrun-daemon/src/test/java/org/ebonyrun/daemon/hosted/StutterTest.java
@@ -0,0 +1,223 @@
+package org.ebonyrun.daemon.hosted;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.anyOf;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import org.ebonyrun.platform.standin.Stutter;
+import org.ebonyrun.platform.standin.Stutter.Framing;
+import org.ebonyrun.platform.standin.Stutter.Hold;
+import org.ebonyrun.platform.standin.Stutter.Plan;
+import org.ebonyrun.platform.standin.Stutter.Repeat;
+import org.ebonyrun.platform.standin.Stutter.Reply;
+import org.ebonyrun.ports.http.HttpReply;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** What callers and trainers see of an endpoint that answers requests twice. */
+class StutterTest extends StutterFixture {
+    // Enough looks for the planner, which tries an order again after a part of a second.
+    private static final int PLANNER_LOOKS = 15_000;
+    // Over before an entry tries a refused call again.
+    private static final long SHORT_DEADLINE_MILLIS = 30;
+    private static final int SHORT_CALLS = 5;
+    private static final Plan RUN = Plan.of(Reply.RUN);
+    private static final Plan TWICE = RUN.repeated(Repeat.LATE);
+    // Answers this late that an entry which took another answer for it has gone on by then.
+    private static final Plan LAGGING = RUN.held(Hold.BEHIND_ANOTHER, Stutter.UNTIL_RELEASED);
+
+    @Test
+    void aCallThatRunsOnceIsNotRunAgainBecauseItsRefusalComesTwice() {
+        Plan refusal = Plan.of(Reply.NOT_RUN).repeated(Repeat.LATE);
+        mEndpoint.stutter(Stutter.scripted(Map.of("u1", List.of(refusal, LAGGING))));
+        HttpReply reply = answer(ask(mFirst, mScene.onceOnlyPath(), "u1", "pay"), "u1");
+
+        assertThat("runs of the call", mEndpoint.runs("u1").size(), is(1));
+        checkOwn(reply, "pay");
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = {60, 70, 80, 90, 100, 110, 120, 130})
+    void aCallThatRunsIsNotRefusedAtItsDeadlineBecauseItsRefusalComesTwice(long deadlineMillis) {
+        Plan refusal = Plan.of(Reply.NOT_RUN).repeated(Repeat.LATE);
+        mEndpoint.stutter(request -> request.sentBefore() == 0 ? refusal : LAGGING);
+        for (int i = 0; i < SHORT_CALLS; i++) {
+            String id = "u2-" + i;
+            HttpReply reply =
+                    answer(ask(mFirst, mScene.onceOnlyPath(), id, "pay", deadlineMillis), id);
+            int runs = mEndpoint.runs(id).size();
+            // Each call is to meet its own refusal only, not what an earlier one has left behind.
+            mEndpoint.release();
+
+            assertThat("runs of " + id, runs, is(lessThanOrEqualTo(1)));
+            assertThat("runs of " + id + " at 503", reply.status() == 503 ? runs : 0, is(0));
+        }
+    }
+
+    @ParameterizedTest
+    @CsvSource({
+        "RUN, LATE, CHUNKED",
+        "RUN, LATE, LENGTH",
+        "RUN, LATE_IN_PIECES, LENGTH",
+        "RUN, LATE_IN_PIECES, CHUNKED",
+        "RUN, AT_ONCE, LENGTH",
+        "FAILED, LATE, LENGTH",
+        "IMPOSSIBLE, LATE_IN_PIECES, CHUNKED"
+    })
+    void aCallThatRunsOnceGetsItsOwnAnswerBehindThatOfAnotherCall(
+            Reply reply, Repeat repeat, Framing framing) {
+        Plan other = Plan.of(reply).repeated(repeat).framed(framing, framing);
+        mEndpoint.stutter(Stutter.scripted(Map.of("x1", List.of(other))));
+        ask(mFirst, mScene.onceOnlyPath(), "x1", "other").join();
+        HttpReply own = ask(mFirst, mScene.onceOnlyPath(), "u3", "pay").join();
+
+        checkOwn(own, "pay");
+        assertThat("runs of the call", mEndpoint.runs("u3").size(), is(1));
+    }
+
+    @Test
+    void callsInTurnGetTheirOwnAnswersAndRunOnceWhileEachAnswerComesTwice() {
+        mEndpoint.stutter(Stutter.always(Repeat.LATE));
+        List<Integer> runs = new ArrayList<>();
+        for (int i = 0; i < 6; i++) {
+            String id = "turn-" + i;
+            checkOwn(send(mFirst, "POST", mScene.callPath(), id, "body of " + id), "body of " + id);
+            runs.add(mEndpoint.runs(id).size());
+        }
+
+        assertThat("runs of the calls", runs, is(List.of(1, 1, 1, 1, 1, 1)));
+    }
+
+    @Test
+    void aSampleIsNotGivenUpBecauseItsFailuresComeTwice() {
+        Plan failure = Plan.of(Reply.FAILED).repeated(Repeat.LATE);
+        Plan lagging = failure.held(Hold.BEHIND_ANOTHER, Stutter.UNTIL_RELEASED);
+        mEndpoint.stutter(Stutter.scripted(Map.of("p1", List.of(failure, lagging, RUN))));
+        submit(mFirst, "st1", mScene.plainStepBody(1, List.of("p1")));
+        look(LOOKS, () -> mEndpoint.received("p1").size() > 2);
+        mEndpoint.release();
+        JsonNode result = listed(mFirst, "st1", 1).get(0);
+        long failures = mEndpoint.runs("p1").stream().filter(r -> r.status() == 500).count();
+
+        assertThat(
+                "state after " + failures + " failures", result.path("state").asText(), is("done"));
+        checkText(result, mScene.events(), mEndpoint.received());
+    }
+
+    @Test
+    void aSampleOfALaterStepIsListedWholeAfterAnAnswerWithoutEventsCameTwice() {
+        Plan unframed =
+                RUN.framed(Framing.CLOSE, Framing.CLOSE).held(Hold.ALWAYS, Stutter.UNTIL_RELEASED);
+        mEndpoint.stutter(Stutter.scripted(Map.of("p1", List.of(unframed, TWICE, RUN))));
+        submit(mFirst, "st2", mScene.plainStepBody(2, List.of("p1", "p2")));
+        listed(mFirst, "st2", 1);
+        look(LOOKS, () -> !mEndpoint.runs("p1").isEmpty());
+        mEndpoint.release();
+        listed(mFirst, "st2", 2);
+        // The trainer's count of steps is lower, so that nothing of the first step is used.
+        submit(mFirst, "st3", mScene.plainStepBody(1, List.of("p1")));
+
+        checkText(listed(mFirst, "st3", 1).get(0), mScene.events(), mEndpoint.received());
+    }
+
+    @Test
+    void aStreamThatGoesOnIsAskedForOnceWhenAnotherAnswerComesTwice() {
+        Plan broken = Plan.brokenAfter(2).held(Hold.ALWAYS, Stutter.UNTIL_RELEASED);
+        mEndpoint.stutter(
+                Stutter.scripted(
+                        Map.of("p1", List.of(broken, LAGGING, RUN), "x1", List.of(TWICE))));
+        submit(mFirst, "st4", mScene.plainStepBody(1, List.of("p1")));
+        look(LOOKS, () -> !mEndpoint.runs("p1").isEmpty());
+        // While the first run has a connection, this call leaves its answer on another one.
+        checkOwn(send(mFirst, "POST", mScene.callPath(), "x1", "other"), "other");
+        mEndpoint.release();
+        look(LOOKS, () -> mEndpoint.received("p1").size() > 2);
+        mEndpoint.release();
+        JsonNode result = listed(mFirst, "st4", 1).get(0);
+
+        checkText(result, mScene.events(), mEndpoint.received());
+        List<Integer> asked =
+                mEndpoint.received("p1").stream().map(r -> r.request().lastEvent()).toList();
+        assertThat("events after which runs were asked", asked, is(List.of(0, 2)));
+    }
+
+    @ParameterizedTest
+    @CsvSource({"LATE", "LATE_IN_PIECES", "AT_ONCE"})
+    void samplesAreListedWholeAndRunOnceWhileStreamsComeTwice(Repeat repeat) {
+        mEndpoint.stutter(Stutter.always(repeat));
+        for (int i = 1; i <= 4; i++) {
+            String step = "st5-" + i;
+            List<String> samples = List.of("p" + i + "a", "p" + i + "b", "p" + i + "c");
+            submit(mFirst, step, mScene.plainStepBody(i, samples));
+            for (JsonNode result : listed(mFirst, step, samples.size())) {
+                checkText(result, mScene.events(), mEndpoint.received());
+            }
+            for (String sample : samples) {
+                assertThat("runs of " + sample, mEndpoint.runs(sample).size(), is(1));
+            }
+        }
+    }
+
+    @Test
+    void aVersionIsOrderedAgainWhenAReportThatComesTwiceHidesThatTheOrderWasRefused() {
+        mEndpoint.stutter(
+                Stutter.scripted(
+                        Map.of(
+                                mScene.reportPath(), List.of(TWICE, RUN),
+                                mScene.orderPath(), List.of(Plan.of(Reply.CONFLICT), RUN))));
+        mScene.nameVersion(3);
+        look(PLANNER_LOOKS, () -> mEndpoint.version() == 3);
+
+        assertThat("orders " + mEndpoint.received(mScene.orderPath()), mEndpoint.version(), is(3));
+    }
+
+    @Test
+    void aVersionIsOrderedAgainWhenAnEarlierOrderThatComesTwiceShiftsTheAnswers() {
+        mEndpoint.stutter(
+                Stutter.scripted(
+                        Map.of(
+                                mScene.reportPath(), List.of(LAGGING),
+                                mScene.orderPath(), List.of(TWICE, Plan.of(Reply.CONFLICT), RUN))));
+        mScene.nameVersion(3);
+        look(PLANNER_LOOKS, () -> mEndpoint.received(mScene.reportPath()).size() > 1);
+        assertThat(mEndpoint.version(), is(3));
+        mScene.nameVersion(5);
+        look(PLANNER_LOOKS, () -> mEndpoint.version() == 5);
+
+        assertThat("orders " + mEndpoint.received(mScene.orderPath()), mEndpoint.version(), is(5));
+    }
+
+    @Test
+    void aCallThatRunsOnceIsNotRunAgainBecauseARefusalThatNamesNoCallComesInFront() {
+        Plan refusal = Plan.of(Reply.NOT_RUN).repeated(Repeat.LATE).withoutIdWhenRepeated();
+        mEndpoint.stutter(request -> request.key().startsWith("x-") ? refusal : LAGGING);
+        boolean refusedOnce = false;
+        for (int i = 0; i < MOST_TRIES && !refusedOnce; i++) {
+            String id = "x-" + i;
+            ask(mFirst, mScene.callPath(), id, "other", SHORT_DEADLINE_MILLIS).join();
+            refusedOnce = mEndpoint.received(id).size() == 1;
+        }
+        HttpReply reply = answer(ask(mFirst, mScene.onceOnlyPath(), "u4", "pay"), "u4");
+
+        assertThat("runs of the call", mEndpoint.runs("u4").size(), is(1));
+        assertThat("status of a call that ran", reply.status(), anyOf(is(200), is(502)));
+    }
+
+    @Test
+    void aCallThatRunsOnceDoesNotFailBecauseAFailureThatNamesNoCallComesInFront() {
+        Plan failure = Plan.of(Reply.FAILED).repeated(Repeat.LATE).withoutIdWhenRepeated();
+        mEndpoint.stutter(Stutter.scripted(Map.of("x1", List.of(failure))));
+        ask(mFirst, mScene.onceOnlyPath(), "x1", "other").join();
+        HttpReply reply = ask(mFirst, mScene.onceOnlyPath(), "u5", "pay").join();
+
+        assertThat("runs of the call", mEndpoint.runs("u5").size(), is(1));
+        assertThat("status of a call that ran", reply.status(), anyOf(is(200), is(502)));
+    }
+}
