Take an answer only for the sending of the request that it names

Callers saw, where endpoints answer twice and the second answer comes late: 503 for a call that ran, two runs of a call that may run once, another call's failure, a sample listed as done without its text or as dead after two failures of three, a weight version that was never ordered again.

Cause: an answer was attributed by its place on a kept connection. The id was compared above the client, when the connection was back in its pool although the own answer was still to come, so each later request read the answer of the one before. An id names a request, not a sending of it, and the pool prefers the connection used last, so a retry read what was left of the try before. A failure without an id passed for the own one, and orders and reports have no id at all.

Now the client decides whose an answer is, by the call's correlation. An answer to another request is skipped and the own one awaited; the connection is not used again. No connection carries an id twice. An answer that names no request is taken only on a connection that has carried no other. Orders and reports have a connection each. Bytes that nobody waits for close their connection before the parser keeps any. A connection found closed before anything was written is no longer reported as a request that may have run. Each dropped answer is logged and counted.

--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/CallDesk.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/CallDesk.java
@@ -108,8 +108,7 @@
             return;
         }
         boolean streaming = client.caller() != null && call.route().kind() == RouteKind.STREAM;
-        CallExchange exchange =
-                new CallExchange(attempt, call.requestId(), streaming, mParts.executor(), this);
+        CallExchange exchange = new CallExchange(attempt, streaming, mParts.executor(), this);
         mAttempts.put(attempt, exchange);
         mSpecs.put(attempt, call);
         HttpCall request = request(client, endpoint, leftMillis);
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/CallExchange.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/CallExchange.java
@@ -27,17 +27,15 @@
     }
 
     private final long mAttempt;
-    private final String mRequestId;
     private final boolean mStreaming;
     private final Sink mSink;
     private final ByteArrayOutputStream mBody = new ByteArrayOutputStream();
     private boolean mPassing;
     private String mDetail = "";
 
-    CallExchange(long attempt, String requestId, boolean streaming, Executor executor, Sink sink) {
+    CallExchange(long attempt, boolean streaming, Executor executor, Sink sink) {
         super(executor);
         mAttempt = attempt;
-        mRequestId = requestId;
         mStreaming = streaming;
         mSink = sink;
     }
@@ -61,9 +59,8 @@
     @Override
     public void onHead(HttpHead head) {
         mHead = head;
-        boolean own = EndpointProtocol.belongsTo(head, mRequestId);
         boolean signed = EndpointProtocol.attemptEnd(head) == AttemptEnd.ANSWERED;
-        mPassing = mStreaming && own && head.isSuccess() && signed;
+        mPassing = mStreaming && head.isSuccess() && signed;
         if (mPassing) {
             tell(() -> mSink.onHead(this, head));
         }
@@ -81,11 +78,7 @@
     @Override
     public void onEnd() {
         HttpHead head = mHead;
-        boolean own = head != null && EndpointProtocol.belongsTo(head, mRequestId);
-        if (!own) {
-            mDetail = head == null ? "no head" : "answer to " + EndpointProtocol.named(head);
-        }
-        AttemptEnd end = own ? EndpointProtocol.attemptEnd(head) : AttemptEnd.LOST;
+        AttemptEnd end = head == null ? AttemptEnd.LOST : EndpointProtocol.attemptEnd(head);
         tell(() -> mSink.onEnd(this, end));
     }
 
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/EntryMetrics.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/EntryMetrics.java
@@ -36,6 +36,9 @@
     /** Steps, by what happened to them. */
     static final String STEPS = "ebonyrun_entry_steps";
 
+    /** Answers that no request could take, by the reason. */
+    static final String DROPPED_ANSWERS = "ebonyrun_entry_dropped_answers";
+
     /** Orders to endpoints, by the answer. */
     static final String ORDERS = "ebonyrun_entry_orders";
 
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/HostedEntry.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/HostedEntry.java
@@ -34,9 +34,11 @@
 import org.ebonyrun.core.route.WeightedService;
 import org.ebonyrun.core.step.StepId;
 import org.ebonyrun.platform.EndpointDecoder;
+import org.ebonyrun.platform.EndpointProtocol;
 import org.ebonyrun.platform.OperatorDecoder;
 import org.ebonyrun.platform.OperatorEvent;
 import org.ebonyrun.platform.StoreClient;
+import org.ebonyrun.ports.http.DroppedAnswer;
 import org.ebonyrun.ports.http.FrontLimits;
 import org.ebonyrun.ports.http.FrontServer;
 import org.ebonyrun.ports.http.HttpCaller;
@@ -105,7 +107,7 @@
         mSelf = new ProcessName(settings.vm(), new Random().nextLong());
         mDuty = Duty.create("entry", RING, this, MonotonicClock.system(), TICK_NANOS);
         mTransport = transport();
-        HttpCaller caller = HttpCaller.on(mTransport);
+        HttpCaller caller = HttpCaller.on(mTransport, this::onDroppedAnswer);
         mStore =
                 new ObservedStore(
                         StoreClient.create(settings.store(), caller),
@@ -303,6 +305,22 @@
         mPlanner.onLeaseLost();
     }
 
+    private void onDroppedAnswer(DroppedAnswer answer) {
+        mLog.write(
+                LogLine.of("answer.dropped")
+                        .with("request", answer.asked())
+                        .with("answer_to", EndpointProtocol.named(answer.head()))
+                        .with("status", answer.head().status())
+                        .with("reason", answer.reason())
+                        .with("peer", answer.peer())
+                        .with("connection", answer.use().connection())
+                        .with("connection_requests", answer.use().requests())
+                        .with("connection_idle_ms", answer.use().idleMillis()));
+        executor()
+                .execute(
+                        () -> mMetrics.count(EntryMetrics.DROPPED_ANSWERS, answer.reason().name()));
+    }
+
     private boolean isIdle() {
         return !mSteps.isNeeded() && !mPlanner.isHolding();
     }
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/SampleDesk.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/SampleDesk.java
@@ -75,8 +75,7 @@
             Endpoint endpoint,
             int lastEvent,
             RunTerms terms) {
-        SampleExchange exchange =
-                new SampleExchange(run, sample.id(), endpoint.id(), mParts.executor(), this);
+        SampleExchange exchange = new SampleExchange(run, endpoint.id(), mParts.executor(), this);
         mRuns.put(run, exchange);
         mParts.log()
                 .write(
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/SampleExchange.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/SampleExchange.java
@@ -29,7 +29,6 @@
     }
 
     private final long mRun;
-    private final String mSample;
     private final String mEndpoint;
     private final Sink mSink;
     private List<SseEvent> mEvents = new ArrayList<>();
@@ -38,10 +37,9 @@
     private boolean mBroken;
     private volatile int mCount;
 
-    SampleExchange(long run, String sample, String endpoint, Executor executor, Sink sink) {
+    SampleExchange(long run, String endpoint, Executor executor, Sink sink) {
         super(executor);
         mRun = run;
-        mSample = sample;
         mEndpoint = endpoint;
         mSink = sink;
     }
@@ -54,9 +52,7 @@
     @Override
     public void onHead(HttpHead head) {
         mHead = head;
-        boolean own = EndpointProtocol.belongsTo(head, mSample);
-        mStream = own && head.isSuccess();
-        mBroken = !own;
+        mStream = EndpointProtocol.isStream(head);
         if (mStream) {
             int version = EndpointProtocol.version(head);
             tell(() -> mSink.onBegun(mRun, version));
@@ -80,16 +76,10 @@
     @Override
     public void onEnd() {
         RunEnd end = end();
-        String detail = mHead == null ? "no head" : detail(mHead);
+        String detail = mHead == null ? "no head" : "status " + mHead.status();
         tell(() -> mSink.onEnd(mRun, end, detail));
     }
 
-    private String detail(HttpHead head) {
-        String status = "status " + head.status();
-        boolean own = EndpointProtocol.belongsTo(head, mSample);
-        return own ? status : status + ", answer to " + EndpointProtocol.named(head);
-    }
-
     private RunEnd end() {
         if (mHead == null || mBroken) {
             return RunEnd.BROKEN;
--- /dev/null
+++ b/ebonyrun-ports/src/main/java/org/ebonyrun/ports/http/AnswerParser.java
@@ -0,0 +1,38 @@
+package org.ebonyrun.ports.http;
+
+import org.glassfish.grizzly.filterchain.FilterChainContext;
+import org.glassfish.grizzly.http.HttpClientFilter;
+import org.glassfish.grizzly.http.HttpHeader;
+import org.glassfish.grizzly.http.HttpRequestPacket;
+import org.glassfish.grizzly.http.HttpResponsePacket;
+import org.glassfish.grizzly.http.Protocol;
+
+/**
+ * Parses any number of answers to a request.
+ *
+ * <p>The filter that it extends pairs each answer with a request that was written, and fails on an
+ * answer beyond those.
+ *
+ * <p>Thread safe: the only state is in connection attributes.
+ */
+final class AnswerParser extends HttpClientFilter {
+    @Override
+    protected void onInitialLineParsed(HttpHeader header, FilterChainContext ctx) {
+        super.onInitialLineParsed(header, ctx);
+        HttpResponsePacket response = (HttpResponsePacket) header;
+        if (response.getRequest() == null) {
+            response.setRequest(request(ctx));
+        }
+    }
+
+    /** Returns a request on which only the framing of its answer depends. */
+    private static HttpRequestPacket request(FilterChainContext ctx) {
+        HttpExchange exchange = CallerConnection.exchangeOn(ctx.getConnection());
+        return HttpRequestPacket.builder()
+                .method(exchange == null ? "GET" : exchange.method())
+                .uri("/")
+                .protocol(Protocol.HTTP_1_1)
+                .host("")
+                .build();
+    }
+}
--- a/ebonyrun-ports/src/main/java/org/ebonyrun/ports/http/CallerConnection.java
+++ b/ebonyrun-ports/src/main/java/org/ebonyrun/ports/http/CallerConnection.java
@@ -1,5 +1,6 @@
 package org.ebonyrun.ports.http;
 
+import java.net.InetSocketAddress;
 import org.ebonyrun.base.time.Nanos;
 import org.glassfish.grizzly.Connection;
 import org.glassfish.grizzly.Grizzly;
@@ -9,27 +10,38 @@
 /**
  * What a client keeps of one of its connections.
  *
- * <p>Thread safe: guarded by this object's monitor. At most one exchange is bound at a time.
+ * <p>Thread safe: guarded by this object's monitor. At most one exchange is bound at a time. A
+ * connection carries each request id once, and none after an answer to another request has come.
  */
 final class CallerConnection {
     private static final Attribute<CallerConnection> SELF =
             Grizzly.DEFAULT_ATTRIBUTE_BUILDER.createAttribute("ebonyrun.caller");
 
+    // Answers to other requests that one request waits through.
+    private static final int MAX_SKIPPED = 8;
+
     private final Connection<?> mConnection;
+    private final InetSocketAddress mPeer;
     private final long mNumber;
+    private final CarriedIds mCarried = new CarriedIds();
     private @Nullable HttpExchange mExchange;
+    private ConnectionUse mUse = ConnectionUse.NONE;
     private boolean mHeadSeen;
+    private boolean mSkipping;
+    private boolean mSuspect;
+    private int mSkipped;
     private int mRequests;
     private long mIdleSince;
 
-    private CallerConnection(Connection<?> connection, long number) {
+    private CallerConnection(Connection<?> connection, InetSocketAddress peer, long number) {
         mConnection = connection;
+        mPeer = peer;
         mNumber = number;
     }
 
     /** Wraps a connection that was just opened. */
-    static CallerConnection open(Connection<?> connection, long number) {
-        CallerConnection wrapped = new CallerConnection(connection, number);
+    static CallerConnection open(Connection<?> connection, InetSocketAddress peer, long number) {
+        CallerConnection wrapped = new CallerConnection(connection, peer, number);
         SELF.set(connection, wrapped);
         return wrapped;
     }
@@ -49,6 +61,10 @@
         return mConnection;
     }
 
+    InetSocketAddress peer() {
+        return mPeer;
+    }
+
     boolean isOpen() {
         return mConnection.isOpen();
     }
@@ -58,12 +74,18 @@
     }
 
     /** Binds an exchange that is about to send its request, and tells its use of the connection. */
-    synchronized ConnectionUse bind(HttpExchange exchange, long now) {
+    synchronized ConnectionUse bind(HttpExchange exchange, String id, long now) {
         long idle = mRequests == 0 ? 0 : Nanos.toMillis(now - mIdleSince);
         mExchange = exchange;
         mHeadSeen = false;
+        mSkipping = false;
+        mSkipped = 0;
         mRequests++;
-        return new ConnectionUse(mNumber, mRequests, idle);
+        if (!id.isEmpty()) {
+            mCarried.add(id);
+        }
+        mUse = new ConnectionUse(mNumber, mRequests, idle);
+        return mUse;
     }
 
     synchronized void unbind(long now) {
@@ -75,10 +97,65 @@
         return mExchange;
     }
 
+    /** Returns whether a request with an id may have been sent on this connection. */
+    synchronized boolean mayHaveCarried(String id) {
+        return !id.isEmpty() && mCarried.mayContain(id);
+    }
+
+    /** Returns whether later requests may be sent on this connection. */
+    synchronized boolean isReusable() {
+        return !mSuspect && !mCarried.isFull();
+    }
+
+    /** Returns whether an answer without a name can only be that to the bound request. */
+    synchronized boolean isUnambiguous() {
+        return mRequests == 1 && !mSuspect;
+    }
+
     /** Returns whether this is the first piece of the answer that is being read. */
     synchronized boolean beginsAnswer() {
         boolean first = !mHeadSeen;
         mHeadSeen = true;
         return first;
     }
+
+    /**
+     * Notes that the answer that is being read is not taken by the bound request.
+     *
+     * @return whether the connection may bring so many more of them
+     */
+    synchronized boolean skipAnswer() {
+        mSkipping = true;
+        mSuspect = true;
+        mSkipped++;
+        return mSkipped <= MAX_SKIPPED;
+    }
+
+    /** Notes that the peer does not say whose its answers are. */
+    synchronized void distrust() {
+        mSuspect = true;
+    }
+
+    synchronized boolean isSkipping() {
+        return mSkipping;
+    }
+
+    /** Ends an answer that was skipped; the next one may be that to the bound request. */
+    synchronized void endSkipped() {
+        mSkipping = false;
+        mHeadSeen = false;
+    }
+
+    /** Describes bytes that came although no request waits. */
+    synchronized DroppedAnswer unasked() {
+        HttpHead unread = new HttpHead(0, HttpHeaders.empty(), false);
+        long idle = Nanos.toMillis(System.nanoTime() - mIdleSince);
+        ConnectionUse use = new ConnectionUse(mNumber, mRequests, idle);
+        return new DroppedAnswer(mPeer, use, "", DroppedAnswer.Reason.NOTHING_ASKED, unread);
+    }
+
+    /** Describes an answer that the bound request does not take. */
+    synchronized DroppedAnswer dropped(String asked, DroppedAnswer.Reason reason, HttpHead head) {
+        return new DroppedAnswer(mPeer, mUse, asked, reason, head);
+    }
 }
--- a/ebonyrun-ports/src/main/java/org/ebonyrun/ports/http/ConnectionPool.java
+++ b/ebonyrun-ports/src/main/java/org/ebonyrun/ports/http/ConnectionPool.java
@@ -4,6 +4,7 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.Iterator;
 import java.util.Map;
 import org.jspecify.annotations.Nullable;
 
@@ -11,7 +12,7 @@
  * Idle connections by address, the most recently used first.
  *
  * <p>Thread safe: guarded by this object's monitor. A connection is in the pool or in use, never
- * both.
+ * both. No connection is handed out for a request whose id it has carried.
  */
 final class ConnectionPool {
     private static final int MAX_IDLE_PER_ADDRESS = 64;
@@ -26,15 +27,24 @@
 
     private final Map<InetSocketAddress, Deque<Idle>> mIdle = new HashMap<>();
 
-    /** Takes an open connection, or returns null if there is none. */
-    synchronized @Nullable CallerConnection take(InetSocketAddress address, long now) {
-        Deque<Idle> idle = mIdle.get(address);
-        while (idle != null && !idle.isEmpty()) {
-            Idle candidate = idle.pollFirst();
-            if (candidate.connection().isOpen() && now - candidate.until() < 0) {
-                return candidate.connection();
+    /**
+     * Takes an open connection for a request, or returns null if there is none.
+     *
+     * @param id the request's id; empty if it has none
+     */
+    synchronized @Nullable CallerConnection take(InetSocketAddress address, String id, long now) {
+        Iterator<Idle> idle = mIdle.getOrDefault(address, new ArrayDeque<>()).iterator();
+        while (idle.hasNext()) {
+            Idle candidate = idle.next();
+            CallerConnection connection = candidate.connection();
+            boolean usable = connection.isOpen() && now - candidate.until() < 0;
+            if (!usable) {
+                idle.remove();
+                connection.close();
+            } else if (!connection.mayHaveCarried(id)) {
+                idle.remove();
+                return connection;
             }
-            candidate.connection().close();
         }
         return null;
     }
--- a/ebonyrun-ports/src/main/java/org/ebonyrun/ports/http/ExchangeFilter.java
+++ b/ebonyrun-ports/src/main/java/org/ebonyrun/ports/http/ExchangeFilter.java
@@ -2,6 +2,7 @@
 
 import java.io.EOFException;
 import java.io.IOException;
+import org.ebonyrun.ports.http.DroppedAnswer.Reason;
 import org.glassfish.grizzly.Buffer;
 import org.glassfish.grizzly.CloseReason;
 import org.glassfish.grizzly.Connection;
@@ -18,6 +19,12 @@
  * <p>Thread safe: the only state is in {@link CallerConnection}.
  */
 final class ExchangeFilter extends BaseFilter {
+    private final AnswerObserver mObserver;
+
+    ExchangeFilter(AnswerObserver observer) {
+        mObserver = observer;
+    }
+
     @Override
     public NextAction handleRead(FilterChainContext ctx) throws IOException {
         HttpContent content = ctx.getMessage();
@@ -25,25 +32,67 @@
         CallerConnection wrapped = CallerConnection.of(connection);
         HttpExchange exchange = wrapped == null ? null : wrapped.exchange();
         if (wrapped == null || exchange == null) {
+            if (wrapped != null) {
+                mObserver.onDropped(wrapped.unasked());
+            }
             connection.closeSilently();
             return ctx.getStopAction();
         }
         HttpResponsePacket head = (HttpResponsePacket) content.getHttpHeader();
         if (wrapped.beginsAnswer()) {
-            exchange.head(head(head));
+            beginAnswer(wrapped, exchange, head(head));
         }
         Buffer buffer = content.getContent();
-        if (buffer != null && buffer.hasRemaining()) {
+        if (buffer != null && buffer.hasRemaining() && !wrapped.isSkipping()) {
             byte[] data = new byte[buffer.remaining()];
             buffer.get(data);
             exchange.data(data);
         }
         if (content.isLast()) {
-            endOfBody(connection, exchange, head);
+            if (wrapped.isSkipping()) {
+                endOfSkipped(wrapped, exchange, head);
+            } else {
+                endOfBody(connection, exchange, head);
+            }
         }
         return ctx.getStopAction();
     }
 
+    /** Passes a head on if it begins the answer to the exchange's own request. */
+    private void beginAnswer(CallerConnection connection, HttpExchange exchange, HttpHead head) {
+        String asked = exchange.correlation().id();
+        switch (exchange.correlation().owner(head)) {
+            case OWN -> exchange.head(head);
+            case OTHER -> {
+                boolean waits = connection.skipAnswer();
+                mObserver.onDropped(connection.dropped(asked, Reason.OTHER_REQUEST, head));
+                if (!waits) {
+                    exchange.fail("too many answers to other requests");
+                }
+            }
+            case UNNAMED -> {
+                if (connection.isUnambiguous()) {
+                    connection.distrust();
+                    exchange.head(head);
+                } else {
+                    mObserver.onDropped(connection.dropped(asked, Reason.UNNAMED, head));
+                    exchange.fail("the answer names no request");
+                }
+            }
+            default -> throw new IllegalStateException("no owner of an answer");
+        }
+    }
+
+    /** Goes on to the next answer, which may be that to the exchange's own request. */
+    private static void endOfSkipped(
+            CallerConnection connection, HttpExchange exchange, HttpResponsePacket head) {
+        if (isFramed(head) && head.getProcessingState().isKeepAlive()) {
+            connection.endSkipped();
+        } else {
+            exchange.fail("the connection ended with the answer to another request");
+        }
+    }
+
     private static HttpHead head(HttpResponsePacket packet) {
         HttpHeaders.Builder headers = HttpHeaders.builder();
         MimeHeaders raw = packet.getHeaders();
--- a/ebonyrun-ports/src/main/java/org/ebonyrun/ports/http/HttpCall.java
+++ b/ebonyrun-ports/src/main/java/org/ebonyrun/ports/http/HttpCall.java
@@ -18,6 +18,7 @@
  * @param body the body, empty for none
  * @param timeoutMillis the longest time to the end of the response, in milliseconds; zero for no
  *     limit but that of the connection
+ * @param correlation how the answer is told from others on its connection
  */
 public record HttpCall(
         String method,
@@ -25,10 +26,22 @@
         String target,
         HttpHeaders headers,
         byte[] body,
-        long timeoutMillis) {
+        long timeoutMillis,
+        Correlation correlation) {
     private static final int DEFAULT_PORT = 80;
     private static final HttpHeaders JSON = HttpHeaders.of("Content-Type", "application/json");
 
+    /** Creates a request to a peer that answers each request once, in order. */
+    public HttpCall(
+            String method,
+            InetSocketAddress address,
+            String target,
+            HttpHeaders headers,
+            byte[] body,
+            long timeoutMillis) {
+        this(method, address, target, headers, body, timeoutMillis, Correlation.byOrder());
+    }
+
     /** Checks the target. */
     public HttpCall {
         checkArgument(target.startsWith("/"), "target has no path: '%s'", target);
@@ -78,6 +91,11 @@
                 method, address, target, HttpHeaders.empty(), new byte[0], timeoutMillis);
     }
 
+    /** Returns this request with another way to tell its answer from others. */
+    public HttpCall correlated(Correlation by) {
+        return new HttpCall(method, address, target, headers, body, timeoutMillis, by);
+    }
+
     /** Returns the host and port. */
     String authority() {
         return address.getHostString() + ":" + address.getPort();
--- a/ebonyrun-ports/src/main/java/org/ebonyrun/ports/http/HttpCaller.java
+++ b/ebonyrun-ports/src/main/java/org/ebonyrun/ports/http/HttpCaller.java
@@ -14,7 +14,6 @@
 import org.glassfish.grizzly.EmptyCompletionHandler;
 import org.glassfish.grizzly.filterchain.FilterChainBuilder;
 import org.glassfish.grizzly.filterchain.TransportFilter;
-import org.glassfish.grizzly.http.HttpClientFilter;
 import org.glassfish.grizzly.nio.transport.TCPNIOConnectorHandler;
 import org.glassfish.grizzly.nio.transport.TCPNIOTransport;
 import org.glassfish.grizzly.nio.transport.TCPNIOTransportBuilder;
@@ -25,7 +24,9 @@
 /**
  * An asynchronous HTTP client with kept-alive connections.
  *
- * <p>Thread safe. A request is written at most once; it is never repeated by this class.
+ * <p>Thread safe. A request is written at most once; it is never repeated by this class. A listener
+ * is given only the answer to its own sending of a request, as its call's {@link Correlation}
+ * tells.
  */
 public final class HttpCaller implements AutoCloseable {
     /** How long a connection may take to open, in milliseconds. */
@@ -38,7 +39,7 @@
     private final ScheduledThreadPoolExecutor mTimer;
     private final AtomicLong mOpened = new AtomicLong();
 
-    private HttpCaller(TCPNIOTransport transport, boolean ownsTransport) {
+    private HttpCaller(TCPNIOTransport transport, boolean ownsTransport, AnswerObserver observer) {
         mTransport = transport;
         mOwnsTransport = ownsTransport;
         mConnector =
@@ -46,8 +47,9 @@
                         .processor(
                                 FilterChainBuilder.stateless()
                                         .add(new TransportFilter())
-                                        .add(new HttpClientFilter())
-                                        .add(new ExchangeFilter())
+                                        .add(new IdleGuardFilter(observer))
+                                        .add(new AnswerParser())
+                                        .add(new ExchangeFilter(observer))
                                         .build())
                         .build();
         mTimer =
@@ -76,12 +78,16 @@
                         .setTcpNoDelay(true)
                         .build();
         transport.start();
-        return new HttpCaller(transport, true);
+        return new HttpCaller(transport, true, AnswerObserver.none());
     }
 
-    /** Creates a client on the I/O thread of a running transport, which it does not stop. */
-    public static HttpCaller on(TCPNIOTransport transport) {
-        return new HttpCaller(transport, false);
+    /**
+     * Creates a client on the I/O thread of a running transport, which it does not stop.
+     *
+     * @param observer hears of answers that no request may take
+     */
+    public static HttpCaller on(TCPNIOTransport transport, AnswerObserver observer) {
+        return new HttpCaller(transport, false, observer);
     }
 
     /** Sends a request and reports its response to {@code listener}. */
@@ -91,15 +97,25 @@
             String detail = "timeout after " + call.timeoutMillis() + " ms";
             failAfter(exchange, call.timeoutMillis(), detail);
         }
-        CallerConnection idle = mPool.take(call.address(), System.nanoTime());
-        if (idle != null) {
-            exchange.begin(idle);
-        } else {
+        boolean begun = false;
+        CallerConnection idle = takeIdle(call);
+        while (idle != null && !begun) {
+            begun = exchange.begin(idle);
+            idle = begun ? null : takeIdle(call);
+        }
+        if (!begun) {
             connect(call, exchange);
         }
         return exchange;
     }
 
+    private @Nullable CallerConnection takeIdle(HttpCall call) {
+        Correlation correlation = call.correlation();
+        return correlation.sharesConnection()
+                ? mPool.take(call.address(), correlation.id(), System.nanoTime())
+                : null;
+    }
+
     private void connect(HttpCall call, HttpExchange exchange) {
         exchange.setConnectTimeout(
                 mTimer.schedule(
@@ -110,8 +126,11 @@
                     @Override
                     @SuppressWarnings("rawtypes")
                     public void completed(Connection connection) {
-                        exchange.begin(
-                                CallerConnection.open(connection, mOpened.incrementAndGet()));
+                        long number = mOpened.incrementAndGet();
+                        if (!exchange.begin(
+                                CallerConnection.open(connection, call.address(), number))) {
+                            exchange.fail("connection closed");
+                        }
                     }
 
                     @Override
--- a/ebonyrun-ports/src/main/java/org/ebonyrun/ports/http/HttpExchange.java
+++ b/ebonyrun-ports/src/main/java/org/ebonyrun/ports/http/HttpExchange.java
@@ -76,24 +76,46 @@
         return mUse;
     }
 
-    /** Writes the request on an open connection. */
-    void begin(CallerConnection connection) {
+    /** Returns the method of the request. */
+    String method() {
+        return mCall.method();
+    }
+
+    /** Returns how the answer is told from others. */
+    Correlation correlation() {
+        return mCall.correlation();
+    }
+
+    /**
+     * Writes the request on a connection.
+     *
+     * @return false if the connection had ended before anything was written
+     */
+    boolean begin(CallerConnection connection) {
         long now = System.nanoTime();
         synchronized (this) {
             if (mDone) {
                 mPool.put(mCall.address(), connection, now + DEFAULT_IDLE_NANOS);
-                return;
+                return true;
             }
             mConnection = connection;
-            mUse = connection.bind(this, now);
-            mSent = true;
+            mUse = connection.bind(this, correlation().id(), now);
             if (mConnectTimeout != null) {
                 mConnectTimeout.cancel(false);
             }
         }
-        if (!connection.isOpen()) {
-            fail("connection closed");
-            return;
+        // Checked after the binding: bytes that came before it have closed the connection.
+        synchronized (this) {
+            if (mDone) {
+                return true;
+            }
+            if (!connection.isOpen()) {
+                connection.unbind(now);
+                mConnection = null;
+                mUse = ConnectionUse.NONE;
+                return false;
+            }
+            mSent = true;
         }
         Writeable<SocketAddress> writeable = writeable(connection.connection());
         writeable.write(
@@ -104,6 +126,7 @@
                         fail("write: " + cause.getMessage());
                     }
                 });
+        return true;
     }
 
     @SuppressWarnings("unchecked")
@@ -150,7 +173,8 @@
         if (connection != null) {
             long now = System.nanoTime();
             connection.unbind(now);
-            if (keepAlive) {
+            boolean reusable = correlation().sharesConnection() && connection.isReusable();
+            if (keepAlive && reusable) {
                 mPool.put(mCall.address(), connection, now + mIdleNanos);
             } else {
                 connection.close();
--- /dev/null
+++ b/ebonyrun-ports/src/test/java/org/ebonyrun/ports/http/CarriedIdsTest.java
@@ -0,0 +1,28 @@
+package org.ebonyrun.ports.http;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThan;
+
+import java.util.Random;
+import org.junit.jupiter.api.Test;
+
+class CarriedIdsTest {
+    private final CarriedIds mIds = new CarriedIds();
+
+    @Test
+    void noIdIsForgottenAndFewAreClaimedWrongly() {
+        Random random = new Random(1);
+        int wrong = 0;
+        int added = 0;
+        while (!mIds.isFull()) {
+            String id = Long.toHexString(random.nextLong());
+            wrong += mIds.mayContain(id) ? 1 : 0;
+            mIds.add(id);
+            added++;
+            assertThat(id, mIds.mayContain(id), is(true));
+        }
+
+        assertThat((double) wrong / added, is(lessThan(0.125)));
+    }
+}
--- /dev/null
+++ b/ebonyrun-ports/src/test/java/org/ebonyrun/ports/http/HttpCallerTest.java
@@ -0,0 +1,247 @@
+package org.ebonyrun.ports.http;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.containsString;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.not;
+
+import java.io.IOException;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.ebonyrun.base.result.Result;
+import org.ebonyrun.ports.http.DroppedAnswer.Reason;
+import org.ebonyrun.ports.http.ScriptedServer.Received;
+import org.glassfish.grizzly.nio.transport.TCPNIOTransport;
+import org.glassfish.grizzly.nio.transport.TCPNIOTransportBuilder;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+class HttpCallerTest {
+    private static final int TIMEOUT_MILLIS = 20_000;
+    private static final String LOST = "lost";
+
+    private final BlockingQueue<DroppedAnswer> mDropped = new LinkedBlockingQueue<>();
+    private TCPNIOTransport mTransport;
+    private HttpCaller mCaller;
+    private ScriptedServer mServer;
+
+    @BeforeEach
+    void start() throws IOException {
+        mTransport = TCPNIOTransportBuilder.newInstance().setSelectorRunnersCount(1).build();
+        mTransport.start();
+        mCaller = HttpCaller.on(mTransport, mDropped::add);
+        mServer = ScriptedServer.start();
+    }
+
+    @AfterEach
+    void stop() throws IOException {
+        mCaller.close();
+        mTransport.shutdownNow();
+        mServer.close();
+    }
+
+    private CompletableFuture<String> send(Correlation correlation) {
+        HttpHeaders headers =
+                correlation.id().isEmpty()
+                        ? HttpHeaders.empty()
+                        : HttpHeaders.of("X-Id", correlation.id());
+        HttpCall call =
+                new HttpCall(
+                        "GET",
+                        mServer.address(),
+                        "/",
+                        headers,
+                        new byte[0],
+                        TIMEOUT_MILLIS,
+                        correlation);
+        return mCaller.request(call, "test").thenApply(HttpCallerTest::text);
+    }
+
+    private CompletableFuture<String> send(String id) {
+        return send(Correlation.byHeader("X-Id", id));
+    }
+
+    private static String text(Result<HttpReply> result) {
+        return result.fold(
+                reply -> reply.status() + " " + reply.text(),
+                fault -> (fault.isNotRun() ? "not sent" : LOST) + ": " + fault.detail());
+    }
+
+    /** Sends a request, has it answered once and returns the connection that carried it. */
+    private Received exchange(String id) throws Exception {
+        CompletableFuture<String> reply = send(id);
+        Received received = mServer.next();
+        received.answer(id);
+        assertThat(reply.get(), is("200 to " + id));
+        return received;
+    }
+
+    private DroppedAnswer dropped() throws InterruptedException {
+        DroppedAnswer dropped = mDropped.poll(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+        assertThat("an answer was dropped", dropped != null);
+        return dropped;
+    }
+
+    @Test
+    void aConnectionIsUsedAgain() throws Exception {
+        Received first = exchange("a");
+        Received second = exchange("b");
+
+        assertThat(second.connection(), is(first.connection()));
+    }
+
+    @Test
+    void theOwnAnswerIsTakenAfterThatToAnotherRequest() throws Exception {
+        Received first = exchange("a");
+        CompletableFuture<String> reply = send("b");
+        Received second = mServer.next();
+        second.answer("a");
+        second.answer("b");
+
+        assertThat(second.connection(), is(first.connection()));
+        assertThat(reply.get(), is("200 to b"));
+        DroppedAnswer dropped = dropped();
+        assertThat(dropped.asked(), is("b"));
+        assertThat(dropped.reason(), is(Reason.OTHER_REQUEST));
+        assertThat(dropped.head().headers().first("X-Id").orElse(""), is("a"));
+        assertThat(dropped.use().requests(), is(2));
+    }
+
+    @Test
+    void aConnectionThatBroughtAnAnswerToAnotherRequestIsNotUsedAgain() throws Exception {
+        Received first = exchange("a");
+        CompletableFuture<String> reply = send("b");
+        Received second = mServer.next();
+        second.answer("a");
+        second.answer("b");
+        reply.get();
+        first.connection().awaitEnd();
+
+        assertThat(exchange("c").connection(), is(not(first.connection())));
+    }
+
+    @Test
+    void anAnswerWhoseHeadCameInTwoPartsIsNotTakenForTheNext() throws Exception {
+        CompletableFuture<String> first = send("a");
+        Received received = mServer.next();
+        String again = ScriptedServer.answer(200, "a");
+        received.connection().write(ScriptedServer.answer(200, "a") + again.substring(0, 20));
+        assertThat(first.get(), is("200 to a"));
+
+        CompletableFuture<String> second = send("b");
+        Received next = mServer.next();
+        next.connection().write(again.substring(20));
+        next.answer("b");
+
+        assertThat(second.get(), is("200 to b"));
+    }
+
+    @Test
+    void noConnectionCarriesAnIdTwice() throws Exception {
+        Received first = exchange("a");
+        Received other = exchange("b");
+        Received again = exchange("a");
+
+        assertThat(other.connection(), is(first.connection()));
+        assertThat(again.connection(), is(not(first.connection())));
+    }
+
+    @Test
+    void bytesThatNobodyWaitsForEndTheirConnection() throws Exception {
+        Received first = exchange("a");
+        first.connection().write("HTTP/1.1 2");
+        first.connection().awaitEnd();
+
+        assertThat(dropped().reason(), is(Reason.NOTHING_ASKED));
+        assertThat(exchange("b").connection(), is(not(first.connection())));
+    }
+
+    @Test
+    void anAnswerThatNamesNoRequestIsTakenWhereThereCanBeNoOther() throws Exception {
+        CompletableFuture<String> reply = send("a");
+        Received first = mServer.next();
+        first.connection().write(ScriptedServer.unnamed(503));
+
+        assertThat(reply.get(), is("503 to nobody"));
+        first.connection().awaitEnd();
+        assertThat(exchange("b").connection(), is(not(first.connection())));
+    }
+
+    @Test
+    void anAnswerThatNamesNoRequestIsNotTakenWhereItMayBeAnothers() throws Exception {
+        Received first = exchange("a");
+        CompletableFuture<String> reply = send("b");
+        mServer.next().connection().write(ScriptedServer.unnamed(503));
+
+        assertThat(reply.get(), containsString(LOST));
+        first.connection().awaitEnd();
+        assertThat(dropped().reason(), is(Reason.UNNAMED));
+    }
+
+    @Test
+    void aRequestWithoutAnIdHasItsConnectionForItself() throws Exception {
+        Received first = exchange("a");
+        CompletableFuture<String> reply = send(Correlation.byConnection());
+        Received unnamed = mServer.next();
+        unnamed.connection().write(ScriptedServer.unnamed(200));
+
+        assertThat(reply.get(), is("200 to nobody"));
+        assertThat(unnamed.connection(), is(not(first.connection())));
+        unnamed.connection().awaitEnd();
+    }
+
+    @Test
+    void aConnectionThatEndsWithTheAnswerToAnotherRequestFailsTheRequest() throws Exception {
+        exchange("a");
+        CompletableFuture<String> reply = send("b");
+        Received second = mServer.next();
+        second.connection().write("HTTP/1.1 200 X\r\nX-Id: a\r\n\r\nto b");
+        second.connection().close();
+
+        assertThat(reply.get(), containsString(LOST));
+    }
+
+    @Test
+    void aRequestDoesNotWaitThroughAnswersToOthersForEver() throws Exception {
+        exchange("a");
+        CompletableFuture<String> reply = send("b");
+        Received second = mServer.next();
+        for (int i = 0; i < 20 && !reply.isDone(); i++) {
+            second.connection().write(ScriptedServer.answer(200, "a"));
+        }
+
+        assertThat(reply.get(), containsString(LOST));
+    }
+
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "HTTP/1.1 200 X\r\nX-Id: a\r\n",
+                "HTTP/1.1 200 X\r\nX-Id: a\r\nContent-Length: 9\r\n\r\nto a",
+                "HTTP/1.1 200 X\r\nX-Id: a\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nto a\r\n",
+                "HTTP/1.1 200 X\r\nX-Id: a\r\nTransfer-Encoding: chunked\r\n\r\n9\r\nto a"
+            })
+    void anAnswerThatIsCutDoesNotLookWhole(String cut) throws Exception {
+        CompletableFuture<String> reply = send("a");
+        Received received = mServer.next();
+        received.connection().write(cut);
+        received.connection().close();
+
+        assertThat(reply.get(), containsString(LOST));
+    }
+
+    @Test
+    void anAnswerWithoutLengthThatIsResetDoesNotLookWhole() throws Exception {
+        CompletableFuture<String> reply = send("a");
+        Received received = mServer.next();
+        received.connection().write("HTTP/1.1 200 X\r\nX-Id: a\r\n\r\nto a");
+        received.connection().reset();
+
+        assertThat(reply.get(), containsString(LOST));
+    }
+}
