Tell the answers of engines and plain services apart in agents too

A job got the answer to the job before it from a service that answers twice (PlainAdapterTest: 'job 1' for job 2, late, in two pieces, or a lost connection). Attempt ids name one sending, so an engine that repeats them keeps its connections; one that does not gets a connection for each job, and so do states and orders, which have no id. The stand-ins of engines and services repeat the id.

--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/agent/EngineAdapter.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/agent/EngineAdapter.java
@@ -12,6 +12,7 @@
 import org.ebonyrun.base.result.Result;
 import org.ebonyrun.core.attempt.Job;
 import org.ebonyrun.daemon.store.Json;
+import org.ebonyrun.ports.http.Correlation;
 import org.ebonyrun.ports.http.HttpCall;
 import org.ebonyrun.ports.http.HttpCaller;
 import org.ebonyrun.ports.http.HttpHead;
@@ -23,13 +24,15 @@
  * Talks to a model engine: streaming completions with server-sent events, and the engine's orders.
  *
  * <p>Thread safe. The weight version is read off each piece of the stream. A stream that ends
- * without its end mark is a failure.
+ * without its end mark is a failure. An engine that does not repeat the request's id in its answers
+ * gets a connection for each job.
  */
 public final class EngineAdapter implements EndpointAdapter {
     private static final long STATE_TIMEOUT_MILLIS = 1_000;
     private static final long LOAD_TIMEOUT_MILLIS = 60_000;
     private static final String END_MARK = "[DONE]";
     private static final String EVENT_STREAM = "text/event-stream";
+    private static final String REQUEST_ID = "X-Request-Id";
 
     private final HttpCaller mCaller;
     private final URI mBase;
@@ -51,14 +54,18 @@
     public void start(AttemptId id, Job job) {
         HttpCall call =
                 HttpCall.to(
-                        "POST",
-                        URI.create(mBase + job.path()),
-                        Map.of(
-                                "Content-Type", job.contentType(),
-                                "Accept", EVENT_STREAM,
-                                "X-Request-Id", id.toString()),
-                        job.body(),
-                        Math.max(1, job.timeoutMillis()));
+                                "POST",
+                                URI.create(mBase + job.path()),
+                                Map.of(
+                                        "Content-Type",
+                                        job.contentType(),
+                                        "Accept",
+                                        EVENT_STREAM,
+                                        REQUEST_ID,
+                                        id.toString()),
+                                job.body(),
+                                Math.max(1, job.timeoutMillis()))
+                        .correlated(Correlation.byHeader(REQUEST_ID, id.toString()));
         mExchanges.add(id, mCaller.send(call, new Stream(id)));
     }
 
@@ -69,7 +76,9 @@
 
     @Override
     public void readState() {
-        HttpCall call = HttpCall.of("GET", URI.create(mBase + "/state"), STATE_TIMEOUT_MILLIS);
+        HttpCall call =
+                HttpCall.of("GET", URI.create(mBase + "/state"), STATE_TIMEOUT_MILLIS)
+                        .correlated(Correlation.byConnection());
         mCaller.request(call, "engine.state").thenAccept(this::onState);
     }
 
@@ -78,7 +87,9 @@
         ObjectNode order = Json.mapper().createObjectNode();
         order.put("version", version).put("fence", fence).put("source", source);
         URI uri = URI.create(mBase + "/orders/load");
-        HttpCall call = HttpCall.json("POST", uri, Json.write(order), LOAD_TIMEOUT_MILLIS);
+        HttpCall call =
+                HttpCall.json("POST", uri, Json.write(order), LOAD_TIMEOUT_MILLIS)
+                        .correlated(Correlation.byConnection());
         mCaller.request(call, "engine.load")
                 .thenAccept(
                         result ->
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/agent/PlainAdapter.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/agent/PlainAdapter.java
@@ -7,13 +7,20 @@
 import org.ebonyrun.base.result.Fault;
 import org.ebonyrun.base.result.FaultCode;
 import org.ebonyrun.core.attempt.Job;
+import org.ebonyrun.ports.http.Correlation;
 import org.ebonyrun.ports.http.HttpCall;
 import org.ebonyrun.ports.http.HttpCaller;
 import org.ebonyrun.ports.http.HttpHead;
 import org.ebonyrun.ports.http.HttpListener;
 
-/** Talks to a plain HTTP service, which has no weights. Thread safe. */
+/**
+ * Talks to a plain HTTP service, which has no weights.
+ *
+ * <p>Thread safe. A service that does not repeat the request's id in its answers gets a connection
+ * for each job.
+ */
 public final class PlainAdapter implements EndpointAdapter {
+    private static final String REQUEST_ID = "X-Request-Id";
     private static final int SLOTS = 64;
     private static final long STATE_TIMEOUT_MILLIS = 1_000;
 
@@ -37,11 +44,16 @@
     public void start(AttemptId id, Job job) {
         HttpCall call =
                 HttpCall.to(
-                        "POST",
-                        URI.create(mBase + job.path()),
-                        Map.of("Content-Type", job.contentType(), "X-Request-Id", id.toString()),
-                        job.body(),
-                        Math.max(1, job.timeoutMillis()));
+                                "POST",
+                                URI.create(mBase + job.path()),
+                                Map.of(
+                                        "Content-Type",
+                                        job.contentType(),
+                                        REQUEST_ID,
+                                        id.toString()),
+                                job.body(),
+                                Math.max(1, job.timeoutMillis()))
+                        .correlated(Correlation.byHeader(REQUEST_ID, id.toString()));
         mExchanges.add(id, mCaller.send(call, new Answer(id)));
     }
 
@@ -52,7 +64,9 @@
 
     @Override
     public void readState() {
-        HttpCall call = HttpCall.of("GET", URI.create(mBase + "/"), STATE_TIMEOUT_MILLIS);
+        HttpCall call =
+                HttpCall.of("GET", URI.create(mBase + "/"), STATE_TIMEOUT_MILLIS)
+                        .correlated(Correlation.byConnection());
         mCaller.request(call, "service.state")
                 .thenAccept(
                         result -> {
--- a/ebonyrun-standin/src/main/java/org/ebonyrun/standin/engine/StandinEngine.java
+++ b/ebonyrun-standin/src/main/java/org/ebonyrun/standin/engine/StandinEngine.java
@@ -40,6 +40,7 @@
  * <p>Thread safe.
  */
 public final class StandinEngine implements AutoCloseable {
+    private static final String REQUEST_ID = "X-Request-Id";
     private static final ObjectMapper JSON = new ObjectMapper();
     private static final int MAX_BODY_BYTES = 4 << 20;
     private static final int WORKERS = 2;
@@ -130,11 +131,21 @@
         mCaller.close();
     }
 
+    /** Suspends a response that repeats the id of its request. */
+    static Responder suspend(Request request, Response response) {
+        Responder out = Responder.suspend(response);
+        String requestId = request.getHeader(REQUEST_ID);
+        if (requestId != null) {
+            out.header(REQUEST_ID, requestId);
+        }
+        return out;
+    }
+
     private HttpHandler handler(Action action) {
         return new HttpHandler() {
             @Override
             public void service(Request request, Response response) throws IOException {
-                action.run(request, Responder.suspend(response));
+                action.run(request, suspend(request, response));
             }
         };
     }
@@ -155,7 +166,7 @@
     }
 
     private void onCompletion(Request request, Responder out) {
-        String requestId = request.getHeader("X-Request-Id");
+        String requestId = request.getHeader(REQUEST_ID);
         BodyReader.read(
                 request,
                 MAX_BODY_BYTES,
--- a/ebonyrun-standin/src/main/java/org/ebonyrun/standin/engine/StandinService.java
+++ b/ebonyrun-standin/src/main/java/org/ebonyrun/standin/engine/StandinService.java
@@ -75,7 +75,7 @@
         return new HttpHandler() {
             @Override
             public void service(Request request, Response response) {
-                Responder out = Responder.suspend(response);
+                Responder out = StandinEngine.suspend(request, response);
                 String path = request.getRequestURI();
                 if (!request.getMethod().getMethodString().equals("POST")) {
                     out.whole(200, JSON, "{}".getBytes(StandardCharsets.UTF_8));
