End a connection or bind a request to it in one step; share connections among reports

A request that followed unasked bytes was lost ("connection closed"), so a call that may run once was answered 502 although another connection would have served it: the guard looked, reported and closed in three steps, and a request could be bound in between (PlainAdapterTest, 1 run of 4 with answers repeated at once). Bytes that came in one piece with the end of an answer passed the guard, since the parser is called again for them without it. The parser is the guard now, and the connection decides in one step whether it ends or carries the next request.

What comes on a connection after its request was cancelled is no longer reported as dropped.

Reports opened a connection each. A report may be older than its request without harm: versions and counts of orders only grow, and an order that names an old count is refused. So reports share connections, with reports only. Connections are pooled by address and kind of request, and a full pool closes the connection used least recently, not the one used last.

Ruled out: ids on reports and orders.

anAnswerWhoseHeadCameInTwoPartsIsNotTakenForTheNext sent the first part with the own answer, which ends the connection now; it sends both parts while the request waits, and a new test covers the first.

--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/agent/EngineAdapter.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/agent/EngineAdapter.java
@@ -78,7 +78,7 @@
     public void readState() {
         HttpCall call =
                 HttpCall.of("GET", URI.create(mBase + "/state"), STATE_TIMEOUT_MILLIS)
-                        .correlated(Correlation.byConnection());
+                        .correlated(Correlation.byKind("state"));
         mCaller.request(call, "engine.state").thenAccept(this::onState);
     }
 
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/agent/PlainAdapter.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/agent/PlainAdapter.java
@@ -66,7 +66,7 @@
     public void readState() {
         HttpCall call =
                 HttpCall.of("GET", URI.create(mBase + "/"), STATE_TIMEOUT_MILLIS)
-                        .correlated(Correlation.byConnection());
+                        .correlated(Correlation.byKind("state"));
         mCaller.request(call, "service.state")
                 .thenAccept(
                         result -> {
--- a/ebonyrun-ports/src/main/java/org/ebonyrun/ports/http/AnswerParser.java
+++ b/ebonyrun-ports/src/main/java/org/ebonyrun/ports/http/AnswerParser.java
@@ -1,6 +1,8 @@
 package org.ebonyrun.ports.http;
 
+import java.io.IOException;
 import org.glassfish.grizzly.filterchain.FilterChainContext;
+import org.glassfish.grizzly.filterchain.NextAction;
 import org.glassfish.grizzly.http.HttpClientFilter;
 import org.glassfish.grizzly.http.HttpHeader;
 import org.glassfish.grizzly.http.HttpRequestPacket;
@@ -8,14 +10,33 @@
 import org.glassfish.grizzly.http.Protocol;
 
 /**
- * Parses any number of answers to a request.
+ * Parses any number of answers to a request, and closes a connection on which bytes arrive while no
+ * request waits, before any of them are kept for the next answer.
  *
  * <p>The filter that it extends pairs each answer with a request that was written, and fails on an
- * answer beyond those.
+ * answer beyond those. It is called again for what came with the end of an answer.
  *
  * <p>Thread safe: the only state is in connection attributes.
  */
 final class AnswerParser extends HttpClientFilter {
+    private final AnswerObserver mObserver;
+
+    AnswerParser(AnswerObserver observer) {
+        mObserver = observer;
+    }
+
+    @Override
+    public NextAction handleRead(FilterChainContext ctx) throws IOException {
+        CallerConnection connection = CallerConnection.of(ctx.getConnection());
+        if (connection == null) {
+            ctx.getConnection().closeSilently();
+            return ctx.getStopAction();
+        }
+        return connection.exchangeOrEnd(mObserver) == null
+                ? ctx.getStopAction()
+                : super.handleRead(ctx);
+    }
+
     @Override
     protected void onInitialLineParsed(HttpHeader header, FilterChainContext ctx) {
         super.onInitialLineParsed(header, ctx);
--- a/ebonyrun-ports/src/main/java/org/ebonyrun/ports/http/CallerConnection.java
+++ b/ebonyrun-ports/src/main/java/org/ebonyrun/ports/http/CallerConnection.java
@@ -29,6 +29,7 @@
     private boolean mHeadSeen;
     private boolean mSkipping;
     private boolean mSuspect;
+    private boolean mEnded;
     private int mSkipped;
     private int mRequests;
     private long mIdleSince;
@@ -73,8 +74,15 @@
         mConnection.closeSilently();
     }
 
-    /** Binds an exchange that is about to send its request, and tells its use of the connection. */
-    synchronized ConnectionUse bind(HttpExchange exchange, String id, long now) {
+    /**
+     * Binds an exchange that is about to send its request.
+     *
+     * @return the exchange's use of the connection; null if the connection has ended
+     */
+    synchronized @Nullable ConnectionUse bind(HttpExchange exchange, String id, long now) {
+        if (mEnded || !isOpen()) {
+            return null;
+        }
         long idle = mRequests == 0 ? 0 : Nanos.toMillis(now - mIdleSince);
         mExchange = exchange;
         mHeadSeen = false;
@@ -93,10 +101,39 @@
         mIdleSince = now;
     }
 
+    /** Ends the bound exchange and the connection; what still comes on it is nobody's. */
+    void abandon() {
+        synchronized (this) {
+            mExchange = null;
+            mEnded = true;
+        }
+        close();
+    }
+
     synchronized @Nullable HttpExchange exchange() {
         return mExchange;
     }
 
+    /**
+     * Returns the exchange that waits for the bytes that have arrived. If none does, the connection
+     * ends here, and no exchange can be bound any more.
+     */
+    @Nullable HttpExchange exchangeOrEnd(AnswerObserver observer) {
+        DroppedAnswer unasked;
+        synchronized (this) {
+            if (mExchange != null) {
+                return mExchange;
+            }
+            unasked = mEnded ? null : unasked();
+            mEnded = true;
+        }
+        if (unasked != null) {
+            observer.onDropped(unasked);
+        }
+        close();
+        return null;
+    }
+
     /** Returns whether a request with an id may have been sent on this connection. */
     synchronized boolean mayHaveCarried(String id) {
         return !id.isEmpty() && mCarried.mayContain(id);
@@ -147,7 +184,7 @@
     }
 
     /** Describes bytes that came although no request waits. */
-    synchronized DroppedAnswer unasked() {
+    private DroppedAnswer unasked() {
         HttpHead unread = new HttpHead(0, HttpHeaders.empty(), false);
         long idle = Nanos.toMillis(System.nanoTime() - mIdleSince);
         ConnectionUse use = new ConnectionUse(mNumber, mRequests, idle);
--- a/ebonyrun-ports/src/main/java/org/ebonyrun/ports/http/ConnectionCorrelation.java
+++ b/ebonyrun-ports/src/main/java/org/ebonyrun/ports/http/ConnectionCorrelation.java
@@ -4,16 +4,6 @@
 enum ConnectionCorrelation implements Correlation {
     INSTANCE;
 
-    @Override
-    public Owner owner(HttpHead head) {
-        return Owner.OWN;
-    }
-
-    @Override
-    public String id() {
-        return "";
-    }
-
     @Override
     public boolean sharesConnection() {
         return false;
--- a/ebonyrun-ports/src/main/java/org/ebonyrun/ports/http/ConnectionPool.java
+++ b/ebonyrun-ports/src/main/java/org/ebonyrun/ports/http/ConnectionPool.java
@@ -9,13 +9,13 @@
 import org.jspecify.annotations.Nullable;
 
 /**
- * Idle connections by address, the most recently used first.
+ * Idle connections by address and kind of request, the most recently used first.
  *
  * <p>Thread safe: guarded by this object's monitor. A connection is in the pool or in use, never
  * both. No connection is handed out for a request whose id it has carried.
  */
 final class ConnectionPool {
-    private static final int MAX_IDLE_PER_ADDRESS = 64;
+    private static final int MAX_IDLE_PER_LANE = 64;
 
     /**
      * An idle connection.
@@ -25,15 +25,25 @@
      */
     private record Idle(CallerConnection connection, long until) {}
 
-    private final Map<InetSocketAddress, Deque<Idle>> mIdle = new HashMap<>();
+    /**
+     * Connections that the same requests may use.
+     *
+     * @param address where they lead
+     * @param name the requests' name
+     */
+    private record Lane(InetSocketAddress address, String name) {}
+
+    private final Map<Lane, Deque<Idle>> mIdle = new HashMap<>();
 
     /**
      * Takes an open connection for a request, or returns null if there is none.
      *
-     * @param id the request's id; empty if it has none
+     * @param request how the request's answer is told from others
      */
-    synchronized @Nullable CallerConnection take(InetSocketAddress address, String id, long now) {
-        Iterator<Idle> idle = mIdle.getOrDefault(address, new ArrayDeque<>()).iterator();
+    synchronized @Nullable CallerConnection take(
+            InetSocketAddress address, Correlation request, long now) {
+        Lane lane = new Lane(address, request.lane());
+        Iterator<Idle> idle = mIdle.getOrDefault(lane, new ArrayDeque<>()).iterator();
         while (idle.hasNext()) {
             Idle candidate = idle.next();
             CallerConnection connection = candidate.connection();
@@ -41,7 +51,7 @@
             if (!usable) {
                 idle.remove();
                 connection.close();
-            } else if (!connection.mayHaveCarried(id)) {
+            } else if (!connection.mayHaveCarried(request.id())) {
                 idle.remove();
                 return connection;
             }
@@ -49,21 +59,33 @@
         return null;
     }
 
-    /** Puts a connection back, or closes it when enough are idle. */
-    synchronized void put(InetSocketAddress address, CallerConnection connection, long until) {
-        Deque<Idle> idle = mIdle.computeIfAbsent(address, ignored -> new ArrayDeque<>());
-        if (idle.size() >= MAX_IDLE_PER_ADDRESS) {
-            connection.close();
-        } else {
-            idle.addFirst(new Idle(connection, until));
+    /**
+     * Puts a connection back, and closes the one that was used least recently when enough are idle.
+     *
+     * @param request how the answer that came last was told from others
+     */
+    synchronized void put(
+            InetSocketAddress address,
+            Correlation request,
+            CallerConnection connection,
+            long until) {
+        Lane lane = new Lane(address, request.lane());
+        Deque<Idle> idle = mIdle.computeIfAbsent(lane, ignored -> new ArrayDeque<>());
+        idle.addFirst(new Idle(connection, until));
+        if (idle.size() > MAX_IDLE_PER_LANE) {
+            idle.removeLast().connection().close();
         }
     }
 
     /** Closes the idle connections to an address. */
     synchronized void drop(InetSocketAddress address) {
-        Deque<Idle> idle = mIdle.remove(address);
-        if (idle != null) {
-            idle.forEach(entry -> entry.connection().close());
+        Iterator<Map.Entry<Lane, Deque<Idle>>> lanes = mIdle.entrySet().iterator();
+        while (lanes.hasNext()) {
+            Map.Entry<Lane, Deque<Idle>> lane = lanes.next();
+            if (lane.getKey().address().equals(address)) {
+                lane.getValue().forEach(idle -> idle.connection().close());
+                lanes.remove();
+            }
         }
     }
 
--- a/ebonyrun-ports/src/main/java/org/ebonyrun/ports/http/Correlation.java
+++ b/ebonyrun-ports/src/main/java/org/ebonyrun/ports/http/Correlation.java
@@ -23,16 +23,27 @@
     }
 
     /** Returns whose answer a head begins. */
-    Owner owner(HttpHead head);
+    default Owner owner(HttpHead head) {
+        return Owner.OWN;
+    }
 
     /**
      * Returns the id that the peer repeats in its answer; empty if there is none. No connection
      * carries the same id twice, since the answers to two sendings could not be told apart.
      */
-    String id();
+    default String id() {
+        return "";
+    }
 
     /** Returns whether other requests may use the connection before and after this one. */
-    boolean sharesConnection();
+    default boolean sharesConnection() {
+        return true;
+    }
+
+    /** Returns the name of the requests that may share a connection with this one. */
+    default String lane() {
+        return "";
+    }
 
     /** Returns a correlation for peers that answer each request once, in order. */
     static Correlation byOrder() {
@@ -49,6 +60,17 @@
         return new HeaderCorrelation(header, id);
     }
 
+    /**
+     * Returns a correlation for requests that read a state and that their answers do not name. The
+     * answer to an earlier request of the same kind may be taken, so the reader must bear a state
+     * that is older than its request.
+     *
+     * @param kind what is asked; connections are shared with requests of this kind only
+     */
+    static Correlation byKind(String kind) {
+        return new StateCorrelation(kind);
+    }
+
     /** Returns a correlation for a request that its answer does not name. */
     static Correlation byConnection() {
         return ConnectionCorrelation.INSTANCE;
--- a/ebonyrun-ports/src/main/java/org/ebonyrun/ports/http/ExchangeFilter.java
+++ b/ebonyrun-ports/src/main/java/org/ebonyrun/ports/http/ExchangeFilter.java
@@ -30,12 +30,8 @@
         HttpContent content = ctx.getMessage();
         Connection<?> connection = ctx.getConnection();
         CallerConnection wrapped = CallerConnection.of(connection);
-        HttpExchange exchange = wrapped == null ? null : wrapped.exchange();
+        HttpExchange exchange = wrapped == null ? null : wrapped.exchangeOrEnd(mObserver);
         if (wrapped == null || exchange == null) {
-            if (wrapped != null) {
-                mObserver.onDropped(wrapped.unasked());
-            }
-            connection.closeSilently();
             return ctx.getStopAction();
         }
         HttpResponsePacket head = (HttpResponsePacket) content.getHttpHeader();
--- a/ebonyrun-ports/src/main/java/org/ebonyrun/ports/http/HeaderCorrelation.java
+++ b/ebonyrun-ports/src/main/java/org/ebonyrun/ports/http/HeaderCorrelation.java
@@ -19,7 +19,7 @@
     }
 
     @Override
-    public boolean sharesConnection() {
-        return true;
+    public String lane() {
+        return header;
     }
 }
--- a/ebonyrun-ports/src/main/java/org/ebonyrun/ports/http/HttpCaller.java
+++ b/ebonyrun-ports/src/main/java/org/ebonyrun/ports/http/HttpCaller.java
@@ -47,8 +47,7 @@
                         .processor(
                                 FilterChainBuilder.stateless()
                                         .add(new TransportFilter())
-                                        .add(new IdleGuardFilter(observer))
-                                        .add(new AnswerParser())
+                                        .add(new AnswerParser(observer))
                                         .add(new ExchangeFilter(observer))
                                         .build())
                         .build();
@@ -112,7 +111,7 @@
     private @Nullable CallerConnection takeIdle(HttpCall call) {
         Correlation correlation = call.correlation();
         return correlation.sharesConnection()
-                ? mPool.take(call.address(), correlation.id(), System.nanoTime())
+                ? mPool.take(call.address(), correlation, System.nanoTime())
                 : null;
     }
 
--- a/ebonyrun-ports/src/main/java/org/ebonyrun/ports/http/HttpExchange.java
+++ b/ebonyrun-ports/src/main/java/org/ebonyrun/ports/http/HttpExchange.java
@@ -95,28 +95,20 @@
         long now = System.nanoTime();
         synchronized (this) {
             if (mDone) {
-                mPool.put(mCall.address(), connection, now + DEFAULT_IDLE_NANOS);
+                giveBack(connection, now + DEFAULT_IDLE_NANOS);
                 return true;
             }
+            ConnectionUse use = connection.bind(this, correlation().id(), now);
+            if (use == null) {
+                return false;
+            }
             mConnection = connection;
-            mUse = connection.bind(this, correlation().id(), now);
+            mUse = use;
+            mSent = true;
             if (mConnectTimeout != null) {
                 mConnectTimeout.cancel(false);
             }
         }
-        // Checked after the binding: bytes that came before it have closed the connection.
-        synchronized (this) {
-            if (mDone) {
-                return true;
-            }
-            if (!connection.isOpen()) {
-                connection.unbind(now);
-                mConnection = null;
-                mUse = ConnectionUse.NONE;
-                return false;
-            }
-            mSent = true;
-        }
         Writeable<SocketAddress> writeable = writeable(connection.connection());
         writeable.write(
                 packet(),
@@ -173,9 +165,8 @@
         if (connection != null) {
             long now = System.nanoTime();
             connection.unbind(now);
-            boolean reusable = correlation().sharesConnection() && connection.isReusable();
-            if (keepAlive && reusable) {
-                mPool.put(mCall.address(), connection, now + mIdleNanos);
+            if (keepAlive && connection.isReusable()) {
+                giveBack(connection, now + mIdleNanos);
             } else {
                 connection.close();
             }
@@ -183,6 +174,14 @@
         mListener.onEnd();
     }
 
+    private void giveBack(CallerConnection connection, long until) {
+        if (correlation().sharesConnection()) {
+            mPool.put(mCall.address(), correlation(), connection, until);
+        } else {
+            connection.close();
+        }
+    }
+
     /** Ends the exchange with a failure and closes the connection. */
     void fail(String detail) {
         boolean sent;
@@ -194,8 +193,7 @@
         }
         CallerConnection connection = mConnection;
         if (connection != null) {
-            connection.unbind(System.nanoTime());
-            connection.close();
+            connection.abandon();
         }
         mListener.onFailure(sent, detail);
     }
--- a/ebonyrun-ports/src/test/java/org/ebonyrun/ports/http/HttpCallerTest.java
+++ b/ebonyrun-ports/src/test/java/org/ebonyrun/ports/http/HttpCallerTest.java
@@ -26,6 +26,7 @@
     private static final String LOST = "lost";
 
     private final BlockingQueue<DroppedAnswer> mDropped = new LinkedBlockingQueue<>();
+    private volatile Runnable mWhenDropped = () -> {};
     private TCPNIOTransport mTransport;
     private HttpCaller mCaller;
     private ScriptedServer mServer;
@@ -34,7 +35,7 @@
     void start() throws IOException {
         mTransport = TCPNIOTransportBuilder.newInstance().setSelectorRunnersCount(1).build();
         mTransport.start();
-        mCaller = HttpCaller.on(mTransport, mDropped::add);
+        mCaller = HttpCaller.on(mTransport, this::onDropped);
         mServer = ScriptedServer.start();
     }
 
@@ -45,21 +46,41 @@
         mServer.close();
     }
 
-    private CompletableFuture<String> send(Correlation correlation) {
+    private void onDropped(DroppedAnswer answer) {
+        mDropped.add(answer);
+        mWhenDropped.run();
+    }
+
+    private HttpCall call(Correlation correlation) {
         HttpHeaders headers =
                 correlation.id().isEmpty()
                         ? HttpHeaders.empty()
                         : HttpHeaders.of("X-Id", correlation.id());
-        HttpCall call =
-                new HttpCall(
-                        "GET",
-                        mServer.address(),
-                        "/",
-                        headers,
-                        new byte[0],
-                        TIMEOUT_MILLIS,
-                        correlation);
-        return mCaller.request(call, "test").thenApply(HttpCallerTest::text);
+        return new HttpCall(
+                "GET", mServer.address(), "/", headers, new byte[0], TIMEOUT_MILLIS, correlation);
+    }
+
+    private CompletableFuture<String> send(Correlation correlation) {
+        return mCaller.request(call(correlation), "test").thenApply(HttpCallerTest::text);
+    }
+
+    /** Sends a request whose answer nobody waits for. */
+    private HttpExchange cancellable(String id) {
+        HttpListener ignored =
+                new HttpListener() {
+                    @Override
+                    public void onHead(HttpHead head) {}
+
+                    @Override
+                    public void onData(byte[] data) {}
+
+                    @Override
+                    public void onEnd() {}
+
+                    @Override
+                    public void onFailure(boolean sent, String detail) {}
+                };
+        return mCaller.send(call(Correlation.byHeader("X-Id", id)), ignored);
     }
 
     private CompletableFuture<String> send(String id) {
@@ -127,18 +148,16 @@
 
     @Test
     void anAnswerWhoseHeadCameInTwoPartsIsNotTakenForTheNext() throws Exception {
-        CompletableFuture<String> first = send("a");
-        Received received = mServer.next();
+        Received first = exchange("a");
+        CompletableFuture<String> reply = send("b");
+        Received second = mServer.next();
         String again = ScriptedServer.answer(200, "a");
-        received.connection().write(ScriptedServer.answer(200, "a") + again.substring(0, 20));
-        assertThat(first.get(), is("200 to a"));
-
-        CompletableFuture<String> second = send("b");
-        Received next = mServer.next();
-        next.connection().write(again.substring(20));
-        next.answer("b");
+        second.connection().write(again.substring(0, 20));
+        second.connection().write(again.substring(20));
+        second.answer("b");
 
-        assertThat(second.get(), is("200 to b"));
+        assertThat(second.connection(), is(first.connection()));
+        assertThat(reply.get(), is("200 to b"));
     }
 
     @Test
@@ -161,6 +180,31 @@
         assertThat(exchange("b").connection(), is(not(first.connection())));
     }
 
+    @Test
+    void aRequestIsNotSentOnAConnectionThatEndsBecauseOfSuchBytes() throws Exception {
+        Received first = exchange("a");
+        CompletableFuture<CompletableFuture<String>> reply = new CompletableFuture<>();
+        mWhenDropped = () -> reply.complete(send("b"));
+        first.connection().write("HTTP/1.1 2");
+        Received second = mServer.next();
+        second.answer("b");
+
+        assertThat(reply.get().get(), is("200 to b"));
+        assertThat(second.connection(), is(not(first.connection())));
+    }
+
+    @Test
+    void bytesThatCameWithTheOwnAnswerEndTheirConnection() throws Exception {
+        CompletableFuture<String> reply = send("a");
+        Received first = mServer.next();
+        first.connection().write(ScriptedServer.answer(200, "a") + "HTTP/1.1 2");
+        first.connection().awaitEnd();
+
+        assertThat(reply.get(), is("200 to a"));
+        assertThat(dropped().reason(), is(Reason.NOTHING_ASKED));
+        assertThat(exchange("b").connection(), is(not(first.connection())));
+    }
+
     @Test
     void anAnswerThatNamesNoRequestIsTakenWhereThereCanBeNoOther() throws Exception {
         CompletableFuture<String> reply = send("a");
@@ -195,6 +239,39 @@
         unnamed.connection().awaitEnd();
     }
 
+    @Test
+    void requestsForAStateShareConnectionsAmongThemselvesOnly() throws Exception {
+        Received named = exchange("a");
+        CompletableFuture<String> reply = send(Correlation.byKind("state"));
+        Received first = mServer.next();
+        first.connection().write(ScriptedServer.unnamed(200));
+        reply.get();
+        CompletableFuture<String> again = send(Correlation.byKind("state"));
+        Received second = mServer.next();
+        second.connection().write(ScriptedServer.unnamed(200));
+
+        assertThat(again.get(), is("200 to nobody"));
+        assertThat(first.connection(), is(not(named.connection())));
+        assertThat(second.connection(), is(first.connection()));
+        assertThat(exchange("b").connection(), is(named.connection()));
+    }
+
+    @Test
+    void whatComesAfterACancelledRequestIsNotReported() throws Exception {
+        CompletableFuture<String> other = send("a");
+        Received received = mServer.next();
+        received.answer("a");
+        other.get();
+        HttpExchange cancelled = cancellable("b");
+        Received second = mServer.next();
+        cancelled.cancel();
+        second.connection().write(ScriptedServer.answer(200, "b"));
+        second.connection().awaitEnd();
+        exchange("c");
+
+        assertThat(mDropped.isEmpty(), is(true));
+    }
+
     @Test
     void aConnectionThatEndsWithTheAnswerToAnotherRequestFailsTheRequest() throws Exception {
         exchange("a");
