Take the answer to an order for that order only

The planner took any answer of an endpoint for that to the order which is open there. An answer that comes after its order was closed (a stream tells the version first, the planner's lease changes hands, an order is refused after its note in the store) then counted for the next order: a 200 to the order of version 2 made the planner believe in version 3, which it never ordered, and a 412 to an order with an old fence ended a new holder's term.

The answer is now passed on with its order, and counts only while that order is the open one.

SwapMachineTest#theAnswerToAnEarlierOrderSaysNothingOfALaterOne fails without it (version 3 for 2).

--- a/ebonyrun-core/src/main/java/org/ebonyrun/core/swap/SwapMachine.java
+++ b/ebonyrun-core/src/main/java/org/ebonyrun/core/swap/SwapMachine.java
@@ -50,9 +50,9 @@
         final int mVersion;
         final long mStartedAt;
         long mNextLookAt;
-        long mOrders = -1;
         boolean mInspecting;
-        boolean mOrdered;
+        // Null until the endpoint's state is known.
+        @Nullable SwapOrder mOrder;
 
         Job(Endpoint endpoint, String model, int version, long now) {
             mEndpoint = endpoint;
@@ -202,9 +202,8 @@
             finish(job, now, 0);
         } else if (state.busy()) {
             job.mNextLookAt = now + NEXT_LOOK_NANOS;
-        } else if (!job.mOrdered) {
-            job.mOrders = state.orders();
-            order(job, now);
+        } else if (job.mOrder == null) {
+            order(job, state.orders(), now);
         } else if (now - job.mStartedAt > LOST_NANOS) {
             finish(job, now, 0);
         } else {
@@ -221,10 +220,10 @@
         }
     }
 
-    /** Takes the answer to an order in. */
-    public void onReply(Endpoint endpoint, OrderReply reply, long now) {
+    /** Takes the answer to an order in; does nothing unless that order is the open one. */
+    public void onReply(Endpoint endpoint, SwapOrder order, OrderReply reply, long now) {
         Job job = mJobs.get(endpoint.id());
-        if (job == null || job.mEndpoint != endpoint) {
+        if (job == null || job.mEndpoint != endpoint || !order.equals(job.mOrder)) {
             return;
         }
         switch (reply) {
@@ -280,15 +279,15 @@
         }
     }
 
-    private void order(Job job, long now) {
-        job.mOrdered = true;
+    private void order(Job job, long expectedOrders, long now) {
         mOwnOrders.put(job.mEndpoint.id(), now);
         job.mNextLookAt = now + FIRST_LOOK_NANOS;
         SwapMode mode = mSingleVersion ? SwapMode.WAIT : SwapMode.KEEP;
-        mOutputs.order(
-                job.mEndpoint,
+        SwapOrder order =
                 new SwapOrder(
-                        job.mEndpoint.id(), job.mModel, job.mVersion, mode, mFence, job.mOrders));
+                        job.mEndpoint.id(), job.mModel, job.mVersion, mode, mFence, expectedOrders);
+        job.mOrder = order;
+        mOutputs.order(job.mEndpoint, order);
     }
 
     private void finish(Job job, long now, long retryNanos) {
--- a/ebonyrun-core/src/test/java/org/ebonyrun/core/swap/SwapMachineTest.java
+++ b/ebonyrun-core/src/test/java/org/ebonyrun/core/swap/SwapMachineTest.java
@@ -81,7 +81,7 @@
                 mEngines.mLoadedAt.put(order.endpoint(), now + LOAD_NANOS);
                 mEngines.mBefore.put(order.endpoint(), mEngines.mVersions.get(order.endpoint()));
                 mEngines.mVersions.put(order.endpoint(), order.version());
-                mMachine.onReply(mFleet.get(order.endpoint()), OrderReply.ACCEPTED, now);
+                mMachine.onReply(mFleet.get(order.endpoint()), order, OrderReply.ACCEPTED, now);
             }
             int loading = 0;
             for (Long until : mEngines.mLoadedAt.values()) {
@@ -250,7 +250,7 @@
             }
         }
         SwapOrder first = mEngines.mOrders.get(0);
-        mMachine.onReply(mFleet.get(first.endpoint()), reply, now);
+        mMachine.onReply(mFleet.get(first.endpoint()), first, reply, now);
         mAnswered = mEngines.mOrders.size();
         run(now, now + 5 * Nanos.PER_SECOND);
 
@@ -268,8 +268,38 @@
         mMachine.onTick(Nanos.PER_SECOND);
         Endpoint endpoint = mEngines.mInspected.get(0);
         answer(endpoint, Nanos.PER_SECOND);
-        mMachine.onReply(endpoint, OrderReply.FENCED, Nanos.PER_SECOND);
+        SwapOrder order = mEngines.mOrders.get(0);
+        mMachine.onReply(endpoint, order, OrderReply.FENCED, Nanos.PER_SECOND);
 
         assertThat(mEngines.mFenced, is(List.of(7L)));
     }
+
+    @Test
+    void theAnswerToAnEarlierOrderSaysNothingOfALaterOne() {
+        mMachine.onHolding(7, 0, 0);
+        mMachine.onNamed(Endpoints.MODEL, 2, 0);
+        mMachine.onStep(Endpoints.MODEL, 2, 2);
+        mMachine.onTick(Nanos.PER_SECOND);
+        Endpoint endpoint = mEngines.mInspected.get(0);
+        answer(endpoint, Nanos.PER_SECOND);
+        SwapOrder first = mEngines.mOrders.get(0);
+        // A stream tells the version before the order is answered.
+        endpoint.learnVersion(Endpoints.MODEL, 2);
+        mMachine.onNamed(Endpoints.MODEL, 3, Nanos.PER_SECOND);
+        mMachine.onStep(Endpoints.MODEL, 3, 3);
+        long now = Nanos.PER_SECOND;
+        do {
+            now += TICK;
+            mMachine.onTick(now);
+            mFleet.serving(Endpoints.SERVICE).stream()
+                    .filter(other -> other != endpoint)
+                    .forEach(other -> other.learnVersion(Endpoints.MODEL, 3));
+        } while (mEngines.mInspected.stream().filter(endpoint::equals).count() < 2);
+        mMachine.onReply(endpoint, first, OrderReply.HOLDS, now);
+
+        assertThat(endpoint.version(Endpoints.MODEL), is(2));
+        mEngines.mVersions.put(endpoint.id(), 2);
+        answer(endpoint, now);
+        assertThat(mEngines.mOrders.get(mEngines.mOrders.size() - 1).version(), is(3));
+    }
 }
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/PlannerDesk.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/PlannerDesk.java
@@ -355,21 +355,21 @@
     @Override
     public void order(Endpoint endpoint, SwapOrder order) {
         if (!mParts.lease().isValid(System.nanoTime())) {
-            refuse(endpoint);
+            refuse(endpoint, order);
         } else if (isNoted()) {
-            mOrders.note(() -> give(endpoint, order), () -> refuse(endpoint));
+            mOrders.note(() -> give(endpoint, order), () -> refuse(endpoint, order));
         } else {
             give(endpoint, order);
         }
     }
 
-    private void refuse(Endpoint endpoint) {
-        mMachine.onReply(endpoint, OrderReply.REFUSED, System.nanoTime());
+    private void refuse(Endpoint endpoint, SwapOrder order) {
+        mMachine.onReply(endpoint, order, OrderReply.REFUSED, System.nanoTime());
     }
 
     private void give(Endpoint endpoint, SwapOrder order) {
         if (!mMachine.isHolding() || order.fence() != mFence) {
-            refuse(endpoint);
+            refuse(endpoint, order);
             return;
         }
         mCaller.request(
@@ -394,7 +394,7 @@
                                 .with("fence", order.fence())
                                 .with("expected", order.expectedOrders())
                                 .with("reply", reply));
-        mMachine.onReply(endpoint, reply, System.nanoTime());
+        mMachine.onReply(endpoint, order, reply, System.nanoTime());
     }
 
     @Override
