Do not join the head of an answer that is cut with the next one

A call that an endpoint ran was answered 503 with the mark of one that was not run: the endpoint had sent a part of another answer's head and then the own answer. The parser takes a status line among headers for a part of a header's name, value or reason, so the head had the other's status and the own id.

A head that holds another status line fails the request now, on connections that may bring other answers.

HttpCallerTest#theOwnAnswerIsNotJoinedWithTheHeadOfAnother fails without it in 8 of 11 cases (503).

--- a/ebonyrun-ports/src/main/java/org/ebonyrun/ports/http/ExchangeFilter.java
+++ b/ebonyrun-ports/src/main/java/org/ebonyrun/ports/http/ExchangeFilter.java
@@ -2,6 +2,7 @@
 
 import java.io.EOFException;
 import java.io.IOException;
+import java.util.regex.Pattern;
 import org.ebonyrun.ports.http.DroppedAnswer.Reason;
 import org.glassfish.grizzly.Buffer;
 import org.glassfish.grizzly.CloseReason;
@@ -11,6 +12,7 @@
 import org.glassfish.grizzly.filterchain.NextAction;
 import org.glassfish.grizzly.http.HttpContent;
 import org.glassfish.grizzly.http.HttpResponsePacket;
+import org.glassfish.grizzly.http.util.DataChunk;
 import org.glassfish.grizzly.http.util.MimeHeaders;
 
 /**
@@ -19,6 +21,10 @@
  * <p>Thread safe: the only state is in {@link CallerConnection}.
  */
 final class ExchangeFilter extends BaseFilter {
+    // Without its first character, which the parser may take for the space after a status.
+    private static final Pattern STATUS_LINE =
+            Pattern.compile("ttp/1\\.[01] +[1-5][0-9]{2}", Pattern.CASE_INSENSITIVE);
+
     private final AnswerObserver mObserver;
 
     ExchangeFilter(AnswerObserver observer) {
@@ -36,7 +42,11 @@
         }
         HttpResponsePacket head = (HttpResponsePacket) content.getHttpHeader();
         if (wrapped.beginsAnswer()) {
-            beginAnswer(wrapped, exchange, head(head));
+            if (!wrapped.isUnambiguous() && isJoined(head)) {
+                exchange.fail("protocol: the head of an answer in that of another");
+            } else {
+                beginAnswer(wrapped, exchange, head(head));
+            }
         }
         Buffer buffer = content.getContent();
         if (buffer != null && buffer.hasRemaining() && !wrapped.isSkipping()) {
@@ -54,6 +64,23 @@
         return ctx.getStopAction();
     }
 
+    /**
+     * Returns whether a head was cut and goes on with that of the next answer: the parser takes
+     * lines that are no headers for parts of one.
+     */
+    private static boolean isJoined(HttpResponsePacket packet) {
+        MimeHeaders headers = packet.getHeaders();
+        boolean joined = holdsStatusLine(packet.getReasonPhraseRawDC());
+        for (int i = 0; i < headers.size() && !joined; i++) {
+            joined = holdsStatusLine(headers.getName(i)) || holdsStatusLine(headers.getValue(i));
+        }
+        return joined;
+    }
+
+    private static boolean holdsStatusLine(DataChunk text) {
+        return !text.isNull() && STATUS_LINE.matcher(text.toString()).find();
+    }
+
     /** Passes a head on if it begins the answer to the exchange's own request. */
     private void beginAnswer(CallerConnection connection, HttpExchange exchange, HttpHead head) {
         String asked = exchange.correlation().id();
--- a/ebonyrun-ports/src/test/java/org/ebonyrun/ports/http/HttpCallerTest.java
+++ b/ebonyrun-ports/src/test/java/org/ebonyrun/ports/http/HttpCallerTest.java
@@ -321,4 +321,30 @@
 
         assertThat(reply.get(), containsString(LOST));
     }
+
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "HTTP/1.1 503",
+                "HTTP/1.1 503 X",
+                "HTTP/1.1 503 X\r\n",
+                "HTTP/1.1 503 X\r\nX-Not-Run: 1",
+                "HTTP/1.1 503 X\r\nX-Not-Run: 1\r",
+                "HTTP/1.1 503 X\r\nX-Not-Run: 1\r\n",
+                "HTTP/1.1 503 X\r\nX-Not-Run: 1\r\nX-I",
+                "HTTP/1.1 503 X\r\nX-Not-Run: 1\r\nX-Id",
+                "HTTP/1.1 503 X\r\nX-Not-Run: 1\r\nX-Id:",
+                "HTTP/1.1 503 X\r\nX-Not-Run: 1\r\nX-Id: a",
+                "HTTP/1.1 503 X\r\nX-Not-Run: 1\r\nX-Id: a\r\n"
+            })
+    void theOwnAnswerIsNotJoinedWithTheHeadOfAnother(String cut) throws Exception {
+        exchange("a");
+        CompletableFuture<String> reply = send("b");
+        Received second = mServer.next();
+        String head = "HTTP/1.1 200 X\r\nDate: today\r\nX-Id: b\r\n";
+        second.connection().write(cut + head + "Content-Length: 4\r\n\r\nto b");
+        second.connection().close();
+
+        assertThat(reply.get(), containsString(LOST));
+    }
 }
