Write no refusal of the front ahead of an answer that is owed

A caller that sent a second request before the first was answered read the refusal of the second as the answer to the first: 413 and 431, and the codec's own 400 and 505 for what it can't read. The answer to the first was then dropped, or followed the refusal of a head that was too long. A request after a refused one was still passed on, though its connection was about to close. "100 Continue" for the second request was written before the first was answered.

Cause: refusals, the codec's errors and interim answers were written when they arose and not in the order of the requests; only whole requests waited for their turn.

Ruled out: requests cut at any byte, more pieces after the end of an answer and a second answer to one request are handled rightly; each has a test now.

Refusals now wait like requests do. What is no request ends the connection after the answers that are owed, without one of its own. Nothing is taken after either. "100 Continue" is left out while an answer is owed.

--- a/ebonyrun-ports/src/main/java/org/ebonyrun/ports/http/FrontConnection.java
+++ b/ebonyrun-ports/src/main/java/org/ebonyrun/ports/http/FrontConnection.java
@@ -9,7 +9,9 @@
  * What a {@link FrontServer} knows of one connection.
  *
  * <p>Thread safe: guarded by this object's monitor. At most one request is with the listener; later
- * ones of the same connection wait for its response.
+ * ones of the same connection wait for its response, and so do the refusals of later ones: what a
+ * caller reads first belongs to what it sent first. Nothing is taken after a refused request; the
+ * connection closes once what came before is answered.
  */
 final class FrontConnection {
     private static final int MAX_WAITING = 16;
@@ -34,8 +36,28 @@
         return mConnection;
     }
 
+    /** Returns whether the response that is sent now is the connection's last one. */
     synchronized boolean isClosing() {
-        return mClosing;
+        return mClosing || (mEnded && mWaiting.isEmpty());
+    }
+
+    /** Returns whether what arrives from now on is dropped. */
+    synchronized boolean isEnded() {
+        return mEnded;
+    }
+
+    /** Returns whether a response is owed to a request that was read. */
+    synchronized boolean isOwing() {
+        return mCurrent != null;
+    }
+
+    /**
+     * Takes nothing more, and closes after the responses that are owed. Returns whether any is; if
+     * none is, the caller is to close the connection.
+     */
+    synchronized boolean endAfterOwed() {
+        mEnded = true;
+        return mCurrent != null;
     }
 
     /** Notes that bytes arrived. */
@@ -56,14 +78,15 @@
     }
 
     /**
-     * Passes a request on, or keeps it until the response before it is sent; drops one that crosses
-     * the connection's end.
+     * Passes a request on or refuses it, or keeps it until the response before it is sent; drops
+     * one that crosses the connection's end.
      */
     void submit(FrontExchange exchange) {
         synchronized (this) {
             if (mEnded) {
                 return;
             }
+            mEnded = exchange.isRefused();
             if (mCurrent != null) {
                 if (mWaiting.size() >= MAX_WAITING) {
                     close();
@@ -74,7 +97,15 @@
             }
             mCurrent = exchange;
         }
-        mListener.onRequest(exchange);
+        start(exchange);
+    }
+
+    private void start(FrontExchange exchange) {
+        if (exchange.isRefused()) {
+            exchange.refuse();
+        } else {
+            mListener.onRequest(exchange);
+        }
     }
 
     void onResponded(boolean last) {
@@ -83,6 +114,7 @@
             mActiveAt = System.nanoTime();
             mCurrent = null;
             if (last) {
+                mEnded = true;
                 mWaiting.clear();
             }
             next = mWaiting.poll();
@@ -91,7 +123,7 @@
         if (last) {
             mConnection.closeSilently();
         } else if (next != null) {
-            mListener.onRequest(next);
+            start(next);
         }
     }
 
--- a/ebonyrun-ports/src/main/java/org/ebonyrun/ports/http/FrontExchange.java
+++ b/ebonyrun-ports/src/main/java/org/ebonyrun/ports/http/FrontExchange.java
@@ -25,6 +25,7 @@
     private final byte[] mBody;
     private final FrontConnection mConnection;
     private final boolean mKeepAlive;
+    private final int mRefusal;
     private @Nullable HttpResponsePacket mResponse;
     private boolean mDone;
     private boolean mClosing;
@@ -34,12 +35,24 @@
             HttpHeaders headers,
             byte[] body,
             FrontConnection connection,
-            boolean keepAlive) {
+            boolean keepAlive,
+            int refusal) {
         mPacket = packet;
         mHeaders = headers;
         mBody = body;
         mConnection = connection;
         mKeepAlive = keepAlive;
+        mRefusal = refusal;
+    }
+
+    /** Returns whether the request is answered by the server itself, with a refusal. */
+    boolean isRefused() {
+        return mRefusal != 0;
+    }
+
+    /** Sends the refusal. */
+    void refuse() {
+        respond(mRefusal, HttpHeaders.empty(), new byte[0]);
     }
 
     /** Returns the method. */
--- a/ebonyrun-ports/src/main/java/org/ebonyrun/ports/http/FrontServer.java
+++ b/ebonyrun-ports/src/main/java/org/ebonyrun/ports/http/FrontServer.java
@@ -15,6 +15,7 @@
 import org.glassfish.grizzly.filterchain.NextAction;
 import org.glassfish.grizzly.filterchain.TransportFilter;
 import org.glassfish.grizzly.http.HttpContent;
+import org.glassfish.grizzly.http.HttpHeader;
 import org.glassfish.grizzly.http.HttpRequestPacket;
 import org.glassfish.grizzly.http.HttpServerFilter;
 import org.glassfish.grizzly.http.Protocol;
@@ -58,7 +59,7 @@
             Supplier<FrontLimits> limits)
             throws IOException {
         FrontServer server = new FrontServer(listener, limits);
-        HttpServerFilter codec = new HttpServerFilter(true, CODEC_HEADER_BYTES, null, null);
+        HttpServerFilter codec = server.new Codec();
         codec.setAllowPayloadForUndefinedHttpMethods(true);
         server.mListening =
                 TCPNIOBindingHandler.builder(transport)
@@ -143,6 +144,31 @@
         }
     }
 
+    /** Parses requests; the answer to what is none never overtakes the answers that are owed. */
+    private final class Codec extends HttpServerFilter {
+        Codec() {
+            super(true, CODEC_HEADER_BYTES, null, null);
+        }
+
+        @Override
+        protected void onHttpHeaderError(HttpHeader header, FilterChainContext ctx, Throwable error)
+                throws IOException {
+            if (!of(ctx.getConnection()).endAfterOwed()) {
+                super.onHttpHeaderError(header, ctx, error);
+            }
+        }
+
+        @Override
+        protected void onHttpContentError(
+                HttpHeader header, FilterChainContext ctx, Throwable error) throws IOException {
+            if (of(ctx.getConnection()).endAfterOwed()) {
+                header.setContentBroken(true);
+            } else {
+                super.onHttpContentError(header, ctx, error);
+            }
+        }
+    }
+
     /** Collects bodies and passes whole requests on. */
     private final class RequestFilter extends BaseFilter {
         @Override
@@ -150,12 +176,19 @@
             HttpContent content = ctx.getMessage();
             HttpRequestPacket packet = (HttpRequestPacket) content.getHttpHeader();
             FrontConnection connection = of(ctx.getConnection());
+            if (connection.isEnded() || HttpContent.isBroken(content)) {
+                return ctx.getStopAction();
+            }
             FrontLimits limits = mLimits.get();
             BodyBuffer body = connection.reading();
             if (body == null) {
                 body = new BodyBuffer(limits.bodyBytes());
                 connection.setReading(body);
-                acknowledge(ctx, packet);
+                if (!connection.isOwing()) {
+                    // Otherwise it would stand in the midst of the answer before it; the caller
+                    // sends its body after a while without it.
+                    acknowledge(ctx, packet);
+                }
             }
             Buffer buffer = content.getContent();
             if (buffer != null && buffer.hasRemaining()) {
@@ -176,15 +209,9 @@
             HttpHeaders headers = headers(packet);
             boolean keepAlive = isKeepAlive(packet, headers) && !mDraining;
             byte[] bytes = body.isTooLarge() ? NOTHING : body.bytes();
-            FrontExchange exchange =
-                    new FrontExchange(packet, headers, bytes, connection, keepAlive);
             int refusal = refusal(packet, headers, body, limits);
-            if (refusal != 0) {
-                exchange.closeAfter();
-                exchange.respond(refusal, HttpHeaders.empty(), NOTHING);
-                return;
-            }
-            connection.submit(exchange);
+            connection.submit(
+                    new FrontExchange(packet, headers, bytes, connection, keepAlive, refusal));
         }
 
         private int refusal(
--- /dev/null
+++ b/ebonyrun-ports/src/test/java/org/ebonyrun/ports/http/FrontConnectionTest.java
@@ -0,0 +1,221 @@
+package org.ebonyrun.ports.http;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.containsString;
+import static org.hamcrest.Matchers.endsWith;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.startsWith;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.stream.Stream;
+import org.glassfish.grizzly.nio.transport.TCPNIOTransport;
+import org.glassfish.grizzly.nio.transport.TCPNIOTransportBuilder;
+import org.glassfish.grizzly.strategies.SameThreadIOStrategy;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
+
+/** What a caller reads on one connection belongs to what it sent, in the same order. */
+class FrontConnectionTest {
+    private static final FrontLimits LIMITS = new FrontLimits(300, 100, 60_000, 60_000);
+    private static final int SOCKET_TIMEOUT_MILLIS = 10_000;
+    private static final String FIRST = "GET /1 HTTP/1.1\r\nHost: h\r\n\r\n";
+    private static final String LAST = "GET /last HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n";
+    private static final String TOO_LARGE =
+            "POST /2 HTTP/1.1\r\nHost: h\r\nContent-Length: 101\r\n\r\n" + "x".repeat(101);
+
+    private final BlockingQueue<FrontExchange> mRequests = new LinkedBlockingQueue<>();
+    private TCPNIOTransport mTransport;
+    private InetSocketAddress mAddress;
+
+    @BeforeEach
+    void start() throws IOException {
+        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            mAddress = new InetSocketAddress("127.0.0.1", socket.getLocalPort());
+        }
+        // One I/O thread, as in the entry: what was sent earlier is read earlier.
+        mTransport =
+                TCPNIOTransportBuilder.newInstance()
+                        .setSelectorRunnersCount(1)
+                        .setIOStrategy(SameThreadIOStrategy.getInstance())
+                        .build();
+        mTransport.start();
+        FrontListener listener =
+                new FrontListener() {
+                    @Override
+                    public void onRequest(FrontExchange exchange) {
+                        mRequests.add(exchange);
+                    }
+
+                    @Override
+                    public void onAbandoned(FrontExchange exchange) {}
+                };
+        FrontServer.bind(mTransport, mAddress, listener, () -> LIMITS);
+    }
+
+    @AfterEach
+    void stop() throws IOException {
+        mTransport.shutdownNow();
+    }
+
+    private Socket send(String text) throws IOException {
+        Socket socket = new Socket(mAddress.getHostString(), mAddress.getPort());
+        socket.setSoTimeout(SOCKET_TIMEOUT_MILLIS);
+        socket.getOutputStream().write(bytes(text));
+        return socket;
+    }
+
+    /** Returns once the server has read everything that was sent before in one piece. */
+    private void awaitRead() throws Exception {
+        try (Socket socket = send("GET /probe HTTP/1.1\r\nHost: h\r\n\r\n")) {
+            FrontExchange probe = mRequests.take();
+            assertThat(probe.target(), is("/probe"));
+        }
+    }
+
+    private static String readAll(Socket socket) throws IOException {
+        return new String(socket.getInputStream().readAllBytes(), StandardCharsets.US_ASCII);
+    }
+
+    private static byte[] bytes(String text) {
+        return text.getBytes(StandardCharsets.US_ASCII);
+    }
+
+    private static Stream<String> refused() {
+        return Stream.of(
+                TOO_LARGE,
+                TOO_LARGE + "GET /3 HTTP/1.1\r\nHost: h\r\n\r\n",
+                "POST /2 HTTP/1.1\r\nHost: h\r\nContent-Length: 500\r\n\r\n" + "x".repeat(101),
+                "GET /2 HTTP/1.1\r\nHost: h\r\nX-Long: " + "x".repeat(301) + "\r\n\r\n");
+    }
+
+    private static Stream<String> unreadable() {
+        return Stream.of(
+                "GET /2 HTTP/1.1\r\n\r\n",
+                "GET /2 HTTP/7.9\r\nHost: h\r\n\r\n",
+                "GET /2 HTTP/1.1\r\nHost: h\r\nX-Long: " + "x".repeat(140_000) + "\r\n\r\n",
+                "POST /2 HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\nabcd",
+                "POST /2 HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\nabc\r\n");
+    }
+
+    @ParameterizedTest
+    @MethodSource("refused")
+    void aRefusalWaitsForTheAnswerBeforeIt(String request) throws Exception {
+        try (Socket socket = send(FIRST + request)) {
+            FrontExchange first = mRequests.take();
+            awaitRead();
+            first.respond(200, HttpHeaders.empty(), bytes("first"));
+
+            String answers = readAll(socket);
+            assertThat(answers, startsWith("HTTP/1.1 200"));
+            assertThat(answers, containsString("\r\n\r\nfirstHTTP/1.1 4"));
+            assertThat(answers, endsWith("\r\n\r\n"));
+        }
+        awaitRead();
+    }
+
+    @ParameterizedTest
+    @MethodSource("unreadable")
+    void whatIsNoRequestNeverOvertakesTheAnswersBeforeIt(String bytes) throws Exception {
+        String second = "GET /2 HTTP/1.1\r\nHost: h\r\n\r\n";
+        try (Socket socket = send(FIRST + second + bytes)) {
+            FrontExchange first = mRequests.take();
+            awaitRead();
+            first.respond(200, HttpHeaders.empty(), bytes("first"));
+            mRequests.take().respond(200, HttpHeaders.empty(), bytes("second"));
+
+            String answers = readAll(socket);
+            assertThat(answers, startsWith("HTTP/1.1 200"));
+            assertThat(answers, containsString("\r\n\r\nfirstHTTP/1.1 200"));
+            assertThat(answers, endsWith("\r\n\r\nsecond"));
+        }
+        awaitRead();
+    }
+
+    @ParameterizedTest
+    @MethodSource("unreadable")
+    void whatIsNoRequestIsRefusedWhenNothingIsOwed(String bytes) throws Exception {
+        try (Socket socket = send(bytes)) {
+            String answers = readAll(socket);
+            assertThat(answers.matches("(?s)HTTP/1.1 [45]\\d\\d .*\r\n\r\n"), is(true));
+        }
+        awaitRead();
+    }
+
+    @Test
+    void anInterimAnswerNeverStandsInsideTheAnswerBeforeIt() throws Exception {
+        String second =
+                "POST /2 HTTP/1.1\r\nHost: h\r\nConnection: close\r\n"
+                        + "Expect: 100-continue\r\nContent-Length: 3\r\n\r\n";
+        try (Socket socket = send(FIRST + second)) {
+            FrontExchange first = mRequests.take();
+            awaitRead();
+            first.respond(200, HttpHeaders.empty(), bytes("first"));
+            socket.getOutputStream().write(bytes("abc"));
+            FrontExchange last = mRequests.take();
+            assertThat(last.body(), is(bytes("abc")));
+            last.respond(200, HttpHeaders.empty(), bytes("last"));
+
+            String answers = readAll(socket);
+            assertThat(answers, startsWith("HTTP/1.1 200"));
+            assertThat(answers, containsString("\r\n\r\nfirstHTTP/1.1 200"));
+            assertThat(answers, endsWith("\r\n\r\nlast"));
+        }
+    }
+
+    @Test
+    void aRequestAfterTheLastOneOfItsConnectionIsNotPassedOn() throws Exception {
+        try (Socket socket = send(LAST + FIRST)) {
+            FrontExchange last = mRequests.take();
+            assertThat(last.target(), is("/last"));
+            awaitRead();
+            last.respond(200, HttpHeaders.empty(), bytes("last"));
+
+            assertThat(readAll(socket), endsWith("\r\n\r\nlast"));
+        }
+        awaitRead();
+    }
+
+    @Test
+    void requestsCutAnywhereAreReadAsWhatTheyAre() throws Exception {
+        String post = "POST /2 HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nabc";
+        String all = FIRST + post + LAST;
+        for (int cut = 1; cut < all.length(); cut++) {
+            try (Socket socket = send(all.substring(0, cut))) {
+                if (cut < FIRST.length()) {
+                    awaitRead();
+                    socket.getOutputStream().write(bytes(all.substring(cut)));
+                    answerNext("/1", "");
+                } else {
+                    answerNext("/1", "");
+                    socket.getOutputStream().write(bytes(all.substring(cut)));
+                }
+                answerNext("/2", "abc");
+                answerNext("/last", "");
+                String answers = readAll(socket);
+                assertThat(answers, containsString("\r\n\r\nto /1HTTP/1.1 200"));
+                assertThat(answers, containsString("\r\n\r\nto /2HTTP/1.1 200"));
+                assertThat(answers, endsWith("\r\n\r\nto /last"));
+            }
+        }
+    }
+
+    private void answerNext(String target, String body) throws InterruptedException {
+        FrontExchange exchange = mRequests.take();
+        assertThat(exchange.target(), is(target));
+        assertThat(exchange.body(), is(bytes(body)));
+        exchange.respond(200, HttpHeaders.empty(), bytes("to " + target));
+        exchange.write(bytes("late"));
+        exchange.respond(503, HttpHeaders.empty(), bytes("late"));
+        exchange.finish();
+    }
+}
