Let only the front decide how an answer is framed

Callers would have read bytes of one answer as part of the next: an empty piece was encoded as the end of the body, so that a second end followed; a status below 200 passed with a body leaves the request unanswered, and what follows is taken for its answer; headers of an answer (length, upgrade) replaced the framing of an answer in pieces. A caller of HTTP/1.0 got chunks. An answer in pieces to HEAD, or with 204, 205 or 304, never ended: its connection stayed blocked.

Cause: what the endpoint sent was given to the codec as it was, and the codec trusts it.

Ruled out: whole answers to HEAD and with 204, 205 and 304; the end of an answer in pieces that is the last one of its connection; pieces after the end.

A status that ends no request becomes 502, empty pieces are left out, headers of one connection are never copied, and an answer that can't be sent in chunks is sent whole once its end is known.

--- a/ebonyrun-ports/src/main/java/org/ebonyrun/ports/http/FrontExchange.java
+++ b/ebonyrun-ports/src/main/java/org/ebonyrun/ports/http/FrontExchange.java
@@ -1,5 +1,6 @@
 package org.ebonyrun.ports.http;
 
+import java.io.ByteArrayOutputStream;
 import java.net.SocketAddress;
 import org.glassfish.grizzly.Buffer;
 import org.glassfish.grizzly.Connection;
@@ -9,6 +10,7 @@
 import org.glassfish.grizzly.http.HttpContent;
 import org.glassfish.grizzly.http.HttpRequestPacket;
 import org.glassfish.grizzly.http.HttpResponsePacket;
+import org.glassfish.grizzly.http.Protocol;
 import org.glassfish.grizzly.memory.Buffers;
 import org.glassfish.grizzly.memory.MemoryManager;
 import org.jspecify.annotations.Nullable;
@@ -18,8 +20,23 @@
  *
  * <p>Thread safe: state changes hold the exchange's monitor. A response that was begun and can't be
  * finished is cut by closing the connection, so that it never looks complete.
+ *
+ * <p>The framing of a response is this class's alone: headers of the response don't change it, and
+ * a response that can't be sent in pieces is kept until its end is known. A status that ends no
+ * request is replaced by 502.
  */
 public final class FrontExchange {
+    private static final int LOWEST_FINAL_STATUS = 200;
+    private static final int HIGHEST_STATUS = 599;
+    private static final int NO_CONTENT = 204;
+    private static final int RESET_CONTENT = 205;
+    private static final int NOT_MODIFIED = 304;
+    private static final int BAD_GATEWAY = 502;
+    private static final byte[] NOTHING = new byte[0];
+
+    /** A response that is sent whole, though it arrives in pieces. */
+    private record Held(int status, HttpHeaders headers, ByteArrayOutputStream body) {}
+
     private final HttpRequestPacket mPacket;
     private final HttpHeaders mHeaders;
     private final byte[] mBody;
@@ -27,6 +44,7 @@
     private final boolean mKeepAlive;
     private final int mRefusal;
     private @Nullable HttpResponsePacket mResponse;
+    private @Nullable Held mHeld;
     private boolean mDone;
     private boolean mClosing;
 
@@ -52,7 +70,7 @@
 
     /** Sends the refusal. */
     void refuse() {
-        respond(mRefusal, HttpHeaders.empty(), new byte[0]);
+        respond(mRefusal, HttpHeaders.empty(), NOTHING);
     }
 
     /** Returns the method. */
@@ -83,9 +101,17 @@
 
     /** Sends a whole response; does nothing if one was sent or the caller left. */
     public void respond(int status, HttpHeaders headers, byte[] body) {
+        if (isFinal(status)) {
+            respondWhole(status, headers, body);
+        } else {
+            respondWhole(BAD_GATEWAY, HttpHeaders.empty(), NOTHING);
+        }
+    }
+
+    private void respondWhole(int status, HttpHeaders headers, byte[] body) {
         HttpResponsePacket response;
         synchronized (this) {
-            if (mDone || mResponse != null) {
+            if (mDone || isBegun()) {
                 return;
             }
             mDone = true;
@@ -98,9 +124,17 @@
 
     /** Sends the head of a response whose body follows in pieces. */
     public void begin(int status, HttpHeaders headers) {
+        if (!isFinal(status)) {
+            respond(status, headers, NOTHING);
+            return;
+        }
         HttpResponsePacket response;
         synchronized (this) {
-            if (mDone || mResponse != null) {
+            if (mDone || isBegun()) {
+                return;
+            }
+            if (!canBeSentInPieces(status)) {
+                mHeld = new Held(status, headers, new ByteArrayOutputStream());
                 return;
             }
             response = head(status, headers);
@@ -113,7 +147,12 @@
     public void write(byte[] piece) {
         HttpResponsePacket response;
         synchronized (this) {
-            if (mDone || mResponse == null) {
+            // An empty piece would be encoded as the end of the body.
+            if (mDone || !isBegun() || piece.length == 0) {
+                return;
+            }
+            if (mHeld != null) {
+                mHeld.body().writeBytes(piece);
                 return;
             }
             response = mResponse;
@@ -124,14 +163,21 @@
     /** Ends a response that was sent in pieces. */
     public void finish() {
         HttpResponsePacket response;
+        Held held;
         synchronized (this) {
-            if (mDone || mResponse == null) {
+            if (mDone || !isBegun()) {
                 return;
             }
-            mDone = true;
+            held = mHeld;
+            mHeld = null;
             response = mResponse;
+            mDone = held == null;
+        }
+        if (held == null) {
+            write(response, NOTHING, true);
+        } else {
+            respondWhole(held.status(), held.headers(), held.body().toByteArray());
         }
-        write(response, new byte[0], true);
     }
 
     /** Closes the connection without an end of the response. */
@@ -142,9 +188,9 @@
         mConnection.close();
     }
 
-    /** Returns whether the head of a response was sent. */
+    /** Returns whether a response was begun. */
     public synchronized boolean isBegun() {
-        return mResponse != null;
+        return mResponse != null || mHeld != null;
     }
 
     /** Marks the exchange as over; returns whether a response was still owed. */
@@ -157,13 +203,25 @@
     private HttpResponsePacket head(int status, HttpHeaders headers) {
         HttpResponsePacket response = mPacket.getResponse();
         response.setStatus(status);
-        headers.forEach(response::addHeader);
+        headers.endToEnd().forEach(response::addHeader);
         if (isLast()) {
             response.setHeader("Connection", "close");
         }
         return response;
     }
 
+    private static boolean isFinal(int status) {
+        return status >= LOWEST_FINAL_STATUS && status <= HIGHEST_STATUS;
+    }
+
+    private boolean canBeSentInPieces(int status) {
+        return mPacket.getProtocol() == Protocol.HTTP_1_1
+                && !method().equals("HEAD")
+                && status != NO_CONTENT
+                && status != RESET_CONTENT
+                && status != NOT_MODIFIED;
+    }
+
     private boolean isLast() {
         return mClosing || !mKeepAlive || mConnection.isClosing();
     }
--- a/ebonyrun-ports/src/test/java/org/ebonyrun/ports/http/FrontConnectionTest.java
+++ b/ebonyrun-ports/src/test/java/org/ebonyrun/ports/http/FrontConnectionTest.java
@@ -4,6 +4,7 @@
 import static org.hamcrest.Matchers.containsString;
 import static org.hamcrest.Matchers.endsWith;
 import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.not;
 import static org.hamcrest.Matchers.startsWith;
 
 import java.io.IOException;
@@ -12,8 +13,10 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.List;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
+import java.util.function.Consumer;
 import java.util.stream.Stream;
 import org.glassfish.grizzly.nio.transport.TCPNIOTransport;
 import org.glassfish.grizzly.nio.transport.TCPNIOTransportBuilder;
@@ -23,6 +26,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** What a caller reads on one connection belongs to what it sent, in the same order. */
 class FrontConnectionTest {
@@ -209,6 +213,130 @@
         }
     }
 
+    /** Returns all that a caller reads who sends a request and then the last one. */
+    private String answersTo(String request, Consumer<FrontExchange> answer) throws Exception {
+        try (Socket socket = send(request + LAST)) {
+            answer.accept(mRequests.take());
+            mRequests.take().respond(200, HttpHeaders.empty(), bytes("last"));
+            return readAll(socket);
+        }
+    }
+
+    private static Consumer<FrontExchange> inPieces(int status, HttpHeaders headers) {
+        return exchange -> {
+            exchange.begin(status, headers);
+            exchange.write(bytes("pie"));
+            exchange.write(bytes("ces"));
+            exchange.finish();
+        };
+    }
+
+    private static Consumer<FrontExchange> whole(int status, HttpHeaders headers) {
+        return exchange -> exchange.respond(status, headers, bytes("pieces"));
+    }
+
+    private static Stream<Consumer<FrontExchange>> bodiless() {
+        HttpHeaders none = HttpHeaders.empty();
+        return Stream.of(204, 205, 304)
+                .flatMap(status -> Stream.of(whole(status, none), inPieces(status, none)));
+    }
+
+    @ParameterizedTest
+    @MethodSource("bodiless")
+    void anAnswerThatMayHaveNoBodyEndsWithItsHead(Consumer<FrontExchange> answer) throws Exception {
+        String answers = answersTo(FIRST, answer);
+
+        assertThat(answers.indexOf("\r\n\r\nHTTP/1.1 200") > 0, is(true));
+        assertThat(answers, not(containsString("pie")));
+        assertThat(answers, endsWith("\r\n\r\nlast"));
+    }
+
+    @Test
+    void anAnswerToHeadEndsWithItsHead() throws Exception {
+        String head = "HEAD /1 HTTP/1.1\r\nHost: h\r\n\r\n";
+        for (Consumer<FrontExchange> answer :
+                List.of(whole(200, HttpHeaders.empty()), inPieces(200, HttpHeaders.empty()))) {
+            String answers = answersTo(head, answer);
+
+            assertThat(answers.indexOf("\r\n\r\nHTTP/1.1 200") > 0, is(true));
+            assertThat(answers, not(containsString("pie")));
+            assertThat(answers, endsWith("\r\n\r\nlast"));
+        }
+    }
+
+    @Test
+    void anAnswerInPiecesToAnOldCallerIsSentWithItsLength() throws Exception {
+        try (Socket socket = send("GET /1 HTTP/1.0\r\nHost: h\r\n\r\n")) {
+            inPieces(200, HttpHeaders.empty()).accept(mRequests.take());
+
+            String answer = readAll(socket);
+            assertThat(answer, containsString("Content-Length: 6\r\n"));
+            assertThat(answer, endsWith("\r\n\r\npieces"));
+        }
+    }
+
+    @Test
+    void anEmptyPieceIsNoEndOfAnAnswer() throws Exception {
+        String answers =
+                answersTo(
+                        FIRST,
+                        exchange -> {
+                            exchange.begin(200, HttpHeaders.empty());
+                            exchange.write(bytes("a"));
+                            exchange.write(bytes(""));
+                            exchange.write(bytes("b"));
+                            exchange.finish();
+                        });
+
+        assertThat(answers, containsString("\r\n\r\n1\r\na\r\n1\r\nb\r\n0\r\n\r\nHTTP/1.1 200"));
+    }
+
+    @Test
+    void theLastAnswerOfAConnectionInPiecesHasAFramedEnd() throws Exception {
+        try (Socket socket = send(LAST)) {
+            inPieces(200, HttpHeaders.empty()).accept(mRequests.take());
+
+            assertThat(readAll(socket), endsWith("\r\n\r\n3\r\npie\r\n3\r\nces\r\n0\r\n\r\n"));
+        }
+    }
+
+    private static Stream<HttpHeaders> framing() {
+        return Stream.of(
+                HttpHeaders.of("Content-Length", "2"),
+                HttpHeaders.of("Transfer-Encoding", "chunked"),
+                HttpHeaders.of("Transfer-Encoding", "identity"),
+                HttpHeaders.of("Connection", "close"),
+                HttpHeaders.of("Upgrade", "other", "Trailer", "X-Any", "Keep-Alive", "timeout=9"));
+    }
+
+    @ParameterizedTest
+    @MethodSource("framing")
+    void headersOfAnAnswerNeverChangeItsFraming(HttpHeaders headers) throws Exception {
+        String pieces = answersTo(FIRST, inPieces(200, headers));
+        assertThat(pieces, containsString("\r\n\r\n3\r\npie\r\n3\r\nces\r\n0\r\n\r\nHTTP/1.1 200"));
+
+        String whole = answersTo(FIRST, whole(200, headers));
+        assertThat(whole, containsString("Content-Length: 6\r\n"));
+        assertThat(whole, containsString("\r\n\r\npiecesHTTP/1.1 200"));
+        assertThat(whole, not(containsString("Transfer-Encoding")));
+    }
+
+    @ParameterizedTest
+    @ValueSource(ints = {0, 20, 100, 101, 103, 199, 600, 1_000})
+    void aStatusThatEndsNoRequestIsNotPassedOn(int status) throws Exception {
+        for (Consumer<FrontExchange> answer :
+                List.of(
+                        whole(status, HttpHeaders.empty()),
+                        inPieces(status, HttpHeaders.empty()))) {
+            String answers = answersTo(FIRST, answer);
+
+            assertThat(answers, startsWith("HTTP/1.1 502"));
+            assertThat(answers, containsString("Content-Length: 0\r\n"));
+            assertThat(answers, not(containsString("pie")));
+            assertThat(answers, endsWith("\r\n\r\nlast"));
+        }
+    }
+
     private void answerNext(String target, String body) throws InterruptedException {
         FrontExchange exchange = mRequests.take();
         assertThat(exchange.target(), is(target));
