Refuse requests whose end can be read in two ways

The front passed bytes of a body on as a request that no caller sent, and the caller read its answer as that to the next request. Of 19 requests with a doubtful end, 14 were taken: unknown codings, a coding beside a length, a space before a header's colon (which also went on to the endpoint, as a length that contradicts ours), a folded coding, chunks over HTTP/1.0, a TRACE with a body, a method of control bytes, HTTP/0.9.

Cause: the codec skips a header or coding that it doesn't know, and goes on as if there were no body.

Ruled out: two different lengths, a list of lengths, lengths with a sign or without digits: the codec refuses them. Equal lengths twice, any case of "chunked", bodies of GET, DELETE and unknown methods are read rightly; a test keeps that.

--- a/ebonyrun-ports/src/main/java/org/ebonyrun/ports/http/FrontServer.java
+++ b/ebonyrun-ports/src/main/java/org/ebonyrun/ports/http/FrontServer.java
@@ -154,24 +154,28 @@
         @Override
         protected void onHttpHeaderError(
                 HttpHeader header, FilterChainContext ctx, Throwable error) {
-            refuse((HttpRequestPacket) header, of(ctx.getConnection()));
+            refuse((HttpRequestPacket) header, ctx);
         }
 
         @Override
         protected void onHttpContentError(
                 HttpHeader header, FilterChainContext ctx, Throwable error) {
             header.setContentBroken(true);
-            refuse((HttpRequestPacket) header, of(ctx.getConnection()));
+            refuse((HttpRequestPacket) header, ctx);
         }
 
-        private void refuse(HttpRequestPacket packet, FrontConnection connection) {
+        private void refuse(HttpRequestPacket packet, FilterChainContext ctx) {
             int status = Math.max(packet.getResponse().getStatus(), BAD_REQUEST);
-            connection.submit(
-                    new FrontExchange(
-                            packet, HttpHeaders.empty(), NOTHING, connection, false, status));
+            FrontServer.refuse(packet, of(ctx.getConnection()), status);
         }
     }
 
+    /** Refuses in its turn what can't be read as a request. */
+    private static void refuse(HttpRequestPacket packet, FrontConnection connection, int status) {
+        connection.submit(
+                new FrontExchange(packet, HttpHeaders.empty(), NOTHING, connection, false, status));
+    }
+
     /** Collects bodies and passes whole requests on. */
     private final class RequestFilter extends BaseFilter {
         @Override
@@ -185,6 +189,10 @@
             FrontLimits limits = mLimits.get();
             BodyBuffer body = connection.reading();
             if (body == null) {
+                if (!RequestFraming.isSound(packet)) {
+                    refuse(packet, connection, BAD_REQUEST);
+                    return ctx.getStopAction();
+                }
                 body = new BodyBuffer(limits.bodyBytes());
                 connection.setReading(body);
                 if (!connection.isOwing()) {
--- a/ebonyrun-ports/src/test/java/org/ebonyrun/ports/http/FrontConnectionTest.java
+++ b/ebonyrun-ports/src/test/java/org/ebonyrun/ports/http/FrontConnectionTest.java
@@ -340,6 +340,72 @@
         }
     }
 
+    private static Stream<String> ambiguous() {
+        String evil = "GET /evil HTTP/1.1\r\nHost: h\r\n\r\n";
+        String length = "Content-Length: 3\r\n";
+        String chunked = "0\r\n\r\n";
+        return Stream.of(
+                        "Transfer-Encoding: other\r\n\r\n" + chunked,
+                        "Transfer-Encoding: gzip, chunked\r\n\r\n" + chunked,
+                        "Transfer-Encoding: chunked, identity\r\n\r\n" + chunked,
+                        "Transfer-Encoding: identity\r\n" + length + "\r\nabc",
+                        "Transfer-Encoding:\r\n chunked\r\n\r\n" + chunked,
+                        "Transfer-Encoding: chunked\r\nTransfer-Encoding: other\r\n\r\n" + chunked,
+                        "Transfer-Encoding: chunked\r\n" + length + "\r\n" + chunked,
+                        "Transfer-Encoding : chunked\r\n\r\n" + chunked,
+                        "Content-Length : " + evil.length() + "\r\n\r\n",
+                        "X-Any\u0001: a\r\n\r\n",
+                        "Content-Length: 3\r\nContent-Length: 4\r\n\r\nabc",
+                        "Content-Length: 3, 3\r\n\r\nabc",
+                        "Content-Length: -3\r\n\r\nabc",
+                        "Content-Length: +3\r\n\r\nabc",
+                        "Content-Length: \r\n\r\n")
+                .map(rest -> "POST /2 HTTP/1.1\r\nHost: h\r\n" + rest + evil);
+    }
+
+    private static Stream<String> ambiguousLines() {
+        String evil = "GET /evil HTTP/1.1\r\nHost: h\r\n\r\n";
+        String body = "Host: h\r\nContent-Length: 3\r\n\r\nabc";
+        String chunks = "Host: h\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n";
+        return Stream.of(
+                "POST /2 HTTP/1.0\r\n" + chunks + evil,
+                "TRACE /2 HTTP/1.1\r\n" + body + evil,
+                "\u0001\u0002 /2 HTTP/1.1\r\n" + body + evil,
+                "GET /2\r\n" + evil);
+    }
+
+    @ParameterizedTest
+    @MethodSource({"ambiguous", "ambiguousLines"})
+    void aBodyIsNeverReadAsARequest(String bytes) throws Exception {
+        try (Socket socket = send(FIRST + bytes)) {
+            FrontExchange first = mRequests.take();
+            awaitRead();
+            first.respond(200, HttpHeaders.empty(), bytes("first"));
+
+            String answers = readAll(socket);
+            assertThat(answers, startsWith("HTTP/1.1 200"));
+            assertThat(answers, containsString("\r\n\r\nfirstHTTP/1.1 "));
+            String refusal = answers.substring(answers.lastIndexOf("HTTP/1.1"));
+            assertThat(refusal.matches(REFUSAL), is(true));
+        }
+        awaitRead();
+    }
+
+    @Test
+    void bodiesWithoutDoubtAreRead() throws Exception {
+        String chunks = "Host: h\r\nTransfer-Encoding: Chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n";
+        String twice = "Host: h\r\nContent-Length: 3\r\nContent-Length: 3\r\n\r\nabc";
+        for (String rest : List.of(chunks, twice)) {
+            for (String method : List.of("POST", "GET", "DELETE", "X-ANY")) {
+                try (Socket socket = send(method + " /2 HTTP/1.1\r\n" + rest + LAST)) {
+                    answerNext("/2", "abc");
+                    answerNext("/last", "");
+                    assertThat(readAll(socket), endsWith("\r\n\r\nto /last"));
+                }
+            }
+        }
+    }
+
     private void answerNext(String target, String body) throws InterruptedException {
         FrontExchange exchange = mRequests.take();
         assertThat(exchange.target(), is(target));
