Tell whether a request was sent in the step that ends it

A connection that opened just when its second was over could carry a request that was then reported as not sent, after which a call that may run once is sent again: the failure read whether the request had been sent, and ended the exchange in a second step, between which the I/O thread began to write. The timer's question whether the connection is open was a third step.

Both are one step now. No test: the steps had no point at which one could hold them.

--- a/ebonyrun-ports/src/main/java/org/ebonyrun/ports/http/HttpExchange.java
+++ b/ebonyrun-ports/src/main/java/org/ebonyrun/ports/http/HttpExchange.java
@@ -62,13 +62,7 @@
 
     /** Fails the exchange unless its connection is open by now. */
     void failConnect() {
-        boolean open;
-        synchronized (this) {
-            open = mSent;
-        }
-        if (!open) {
-            fail("connect: timeout after " + HttpCaller.CONNECT_TIMEOUT_MILLIS + " ms");
-        }
+        fail("connect: timeout after " + HttpCaller.CONNECT_TIMEOUT_MILLIS + " ms", true);
     }
 
     /** Returns which connection carries the exchange. */
@@ -184,12 +178,17 @@
 
     /** Ends the exchange with a failure and closes the connection. */
     void fail(String detail) {
+        fail(detail, false);
+    }
+
+    private void fail(String detail, boolean onlyUnsent) {
         boolean sent;
+        // In one step: a request that is sent in between must not be reported as not sent.
         synchronized (this) {
             sent = mSent;
-        }
-        if (!finish()) {
-            return;
+            if (sent && onlyUnsent || !finish()) {
+                return;
+            }
         }
         CallerConnection connection = mConnection;
         if (connection != null) {
