Go on after the answer to another request that has no body

A request was lost ("the connection ended with the answer to another request") although its own answer came: an answer of status 204 or 304 to another request stood in front of it. Such an answer has no length and no body, which was taken for a body that ends with the connection.

HttpCallerTest#theOwnAnswerIsTakenAfterAnotherOfAnyFraming fails without it for both.

--- a/ebonyrun-ports/src/main/java/org/ebonyrun/ports/http/ExchangeFilter.java
+++ b/ebonyrun-ports/src/main/java/org/ebonyrun/ports/http/ExchangeFilter.java
@@ -109,7 +109,8 @@
     /** Goes on to the next answer, which may be that to the exchange's own request. */
     private static void endOfSkipped(
             CallerConnection connection, HttpExchange exchange, HttpResponsePacket head) {
-        if (isFramed(head) && head.getProcessingState().isKeepAlive()) {
+        boolean ends = isFramed(head) || !head.isExpectContent();
+        if (ends && head.getProcessingState().isKeepAlive()) {
             connection.endSkipped();
         } else {
             exchange.fail("the connection ended with the answer to another request");
--- a/ebonyrun-ports/src/test/java/org/ebonyrun/ports/http/HttpCallerTest.java
+++ b/ebonyrun-ports/src/test/java/org/ebonyrun/ports/http/HttpCallerTest.java
@@ -133,6 +133,24 @@
         assertThat(dropped.use().requests(), is(2));
     }
 
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "HTTP/1.1 204 X\r\nX-Id: a\r\n\r\n",
+                "HTTP/1.1 304 X\r\nX-Id: a\r\n\r\n",
+                "HTTP/1.1 200 X\r\nX-Id: a\r\nContent-Length: 0\r\n\r\n",
+                "HTTP/1.1 200 X\r\nX-Id: a\r\nTransfer-Encoding: chunked\r\n\r\n"
+                        + "4\r\nto a\r\n0\r\nX-Id: b\r\n\r\n"
+            })
+    void theOwnAnswerIsTakenAfterAnotherOfAnyFraming(String other) throws Exception {
+        exchange("a");
+        CompletableFuture<String> reply = send("b");
+        Received second = mServer.next();
+        second.connection().write(other + other + ScriptedServer.answer(200, "b"));
+
+        assertThat(reply.get(), is("200 to b"));
+    }
+
     @Test
     void aConnectionThatBroughtAnAnswerToAnotherRequestIsNotUsedAgain() throws Exception {
         Received first = exchange("a");
