Give requests with the method HEAD a connection each

The answer to a HEAD request tells a length and has no body. When it comes twice, the second is parsed for the next request, whose own answer is read as the missing body: that request waits until its deadline. The other way round, a body is read as the next head.

HttpCallerTest#anAnswerWithoutTheBodyThatItsLengthTellsIsNotFollowedByAnother fails without it.

--- a/ebonyrun-ports/src/main/java/org/ebonyrun/ports/http/HttpCall.java
+++ b/ebonyrun-ports/src/main/java/org/ebonyrun/ports/http/HttpCall.java
@@ -96,6 +96,14 @@
         return new HttpCall(method, address, target, headers, body, timeoutMillis, by);
     }
 
+    /**
+     * Returns whether other requests may use the connection before and after this one: not with
+     * {@code HEAD}, whose answers end where those to other methods have a body.
+     */
+    boolean sharesConnection() {
+        return correlation.sharesConnection() && !method.equals("HEAD");
+    }
+
     /** Returns the host and port. */
     String authority() {
         return address.getHostString() + ":" + address.getPort();
--- a/ebonyrun-ports/src/main/java/org/ebonyrun/ports/http/HttpCaller.java
+++ b/ebonyrun-ports/src/main/java/org/ebonyrun/ports/http/HttpCaller.java
@@ -109,9 +109,8 @@
     }
 
     private @Nullable CallerConnection takeIdle(HttpCall call) {
-        Correlation correlation = call.correlation();
-        return correlation.sharesConnection()
-                ? mPool.take(call.address(), correlation, System.nanoTime())
+        return call.sharesConnection()
+                ? mPool.take(call.address(), call.correlation(), System.nanoTime())
                 : null;
     }
 
--- a/ebonyrun-ports/src/main/java/org/ebonyrun/ports/http/HttpExchange.java
+++ b/ebonyrun-ports/src/main/java/org/ebonyrun/ports/http/HttpExchange.java
@@ -169,7 +169,7 @@
     }
 
     private void giveBack(CallerConnection connection, long until) {
-        if (correlation().sharesConnection()) {
+        if (mCall.sharesConnection()) {
             mPool.put(mCall.address(), correlation(), connection, until);
         } else {
             connection.close();
--- a/ebonyrun-ports/src/test/java/org/ebonyrun/ports/http/HttpCallerTest.java
+++ b/ebonyrun-ports/src/test/java/org/ebonyrun/ports/http/HttpCallerTest.java
@@ -51,17 +51,21 @@
         mWhenDropped.run();
     }
 
-    private HttpCall call(Correlation correlation) {
+    private HttpCall call(String method, Correlation correlation) {
         HttpHeaders headers =
                 correlation.id().isEmpty()
                         ? HttpHeaders.empty()
                         : HttpHeaders.of("X-Id", correlation.id());
         return new HttpCall(
-                "GET", mServer.address(), "/", headers, new byte[0], TIMEOUT_MILLIS, correlation);
+                method, mServer.address(), "/", headers, new byte[0], TIMEOUT_MILLIS, correlation);
     }
 
     private CompletableFuture<String> send(Correlation correlation) {
-        return mCaller.request(call(correlation), "test").thenApply(HttpCallerTest::text);
+        return send("GET", correlation);
+    }
+
+    private CompletableFuture<String> send(String method, Correlation correlation) {
+        return mCaller.request(call(method, correlation), "test").thenApply(HttpCallerTest::text);
     }
 
     /** Sends a request whose answer nobody waits for. */
@@ -80,7 +84,7 @@
                     @Override
                     public void onFailure(boolean sent, String detail) {}
                 };
-        return mCaller.send(call(Correlation.byHeader("X-Id", id)), ignored);
+        return mCaller.send(call("GET", Correlation.byHeader("X-Id", id)), ignored);
     }
 
     private CompletableFuture<String> send(String id) {
@@ -151,6 +155,16 @@
         assertThat(reply.get(), is("200 to b"));
     }
 
+    @Test
+    void anAnswerWithoutTheBodyThatItsLengthTellsIsNotFollowedByAnother() throws Exception {
+        CompletableFuture<String> reply = send("HEAD", Correlation.byHeader("X-Id", "a"));
+        Received first = mServer.next();
+        first.connection().write("HTTP/1.1 200 X\r\nX-Id: a\r\nContent-Length: 9\r\n\r\n");
+
+        assertThat(reply.get(), is("200 "));
+        assertThat(exchange("b").connection(), is(not(first.connection())));
+    }
+
     @Test
     void aConnectionThatBroughtAnAnswerToAnotherRequestIsNotUsedAgain() throws Exception {
         Received first = exchange("a");
