Replace a connection that has carried an id instead of keeping both

Requests that are sent again and again to one endpoint (refused while it loads or is full) each opened a connection and left it in the pool: up to 64 idle ones an address and entry, where an endpoint accepts a limited number from all callers.

Where every idle connection has carried the id, the one that was used longest ago is closed for the one that is opened.

HttpCallerTest#aRequestThatIsSentAgainAndAgainDoesNotFillThePool fails without it.

--- a/ebonyrun-ports/src/main/java/org/ebonyrun/ports/http/ConnectionPool.java
+++ b/ebonyrun-ports/src/main/java/org/ebonyrun/ports/http/ConnectionPool.java
@@ -38,12 +38,17 @@
     /**
      * Takes an open connection for a request, or returns null if there is none.
      *
+     * <p>If all have carried the id, closes the one that was used longest ago: the connection that
+     * the caller opens takes its place, so that requests which are sent again and again do not fill
+     * the pool.
+     *
      * @param request how the request's answer is told from others
      */
     synchronized @Nullable CallerConnection take(
             InetSocketAddress address, Correlation request, long now) {
         Lane lane = new Lane(address, request.lane());
-        Iterator<Idle> idle = mIdle.getOrDefault(lane, new ArrayDeque<>()).iterator();
+        Deque<Idle> all = mIdle.getOrDefault(lane, new ArrayDeque<>());
+        Iterator<Idle> idle = all.iterator();
         while (idle.hasNext()) {
             Idle candidate = idle.next();
             CallerConnection connection = candidate.connection();
@@ -56,6 +61,10 @@
                 return connection;
             }
         }
+        Idle replaced = all.pollLast();
+        if (replaced != null) {
+            replaced.connection().close();
+        }
         return null;
     }
 
--- a/ebonyrun-ports/src/test/java/org/ebonyrun/ports/http/HttpCallerTest.java
+++ b/ebonyrun-ports/src/test/java/org/ebonyrun/ports/http/HttpCallerTest.java
@@ -202,6 +202,17 @@
         assertThat(again.connection(), is(not(first.connection())));
     }
 
+    @Test
+    void aRequestThatIsSentAgainAndAgainDoesNotFillThePool() throws Exception {
+        for (int i = 0; i < 3; i++) {
+            Received earlier = exchange("a");
+            Received later = exchange("a");
+            earlier.connection().awaitEnd();
+
+            assertThat(exchange("b" + i).connection(), is(later.connection()));
+        }
+    }
+
     @Test
     void bytesThatNobodyWaitsForEndTheirConnection() throws Exception {
         Received first = exchange("a");
