Answer what is owed before a connection with too many requests ends

A caller that sent 18 requests at once lost all of them: the connection was closed while the first was being answered, which had been passed on already.

Cause: the limit of 16 waiting requests closed the connection at once.

The connection now takes nothing more and ends after the answers that are owed.

--- a/ebonyrun-ports/src/main/java/org/ebonyrun/ports/http/FrontConnection.java
+++ b/ebonyrun-ports/src/main/java/org/ebonyrun/ports/http/FrontConnection.java
@@ -80,7 +80,7 @@
             mEnded = exchange.isRefused();
             if (mCurrent != null) {
                 if (mWaiting.size() >= MAX_WAITING) {
-                    close();
+                    mEnded = true;
                 } else {
                     mWaiting.add(exchange);
                 }
--- a/ebonyrun-ports/src/test/java/org/ebonyrun/ports/http/FrontConnectionTest.java
+++ b/ebonyrun-ports/src/test/java/org/ebonyrun/ports/http/FrontConnectionTest.java
@@ -340,6 +340,21 @@
         }
     }
 
+    @Test
+    void requestsBeyondThoseThatMayWaitEndTheConnectionAfterWhatIsOwed() throws Exception {
+        int kept = 17;
+        try (Socket socket = send(FIRST.repeat(kept + 1))) {
+            FrontExchange first = mRequests.take();
+            awaitRead();
+            first.respond(200, HttpHeaders.empty(), bytes("to /1"));
+            for (int i = 1; i < kept; i++) {
+                answerNext("/1", "");
+            }
+            assertThat(readAll(socket).split("to /1", -1).length - 1, is(kept));
+        }
+        awaitRead();
+    }
+
     private static Stream<String> ambiguous() {
         String evil = "GET /evil HTTP/1.1\r\nHost: h\r\n\r\n";
         String length = "Content-Length: 3\r\n";
