Take a step only with its route, and believe that a route is gone only from the newest configuration

A step without a route got one without endpoints, meant for routes that were removed, kept it when the configuration came, and was given up.

A step is claimed only once a configuration is known. If that has no route for it, the newest one is read first, so that an entry whose configuration lags does not give a step up either.

HostedEntryTest#aStepIsNotGivenUpByAnEntryThatDoesNotKnowItsRoute fails without it.

--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/EntryParts.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/EntryParts.java
@@ -1,6 +1,8 @@
 package org.ebonyrun.daemon.hosted;
 
+import java.util.Optional;
 import java.util.concurrent.Executor;
+import java.util.function.Consumer;
 import org.ebonyrun.base.log.EventLog;
 import org.ebonyrun.core.route.Route;
 import org.ebonyrun.core.step.StepId;
@@ -48,6 +50,12 @@
         return 0;
     }
 
-    /** Returns the route of a stored step. */
-    Route routeOf(StepManifest manifest);
+    /** Returns whether a configuration is known. */
+    boolean knowsRoutes();
+
+    /** Returns the route of a stored step; empty if the configuration that is known has none. */
+    Optional<Route> routeOf(StepManifest manifest);
+
+    /** Takes the newest configuration in, and then tells whether it is in force here. */
+    void refreshRoutes(Consumer<Boolean> then);
 }
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/HostedEntry.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/HostedEntry.java
@@ -16,7 +16,6 @@
 import java.util.function.Supplier;
 import org.ebonyrun.base.duty.Duty;
 import org.ebonyrun.base.duty.DutyHandler;
-import org.ebonyrun.base.id.ServiceName;
 import org.ebonyrun.base.log.EventLog;
 import org.ebonyrun.base.log.LogLine;
 import org.ebonyrun.base.result.Fault;
@@ -25,13 +24,10 @@
 import org.ebonyrun.base.time.Nanos;
 import org.ebonyrun.core.fleet.EndpointRecord;
 import org.ebonyrun.core.fleet.Fleet;
-import org.ebonyrun.core.route.CallTerms;
 import org.ebonyrun.core.route.CallerLimits;
 import org.ebonyrun.core.route.Route;
 import org.ebonyrun.core.route.RouteKind;
 import org.ebonyrun.core.route.RouteTable;
-import org.ebonyrun.core.route.StepTerms;
-import org.ebonyrun.core.route.WeightedService;
 import org.ebonyrun.core.step.StepId;
 import org.ebonyrun.platform.EndpointDecoder;
 import org.ebonyrun.platform.EndpointProtocol;
@@ -242,22 +238,31 @@
     }
 
     @Override
-    public Route routeOf(StepManifest manifest) {
+    public boolean knowsRoutes() {
+        return mRoutes.isKnown();
+    }
+
+    @Override
+    public Optional<Route> routeOf(StepManifest manifest) {
         return mRoutes.find(manifest.host(), manifest.prefix())
-                .filter(route -> route.kind() == RouteKind.STEPS)
-                .orElseGet(() -> closedRoute(manifest));
-    }
-
-    /** Returns a route without endpoints, for steps whose route was removed. */
-    private static Route closedRoute(StepManifest manifest) {
-        return new Route(
-                "closed",
-                manifest.host(),
-                manifest.prefix(),
-                RouteKind.STEPS,
-                List.of(new WeightedService(ServiceName.of("closed"), 1)),
-                new CallTerms(1, 1, 1, 0),
-                StepTerms.NONE);
+                .filter(route -> route.kind() == RouteKind.STEPS);
+    }
+
+    @Override
+    public void refreshRoutes(Consumer<Boolean> then) {
+        mStore.get(OperatorDecoder.CONFIG)
+                .thenAcceptAsync(
+                        result -> {
+                            boolean read =
+                                    result.fold(
+                                            item -> {
+                                                onOperator(item.orElse(null));
+                                                return true;
+                                            },
+                                            fault -> false);
+                            then.accept(read && mRoutes.isKnown());
+                        },
+                        executor());
     }
 
     @Override
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/StepOwner.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/StepOwner.java
@@ -9,12 +9,17 @@
 import java.util.Set;
 import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
+import org.ebonyrun.base.id.ServiceName;
 import org.ebonyrun.base.log.LogLine;
 import org.ebonyrun.base.result.Fault;
 import org.ebonyrun.base.result.FaultCode;
 import org.ebonyrun.base.result.Result;
 import org.ebonyrun.base.time.Nanos;
+import org.ebonyrun.core.route.CallTerms;
 import org.ebonyrun.core.route.Route;
+import org.ebonyrun.core.route.RouteKind;
+import org.ebonyrun.core.route.StepTerms;
+import org.ebonyrun.core.route.WeightedService;
 import org.ebonyrun.core.step.CarriedTexts;
 import org.ebonyrun.core.step.PartialText;
 import org.ebonyrun.core.step.SampleResult;
@@ -380,6 +385,9 @@
     }
 
     private void claimWhenDue(StepId id, long now) {
+        if (!mParts.knowsRoutes()) {
+            return;
+        }
         Long due = mClaimAt.get(id);
         KnownStep known = mParts.directory().get(id);
         boolean inherited = known != null && known.mOwner != null;
@@ -437,31 +445,61 @@
     private void load(StepId id, long revision) {
         mStore.load(id)
                 .thenAcceptAsync(
-                        result -> {
-                            boolean loaded =
-                                    result.fold(
-                                            stored -> adopt(id, stored, revision),
-                                            fault -> logUnloaded(id, fault));
-                            if (loaded) {
-                                mClaiming.remove(id);
-                            } else {
-                                mParts.later(RETRY_NANOS, () -> load(id, revision));
-                            }
-                        },
+                        result ->
+                                result.fold(
+                                        stored -> {
+                                            onLoaded(id, stored, revision);
+                                            return true;
+                                        },
+                                        fault -> {
+                                            loadLater(id, revision, fault.detail());
+                                            return false;
+                                        }),
                         mParts.executor());
     }
 
-    private boolean logUnloaded(StepId id, Fault fault) {
-        mParts.log()
-                .write(LogLine.of("step.unloaded").with("step", id).with("why", fault.detail()));
-        return false;
+    private void loadLater(StepId id, long revision, String why) {
+        mParts.log().write(LogLine.of("step.unloaded").with("step", id).with("why", why));
+        mParts.later(RETRY_NANOS, () -> load(id, revision));
     }
 
-    private boolean adopt(StepId id, StoredStep stored, long revision) {
+    /** Adopts a step once its route is known, or it is certain that the route was removed. */
+    private void onLoaded(StepId id, StoredStep stored, long revision) {
+        KnownStep known = mParts.directory().get(id);
+        StepManifest manifest = known == null ? null : known.mManifest;
+        if (manifest == null || mParts.routeOf(manifest).isPresent()) {
+            adopt(id, stored, revision);
+            mClaiming.remove(id);
+            return;
+        }
+        mParts.refreshRoutes(
+                refreshed -> {
+                    if (refreshed) {
+                        adopt(id, stored, revision);
+                        mClaiming.remove(id);
+                    } else {
+                        loadLater(id, revision, "the configuration can't be read");
+                    }
+                });
+    }
+
+    /** Returns a route without endpoints, for steps whose route was removed. */
+    private static Route closedRoute(StepManifest manifest) {
+        return new Route(
+                "closed",
+                manifest.host(),
+                manifest.prefix(),
+                RouteKind.STEPS,
+                List.of(new WeightedService(ServiceName.of("closed"), 1)),
+                new CallTerms(1, 1, 1, 0),
+                StepTerms.NONE);
+    }
+
+    private void adopt(StepId id, StoredStep stored, long revision) {
         KnownStep known = mParts.directory().get(id);
         StepManifest manifest = known == null ? null : known.mManifest;
         if (manifest == null || known.mEnded || mDraining) {
-            return true;
+            return;
         }
         StepSpec spec;
         try {
@@ -472,13 +510,13 @@
                             LogLine.of("step.unreadable")
                                     .with("step", id)
                                     .with("why", e.getMessage()));
-            return true;
+            return;
         }
         if (stored.listed().size() >= spec.samples().size()) {
             // It was finished before; the key that says so is on its way here.
-            return true;
+            return;
         }
-        Route route = mParts.routeOf(manifest);
+        Route route = mParts.routeOf(manifest).orElseGet(() -> closedRoute(manifest));
         long age = System.currentTimeMillis() - manifest.acceptedAt();
         OwnedStep owned = new OwnedStep(revision);
         owned.mRunning = true;
@@ -493,7 +531,6 @@
                                 .with("age_ms", age)
                                 .with("fence", revision));
         mMachine.onOwned(spec, route, stored.listed(), stored.partial(), age, System.nanoTime());
-        return true;
     }
 
     /** Begins a graceful stop: takes no more steps. */
--- a/ebonyrun-daemon/src/test/java/org/ebonyrun/daemon/hosted/HostedEntryTest.java
+++ b/ebonyrun-daemon/src/test/java/org/ebonyrun/daemon/hosted/HostedEntryTest.java
@@ -131,6 +131,25 @@
         assertThat(results(mSecond, "st4"), containsString("sample-2"));
     }
 
+    @Test
+    void aStepIsNotGivenUpByAnEntryThatDoesNotKnowItsRoute() throws IOException {
+        mScene.endpoint().refuseNext(Integer.MAX_VALUE);
+        send(mFirst, "POST", mScene.stepPath(), "step-8", mScene.stepBody());
+        mFirstEntry.close();
+        mSecondEntry.close();
+        mScene.withdrawConfiguration();
+        mFirst = text(freeAddress());
+        mFirstEntry = entry("edge-1", mFirst);
+        // Ends at once if the entry takes the step from the process before it on its VM.
+        until(reply -> reply.text().contains("taken"), mMetrics, "GET", "/metrics", "");
+        mScene.configure(1);
+        mScene.endpoint().refuseNext(0);
+
+        String results = results(mFirst, "step-8");
+        assertThat(results, containsString("\"state\":\"done\""));
+        assertThat(results, not(containsString("\"state\":\"dead\"")));
+    }
+
     @Test
     void metricsCountWhatTheEntryDid() {
         send(mFirst, "POST", mScene.callPath(), "c1", mScene.callBody());
