Forget the errors of a call whose caller left

A stored failure of a service, with its body, stayed in memory for good when the caller left after it. The machine's end of such a call clears what the desk keeps of it now, too. By reading; no test sees it from outside.

--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/CallDesk.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/CallDesk.java
@@ -90,6 +90,7 @@
         if (call != null) {
             mClients.remove(call);
             mMachine.onAbandoned(call, now);
+            forgetErrors(call);
         }
     }
 
@@ -251,12 +252,16 @@
         if (client != null && client.caller() != null) {
             mCallOf.remove(client.caller());
         }
-        mErrorCounts.remove(call.id());
-        Long error = mErrors.remove(call.id());
+        forgetErrors(call.id());
+        return client;
+    }
+
+    private void forgetErrors(long call) {
+        mErrorCounts.remove(call);
+        Long error = mErrors.remove(call);
         if (error != null) {
             mAttempts.remove(error);
         }
-        return client;
     }
 
     @Override
