Let an experiment leave out one mechanism of the hosted entry

What each mechanism is worth could only be measured by changing the code. `policy:` in an entry's settings now names mechanisms that are not used: moves, hedged calls, the share of background calls, texts that are carried on, checkpoints, the delay of listing, tries of outdated endpoints. All are used by default; an unknown name or value is refused with file, line and path.

The set is read at the start and handed to the machines. Numbers carry a switch where they can (a share of 1, a delay of 0), so that no further case arises.

--- a/ebonyrun-core/src/main/java/org/ebonyrun/core/call/CallMachine.java
+++ b/ebonyrun-core/src/main/java/org/ebonyrun/core/call/CallMachine.java
@@ -10,6 +10,8 @@
 import org.ebonyrun.base.time.Nanos;
 import org.ebonyrun.core.fleet.Endpoint;
 import org.ebonyrun.core.fleet.Fleet;
+import org.ebonyrun.core.policy.Mechanism;
+import org.ebonyrun.core.policy.Policy;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -38,28 +40,40 @@
     private final Fleet mFleet;
     private final CallOrder mOrder;
     private final CallPlacement mPlacement;
+    private final boolean mHedges;
     private final CallOutputs mOutputs;
     private final Map<Long, PendingCall> mCalls = new LinkedHashMap<>();
     private final Map<Long, PendingCall> mByAttempt = new HashMap<>();
     private long mAttempts;
 
     private CallMachine(
-            Fleet fleet, CallOrder order, CallPlacement placement, CallOutputs outputs) {
+            Fleet fleet,
+            CallOrder order,
+            CallPlacement placement,
+            boolean hedges,
+            CallOutputs outputs) {
         mFleet = fleet;
         mOrder = order;
         mPlacement = placement;
+        mHedges = hedges;
         mOutputs = outputs;
     }
 
     /** Creates a machine without calls, in a failure domain. */
-    public static CallMachine create(Fleet fleet, FailureDomain domain, CallOutputs outputs) {
-        return create(fleet, new UrgentCallsFirst(), FastestAnswer.in(domain), outputs);
+    public static CallMachine create(
+            Fleet fleet, FailureDomain domain, Policy policy, CallOutputs outputs) {
+        return new CallMachine(
+                fleet,
+                new UrgentCallsFirst(),
+                FastestAnswer.in(domain, policy),
+                policy.uses(Mechanism.HEDGED_CALLS),
+                outputs);
     }
 
     /** Creates a machine without calls that decides by a given order and placement. */
     public static CallMachine create(
             Fleet fleet, CallOrder order, CallPlacement placement, CallOutputs outputs) {
-        return new CallMachine(fleet, order, placement, outputs);
+        return new CallMachine(fleet, order, placement, true, outputs);
     }
 
     /** Returns the number of calls that are not answered yet. */
@@ -158,7 +172,7 @@
     }
 
     private boolean isHedgeDue(PendingCall call, long now) {
-        if (call.mOpen.size() != 1 || call.mCommitted || !call.mayRunAgain()) {
+        if (!mHedges || call.mOpen.size() != 1 || call.mCommitted || !call.mayRunAgain()) {
             return false;
         }
         long goal = Nanos.ofMillis(call.mSpec.route().call().goalMillis());
--- a/ebonyrun-core/src/main/java/org/ebonyrun/core/call/FastestAnswer.java
+++ b/ebonyrun-core/src/main/java/org/ebonyrun/core/call/FastestAnswer.java
@@ -3,6 +3,8 @@
 import org.ebonyrun.base.id.FailureDomain;
 import org.ebonyrun.base.time.Nanos;
 import org.ebonyrun.core.fleet.Endpoint;
+import org.ebonyrun.core.policy.Mechanism;
+import org.ebonyrun.core.policy.Policy;
 
 /**
  * Places a call where the answer is expected first, in its own failure domain if that is about as
@@ -20,14 +22,17 @@
     private static final long DEFAULT_ANSWER_NANOS = Nanos.ofMillis(30);
 
     private final FailureDomain mDomain;
+    private final double mBackgroundShare;
 
-    private FastestAnswer(FailureDomain domain) {
+    private FastestAnswer(FailureDomain domain, double backgroundShare) {
         mDomain = domain;
+        mBackgroundShare = backgroundShare;
     }
 
     /** Creates a placement for a process in a failure domain. */
-    public static FastestAnswer in(FailureDomain domain) {
-        return new FastestAnswer(domain);
+    public static FastestAnswer in(FailureDomain domain, Policy policy) {
+        return new FastestAnswer(
+                domain, policy.uses(Mechanism.BACKGROUND_SHARE) ? BACKGROUND_SHARE : 1);
     }
 
     /** Returns how long an endpoint is expected to take for an answer, in nanoseconds. */
@@ -38,7 +43,7 @@
     @Override
     public int room(Endpoint endpoint, boolean background) {
         int slots = endpoint.record().slots();
-        return background ? (int) Math.ceil(BACKGROUND_SHARE * slots) : slots;
+        return background ? (int) Math.ceil(mBackgroundShare * slots) : slots;
     }
 
     @Override
--- a/ebonyrun-core/src/main/java/org/ebonyrun/core/step/SampleScheduler.java
+++ b/ebonyrun-core/src/main/java/org/ebonyrun/core/step/SampleScheduler.java
@@ -40,11 +40,18 @@
 
     private final Fleet mFleet;
     private final SamplePlacement mPlacement;
+    private final boolean mMoves;
     private final Map<ServiceName, Pool> mPools = new HashMap<>();
 
-    SampleScheduler(Fleet fleet, SamplePlacement placement) {
+    /**
+     * Creates a scheduler.
+     *
+     * @param moves whether samples leave endpoints that are not silent but slow, or stall them
+     */
+    SampleScheduler(Fleet fleet, SamplePlacement placement, boolean moves) {
         mFleet = fleet;
         mPlacement = placement;
+        mMoves = moves;
     }
 
     /** Returns for what a sample needs an endpoint. */
@@ -157,6 +164,9 @@
             endpoint.onFailure(now);
             return "endpoint is silent for " + Nanos.toMillis(silent) + " ms";
         }
+        if (!mMoves) {
+            return "";
+        }
         // A run may wait in the endpoint's queue, or have given way to a more urgent one.
         if (silent > STALLED_NANOS && isElsewhereIdle(sample, now)) {
             return "stalled for " + Nanos.toMillis(silent) + " ms";
--- a/ebonyrun-core/src/main/java/org/ebonyrun/core/step/StepMachine.java
+++ b/ebonyrun-core/src/main/java/org/ebonyrun/core/step/StepMachine.java
@@ -11,6 +11,8 @@
 import org.ebonyrun.base.time.Nanos;
 import org.ebonyrun.core.fleet.Endpoint;
 import org.ebonyrun.core.fleet.Fleet;
+import org.ebonyrun.core.policy.Mechanism;
+import org.ebonyrun.core.policy.Policy;
 import org.ebonyrun.core.route.Route;
 import org.ebonyrun.core.step.SampleRun.State;
 import org.jspecify.annotations.Nullable;
@@ -28,6 +30,7 @@
  * <p>Not thread safe; confined to one duty.
  */
 public final class StepMachine {
+    // How long results may wait for others to be listed with.
     private static final long STORE_AGE_NANOS = Nanos.ofMillis(600);
     private static final int STORE_BYTES = 256 * 1024;
     private static final long NOT_RUN_NANOS = Nanos.ofMillis(60);
@@ -42,28 +45,36 @@
     private final StepOutputs mOutputs;
     private final SampleOrder mOrder;
     private final SampleScheduler mScheduler;
+    private final long mStoreAgeNanos;
+    private final boolean mTriesOutdated;
     private final Map<StepId, StepRun> mSteps = new LinkedHashMap<>();
     private final Map<Long, SampleRun> mRuns = new HashMap<>();
     private long mRunCount;
     private final Map<String, Integer> mNamed = new HashMap<>();
 
     private StepMachine(
-            Fleet fleet, SampleOrder order, SamplePlacement placement, StepOutputs outputs) {
+            Fleet fleet,
+            SampleOrder order,
+            SamplePlacement placement,
+            Policy policy,
+            StepOutputs outputs) {
         mFleet = fleet;
         mOrder = order;
         mOutputs = outputs;
-        mScheduler = new SampleScheduler(fleet, placement);
+        mScheduler = new SampleScheduler(fleet, placement, policy.uses(Mechanism.MOVES));
+        mStoreAgeNanos = policy.uses(Mechanism.LISTING_DELAY) ? STORE_AGE_NANOS : 0;
+        mTriesOutdated = policy.uses(Mechanism.TRY_OUTDATED);
     }
 
     /** Creates a machine that owns no step. */
-    public static StepMachine create(Fleet fleet, StepOutputs outputs) {
-        return create(fleet, new WantedGroupsFirst(), new PaceShares(), outputs);
+    public static StepMachine create(Fleet fleet, Policy policy, StepOutputs outputs) {
+        return new StepMachine(fleet, new WantedGroupsFirst(), new PaceShares(), policy, outputs);
     }
 
     /** Creates a machine that owns no step and decides by a given order and placement. */
     static StepMachine create(
             Fleet fleet, SampleOrder order, SamplePlacement placement, StepOutputs outputs) {
-        return new StepMachine(fleet, order, placement, outputs);
+        return new StepMachine(fleet, order, placement, Policy.ALL, outputs);
     }
 
     /** Returns the number of steps that are owned and not finished. */
@@ -387,7 +398,7 @@
         if (step.mEnded || !step.mStoring.isEmpty() || step.mFinished.isEmpty()) {
             return;
         }
-        boolean old = now - step.mFinishedSince >= STORE_AGE_NANOS;
+        boolean old = now - step.mFinishedSince >= mStoreAgeNanos;
         if (!atOnce && !old && !step.isAllFinished() && bytes(step.mFinished) < STORE_BYTES) {
             return;
         }
@@ -512,7 +523,7 @@
     private boolean tryNamedVersion(SampleRun sample, long now) {
         StepSpec spec = sample.mStep.mSpec;
         int named = mNamed.getOrDefault(spec.model(), 0);
-        if (named < spec.minVersion() || named == 0) {
+        if (!mTriesOutdated || named < spec.minVersion() || named == 0) {
             return false;
         }
         Optional<Endpoint> outdated = mScheduler.chooseOutdated(sample, now);
--- a/ebonyrun-core/src/test/java/org/ebonyrun/core/call/CallMachineTest.java
+++ b/ebonyrun-core/src/test/java/org/ebonyrun/core/call/CallMachineTest.java
@@ -16,6 +16,8 @@
 import org.ebonyrun.base.time.Nanos;
 import org.ebonyrun.core.fleet.Endpoints;
 import org.ebonyrun.core.fleet.Fleet;
+import org.ebonyrun.core.policy.Mechanism;
+import org.ebonyrun.core.policy.Policy;
 import org.ebonyrun.core.route.CallTerms;
 import org.ebonyrun.core.route.Route;
 import org.ebonyrun.core.route.RouteKind;
@@ -31,8 +33,11 @@
 
     private final Fleet mFleet = Fleet.create();
     private final FakeCallOutputs mOutputs = new FakeCallOutputs();
-    private final CallMachine mMachine =
-            CallMachine.create(mFleet, FailureDomain.of("a"), mOutputs);
+    private CallMachine mMachine = machine(Policy.ALL);
+
+    private CallMachine machine(Policy policy) {
+        return CallMachine.create(mFleet, FailureDomain.of("a"), policy, mOutputs);
+    }
 
     private static Route route(RouteKind kind, int priority) {
         return Endpoints.route(kind, new CallTerms(800, 150, ATTEMPTS, priority), StepTerms.NONE);
@@ -115,6 +120,29 @@
         assertThat(mFleet.get("e1").active() + mFleet.get("e2").active(), is(0));
     }
 
+    @Test
+    void withoutHedgesASlowAnswerIsAwaited() {
+        mMachine = machine(Policy.ALL.without(Mechanism.HEDGED_CALLS));
+        endpoints(2, 4);
+        mMachine.onCall(call(1, RouteKind.IDEMPOTENT, false, 0), 0);
+        mMachine.onTick(Nanos.ofMillis(76));
+        assertThat(mOutputs.mSent.size(), is(1));
+        mMachine.onAttemptEnd(1, AttemptEnd.LOST, Nanos.ofMillis(90));
+
+        assertThat(mOutputs.mSent.size(), is(2));
+    }
+
+    @Test
+    void withoutAShareBackgroundCallsUseAllSlots() {
+        mMachine = machine(Policy.ALL.without(Mechanism.BACKGROUND_SHARE));
+        endpoints(1, 4);
+        for (long id = 1; id <= 5; id++) {
+            mMachine.onCall(call(id, RouteKind.IDEMPOTENT, true, 0), 0);
+        }
+
+        assertThat(mOutputs.mSent.size(), is(4));
+    }
+
     @Test
     void withoutAnEndpointACallIsRefusedAtOnce() {
         mMachine.onCall(call(1, RouteKind.IDEMPOTENT, false, 0), 0);
--- a/ebonyrun-core/src/test/java/org/ebonyrun/core/call/CallPolicyTest.java
+++ b/ebonyrun-core/src/test/java/org/ebonyrun/core/call/CallPolicyTest.java
@@ -6,6 +6,7 @@
 
 import java.util.List;
 import org.ebonyrun.base.id.FailureDomain;
+import org.ebonyrun.core.policy.Policy;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
@@ -15,7 +16,7 @@
     private static final long SECONDS = 123;
 
     private static FastestAnswer ours() {
-        return FastestAnswer.in(FailureDomain.of("a"));
+        return FastestAnswer.in(FailureDomain.of("a"), Policy.ALL);
     }
 
     private static ServiceLoad.Outcome play(
--- a/ebonyrun-core/src/test/java/org/ebonyrun/core/step/StepMachineTest.java
+++ b/ebonyrun-core/src/test/java/org/ebonyrun/core/step/StepMachineTest.java
@@ -15,6 +15,8 @@
 import org.ebonyrun.base.time.Nanos;
 import org.ebonyrun.core.fleet.Endpoints;
 import org.ebonyrun.core.fleet.Fleet;
+import org.ebonyrun.core.policy.Mechanism;
+import org.ebonyrun.core.policy.Policy;
 import org.ebonyrun.core.route.CallTerms;
 import org.ebonyrun.core.route.Route;
 import org.ebonyrun.core.route.RouteKind;
@@ -33,7 +35,7 @@
 
     private final Fleet mFleet = Fleet.create();
     private final FakeStepOutputs mOutputs = new FakeStepOutputs();
-    private final StepMachine mMachine = StepMachine.create(mFleet, mOutputs);
+    private StepMachine mMachine = StepMachine.create(mFleet, Policy.ALL, mOutputs);
 
     private static Route route(boolean singleVersion) {
         return Endpoints.route(
@@ -55,6 +57,10 @@
         mMachine.onOwned(spec, route(singleVersion), List.of(), List.of(), 0, 0);
     }
 
+    private void leaveOut(Mechanism mechanism) {
+        mMachine = StepMachine.create(mFleet, Policy.ALL.without(mechanism), mOutputs);
+    }
+
     private void endpoint(String id, int version) {
         mFleet.onRecord(Endpoints.record(id, 8, version));
     }
@@ -213,6 +219,71 @@
         assertThat(mOutputs.last().lastEvent(), is(1));
     }
 
+    /** Has a sample at each of two endpoints, one of which is five times as slow. */
+    private void runOnASlowAndAFastEndpoint() {
+        endpoint("e1", 2);
+        endpoint("e2", 2);
+        own(step(2, sample("a", "g", 1, false), sample("b", "h", 1, false)), false);
+        mMachine.onRunBegun(1, 2, 0);
+        mMachine.onRunBegun(2, 2, 0);
+        for (int i = 1; i <= 16; i++) {
+            if (i % 5 == 0) {
+                events(1, i / 5, i / 5, i * 40 * MILLI);
+            }
+            events(2, i, i, i * 40 * MILLI);
+        }
+        mMachine.onTick(650 * MILLI);
+    }
+
+    @Test
+    void aSampleLeavesASlowEndpoint() {
+        runOnASlowAndAFastEndpoint();
+
+        assertThat(mOutputs.mReasons.get(0), containsString("endpoint is slow"));
+        assertThat(mOutputs.last().sample(), is("a"));
+    }
+
+    @Test
+    void withoutMovesOnlyASilentEndpointIsLeft() {
+        leaveOut(Mechanism.MOVES);
+        runOnASlowAndAFastEndpoint();
+        assertThat(mOutputs.mReasons, is(empty()));
+        mMachine.onTick(1_650 * MILLI);
+
+        assertThat(mOutputs.mReasons.get(0), containsString("endpoint is silent"));
+    }
+
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void resultsWaitForOthersUnlessTheDelayIsLeftOut(boolean delay) {
+        if (!delay) {
+            leaveOut(Mechanism.LISTING_DELAY);
+        }
+        endpoint("e", 2);
+        own(step(2, sample("a", "g", 1, false), sample("b", "h", 1, false)), false);
+        mMachine.onRunBegun(1, 2, 0);
+        events(1, 1, EVENTS, 0);
+        mMachine.onRunEnd(1, RunEnd.COMPLETE, 0);
+        assertThat(mOutputs.mStores.size(), is(delay ? 0 : 1));
+        mMachine.onTick(600 * MILLI);
+
+        assertThat(mOutputs.mStores.size(), is(1));
+    }
+
+    @Test
+    void withoutTriesARecordOfTheVersionIsAwaited() {
+        leaveOut(Mechanism.TRY_OUTDATED);
+        endpoint("e", 1);
+        mMachine.onNamed(Endpoints.MODEL, 3);
+        own(step(1, sample("a", "g", 1, false)), false);
+        mMachine.onTick(200 * MILLI);
+        assertThat(mOutputs.mRuns, is(empty()));
+        endpoint("e", 3);
+        mMachine.onTick(201 * MILLI);
+
+        assertThat(mOutputs.last().terms().expectedVersion(), is(0));
+    }
+
     @Test
     void aRunThatGaveWayToOthersStaysWhileItsEndpointWorks() {
         mFleet.onRecord(Endpoints.record("e1", 2, 2));
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/CallDesk.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/CallDesk.java
@@ -63,7 +63,7 @@
     CallDesk(EntryParts parts, HttpCaller caller, Fleet fleet, FailureDomain domain) {
         mParts = parts;
         mCaller = caller;
-        mMachine = CallMachine.create(fleet, domain, this);
+        mMachine = CallMachine.create(fleet, domain, parts.policy(), this);
     }
 
     /** Returns a number for a new call. */
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/EntryParts.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/EntryParts.java
@@ -4,6 +4,7 @@
 import java.util.concurrent.Executor;
 import java.util.function.Consumer;
 import org.ebonyrun.base.log.EventLog;
+import org.ebonyrun.core.policy.Policy;
 import org.ebonyrun.core.route.Route;
 import org.ebonyrun.core.step.StepId;
 import org.ebonyrun.ports.store.Commit;
@@ -12,12 +13,16 @@
 /**
  * What the parts of an entry share.
  *
- * <p>Called on the entry's duty, but for {@link #executor}, which is thread safe.
+ * <p>Called on the entry's duty, but for {@link #executor} and {@link #policy}, which are thread
+ * safe.
  */
 interface EntryParts {
     /** Runs tasks on the entry's duty. */
     Executor executor();
 
+    /** Returns which mechanisms are used; the same for the whole life of the process. */
+    Policy policy();
+
     /** Runs a task on the entry's duty after a time. */
     void later(long nanos, Runnable task);
 
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/HostedEntry.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/HostedEntry.java
@@ -24,6 +24,7 @@
 import org.ebonyrun.base.time.Nanos;
 import org.ebonyrun.core.fleet.EndpointRecord;
 import org.ebonyrun.core.fleet.Fleet;
+import org.ebonyrun.core.policy.Policy;
 import org.ebonyrun.core.route.CallerLimits;
 import org.ebonyrun.core.route.Route;
 import org.ebonyrun.core.route.RouteKind;
@@ -188,6 +189,11 @@
         return mDuty::post;
     }
 
+    @Override
+    public Policy policy() {
+        return mSettings.policy();
+    }
+
     @Override
     public void later(long nanos, Runnable task) {
         mLater.add(new Timed(System.nanoTime() + nanos, task));
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/HostedSettings.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/HostedSettings.java
@@ -1,12 +1,18 @@
 package org.ebonyrun.daemon.hosted;
 
+import static com.google.common.base.Preconditions.checkArgument;
+
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
+import java.util.TreeMap;
 import java.util.function.Function;
 import org.ebonyrun.base.id.FailureDomain;
 import org.ebonyrun.base.id.VmId;
+import org.ebonyrun.core.policy.Mechanism;
+import org.ebonyrun.core.policy.Policy;
 import org.ebonyrun.core.settings.Problem;
 import org.ebonyrun.core.settings.SettingsNode;
 import org.ebonyrun.daemon.DaemonSettings;
@@ -24,6 +30,7 @@
  * @param store where the shared store is
  * @param firstStart whether the whole system starts for the first time
  * @param limits within which times things must be done
+ * @param policy which mechanisms are used
  */
 public record HostedSettings(
         VmId vm,
@@ -33,7 +40,8 @@
         InetSocketAddress metrics,
         InetSocketAddress store,
         boolean firstStart,
-        EntryLimits limits) {
+        EntryLimits limits,
+        Policy policy) {
     /** The role of a hosted entry. */
     public static final String ROLE = "hosted-entry";
 
@@ -41,7 +49,15 @@
     public static final String ROLE_RESERVE = "reserve";
 
     private static final Set<String> KEYS =
-            Set.of("role", "vm", "failure_domain", "listen", "store", "first_start", "limits");
+            Set.of(
+                    "role",
+                    "vm",
+                    "failure_domain",
+                    "listen",
+                    "store",
+                    "first_start",
+                    "limits",
+                    "policy");
     private static final Set<String> LIMIT_KEYS =
             Set.of(
                     "order_quiet",
@@ -80,24 +96,46 @@
                         address(listen.get("metrics")),
                         address(root.get("store")),
                         root.get("first_start").text("false").equals("true"),
-                        EntryLimits.read(limits));
+                        EntryLimits.read(limits),
+                        policy(root.get("policy")));
         return new Parsed(settings, List.copyOf(problems));
     }
 
-    /** Returns whether a process with the other settings would have the same name and addresses. */
+    /** Returns whether a process with the other settings would be the same but for limits. */
     boolean isSameProcess(HostedSettings other) {
         return vm.equals(other.vm)
                 && domain.equals(other.domain)
                 && front.equals(other.front)
                 && ready.equals(other.ready)
                 && metrics.equals(other.metrics)
-                && store.equals(other.store);
+                && store.equals(other.store)
+                && policy.equals(other.policy);
     }
 
     /** Returns these settings with the limits of others. */
     HostedSettings withLimitsOf(HostedSettings other) {
         return new HostedSettings(
-                vm, domain, front, ready, metrics, store, firstStart, other.limits);
+                vm, domain, front, ready, metrics, store, firstStart, other.limits, policy);
+    }
+
+    private static Policy policy(SettingsNode node) {
+        Map<String, Mechanism> mechanisms = new TreeMap<>();
+        for (Mechanism mechanism : Mechanism.values()) {
+            mechanisms.put(mechanism.key(), mechanism);
+        }
+        node.allow(mechanisms.keySet());
+        Policy policy = Policy.ALL;
+        for (Map.Entry<String, Mechanism> entry : mechanisms.entrySet()) {
+            if (!node.get(entry.getKey()).read(HostedSettings::trueOrFalse, true)) {
+                policy = policy.without(entry.getValue());
+            }
+        }
+        return policy;
+    }
+
+    private static boolean trueOrFalse(String text) {
+        checkArgument(text.equals("true") || text.equals("false"), "not true or false: '%s'", text);
+        return text.equals("true");
     }
 
     private static InetSocketAddress address(SettingsNode node) {
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/ResultWriter.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/ResultWriter.java
@@ -5,6 +5,7 @@
 import org.ebonyrun.base.log.LogLine;
 import org.ebonyrun.base.result.Result;
 import org.ebonyrun.base.time.Nanos;
+import org.ebonyrun.core.policy.Mechanism;
 import org.ebonyrun.core.step.PartialText;
 import org.ebonyrun.core.step.SampleResult;
 import org.ebonyrun.core.step.StepId;
@@ -50,12 +51,14 @@
     private final StepStore mStore;
     private final StepMachine mMachine;
     private final Owner mOwner;
+    private final boolean mCheckpoints;
 
     ResultWriter(EntryParts parts, StepStore store, StepMachine machine, Owner owner) {
         mParts = parts;
         mStore = store;
         mMachine = machine;
         mOwner = owner;
+        mCheckpoints = parts.policy().uses(Mechanism.CHECKPOINTS);
     }
 
     /** Repeats what the store did not answer, and keeps texts of steps that list nothing. */
@@ -83,9 +86,9 @@
         send(id, owned);
     }
 
-    /** Returns the texts to keep now; empty if it is too soon or there are none worth it. */
+    /** Returns the texts to keep now; empty if it is too soon or none are worth it. */
     private byte[] partialWhenDue(StepId id, OwnedStep owned, long everyNanos, long now) {
-        if (now - owned.mCheckpointAt < everyNanos) {
+        if (!mCheckpoints || now - owned.mCheckpointAt < everyNanos) {
             return NOTHING;
         }
         owned.mCheckpointAt = now;
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/SampleDesk.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/SampleDesk.java
@@ -54,7 +54,7 @@
         mParts = parts;
         mCaller = caller;
         mRoutes = routes;
-        mMachine = StepMachine.create(fleet, this);
+        mMachine = StepMachine.create(fleet, parts.policy(), this);
     }
 
     StepMachine machine() {
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/StepOwner.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/StepOwner.java
@@ -15,6 +15,7 @@
 import org.ebonyrun.base.result.FaultCode;
 import org.ebonyrun.base.result.Result;
 import org.ebonyrun.base.time.Nanos;
+import org.ebonyrun.core.policy.Mechanism;
 import org.ebonyrun.core.route.CallTerms;
 import org.ebonyrun.core.route.Route;
 import org.ebonyrun.core.route.RouteKind;
@@ -59,6 +60,7 @@
     private final Set<StepId> mAccepting = new HashSet<>();
     private final Set<StepId> mOver = new HashSet<>();
     private final ResultWriter mWriter;
+    private final boolean mCarries;
     private boolean mDraining;
 
     StepOwner(EntryParts parts, StepStore store, StepMachine machine, RandomGenerator random) {
@@ -66,6 +68,7 @@
         mStore = store;
         mMachine = machine;
         mRandom = random;
+        mCarries = parts.policy().uses(Mechanism.CARRIED_TEXTS);
         mWriter = new ResultWriter(parts, store, machine, this);
     }
 
@@ -206,7 +209,7 @@
         OwnedStep owned = new OwnedStep(revision);
         mOwned.put(spec.id(), owned);
         StepId before = mParts.directory().unfinishedBefore(manifest);
-        if (before == null) {
+        if (before == null || !mCarries) {
             run(spec, route, owned, List.of());
             return;
         }
@@ -295,7 +298,9 @@
         if (known.mEnded && owned != null) {
             mOwned.remove(id);
             List<PartialText> texts = mMachine.onEnded(id);
-            mWriter.keepTexts(id, owned, texts);
+            if (mCarries) {
+                mWriter.keepTexts(id, owned, texts);
+            }
             mParts.log()
                     .write(
                             LogLine.of("step.ended")
--- a/ebonyrun-daemon/src/test/java/org/ebonyrun/daemon/hosted/HostedEntryTest.java
+++ b/ebonyrun-daemon/src/test/java/org/ebonyrun/daemon/hosted/HostedEntryTest.java
@@ -5,11 +5,13 @@
 import static org.hamcrest.Matchers.hasItem;
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.not;
+import static org.hamcrest.Matchers.nullValue;
 
 import java.io.IOException;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import org.ebonyrun.core.policy.Mechanism;
 import org.ebonyrun.core.step.StepId;
 import org.ebonyrun.platform.standin.StandinEndpoint;
 import org.ebonyrun.ports.http.HttpReply;
@@ -104,6 +106,23 @@
         assertThat(seen.stream().filter(run -> run.matches("sample.*@0")).count(), is(2L));
     }
 
+    @Test
+    void withoutCarriedTextsALaterStepBeginsAnew() throws IOException {
+        restartWithout(Mechanism.CARRIED_TEXTS);
+        mScene.endpoint().breakAllAt(2);
+        send(mFirst, "POST", mScene.stepPath(), "st12", mScene.stepBody(1));
+        untilTrue(() -> mScene.endpoint().seen().containsAll(List.of("sample-1@2", "sample-2@2")));
+        send(mSecond, "DELETE", mScene.endPath("st12"), "", "");
+        mScene.endpoint().breakAllAt(0);
+        send(mSecond, "POST", mScene.stepPath(), "st13", mScene.stepBody(2));
+
+        assertThat(results(mFirst, "st13"), containsString("sample-2"));
+        List<String> seen = mScene.endpoint().seen();
+        assertThat(seen.stream().filter(run -> run.matches("sample.*@0")).count(), is(4L));
+        String texts = StepKeys.partial(StepId.of("st12"));
+        assertThat(mScene.platform().store().get(texts), is(nullValue()));
+    }
+
     @Test
     void unreadableTextsOfAnEndedStepAreNotUsed() {
         mScene.endpoint().breakAllAt(2);
--- a/ebonyrun-daemon/src/test/java/org/ebonyrun/daemon/hosted/HostedFixture.java
+++ b/ebonyrun-daemon/src/test/java/org/ebonyrun/daemon/hosted/HostedFixture.java
@@ -16,6 +16,7 @@
 import java.util.function.Predicate;
 import org.ebonyrun.base.json.JsonTrees;
 import org.ebonyrun.base.log.EventLog;
+import org.ebonyrun.core.policy.Mechanism;
 import org.ebonyrun.platform.standin.StandinScene;
 import org.ebonyrun.ports.http.HttpCall;
 import org.ebonyrun.ports.http.HttpCaller;
@@ -46,11 +47,16 @@
     String mMetrics;
     HostedEntry mFirstEntry;
     HostedEntry mSecondEntry;
+    private String mPolicy = "";
 
     @BeforeEach
     void start() throws IOException {
         mScene = StandinScene.start(freeAddress(), freeAddress());
         mCaller = HttpCaller.start();
+        startEntries();
+    }
+
+    private void startEntries() throws IOException {
         mFirst = text(freeAddress());
         mSecond = text(freeAddress());
         mMetrics = text(freeAddress());
@@ -68,6 +74,14 @@
         mScene.close();
     }
 
+    /** Starts both entries again, without a mechanism. */
+    void restartWithout(Mechanism mechanism) throws IOException {
+        mFirstEntry.close();
+        mSecondEntry.close();
+        mPolicy = "\npolicy: {" + mechanism.key() + ": false}";
+        startEntries();
+    }
+
     HostedEntry entry(String vm, String front) throws IOException {
         String settings =
                 HostedSettingsTest.WHOLE
@@ -78,7 +92,7 @@
                                 "10.1.0.35:9464",
                                 vm.equals("edge-1") ? mMetrics : text(freeAddress()))
                         .replace("10.200.1.7:8142", text(mScene.store()));
-        HostedSettings parsed = HostedSettings.parse("test", settings).settings();
+        HostedSettings parsed = HostedSettings.parse("test", settings + mPolicy).settings();
         return HostedEntry.start(parsed, EventLog.start(OutputStream.nullOutputStream()));
     }
 
--- a/ebonyrun-daemon/src/test/java/org/ebonyrun/daemon/hosted/HostedSettingsTest.java
+++ b/ebonyrun-daemon/src/test/java/org/ebonyrun/daemon/hosted/HostedSettingsTest.java
@@ -5,9 +5,12 @@
 import static org.hamcrest.Matchers.empty;
 import static org.hamcrest.Matchers.is;
 
+import org.ebonyrun.core.policy.Mechanism;
+import org.ebonyrun.core.policy.Policy;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.EnumSource;
 
 class HostedSettingsTest {
     static final String WHOLE =
@@ -47,6 +50,23 @@
         assertThat(after.isSameProcess(HostedSettings.parse("f", changed).settings()), is(false));
     }
 
+    @ParameterizedTest
+    @EnumSource(Mechanism.class)
+    void eachMechanismIsUsedUnlessItIsSwitchedOff(Mechanism mechanism) {
+        String off = WHOLE + "\npolicy: {" + mechanism.key() + ": false}";
+        HostedSettings.Parsed parsed = HostedSettings.parse("f", off);
+        HostedSettings all = HostedSettings.parse("f", WHOLE).settings();
+        String on = off.replace("false", "true");
+
+        assertThat(all.policy(), is(Policy.ALL));
+        assertThat(HostedSettings.parse("f", on).settings().policy(), is(Policy.ALL));
+        assertThat(parsed.problems(), is(empty()));
+        assertThat(parsed.settings().policy(), is(Policy.ALL.without(mechanism)));
+        // A running process keeps its policy.
+        assertThat(all.withLimitsOf(parsed.settings()).policy(), is(Policy.ALL));
+        assertThat(all.isSameProcess(parsed.settings()), is(false));
+    }
+
     @ParameterizedTest
     @CsvSource(
             delimiter = '|',
@@ -55,7 +75,10 @@
                 "grace: 8s | grace: soon | grace",
                 "config_within: 2s | config_within: 0s | config_within",
                 "10.200.1.7:8142 | nowhere | store",
-                "first_start: true | extra: 1 | extra"
+                "first_start: true | extra: 1 | extra",
+                "first_start: true | policy: {haste: false} | f:6: policy.haste: unknown key",
+                "first_start: true | policy: {moves: 'no'} | policy.moves: not true or false: 'no'",
+                "first_start: true | policy: moves | policy: must be a mapping"
             })
     void namesTheFieldOfEachProblem(String part, String replacement, String field) {
         String text = WHOLE.replace(part.strip(), replacement.strip());
--- a/ebonyrun-daemon/src/test/java/org/ebonyrun/daemon/hosted/HostedSoakTest.java
+++ b/ebonyrun-daemon/src/test/java/org/ebonyrun/daemon/hosted/HostedSoakTest.java
@@ -12,16 +12,19 @@
 import java.util.Random;
 import java.util.stream.LongStream;
 import org.ebonyrun.base.json.JsonTrees;
+import org.ebonyrun.core.policy.Mechanism;
 import org.ebonyrun.core.step.StepId;
 import org.ebonyrun.platform.standin.StandinEndpoint;
 import org.ebonyrun.platform.standin.StandinStore;
 import org.ebonyrun.ports.http.HttpReply;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.MethodSource;
 
 /** Plays steps and calls while store, endpoint and entries fail by turns, in a seeded order. */
 class HostedSoakTest extends HostedFixture {
     private static final int STEPS = 12;
+    private static final int STEPS_WITHOUT = 5;
 
     /** What goes wrong while a step runs. */
     private enum Trouble {
@@ -50,9 +53,20 @@
     @ParameterizedTest
     @MethodSource("seeds")
     void stepsAreDeliveredWholeAndOnceAndCallsGetTheirOwnAnswers(long seed) throws IOException {
+        play(seed, STEPS);
+    }
+
+    @ParameterizedTest
+    @EnumSource(Mechanism.class)
+    void theSameHoldsWithoutAnyOneMechanism(Mechanism mechanism) throws IOException {
+        restartWithout(mechanism);
+        play(1, STEPS_WITHOUT);
+    }
+
+    private void play(long seed, int steps) throws IOException {
         Random random = new Random(seed);
         Trouble[] troubles = Trouble.values();
-        for (int number = 1; number <= STEPS; number++) {
+        for (int number = 1; number <= steps; number++) {
             Trouble first = troubles[random.nextInt(troubles.length)];
             Trouble second = troubles[random.nextInt(troubles.length)];
             String step = "soak-" + seed + "-" + number;
--- /dev/null
+++ b/ebonyrun-daemon/src/test/java/org/ebonyrun/daemon/hosted/ResultWriterTest.java
@@ -0,0 +1,217 @@
+package org.ebonyrun.daemon.hosted;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+
+import java.io.OutputStream;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executor;
+import java.util.function.Consumer;
+import org.ebonyrun.base.id.FailureDomain;
+import org.ebonyrun.base.id.ServiceName;
+import org.ebonyrun.base.log.EventLog;
+import org.ebonyrun.base.result.Result;
+import org.ebonyrun.base.time.Nanos;
+import org.ebonyrun.core.fleet.Endpoint;
+import org.ebonyrun.core.fleet.EndpointRecord;
+import org.ebonyrun.core.fleet.Fleet;
+import org.ebonyrun.core.policy.Mechanism;
+import org.ebonyrun.core.policy.Policy;
+import org.ebonyrun.core.route.CallTerms;
+import org.ebonyrun.core.route.Route;
+import org.ebonyrun.core.route.RouteKind;
+import org.ebonyrun.core.route.StepTerms;
+import org.ebonyrun.core.route.WeightedService;
+import org.ebonyrun.core.step.RunTerms;
+import org.ebonyrun.core.step.SampleResult;
+import org.ebonyrun.core.step.SampleSpec;
+import org.ebonyrun.core.step.StepId;
+import org.ebonyrun.core.step.StepMachine;
+import org.ebonyrun.core.step.StepOutputs;
+import org.ebonyrun.core.step.StepSpec;
+import org.ebonyrun.ports.store.Commit;
+import org.ebonyrun.ports.store.Transaction;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+class ResultWriterTest {
+    private static final StepId STEP = StepId.of("step");
+    private static final ServiceName ENGINES = ServiceName.of("engines");
+    private static final long REVISION = 7;
+    private static final long RUN = 1;
+    private static final int WORTH_KEEPING = 12;
+
+    /** A store that notes transactions and answers none. */
+    private static final class FakeStore extends StubStore {
+        final List<Transaction> mTransactions = new ArrayList<>();
+
+        @Override
+        public CompletableFuture<Result<Commit>> commit(Transaction transaction) {
+            mTransactions.add(transaction);
+            return new CompletableFuture<>();
+        }
+    }
+
+    /** The parts of an entry that a writer uses. */
+    private record Parts(Policy policy, EventLog log) implements EntryParts {
+        @Override
+        public Executor executor() {
+            return Runnable::run;
+        }
+
+        @Override
+        public void later(long nanos, Runnable task) {
+            throw new UnsupportedOperationException("later");
+        }
+
+        @Override
+        public boolean isStoreAway() {
+            return false;
+        }
+
+        @Override
+        public EntryMetrics metrics() {
+            throw new UnsupportedOperationException("metrics");
+        }
+
+        @Override
+        public EntryLease lease() {
+            throw new UnsupportedOperationException("lease");
+        }
+
+        @Override
+        public StepDirectory directory() {
+            throw new UnsupportedOperationException("directory");
+        }
+
+        @Override
+        public ProcessName self() {
+            throw new UnsupportedOperationException("self");
+        }
+
+        @Override
+        public boolean knowsRoutes() {
+            throw new UnsupportedOperationException("knowsRoutes");
+        }
+
+        @Override
+        public Optional<Route> routeOf(StepManifest manifest) {
+            throw new UnsupportedOperationException("routeOf " + manifest);
+        }
+
+        @Override
+        public void refreshRoutes(Consumer<Boolean> then) {
+            throw new UnsupportedOperationException("refreshRoutes");
+        }
+    }
+
+    /** Carries nothing out. */
+    private static final class NoOutputs implements StepOutputs {
+        @Override
+        public void startRun(
+                long run,
+                StepSpec step,
+                SampleSpec sample,
+                Endpoint endpoint,
+                int lastEvent,
+                RunTerms terms) {}
+
+        @Override
+        public void cancelRun(long run, String reason) {}
+
+        @Override
+        public void score(long run, StepSpec step, SampleSpec sample) {}
+
+        @Override
+        public void store(StepId step, int position, List<SampleResult> results, boolean last) {}
+
+        @Override
+        public void listed(StepId step) {}
+    }
+
+    /** Owns every step. */
+    private static final class AlwaysOwner implements ResultWriter.Owner {
+        @Override
+        public boolean isCurrent(StepId id, OwnedStep owned) {
+            return true;
+        }
+
+        @Override
+        public void onLast(StepId id) {}
+
+        @Override
+        public void onLost(StepId id, String why) {}
+    }
+
+    private final FakeStore mStore = new FakeStore();
+    private final OwnedStep mOwned = new OwnedStep(REVISION);
+
+    /** Returns a writer of a step, one sample of which has a text of some events. */
+    private ResultWriter writer(Policy policy, int events) {
+        Fleet fleet = Fleet.create();
+        fleet.onRecord(
+                new EndpointRecord(
+                        "e",
+                        0,
+                        ENGINES,
+                        InetSocketAddress.createUnresolved("10.0.0.1", 80),
+                        FailureDomain.of("a"),
+                        1,
+                        false,
+                        Map.of()));
+        StepMachine machine = StepMachine.create(fleet, policy, new NoOutputs());
+        SampleSpec sample = new SampleSpec("a", "/g", Map.of(), new byte[0], 1, "g", null);
+        Route route =
+                new Route(
+                        "r",
+                        "x",
+                        "/",
+                        RouteKind.STEPS,
+                        List.of(new WeightedService(ENGINES, 1)),
+                        new CallTerms(10_000, 500, 3, 0),
+                        new StepTerms(7_500, 40_000, false));
+        machine.onOwned(
+                new StepSpec(STEP, "x", "/", 1, "", 0, 1, List.of(sample)),
+                route,
+                List.of(),
+                List.of(),
+                0,
+                0);
+        for (int i = 1; i <= events; i++) {
+            machine.onEvent(RUN, i, "d" + i, 1, 0);
+        }
+        EventLog log = EventLog.start(OutputStream.nullOutputStream());
+        return new ResultWriter(
+                new Parts(policy, log), new StepStore(mStore), machine, new AlwaysOwner());
+    }
+
+    private void tick(ResultWriter writer, long millis) {
+        writer.onTick(STEP, mOwned, mOwned.mCheckpointAt + Nanos.ofMillis(millis));
+    }
+
+    @ParameterizedTest
+    @CsvSource({"12, 1", "11, 0"})
+    void longTextsAreKeptOnceInAWhile(int events, int kept) {
+        ResultWriter writer = writer(Policy.ALL, events);
+        tick(writer, 799);
+        assertThat(mStore.mTransactions.size(), is(0));
+        tick(writer, 800);
+        tick(writer, 799);
+
+        assertThat(mStore.mTransactions.size(), is(kept));
+    }
+
+    @Test
+    void withoutCheckpointsNoTextIsKeptWhileSamplesRun() {
+        ResultWriter writer = writer(Policy.ALL.without(Mechanism.CHECKPOINTS), WORTH_KEEPING);
+        tick(writer, 10_000);
+
+        assertThat(mStore.mTransactions.size(), is(0));
+    }
+}
