Leave out placement, order and the planner's limits in experiments, too

Six more mechanisms have a switch: order and placement of samples, placement of calls, preference for the own failure domain, the planner's pools and its limit of loads at a time.

Where a decision is an interface, a switch selects the baseline: arrival order and round robin, which were in the tests until now. Round robin keeps the share of background calls, so that one switch changes one thing.

--- a/ebonyrun-core/src/main/java/org/ebonyrun/core/call/CallMachine.java
+++ b/ebonyrun-core/src/main/java/org/ebonyrun/core/call/CallMachine.java
@@ -29,6 +29,8 @@
 public final class CallMachine {
     // A second endpoint is tried when the first has used this part of the goal.
     private static final double HEDGE_SHARE = 0.5;
+    // Part of an endpoint's slots that background calls of one process may use.
+    static final double BACKGROUND_SHARE = 0.7;
     private static final long RETRY_NANOS = Nanos.ofMillis(25);
     private static final long FULL_NANOS = Nanos.ofMillis(40);
     private static final long WRONG_INSTANCE_NANOS = Nanos.ofMillis(1_500);
@@ -65,11 +67,21 @@
         return new CallMachine(
                 fleet,
                 new UrgentCallsFirst(),
-                FastestAnswer.in(domain, policy),
+                placement(domain, policy),
                 policy.uses(Mechanism.HEDGED_CALLS),
                 outputs);
     }
 
+    private static CallPlacement placement(FailureDomain domain, Policy policy) {
+        double share = policy.uses(Mechanism.BACKGROUND_SHARE) ? BACKGROUND_SHARE : 1;
+        if (!policy.uses(Mechanism.CALL_PLACEMENT)) {
+            return new RoundRobinCalls(share);
+        }
+        return policy.uses(Mechanism.OWN_DOMAIN)
+                ? FastestAnswer.in(domain, share)
+                : FastestAnswer.anywhere(share);
+    }
+
     /** Creates a machine without calls that decides by a given order and placement. */
     public static CallMachine create(
             Fleet fleet, CallOrder order, CallPlacement placement, CallOutputs outputs) {
--- a/ebonyrun-core/src/main/java/org/ebonyrun/core/call/CallPlacement.java
+++ b/ebonyrun-core/src/main/java/org/ebonyrun/core/call/CallPlacement.java
@@ -19,6 +19,16 @@
      */
     double cost(Endpoint endpoint, boolean tried, long now);
 
+    /**
+     * Returns how many calls an endpoint may have if background calls get a part of its slots.
+     *
+     * @param backgroundShare the part that background calls may use
+     */
+    static int room(Endpoint endpoint, boolean background, double backgroundShare) {
+        int slots = endpoint.record().slots();
+        return background ? (int) Math.ceil(backgroundShare * slots) : slots;
+    }
+
     /** Notes that a call was sent to an endpoint, which itself counts what it has. */
     default void onSent(Endpoint endpoint) {}
 }
--- a/ebonyrun-core/src/main/java/org/ebonyrun/core/call/FastestAnswer.java
+++ b/ebonyrun-core/src/main/java/org/ebonyrun/core/call/FastestAnswer.java
@@ -3,8 +3,6 @@
 import org.ebonyrun.base.id.FailureDomain;
 import org.ebonyrun.base.time.Nanos;
 import org.ebonyrun.core.fleet.Endpoint;
-import org.ebonyrun.core.policy.Mechanism;
-import org.ebonyrun.core.policy.Policy;
 
 /**
  * Places a call where the answer is expected first, in its own failure domain if that is about as
@@ -14,8 +12,6 @@
  * Immutable and thread safe.
  */
 public final class FastestAnswer implements CallPlacement {
-    // Part of an endpoint's slots that background calls of one process may use.
-    private static final double BACKGROUND_SHARE = 0.7;
     private static final double REMOTE_DOMAIN_FACTOR = 1.15;
     private static final double TRIED_FACTOR = 4;
     private static final double AVOIDED_FACTOR = 1_000;
@@ -23,16 +19,22 @@
 
     private final FailureDomain mDomain;
     private final double mBackgroundShare;
+    private final double mRemoteFactor;
 
-    private FastestAnswer(FailureDomain domain, double backgroundShare) {
+    private FastestAnswer(FailureDomain domain, double backgroundShare, double remoteFactor) {
         mDomain = domain;
+        mRemoteFactor = remoteFactor;
         mBackgroundShare = backgroundShare;
     }
 
-    /** Creates a placement for a process in a failure domain. */
-    public static FastestAnswer in(FailureDomain domain, Policy policy) {
-        return new FastestAnswer(
-                domain, policy.uses(Mechanism.BACKGROUND_SHARE) ? BACKGROUND_SHARE : 1);
+    /** Creates a placement for a process in a failure domain, which it prefers. */
+    static FastestAnswer in(FailureDomain domain, double backgroundShare) {
+        return new FastestAnswer(domain, backgroundShare, REMOTE_DOMAIN_FACTOR);
+    }
+
+    /** Creates a placement for which all failure domains are alike. */
+    static FastestAnswer anywhere(double backgroundShare) {
+        return new FastestAnswer(FailureDomain.of("any"), backgroundShare, 1);
     }
 
     /** Returns how long an endpoint is expected to take for an answer, in nanoseconds. */
@@ -42,8 +44,7 @@
 
     @Override
     public int room(Endpoint endpoint, boolean background) {
-        int slots = endpoint.record().slots();
-        return background ? (int) Math.ceil(mBackgroundShare * slots) : slots;
+        return CallPlacement.room(endpoint, background, mBackgroundShare);
     }
 
     @Override
@@ -51,7 +52,7 @@
         double load = (endpoint.active() + 1.0) / endpoint.record().slots();
         double cost = answerNanos(endpoint) * (1 + load);
         if (!endpoint.record().domain().equals(mDomain)) {
-            cost *= REMOTE_DOMAIN_FACTOR;
+            cost *= mRemoteFactor;
         }
         if (tried) {
             cost *= TRIED_FACTOR;
--- a/ebonyrun-core/src/test/java/org/ebonyrun/core/call/RoundRobinCalls.java
+++ b/ebonyrun-core/src/main/java/org/ebonyrun/core/call/RoundRobinCalls.java
@@ -3,13 +3,27 @@
 import org.ebonyrun.core.fleet.Endpoint;
 import org.ebonyrun.core.fleet.Turns;
 
-/** A baseline: each endpoint in turn, all its slots for any call. */
+/**
+ * A baseline: each endpoint in turn.
+ *
+ * <p>Not thread safe; confined to the duty of its machine.
+ */
 final class RoundRobinCalls implements CallPlacement {
     private final Turns mTurns = new Turns();
+    private final double mBackgroundShare;
+
+    /**
+     * Creates a placement.
+     *
+     * @param backgroundShare the part of an endpoint's slots that background calls may use
+     */
+    RoundRobinCalls(double backgroundShare) {
+        mBackgroundShare = backgroundShare;
+    }
 
     @Override
     public int room(Endpoint endpoint, boolean background) {
-        return endpoint.record().slots();
+        return CallPlacement.room(endpoint, background, mBackgroundShare);
     }
 
     @Override
--- a/ebonyrun-core/src/test/java/org/ebonyrun/core/fleet/Turns.java
+++ b/ebonyrun-core/src/main/java/org/ebonyrun/core/fleet/Turns.java
@@ -3,7 +3,11 @@
 import java.util.HashMap;
 import java.util.Map;
 
-/** Counts turns for baselines that use each endpoint in turn. */
+/**
+ * Counts turns for baselines that use each endpoint in turn.
+ *
+ * <p>Not thread safe; confined to the duty that owns the fleet.
+ */
 public final class Turns {
     private final Map<String, Long> mSentAt = new HashMap<>();
     private long mSent;
--- a/ebonyrun-core/src/test/java/org/ebonyrun/core/step/ArrivalSampleOrder.java
+++ b/ebonyrun-core/src/main/java/org/ebonyrun/core/step/ArrivalSampleOrder.java
@@ -1,6 +1,6 @@
 package org.ebonyrun.core.step;
 
-/** A baseline: samples in the order in which they were submitted. */
+/** A baseline: samples in the order in which they were submitted. Immutable and thread safe. */
 final class ArrivalSampleOrder implements SampleOrder {
     @Override
     public int compare(SampleRun a, SampleRun b) {
--- a/ebonyrun-core/src/test/java/org/ebonyrun/core/step/RoundRobinPlacement.java
+++ b/ebonyrun-core/src/main/java/org/ebonyrun/core/step/RoundRobinPlacement.java
@@ -3,7 +3,11 @@
 import org.ebonyrun.core.fleet.Endpoint;
 import org.ebonyrun.core.fleet.Turns;
 
-/** A baseline: each endpoint in turn, all its slots. */
+/**
+ * A baseline: each endpoint in turn, all its slots.
+ *
+ * <p>Not thread safe; confined to the duty of its machine.
+ */
 final class RoundRobinPlacement implements SamplePlacement {
     private final Turns mTurns = new Turns();
 
--- a/ebonyrun-core/src/main/java/org/ebonyrun/core/step/StepMachine.java
+++ b/ebonyrun-core/src/main/java/org/ebonyrun/core/step/StepMachine.java
@@ -68,7 +68,15 @@
 
     /** Creates a machine that owns no step. */
     public static StepMachine create(Fleet fleet, Policy policy, StepOutputs outputs) {
-        return new StepMachine(fleet, new WantedGroupsFirst(), new PaceShares(), policy, outputs);
+        SampleOrder order =
+                policy.uses(Mechanism.SAMPLE_ORDER)
+                        ? new WantedGroupsFirst()
+                        : new ArrivalSampleOrder();
+        SamplePlacement placement =
+                policy.uses(Mechanism.SAMPLE_PLACEMENT)
+                        ? new PaceShares()
+                        : new RoundRobinPlacement();
+        return new StepMachine(fleet, order, placement, policy, outputs);
     }
 
     /** Creates a machine that owns no step and decides by a given order and placement. */
--- a/ebonyrun-core/src/main/java/org/ebonyrun/core/swap/SwapMachine.java
+++ b/ebonyrun-core/src/main/java/org/ebonyrun/core/swap/SwapMachine.java
@@ -10,6 +10,8 @@
 import org.ebonyrun.base.time.Nanos;
 import org.ebonyrun.core.fleet.Endpoint;
 import org.ebonyrun.core.fleet.Fleet;
+import org.ebonyrun.core.policy.Mechanism;
+import org.ebonyrun.core.policy.Policy;
 import org.ebonyrun.core.route.RouteTable;
 import org.jspecify.annotations.Nullable;
 
@@ -68,6 +70,8 @@
 
     private final Fleet mFleet;
     private final SwapOutputs mOutputs;
+    private final boolean mPools;
+    private final double mLoadingShare;
     private final Map<String, Named> mNamed = new TreeMap<>();
     private final Map<String, Integer> mLags = new HashMap<>();
     private final Map<String, Integer> mBounds = new HashMap<>();
@@ -83,14 +87,17 @@
     private long mReadyAt;
     private long mQuietNanos;
 
-    private SwapMachine(Fleet fleet, SwapOutputs outputs) {
+    private SwapMachine(Fleet fleet, Policy policy, SwapOutputs outputs) {
         mFleet = fleet;
+        mPools = policy.uses(Mechanism.LOAD_POOLS);
+        mLoadingShare =
+                policy.uses(Mechanism.LOAD_LIMIT) ? LOADING_SHARE : Double.POSITIVE_INFINITY;
         mOutputs = outputs;
     }
 
     /** Creates a machine that gives no orders. */
-    public static SwapMachine create(Fleet fleet, SwapOutputs outputs) {
-        return new SwapMachine(fleet, outputs);
+    public static SwapMachine create(Fleet fleet, Policy policy, SwapOutputs outputs) {
+        return new SwapMachine(fleet, policy, outputs);
     }
 
     /**
@@ -301,7 +308,7 @@
     private void plan(String model, int named, boolean aheadOnly, long now) {
         int lag = mLags.getOrDefault(model, DEFAULT_LAG);
         List<Endpoint> all = engines(model);
-        List<Endpoint> engines = EnginePools.pool(all, model, lag);
+        List<Endpoint> engines = mPools ? EnginePools.pool(all, model, lag) : all;
         int needed = Math.max(mBounds.getOrDefault(model, 0), named - lag);
         engines.sort(
                 Comparator.comparingInt((Endpoint endpoint) -> endpoint.version(model))
@@ -314,7 +321,8 @@
             }
         }
         // Those at the oldest usable version fall below the bound with the next version.
-        int surplus = oldest - (int) Math.ceil((double) engines.size() / (lag + 1));
+        int kept = mPools ? (int) Math.ceil((double) engines.size() / (lag + 1)) : 0;
+        int surplus = oldest - kept;
         for (Endpoint endpoint : engines) {
             boolean below = endpoint.version(model) < needed;
             boolean ahead = endpoint.version(model) == needed && needed < named && surplus > 0;
@@ -331,7 +339,7 @@
         boolean waits =
                 (retryAt != null && now - retryAt < 0)
                         || (earlier != null && now - earlier < mQuietNanos);
-        int most = Math.max(MIN_LOADING, (int) (LOADING_SHARE * engines));
+        int most = Math.max(MIN_LOADING, (int) (mLoadingShare * engines));
         if (waits || mJobs.size() >= most || mJobs.containsKey(endpoint.id())) {
             return;
         }
--- a/ebonyrun-core/src/test/java/org/ebonyrun/core/call/CallMachineTest.java
+++ b/ebonyrun-core/src/test/java/org/ebonyrun/core/call/CallMachineTest.java
@@ -132,6 +132,55 @@
         assertThat(mOutputs.mSent.size(), is(2));
     }
 
+    /** Returns the endpoint of the last of two calls, the first of which was slow at e1. */
+    private String endpointAfterASlowAnswerOfE1() {
+        endpoints(1, 4);
+        mMachine.onCall(call(1, RouteKind.IDEMPOTENT, false, 0), 0);
+        mMachine.onAttemptEnd(1, AttemptEnd.ANSWERED, Nanos.ofMillis(70));
+        endpoints(2, 4);
+        mMachine.onCall(call(2, RouteKind.IDEMPOTENT, false, 0), Nanos.ofMillis(70));
+        mMachine.onAttemptEnd(2, AttemptEnd.ANSWERED, Nanos.ofMillis(80));
+        mMachine.onCall(call(3, RouteKind.IDEMPOTENT, false, 0), Nanos.ofMillis(80));
+        return mOutputs.last().endpoint();
+    }
+
+    @Test
+    void aCallGoesWhereItsAnswerIsExpectedFirst() {
+        assertThat(endpointAfterASlowAnswerOfE1(), is("e2"));
+    }
+
+    @Test
+    void withoutPlacementCallsGoToEndpointsInTurn() {
+        mMachine = machine(Policy.ALL.without(Mechanism.CALL_PLACEMENT));
+
+        assertThat(endpointAfterASlowAnswerOfE1(), is("e1"));
+    }
+
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void theOwnDomainIsPreferredUnlessThatIsLeftOut(boolean preferred) {
+        mMachine = machine(preferred ? Policy.ALL : Policy.ALL.without(Mechanism.OWN_DOMAIN));
+        mFleet.onRecord(Endpoints.record("e1", 4, 1, "b"));
+        mFleet.onRecord(Endpoints.record("e2", 4, 1, "a"));
+        mMachine.onCall(call(1, RouteKind.IDEMPOTENT, false, 0), 0);
+
+        assertThat(mOutputs.last().endpoint(), is(preferred ? "e2" : "e1"));
+    }
+
+    @ParameterizedTest
+    @EnumSource(
+            value = Mechanism.class,
+            names = {"CALL_PLACEMENT", "OWN_DOMAIN"})
+    void howCallsArePlacedLeavesTheShareOfBackgroundCalls(Mechanism mechanism) {
+        mMachine = machine(Policy.ALL.without(mechanism));
+        endpoints(1, 4);
+        for (long id = 1; id <= 5; id++) {
+            mMachine.onCall(call(id, RouteKind.IDEMPOTENT, true, 0), 0);
+        }
+
+        assertThat(mOutputs.mSent.size(), is(3));
+    }
+
     @Test
     void withoutAShareBackgroundCallsUseAllSlots() {
         mMachine = machine(Policy.ALL.without(Mechanism.BACKGROUND_SHARE));
--- a/ebonyrun-core/src/test/java/org/ebonyrun/core/call/CallPolicyTest.java
+++ b/ebonyrun-core/src/test/java/org/ebonyrun/core/call/CallPolicyTest.java
@@ -6,7 +6,6 @@
 
 import java.util.List;
 import org.ebonyrun.base.id.FailureDomain;
-import org.ebonyrun.core.policy.Policy;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
@@ -16,7 +15,7 @@
     private static final long SECONDS = 123;
 
     private static FastestAnswer ours() {
-        return FastestAnswer.in(FailureDomain.of("a"), Policy.ALL);
+        return FastestAnswer.in(FailureDomain.of("a"), CallMachine.BACKGROUND_SHARE);
     }
 
     private static ServiceLoad.Outcome play(
@@ -31,11 +30,11 @@
             double slowest, int burst, long seed) {
         ServiceLoad.Outcome ours = play(new UrgentCallsFirst(), ours(), slowest, burst, seed);
         ServiceLoad.Outcome arrival =
-                play(new ArrivalCallOrder(), new RoundRobinCalls(), slowest, burst, seed);
+                play(new ArrivalCallOrder(), new RoundRobinCalls(1), slowest, burst, seed);
         ServiceLoad.Outcome fixed =
-                play(new StaticPriorityCallOrder(), new RoundRobinCalls(), slowest, burst, seed);
+                play(new StaticPriorityCallOrder(), new RoundRobinCalls(1), slowest, burst, seed);
         ServiceLoad.Outcome turns =
-                play(new UrgentCallsFirst(), new RoundRobinCalls(), slowest, burst, seed);
+                play(new UrgentCallsFirst(), new RoundRobinCalls(1), slowest, burst, seed);
         System.out.printf(
                 "calls slowest=%.0f burst=%d ours=%s arrival=%s static=%s round-robin=%s%n",
                 slowest, burst, text(ours), text(arrival), text(fixed), text(turns));
--- a/ebonyrun-core/src/test/java/org/ebonyrun/core/fleet/Endpoints.java
+++ b/ebonyrun-core/src/test/java/org/ebonyrun/core/fleet/Endpoints.java
@@ -29,12 +29,22 @@
     /** Returns a record. */
     public static EndpointRecord record(
             String id, long incarnation, int slots, int version, boolean leaving) {
+        return record(id, incarnation, slots, version, leaving, "a");
+    }
+
+    /** Returns a record of an endpoint that serves in a failure domain. */
+    public static EndpointRecord record(String id, int slots, int version, String domain) {
+        return record(id, 0, slots, version, false, domain);
+    }
+
+    private static EndpointRecord record(
+            String id, long incarnation, int slots, int version, boolean leaving, String domain) {
         return new EndpointRecord(
                 id,
                 incarnation,
                 SERVICE,
                 InetSocketAddress.createUnresolved("10.0.0.1", 80),
-                FailureDomain.of("a"),
+                FailureDomain.of(domain),
                 slots,
                 leaving,
                 Map.of(MODEL, version));
--- a/ebonyrun-core/src/test/java/org/ebonyrun/core/step/StepMachineTest.java
+++ b/ebonyrun-core/src/test/java/org/ebonyrun/core/step/StepMachineTest.java
@@ -340,6 +340,39 @@
         assertThat(mOutputs.last().sample(), is("short"));
     }
 
+    @Test
+    void withoutTheOrderSamplesRunAsTheyArrived() {
+        leaveOut(Mechanism.SAMPLE_ORDER);
+        mFleet.onRecord(Endpoints.record("e", 1, 2));
+        own(step(1, sample("long", "g1", 900, false), sample("short", "g2", 10, false)), false);
+
+        assertThat(mOutputs.last().sample(), is("long"));
+    }
+
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void aSlowEndpointGetsFewerSamplesUnlessPlacementIsLeftOut(boolean placed) {
+        if (!placed) {
+            leaveOut(Mechanism.SAMPLE_PLACEMENT);
+        }
+        runOnASlowAndAFastEndpoint();
+        SampleSpec[] more = new SampleSpec[6];
+        for (int i = 0; i < more.length; i++) {
+            more[i] = sample("more-" + i, "g", 1, false);
+        }
+        StepSpec later =
+                new StepSpec(
+                        StepId.of("later"), "x", "/", 4, Endpoints.MODEL, BOUND, 1, List.of(more));
+        mMachine.onOwned(later, route(false), List.of(), List.of(), 0, 650 * MILLI);
+        long atSlow =
+                mOutputs.mRuns.stream()
+                        .filter(run -> run.sample().startsWith("more"))
+                        .filter(run -> run.endpoint().equals("e1"))
+                        .count();
+
+        assertThat(atSlow, is(placed ? 1L : 3L));
+    }
+
     @Test
     void aTextThatAnEarlierOwnerHandedOverIsContinued() {
         endpoint("e", 2);
--- a/ebonyrun-core/src/test/java/org/ebonyrun/core/swap/SwapMachineTest.java
+++ b/ebonyrun-core/src/test/java/org/ebonyrun/core/swap/SwapMachineTest.java
@@ -17,11 +17,14 @@
 import org.ebonyrun.core.fleet.Endpoint;
 import org.ebonyrun.core.fleet.Endpoints;
 import org.ebonyrun.core.fleet.Fleet;
+import org.ebonyrun.core.policy.Mechanism;
+import org.ebonyrun.core.policy.Policy;
 import org.ebonyrun.core.route.RouteTable;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 class SwapMachineTest {
     private static final int ENDPOINTS = 6;
@@ -56,19 +59,26 @@
 
     private final Fleet mFleet = Fleet.create();
     private final FakeEngines mEngines = new FakeEngines();
-    private final SwapMachine mMachine = SwapMachine.create(mFleet, mEngines);
+    private SwapMachine mMachine = SwapMachine.create(mFleet, Policy.ALL, mEngines);
     private int mAnswered;
     private int mMostLoading;
 
+    private void leaveOut(Mechanism mechanism) {
+        mMachine = SwapMachine.create(mFleet, Policy.ALL.without(mechanism), mEngines);
+        mMachine.onRoutes(routes(), false);
+    }
+
+    private static RouteTable routes() {
+        return RouteTable.of(1, List.of(), Set.of(Endpoints.SERVICE), RouteTable.empty().limits());
+    }
+
     @BeforeEach
     void start() {
         for (int i = 1; i <= ENDPOINTS; i++) {
             mFleet.onRecord(Endpoints.record("e" + i, 4, 1));
             mEngines.mVersions.put("e" + i, 1);
         }
-        RouteTable routes =
-                RouteTable.of(1, List.of(), Set.of(Endpoints.SERVICE), RouteTable.empty().limits());
-        mMachine.onRoutes(routes, false);
+        mMachine.onRoutes(routes(), false);
     }
 
     /** Lets time pass while the engines answer and load. */
@@ -192,6 +202,34 @@
         assertThat(mMostLoading, lessThanOrEqualTo(2));
     }
 
+    private void nameTheSecondVersion(int minVersion) {
+        mMachine.onHolding(7, 0, 0);
+        mMachine.onNamed(Endpoints.MODEL, 2, 0);
+        mMachine.onStep(Endpoints.MODEL, 2, minVersion);
+        run(0, 6 * Nanos.PER_SECOND);
+    }
+
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void halfOfTheEnginesLoadUnlessPoolsAreLeftOut(boolean pools) {
+        if (!pools) {
+            leaveOut(Mechanism.LOAD_POOLS);
+        }
+        nameTheSecondVersion(1);
+
+        assertThat(mEngines.mOrders.size(), is(pools ? ENDPOINTS / 2 : ENDPOINTS));
+        assertThat(mMostLoading, lessThanOrEqualTo(2));
+    }
+
+    @Test
+    void withoutALimitAllThatMustLoadAtOnce() {
+        leaveOut(Mechanism.LOAD_LIMIT);
+        nameTheSecondVersion(2);
+
+        assertThat(mMostLoading, is(ENDPOINTS));
+        assertThat(mEngines.mOrders.size(), is(ENDPOINTS));
+    }
+
     @Test
     void whatIsBelowItsBoundLoadsBeforeWhatWillBe() {
         String other = "a-model";
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/PlannerDesk.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/PlannerDesk.java
@@ -87,7 +87,7 @@
         mSettings = settings;
         mRandom = random;
         mPredecessor = !settings.get().firstStart();
-        mMachine = SwapMachine.create(fleet, this);
+        mMachine = SwapMachine.create(fleet, parts.policy(), this);
         mOrders =
                 new OrderLog(
                         shared,
