--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/HostedEntry.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/HostedEntry.java
@@ -165,7 +165,10 @@
         entry.mDuty.launch();
         entry.executor().execute(() -> entry.mWatches.forEach(StoreWatch::start));
         log.write(
-                LogLine.of("start").with("vm", settings.vm()).with("process", entry.mSelf.text()));
+                LogLine.of("start")
+                        .with("vm", settings.vm())
+                        .with("process", entry.mSelf.text())
+                        .with("left_out", settings.policy().off()));
         return entry;
     }
 
