--- a/ebonyrun-ports/src/test/java/org/ebonyrun/ports/http/FrontConnectionTest.java
+++ b/ebonyrun-ports/src/test/java/org/ebonyrun/ports/http/FrontConnectionTest.java
@@ -7,96 +7,26 @@
 import static org.hamcrest.Matchers.not;
 import static org.hamcrest.Matchers.startsWith;
 
-import java.io.IOException;
-import java.net.InetAddress;
-import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
-import java.nio.charset.StandardCharsets;
 import java.util.List;
-import java.util.concurrent.BlockingQueue;
-import java.util.concurrent.LinkedBlockingQueue;
 import java.util.function.Consumer;
 import java.util.stream.Stream;
-import org.glassfish.grizzly.nio.transport.TCPNIOTransport;
-import org.glassfish.grizzly.nio.transport.TCPNIOTransportBuilder;
-import org.glassfish.grizzly.strategies.SameThreadIOStrategy;
-import org.junit.jupiter.api.AfterEach;
-import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 /** What a caller reads on one connection belongs to what it sent, in the same order. */
-class FrontConnectionTest {
+class FrontConnectionTest extends FrontFixture {
     private static final FrontLimits LIMITS = new FrontLimits(300, 100, 60_000, 60_000);
-    private static final int SOCKET_TIMEOUT_MILLIS = 10_000;
     private static final String FIRST = "GET /1 HTTP/1.1\r\nHost: h\r\n\r\n";
     private static final String LAST = "GET /last HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n";
     private static final String REFUSAL = "(?s)HTTP/1.1 (400|505) .*\r\n\r\n";
     private static final String TOO_LARGE =
             "POST /2 HTTP/1.1\r\nHost: h\r\nContent-Length: 101\r\n\r\n" + "x".repeat(101);
 
-    private final BlockingQueue<FrontExchange> mRequests = new LinkedBlockingQueue<>();
-    private TCPNIOTransport mTransport;
-    private InetSocketAddress mAddress;
-
-    @BeforeEach
-    void start() throws IOException {
-        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            mAddress = new InetSocketAddress("127.0.0.1", socket.getLocalPort());
-        }
-        // One I/O thread, as in the entry: what was sent earlier is read earlier.
-        mTransport =
-                TCPNIOTransportBuilder.newInstance()
-                        .setSelectorRunnersCount(1)
-                        .setIOStrategy(SameThreadIOStrategy.getInstance())
-                        .build();
-        mTransport.start();
-        FrontListener listener =
-                new FrontListener() {
-                    @Override
-                    public void onRequest(FrontExchange exchange) {
-                        mRequests.add(exchange);
-                    }
-
-                    @Override
-                    public void onAbandoned(FrontExchange exchange) {}
-                };
-        FrontServer.bind(mTransport, mAddress, listener, () -> LIMITS);
-    }
-
-    @AfterEach
-    void stop() throws IOException {
-        mTransport.shutdownNow();
-    }
-
-    private Socket send(String text) throws IOException {
-        Socket socket = new Socket(mAddress.getHostString(), mAddress.getPort());
-        socket.setSoTimeout(SOCKET_TIMEOUT_MILLIS);
-        socket.getOutputStream().write(bytes(text));
-        return socket;
-    }
-
-    /**
-     * Returns once the server has read what was sent before. The I/O thread may read what is ready
-     * at the same time in any order, but has read all of it before it reads a second request.
-     */
-    private void awaitRead() throws Exception {
-        for (int i = 0; i < 2; i++) {
-            try (Socket probe = send("GET /probe HTTP/1.1\r\nHost: h\r\n\r\n")) {
-                assertThat(mRequests.take().target(), is("/probe"));
-            }
-        }
-    }
-
-    private static String readAll(Socket socket) throws IOException {
-        return new String(socket.getInputStream().readAllBytes(), StandardCharsets.US_ASCII);
-    }
-
-    private static byte[] bytes(String text) {
-        return text.getBytes(StandardCharsets.US_ASCII);
+    FrontConnectionTest() {
+        super(LIMITS);
     }
 
     private static Stream<String> refused() {
--- a/ebonyrun-ports/src/test/java/org/ebonyrun/ports/http/FrontServerTest.java
+++ b/ebonyrun-ports/src/test/java/org/ebonyrun/ports/http/FrontServerTest.java
@@ -8,78 +8,16 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
 import java.io.IOException;
-import java.net.InetAddress;
-import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
-import java.util.concurrent.BlockingQueue;
-import java.util.concurrent.CountDownLatch;
-import java.util.concurrent.LinkedBlockingQueue;
 import org.ebonyrun.base.time.Nanos;
-import org.glassfish.grizzly.nio.transport.TCPNIOTransport;
-import org.glassfish.grizzly.nio.transport.TCPNIOTransportBuilder;
-import org.glassfish.grizzly.strategies.SameThreadIOStrategy;
-import org.junit.jupiter.api.AfterEach;
-import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
-class FrontServerTest {
+class FrontServerTest extends FrontFixture {
     private static final FrontLimits LIMITS = new FrontLimits(300, 100, 1_000, 2_000);
-    private static final int SOCKET_TIMEOUT_MILLIS = 10_000;
-
-    private final BlockingQueue<FrontExchange> mRequests = new LinkedBlockingQueue<>();
-    private final CountDownLatch mAbandoned = new CountDownLatch(1);
-    private TCPNIOTransport mTransport;
-    private FrontServer mServer;
-    private InetSocketAddress mAddress;
-
-    @BeforeEach
-    void start() throws IOException {
-        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            mAddress = new InetSocketAddress("127.0.0.1", socket.getLocalPort());
-        }
-        // One I/O thread, as in the entry.
-        mTransport =
-                TCPNIOTransportBuilder.newInstance()
-                        .setSelectorRunnersCount(1)
-                        .setIOStrategy(SameThreadIOStrategy.getInstance())
-                        .build();
-        mTransport.start();
-        FrontListener listener =
-                new FrontListener() {
-                    @Override
-                    public void onRequest(FrontExchange exchange) {
-                        mRequests.add(exchange);
-                    }
-
-                    @Override
-                    public void onAbandoned(FrontExchange exchange) {
-                        mAbandoned.countDown();
-                    }
-                };
-        mServer = FrontServer.bind(mTransport, mAddress, listener, () -> LIMITS);
-    }
-
-    @AfterEach
-    void stop() throws IOException {
-        mTransport.shutdownNow();
-    }
-
-    private Socket send(String text) throws IOException {
-        Socket socket = new Socket(mAddress.getHostString(), mAddress.getPort());
-        socket.setSoTimeout(SOCKET_TIMEOUT_MILLIS);
-        socket.getOutputStream().write(text.getBytes(StandardCharsets.US_ASCII));
-        return socket;
-    }
 
-    /** Reads until the server closes the connection. */
-    private static String readAll(Socket socket) throws IOException {
-        return new String(socket.getInputStream().readAllBytes(), StandardCharsets.US_ASCII);
-    }
-
-    private static byte[] bytes(String text) {
-        return text.getBytes(StandardCharsets.US_ASCII);
+    FrontServerTest() {
+        super(LIMITS);
     }
 
     @Test
@@ -173,18 +111,6 @@
         }
     }
 
-    /**
-     * Returns once the server has read what was sent before. The I/O thread may read what is ready
-     * at the same time in any order, but has read all of it before it reads a second request.
-     */
-    private void awaitRead() throws Exception {
-        for (int i = 0; i < 2; i++) {
-            try (Socket probe = send("GET /probe HTTP/1.1\r\nHost: h\r\n\r\n")) {
-                assertThat(mRequests.take().target(), is("/probe"));
-            }
-        }
-    }
-
     @Test
     void aCallerThatLeavesIsNoticedAndItsAnswerGoesNowhere() throws Exception {
         FrontExchange exchange;
