Give no new work to an endpoint that announces that it is leaving

What callers saw: an endpoint says in every answer that it is about to leave (Server-Leaving: 1), and the entry that passed such an answer on sent it later requests all the same, as long as the record in the store said ready or the store was away.

Cause: nothing read the header; only records ended new work.

Change: platform/ reads the announcement from each answer of the endpoint itself (calls, scores, runs, rejections, states, orders); an answer of another endpoint at the same address, or one that matches no request, says nothing. The fleet keeps the announcement for the life of the incarnation, across removed and rewritten records and outages (random interleavings in FleetTest, which found that a late record of an older incarnation came back after a removal). Work that runs there goes on.

HttpResponse carries its headers now, and the two copies of the one-thread transport became one (IoTransports).

--- a/ebonyrun-core/src/main/java/org/ebonyrun/core/fleet/Endpoint.java
+++ b/ebonyrun-core/src/main/java/org/ebonyrun/core/fleet/Endpoint.java
@@ -29,6 +29,7 @@
     private long mAvoidUntil;
     private boolean mAvoiding;
     private boolean mRemoved;
+    private boolean mLeaving;
     private double mLatencyNanos;
     private long mLatencyMeasuredAt;
     private boolean mLoading;
@@ -60,9 +61,14 @@
         mRemoved = removed;
     }
 
-    /** Returns whether the endpoint accepts new work: it is neither removed nor draining. */
+    /** Marks the endpoint as leaving, whatever its record says. */
+    void setLeaving() {
+        mLeaving = true;
+    }
+
+    /** Returns whether the endpoint accepts new work: it is neither removed nor leaving. */
     public boolean isServing() {
-        return !mRemoved && !mRecord.leaving();
+        return !mRemoved && !mLeaving && !mRecord.leaving();
     }
 
     /** Returns whether the endpoint is in backoff after failures or a rejection. */
--- a/ebonyrun-core/src/main/java/org/ebonyrun/core/fleet/Fleet.java
+++ b/ebonyrun-core/src/main/java/org/ebonyrun/core/fleet/Fleet.java
@@ -19,7 +19,8 @@
  * outage, its endpoint stays until it has had time to write the record again.
  *
  * <p>Invariants: the fleet holds at most one incarnation of an endpoint, the newest that was seen;
- * a record of an older incarnation changes nothing.
+ * a record of an older incarnation changes nothing; an incarnation that has announced that it is
+ * leaving never serves again.
  *
  * <p>Not thread safe; confined to the event loop that owns it.
  */
@@ -29,6 +30,7 @@
 
     private final Map<String, Endpoint> mEndpoints = new HashMap<>();
     private final Map<String, Long> mExpired = new HashMap<>();
+    private final LeavingIncarnations mLeaving = new LeavingIncarnations();
     private boolean mStoreUnavailable;
     private long mStoreAvailableAt;
     private boolean mHadOutage;
@@ -51,7 +53,11 @@
             if (known != null) {
                 known.setRemoved(true);
             }
-            mEndpoints.put(record.id(), new Endpoint(record));
+            Endpoint endpoint = new Endpoint(record);
+            if (mLeaving.contains(record.id(), record.incarnation())) {
+                endpoint.setLeaving();
+            }
+            mEndpoints.put(record.id(), endpoint);
             return true;
         }
         known.setRemoved(false);
@@ -59,6 +65,20 @@
         return false;
     }
 
+    /**
+     * Handles an endpoint's announcement that it is leaving.
+     *
+     * @param record the record of the incarnation that announced it
+     * @return whether this was its first announcement
+     */
+    public boolean onLeaving(EndpointRecord record) {
+        Endpoint known = mEndpoints.get(record.id());
+        if (known != null && known.record().incarnation() == record.incarnation()) {
+            known.setLeaving();
+        }
+        return mLeaving.add(record.id(), record.incarnation());
+    }
+
     /** Handles the removal of an endpoint's record. */
     public void onRemoved(String id, long now) {
         if (!mEndpoints.containsKey(id)) {
--- a/ebonyrun-core/src/test/java/org/ebonyrun/core/fleet/FleetTest.java
+++ b/ebonyrun-core/src/test/java/org/ebonyrun/core/fleet/FleetTest.java
@@ -5,9 +5,14 @@
 import static org.hamcrest.Matchers.not;
 import static org.hamcrest.Matchers.sameInstance;
 
+import java.util.HashSet;
 import java.util.List;
+import java.util.Random;
+import java.util.Set;
 import org.ebonyrun.base.time.Nanos;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 class FleetTest {
     private static final long SECOND = Nanos.PER_SECOND;
@@ -58,6 +63,83 @@
         assertThat(servingCount(), is(0));
     }
 
+    @ParameterizedTest
+    @ValueSource(strings = {"record", "removal", "removal in an outage", "snapshot"})
+    void anEndpointThatAnnouncedThatItLeavesNeverServesAgain(String event) {
+        EndpointRecord record = EndpointFixtures.record("e", 100, 4, 1, false);
+        mFleet.onRecord(record);
+        assertThat(mFleet.onLeaving(record), is(true));
+        assertThat(mFleet.onLeaving(record), is(false));
+        switch (event) {
+            case "removal" -> mFleet.onRemoved("e", SECOND);
+            case "removal in an outage" -> {
+                mFleet.onStoreUnavailable();
+                mFleet.onRemoved("e", SECOND);
+            }
+            case "snapshot" -> mFleet.onSnapshot(List.of(), SECOND);
+            default -> assertThat(servingCount(), is(0));
+        }
+        mFleet.onRecord(record);
+
+        assertThat(servingCount(), is(0));
+    }
+
+    @Test
+    void aLaterIncarnationOfAnEndpointThatLeftServes() {
+        EndpointRecord record = EndpointFixtures.record("e", 100, 4, 1, false);
+        mFleet.onRecord(record);
+        mFleet.onLeaving(record);
+        mFleet.onRecord(EndpointFixtures.record("e", 200, 4, 1, false));
+        assertThat(servingCount(), is(1));
+
+        // A late response of the previous incarnation says nothing about the present one.
+        mFleet.onLeaving(record);
+        assertThat(servingCount(), is(1));
+    }
+
+    @Test
+    void anAnnouncementThatPrecedesTheRecordHolds() {
+        EndpointRecord record = EndpointFixtures.record("e", 4, 1);
+        mFleet.onLeaving(record);
+        mFleet.onRecord(record);
+
+        assertThat(servingCount(), is(0));
+    }
+
+    /** Replays random events beside a plain set of what has announced that it is leaving. */
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8})
+    void noInterleavingOfRecordsAnnouncementsAndOutagesBringsALeavingEndpointBack(long seed) {
+        Random random = new Random(seed);
+        Set<String> leaving = new HashSet<>();
+        long now = 0;
+        for (int i = 0; i < 4_000; i++) {
+            now += Nanos.ofMillis(random.nextInt(700));
+            EndpointRecord record =
+                    EndpointFixtures.record(
+                            "e" + random.nextInt(4), random.nextInt(50), 4, 1, false);
+            switch (random.nextInt(6)) {
+                case 0 -> mFleet.onRemoved(record.id(), now);
+                case 1 -> {
+                    if (mFleet.get(record.id()) != null) {
+                        EndpointRecord known = mFleet.get(record.id()).record();
+                        mFleet.onLeaving(known);
+                        leaving.add(known.id() + "@" + known.incarnation());
+                    }
+                }
+                case 2 -> mFleet.onStoreUnavailable();
+                case 3 -> mFleet.onStoreAvailable(now);
+                case 4 -> mFleet.onTick(now);
+                default -> mFleet.onRecord(record);
+            }
+            for (Endpoint endpoint : mFleet.serving(EndpointFixtures.SERVICE)) {
+                String name = endpoint.id() + "@" + endpoint.record().incarnation();
+                assertThat("seed " + seed + ", event " + i, leaving.contains(name), is(false));
+            }
+        }
+        assertThat(leaving.isEmpty(), is(false));
+    }
+
     @Test
     void aNewIncarnationStartsWithoutTheStateOfThePreviousOne() {
         mFleet.onRecord(EndpointFixtures.record("e", 100, 4, 3, false));
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/CallController.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/CallController.java
@@ -113,7 +113,8 @@
             return;
         }
         boolean streaming = client.caller() != null && call.route().kind() == RouteKind.STREAM;
-        CallExchange exchange = new CallExchange(attempt, streaming, mContext.executor(), this);
+        CallExchange exchange =
+                new CallExchange(attempt, streaming, endpoint.record(), mContext, this);
         mAttempts.put(attempt, exchange);
         mSpecs.put(attempt, call);
         HttpRequest request = newRequest(client, endpoint, leftMillis);
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/CallExchange.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/CallExchange.java
@@ -1,8 +1,8 @@
 package org.ebonyrun.daemon.hosted;
 
 import java.io.ByteArrayOutputStream;
-import java.util.concurrent.Executor;
 import org.ebonyrun.core.call.AttemptOutcome;
+import org.ebonyrun.core.fleet.EndpointRecord;
 import org.ebonyrun.platform.EndpointProtocol;
 import org.ebonyrun.ports.http.HttpResponseHead;
 import org.jspecify.annotations.Nullable;
@@ -34,8 +34,13 @@
     private boolean mPassThrough;
     private String mDetail = "";
 
-    CallExchange(long attempt, boolean streaming, Executor executor, Listener listener) {
-        super(executor);
+    CallExchange(
+            long attempt,
+            boolean streaming,
+            EndpointRecord endpoint,
+            HostedContext context,
+            Listener listener) {
+        super(endpoint, context);
         mAttempt = attempt;
         mStreaming = streaming;
         mListener = listener;
@@ -58,8 +63,7 @@
     }
 
     @Override
-    public void onHead(HttpResponseHead head) {
-        mHead = head;
+    void handleHead(HttpResponseHead head) {
         boolean answered = EndpointProtocol.attemptOutcome(head) == AttemptOutcome.ANSWERED;
         mPassThrough = mStreaming && head.isSuccess() && answered;
         if (mPassThrough) {
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/EndpointExchange.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/EndpointExchange.java
@@ -1,7 +1,8 @@
 package org.ebonyrun.daemon.hosted;
 
-import java.util.concurrent.Executor;
 import org.ebonyrun.base.log.LogLine;
+import org.ebonyrun.core.fleet.EndpointRecord;
+import org.ebonyrun.platform.EndpointProtocol;
 import org.ebonyrun.ports.http.ConnectionUse;
 import org.ebonyrun.ports.http.HttpExchange;
 import org.ebonyrun.ports.http.HttpResponseHead;
@@ -15,7 +16,8 @@
  * loop sets and cancels the exchange.
  */
 abstract class EndpointExchange implements HttpResponseListener {
-    private final Executor mExecutor;
+    private final EndpointRecord mEndpoint;
+    private final HostedContext mContext;
     private @Nullable HttpExchange mExchange;
 
     /** The head of the response; null until it has arrived. */
@@ -24,10 +26,28 @@
     /**
      * Creates the exchange before its request is sent.
      *
-     * @param executor runs tasks on the entry's event loop
+     * @param endpoint the endpoint to which the request is sent
      */
-    EndpointExchange(Executor executor) {
-        mExecutor = executor;
+    EndpointExchange(EndpointRecord endpoint, HostedContext context) {
+        mEndpoint = endpoint;
+        mContext = context;
+    }
+
+    /** Returns the ID of the endpoint to which the request is sent. */
+    final String endpointId() {
+        return mEndpoint.id();
+    }
+
+    /** Called on the I/O thread when the head of the response has arrived. */
+    abstract void handleHead(HttpResponseHead head);
+
+    @Override
+    public final void onHead(HttpResponseHead head) {
+        mHead = head;
+        if (EndpointProtocol.announcesLeaving(head.headers(), mEndpoint.id())) {
+            runOnEventLoop(() -> mContext.onEndpointLeaving(mEndpoint));
+        }
+        handleHead(head);
     }
 
     final void setExchange(HttpExchange exchange) {
@@ -54,6 +74,6 @@
 
     /** Runs a task on the entry's event loop. */
     final void runOnEventLoop(Runnable task) {
-        mExecutor.execute(task);
+        mContext.executor().execute(task);
     }
 }
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/HostedContext.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/HostedContext.java
@@ -4,6 +4,7 @@
 import java.util.concurrent.Executor;
 import java.util.function.Consumer;
 import org.ebonyrun.base.log.EventLog;
+import org.ebonyrun.core.fleet.EndpointRecord;
 import org.ebonyrun.core.policy.Policy;
 import org.ebonyrun.core.route.Route;
 import org.ebonyrun.core.step.StepId;
@@ -59,6 +60,9 @@
         return 0;
     }
 
+    /** Handles an endpoint's announcement that it is leaving: it gets no new work. */
+    void onEndpointLeaving(EndpointRecord endpoint);
+
     /** Returns whether a configuration has been read. */
     boolean hasConfiguration();
 
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/HostedEntry.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/HostedEntry.java
@@ -39,12 +39,10 @@
 import org.ebonyrun.ports.http.DroppedResponse;
 import org.ebonyrun.ports.http.FrontLimits;
 import org.ebonyrun.ports.http.FrontServer;
+import org.ebonyrun.ports.http.IoTransports;
 import org.ebonyrun.ports.store.StoreChange;
 import org.ebonyrun.ports.store.StoreItem;
 import org.glassfish.grizzly.nio.transport.TCPNIOTransport;
-import org.glassfish.grizzly.nio.transport.TCPNIOTransportBuilder;
-import org.glassfish.grizzly.strategies.SameThreadIOStrategy;
-import org.glassfish.grizzly.threadpool.ThreadPoolConfig;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -108,7 +106,7 @@
         mProcessName = new ProcessName(settings.vm(), new Random().nextLong());
         mEventLoop =
                 EventLoop.create("entry", RING_CAPACITY, this, MonotonicClock.system(), TICK_NANOS);
-        mTransport = transport();
+        mTransport = IoTransports.create("io");
         AsyncHttpClient client =
                 AsyncHttpClient.usingTransport(mTransport, this::onDroppedResponse);
         mStore =
@@ -179,21 +177,6 @@
         return entry;
     }
 
-    private static TCPNIOTransport transport() {
-        return TCPNIOTransportBuilder.newInstance()
-                .setIOStrategy(SameThreadIOStrategy.getInstance())
-                .setSelectorRunnersCount(1)
-                .setSelectorThreadPoolConfig(
-                        ThreadPoolConfig.defaultConfig()
-                                .setPoolName("io")
-                                .setCorePoolSize(1)
-                                .setMaxPoolSize(1)
-                                .setDaemon(true))
-                .setTcpNoDelay(true)
-                .setReuseAddress(true)
-                .build();
-    }
-
     @Override
     public Executor executor() {
         return mEventLoop::post;
@@ -254,6 +237,17 @@
         return mProcessName;
     }
 
+    @Override
+    public void onEndpointLeaving(EndpointRecord endpoint) {
+        if (mFleet.onLeaving(endpoint)) {
+            mLog.write(
+                    LogLine.of("endpoint.leaving")
+                            .with("endpoint", endpoint.id())
+                            .with("service", endpoint.service())
+                            .with("record_leaving", endpoint.leaving()));
+        }
+    }
+
     @Override
     public boolean hasConfiguration() {
         return mRoutes.isConfigured();
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/PlannerController.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/PlannerController.java
@@ -25,6 +25,7 @@
 import org.ebonyrun.platform.EndpointProtocol;
 import org.ebonyrun.platform.OperatorDecoder;
 import org.ebonyrun.ports.http.AsyncHttpClient;
+import org.ebonyrun.ports.http.HttpHeaders;
 import org.ebonyrun.ports.http.HttpResponse;
 import org.ebonyrun.ports.store.CommitResult;
 import org.ebonyrun.ports.store.SharedStore;
@@ -337,7 +338,18 @@
                 .thenAcceptAsync(result -> onState(endpoint, result), mContext.executor());
     }
 
+    /**
+     * Notes an endpoint's announcement that it is leaving, which any of its responses may carry.
+     */
+    private void noteLeaving(Endpoint endpoint, Result<HttpResponse> result) {
+        HttpHeaders headers = result.fold(HttpResponse::headers, fault -> HttpHeaders.empty());
+        if (EndpointProtocol.announcesLeaving(headers, endpoint.id())) {
+            mContext.onEndpointLeaving(endpoint.record());
+        }
+    }
+
     private void onState(Endpoint endpoint, Result<HttpResponse> result) {
+        noteLeaving(endpoint, result);
         long now = System.nanoTime();
         EndpointState state = result.fold(PlannerController::state, fault -> null);
         if (state == null) {
@@ -375,7 +387,8 @@
     }
 
     private void send(Endpoint endpoint, SwapOrder order) {
-        if (!mMachine.holdsLease() || order.fence() != mFence) {
+        boolean holds = mMachine.holdsLease() && order.fence() == mFence;
+        if (!holds || !endpoint.isServing()) {
             refuse(endpoint, order);
             return;
         }
@@ -388,6 +401,7 @@
     }
 
     private void onReply(Endpoint endpoint, SwapOrder order, Result<HttpResponse> result) {
+        noteLeaving(endpoint, result);
         OrderReply reply =
                 result.fold(
                         response -> EndpointProtocol.orderReply(response.status()),
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/SampleController.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/SampleController.java
@@ -77,7 +77,7 @@
             Endpoint endpoint,
             int lastEvent,
             RunOptions options) {
-        SampleExchange exchange = new SampleExchange(run, endpoint.id(), mContext.executor(), this);
+        SampleExchange exchange = new SampleExchange(run, endpoint.record(), mContext, this);
         mRuns.put(run, exchange);
         mContext.log()
                 .write(
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/SampleExchange.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/SampleExchange.java
@@ -2,7 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
-import java.util.concurrent.Executor;
+import org.ebonyrun.core.fleet.EndpointRecord;
 import org.ebonyrun.core.step.RunOutcome;
 import org.ebonyrun.platform.EndpointProtocol;
 import org.ebonyrun.ports.http.HttpResponseHead;
@@ -29,7 +29,6 @@
     }
 
     private final long mRun;
-    private final String mEndpoint;
     private final Listener mListener;
     private List<SseEvent> mEvents = new ArrayList<>();
     private final SseEventParser mParser = SseEventParser.create(event -> mEvents.add(event));
@@ -37,10 +36,9 @@
     private boolean mMalformed;
     private volatile int mEventCount;
 
-    SampleExchange(long run, String endpoint, Executor executor, Listener listener) {
-        super(executor);
+    SampleExchange(long run, EndpointRecord endpoint, HostedContext context, Listener listener) {
+        super(endpoint, context);
         mRun = run;
-        mEndpoint = endpoint;
         mListener = listener;
     }
 
@@ -50,8 +48,7 @@
     }
 
     @Override
-    public void onHead(HttpResponseHead head) {
-        mHead = head;
+    void handleHead(HttpResponseHead head) {
         mIsStream = EndpointProtocol.isStream(head);
         if (mIsStream) {
             int version = EndpointProtocol.weightVersion(head);
@@ -85,7 +82,7 @@
             return RunOutcome.BROKEN;
         }
         if (!mIsStream) {
-            return EndpointProtocol.runOutcome(mHead, mEndpoint);
+            return EndpointProtocol.runOutcome(mHead, endpointId());
         }
         if (!mParser.isBetweenEvents()) {
             return RunOutcome.BROKEN;
--- a/ebonyrun-daemon/src/test/java/org/ebonyrun/daemon/hosted/HostedFixture.java
+++ b/ebonyrun-daemon/src/test/java/org/ebonyrun/daemon/hosted/HostedFixture.java
@@ -16,6 +16,7 @@
 import java.util.function.Predicate;
 import org.ebonyrun.base.json.JsonTrees;
 import org.ebonyrun.base.log.EventLog;
+import org.ebonyrun.base.result.Fault;
 import org.ebonyrun.core.policy.Mechanism;
 import org.ebonyrun.platform.standin.StandinDeployment;
 import org.ebonyrun.ports.http.AsyncHttpClient;
@@ -126,7 +127,12 @@
         return mHttpClient
                 .request(request, "test")
                 .join()
-                .fold(r -> r, f -> new HttpResponse(0, bytes));
+                .fold(r -> r, HostedFixture::failedResponse);
+    }
+
+    /** Returns a response with status zero whose text says why there is none. */
+    private static HttpResponse failedResponse(Fault fault) {
+        return new HttpResponse(0, fault.toString().getBytes(StandardCharsets.UTF_8));
     }
 
     /**
--- a/ebonyrun-daemon/src/test/java/org/ebonyrun/daemon/hosted/ResultWriterTest.java
+++ b/ebonyrun-daemon/src/test/java/org/ebonyrun/daemon/hosted/ResultWriterTest.java
@@ -95,6 +95,11 @@
             throw new UnsupportedOperationException("self");
         }
 
+        @Override
+        public void onEndpointLeaving(EndpointRecord endpoint) {
+            throw new UnsupportedOperationException("onEndpointLeaving " + endpoint);
+        }
+
         @Override
         public boolean hasConfiguration() {
             throw new UnsupportedOperationException("knowsRoutes");
--- a/ebonyrun-ports/src/main/java/org/ebonyrun/ports/http/AsyncHttpClient.java
+++ b/ebonyrun-ports/src/main/java/org/ebonyrun/ports/http/AsyncHttpClient.java
@@ -15,9 +15,6 @@
 import org.glassfish.grizzly.filterchain.TransportFilter;
 import org.glassfish.grizzly.nio.transport.TCPNIOConnectorHandler;
 import org.glassfish.grizzly.nio.transport.TCPNIOTransport;
-import org.glassfish.grizzly.nio.transport.TCPNIOTransportBuilder;
-import org.glassfish.grizzly.strategies.SameThreadIOStrategy;
-import org.glassfish.grizzly.threadpool.ThreadPoolConfig;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -66,18 +63,7 @@
 
     /** Creates and starts a client with its own I/O thread. */
     public static AsyncHttpClient start() throws IOException {
-        TCPNIOTransport transport =
-                TCPNIOTransportBuilder.newInstance()
-                        .setIOStrategy(SameThreadIOStrategy.getInstance())
-                        .setSelectorRunnersCount(1)
-                        .setSelectorThreadPoolConfig(
-                                ThreadPoolConfig.defaultConfig()
-                                        .setPoolName("http-client")
-                                        .setCorePoolSize(1)
-                                        .setMaxPoolSize(1)
-                                        .setDaemon(true))
-                        .setTcpNoDelay(true)
-                        .build();
+        TCPNIOTransport transport = IoTransports.create("http-client");
         transport.start();
         return new AsyncHttpClient(transport, true, DroppedResponseListener.none());
     }
@@ -205,7 +191,8 @@
         @Override
         public void onEnd() {
             int status = mHead == null ? 0 : mHead.status();
-            mResponse.complete(Result.ok(new HttpResponse(status, mBody.toByteArray())));
+            HttpHeaders headers = mHead == null ? HttpHeaders.empty() : mHead.headers();
+            mResponse.complete(Result.ok(new HttpResponse(status, headers, mBody.toByteArray())));
         }
 
         @Override
