Bound the bytes of responses that an entry holds

What callers saw: an entry with the deployed heap of 96 MB ended with OutOfMemoryError when an endpoint or the store sent a body without end to a request that collects it (37 MB, 0.3 s, by the issue), or when an endpoint sent faster than a caller read (200 MB to a caller that reads 6 MB/s).

Cause: ResponseCollector and CallExchange collected bodies without a bound, and FrontExchange queued whatever the endpoint sent; a run whose response was no stream, or whose line did not end, was read on.

Bodies of calls are collected up to 256 KiB; a larger answer is passed on as it arrives, a larger failure ends its attempt. A response is written in pieces of 16 KiB so that a slow but sound reader shows progress.

The limits are not measured at the heap of 96 MB.

--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/CallController.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/CallController.java
@@ -126,7 +126,7 @@
                                 .with("attempt", attempt)
                                 .with("active", endpoint.activeRequests())
                                 .with("left_ms", leftMillis));
-        exchange.setExchange(mHttpClient.send(request, exchange));
+        mHttpClient.send(request, exchange);
     }
 
     private static HttpRequest newRequest(Client client, Endpoint endpoint, long leftMillis) {
@@ -277,7 +277,7 @@
             return;
         }
         mMachine.onStreaming(exchange.attempt(), System.nanoTime());
-        client.caller().begin(head.status(), head.headers().endToEnd());
+        client.caller().begin(head.status(), head.headers().endToEnd(), exchange::onWritten);
     }
 
     @Override
@@ -286,6 +286,9 @@
         Client client = call == null ? null : mClients.get(call.id());
         if (client != null && client.caller() != null) {
             client.caller().write(chunk);
+        } else {
+            // Of the body of a score, only the end matters.
+            exchange.onWritten(chunk.length);
         }
     }
 
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/CallExchange.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/CallExchange.java
@@ -4,6 +4,8 @@
 import org.ebonyrun.core.call.AttemptOutcome;
 import org.ebonyrun.core.fleet.EndpointRecord;
 import org.ebonyrun.platform.EndpointProtocol;
+import org.ebonyrun.ports.http.FlowControl;
+import org.ebonyrun.ports.http.HttpExchange;
 import org.ebonyrun.ports.http.HttpResponseHead;
 import org.jspecify.annotations.Nullable;
 
@@ -12,7 +14,8 @@
  *
  * <p>The I/O thread collects the response; the entry's event loop reads it after {@link
  * Listener#onEnd}. With {@code streaming}, the body of a successful response is passed on in chunks
- * as they arrive.
+ * as they arrive, and so is the body of any answer that is too large to be collected. No more is
+ * read from the endpoint while too much waits to be written to the caller.
  */
 final class CallExchange extends EndpointExchange {
     /** Receives the progress of the attempt on the entry's event loop. */
@@ -27,11 +30,17 @@
         void onEnd(CallExchange exchange, AttemptOutcome outcome);
     }
 
+    // The most bytes of a body that are collected.
+    private static final int MAX_COLLECTED_BYTES = 256 * 1024;
+
     private final long mAttempt;
     private final boolean mStreaming;
     private final Listener mListener;
     private final ByteArrayOutputStream mBody = new ByteArrayOutputStream();
+    private @Nullable FlowControl mFlowControl;
+    private boolean mAnswered;
     private boolean mPassThrough;
+    private boolean mTooLong;
     private String mDetail = "";
 
     CallExchange(
@@ -62,21 +71,59 @@
         return mDetail;
     }
 
+    @Override
+    public void onStart(HttpExchange exchange) {
+        super.onStart(exchange);
+        mFlowControl = FlowControl.of(exchange);
+    }
+
     @Override
     void handleHead(HttpResponseHead head) {
-        boolean answered = EndpointProtocol.attemptOutcome(head) == AttemptOutcome.ANSWERED;
-        mPassThrough = mStreaming && head.isSuccess() && answered;
-        if (mPassThrough) {
-            runOnEventLoop(() -> mListener.onHead(this, head));
+        mAnswered = EndpointProtocol.attemptOutcome(head) == AttemptOutcome.ANSWERED;
+        if (mStreaming && head.isSuccess() && mAnswered) {
+            startPassThrough(head);
         }
     }
 
+    private void startPassThrough(HttpResponseHead head) {
+        mPassThrough = true;
+        runOnEventLoop(() -> mListener.onHead(this, head));
+    }
+
     @Override
     public void onData(byte[] data) {
         if (mPassThrough) {
-            runOnEventLoop(() -> mListener.onChunk(this, data));
-        } else {
+            passOn(data);
+        } else if (mTooLong) {
+            // The attempt is being cancelled.
+            return;
+        } else if (mBody.size() + data.length <= MAX_COLLECTED_BYTES) {
             mBody.writeBytes(data);
+        } else if (mAnswered && mHead != null) {
+            startPassThrough(mHead);
+            passOn(mBody.toByteArray());
+            mBody.reset();
+            passOn(data);
+        } else {
+            // The body of a failure that does not end.
+            mTooLong = true;
+            runOnEventLoop(this::cancel);
+        }
+    }
+
+    private void passOn(byte[] chunk) {
+        FlowControl flowControl = mFlowControl;
+        if (flowControl != null) {
+            flowControl.onReceived(chunk.length);
+        }
+        runOnEventLoop(() -> mListener.onChunk(this, chunk));
+    }
+
+    /** Handles bytes of the body that were written to the caller, or dropped. */
+    void onWritten(int bytes) {
+        FlowControl flowControl = mFlowControl;
+        if (flowControl != null) {
+            flowControl.onWritten(bytes);
         }
     }
 
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/EndpointExchange.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/EndpointExchange.java
@@ -12,8 +12,8 @@
 /**
  * An HTTP request to an endpoint: the common part of calls and sample runs.
  *
- * <p>The I/O thread receives the response and forwards it to the entry's event loop; only the event
- * loop sets and cancels the exchange.
+ * <p>The I/O thread receives the response and forwards it to the entry's event loop. The exchange
+ * is set before anything is sent.
  */
 abstract class EndpointExchange implements HttpResponseListener {
     private final EndpointRecord mEndpoint;
@@ -50,7 +50,8 @@
         handleHead(head);
     }
 
-    final void setExchange(HttpExchange exchange) {
+    @Override
+    public void onStart(HttpExchange exchange) {
         mExchange = exchange;
     }
 
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/SampleController.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/SampleController.java
@@ -91,11 +91,10 @@
                                 .with("expected_version", options.expectedVersion())
                                 .with("expected_tokens", sample.expectedTokens())
                                 .with("after", lastEvent));
-        exchange.setExchange(
-                mHttpClient.send(
-                        EndpointProtocol.newRunRequest(
-                                endpoint.record(), step.host(), sample, lastEvent, options),
-                        exchange));
+        mHttpClient.send(
+                EndpointProtocol.newRunRequest(
+                        endpoint.record(), step.host(), sample, lastEvent, options),
+                exchange);
     }
 
     @Override
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/SampleExchange.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/SampleExchange.java
@@ -28,12 +28,16 @@
         void onEnd(long run, RunOutcome outcome, String detail);
     }
 
+    // The most bytes of a body that is not a stream, for example of a rejection.
+    private static final int MAX_OTHER_BYTES = 64 * 1024;
+
     private final long mRun;
     private final Listener mListener;
     private List<SseEvent> mEvents = new ArrayList<>();
     private final SseEventParser mParser = SseEventParser.create(event -> mEvents.add(event));
     private boolean mIsStream;
     private boolean mMalformed;
+    private int mOtherBytes;
     private volatile int mEventCount;
 
     SampleExchange(long run, EndpointRecord endpoint, HostedContext context, Listener listener) {
@@ -58,10 +62,15 @@
 
     @Override
     public void onData(byte[] data) {
-        if (!mIsStream || mMalformed) {
+        if (mMalformed) {
+            return;
+        }
+        if (!mIsStream) {
+            mOtherBytes += data.length;
+            endIfMalformed(mOtherBytes > MAX_OTHER_BYTES);
             return;
         }
-        mMalformed = !mParser.feed(data);
+        endIfMalformed(!mParser.feed(data));
         if (!mEvents.isEmpty()) {
             List<SseEvent> events = mEvents;
             mEventCount += events.size();
@@ -77,6 +86,13 @@
         runOnEventLoop(() -> mListener.onEnd(mRun, outcome, detail));
     }
 
+    private void endIfMalformed(boolean malformed) {
+        mMalformed = malformed;
+        if (malformed) {
+            runOnEventLoop(this::cancel);
+        }
+    }
+
     private RunOutcome runOutcome() {
         if (mHead == null || mMalformed) {
             return RunOutcome.BROKEN;
--- a/ebonyrun-ports/src/main/java/org/ebonyrun/ports/http/AsyncHttpClient.java
+++ b/ebonyrun-ports/src/main/java/org/ebonyrun/ports/http/AsyncHttpClient.java
@@ -82,6 +82,7 @@
     /** Sends a request and passes its response to {@code listener}. */
     public HttpExchange send(HttpRequest request, HttpResponseListener listener) {
         HttpExchange exchange = new HttpExchange(request, listener, mPool);
+        listener.onStart(exchange);
         if (request.timeoutMillis() > 0) {
             String detail = "timeout after " + request.timeoutMillis() + " ms";
             scheduleTimeout(exchange, request.timeoutMillis(), detail);
--- a/ebonyrun-ports/src/main/java/org/ebonyrun/ports/http/ClientConnection.java
+++ b/ebonyrun-ports/src/main/java/org/ebonyrun/ports/http/ClientConnection.java
@@ -1,10 +1,13 @@
 package org.ebonyrun.ports.http;
 
+import java.io.IOException;
 import java.net.InetSocketAddress;
 import org.ebonyrun.base.time.Nanos;
 import org.glassfish.grizzly.Connection;
 import org.glassfish.grizzly.Grizzly;
+import org.glassfish.grizzly.IOEvent;
 import org.glassfish.grizzly.attributes.Attribute;
+import org.glassfish.grizzly.nio.NIOConnection;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -71,6 +74,21 @@
         mConnection.closeSilently();
     }
 
+    /** Starts or stops reading from the connection; closes it if that is impossible. */
+    void setReading(boolean reading) {
+        NIOConnection connection = (NIOConnection) mConnection;
+        try {
+            if (reading) {
+                connection.enableIOEvent(IOEvent.READ);
+            } else {
+                connection.disableIOEvent(IOEvent.READ);
+            }
+        } catch (IOException ignored) {
+            // The connection is closed already, or can't be used.
+            close();
+        }
+    }
+
     /**
      * Binds an exchange that is about to send its request.
      *
--- a/ebonyrun-ports/src/main/java/org/ebonyrun/ports/http/FrontConnection.java
+++ b/ebonyrun-ports/src/main/java/org/ebonyrun/ports/http/FrontConnection.java
@@ -21,6 +21,7 @@
     private final Deque<FrontExchange> mWaiting = new ArrayDeque<>();
     private @Nullable FrontExchange mCurrent;
     private @Nullable BodyBuffer mPendingBody;
+    private long mUnwrittenBytes;
     private long mLastActiveAt;
     private long mHeaderStartedAt;
     private boolean mClosing;
@@ -59,6 +60,20 @@
         }
     }
 
+    /** Records that bytes of a response wait to be written. */
+    synchronized void onWriteStarted(int bytes, long now) {
+        if (mUnwrittenBytes == 0) {
+            mLastActiveAt = now;
+        }
+        mUnwrittenBytes += bytes;
+    }
+
+    /** Records that bytes of a response were written, which shows that the caller reads. */
+    synchronized void onWritten(int bytes, long now) {
+        mUnwrittenBytes -= bytes;
+        mLastActiveAt = now;
+    }
+
     synchronized @Nullable BodyBuffer pendingBody() {
         return mPendingBody;
     }
@@ -130,16 +145,21 @@
         }
     }
 
-    /** Closes the connection if it has been idle for too long or its headers take too long. */
+    /**
+     * Closes the connection if it has been idle for too long, its headers take too long, or the
+     * caller has not read any of a response for too long.
+     */
     void closeIfExpired(long now, long idleNanos, long headerNanos) {
         boolean expired;
         synchronized (this) {
-            boolean idle = mCurrent == null && now - mLastActiveAt > idleNanos;
+            boolean idle =
+                    (mCurrent == null || mUnwrittenBytes > 0) && now - mLastActiveAt > idleNanos;
             boolean slow = mHeaderStartedAt != 0 && now - mHeaderStartedAt > headerNanos;
             expired = idle || slow;
         }
         if (expired) {
-            mConnection.closeSilently();
+            // Closing would wait until the caller has read what is still to be written.
+            mConnection.terminateSilently();
         }
     }
 
--- a/ebonyrun-ports/src/main/java/org/ebonyrun/ports/http/FrontExchange.java
+++ b/ebonyrun-ports/src/main/java/org/ebonyrun/ports/http/FrontExchange.java
@@ -2,6 +2,7 @@
 
 import java.io.ByteArrayOutputStream;
 import java.net.SocketAddress;
+import java.util.function.IntConsumer;
 import org.glassfish.grizzly.Buffer;
 import org.glassfish.grizzly.Connection;
 import org.glassfish.grizzly.EmptyCompletionHandler;
@@ -37,6 +38,11 @@
     /** A response that is produced in pieces but sent at once when it is complete. */
     private record BufferedResponse(int status, HttpHeaders headers, ByteArrayOutputStream body) {}
 
+    // Pieces of this size show the progress of a caller that reads slowly.
+    private static final int MAX_PIECE_BYTES = 16 * 1024;
+    private static final int MAX_BUFFERED_BYTES = 8 << 20;
+    private static final IntConsumer IGNORE = bytes -> {};
+
     private final HttpRequestPacket mPacket;
     private final HttpHeaders mHeaders;
     private final byte[] mBody;
@@ -45,6 +51,7 @@
     private final int mRefusalStatus;
     private @Nullable HttpResponsePacket mResponse;
     private @Nullable BufferedResponse mBuffered;
+    private IntConsumer mWrittenListener = IGNORE;
     private boolean mDone;
     private boolean mCloseAfterResponse;
 
@@ -124,6 +131,16 @@
 
     /** Begins a response whose body follows in pieces. */
     public void begin(int status, HttpHeaders headers) {
+        begin(status, headers, IGNORE);
+    }
+
+    /**
+     * Begins a response whose body follows in pieces.
+     *
+     * @param writtenListener receives the number of bytes of the body that were written to the
+     *     network, or dropped, since its last call; on any thread
+     */
+    public void begin(int status, HttpHeaders headers, IntConsumer writtenListener) {
         if (!isFinal(status)) {
             respond(status, headers, EMPTY);
             return;
@@ -133,6 +150,7 @@
             if (mDone || isBegun()) {
                 return;
             }
+            mWrittenListener = writtenListener;
             if (!canBeChunked(status)) {
                 mBuffered = new BufferedResponse(status, headers, new ByteArrayOutputStream());
                 return;
@@ -146,18 +164,25 @@
     /** Sends a piece of the body. */
     public void write(byte[] piece) {
         HttpResponsePacket response;
+        IntConsumer writtenListener;
+        boolean tooLong = false;
         synchronized (this) {
-            // An empty piece would be encoded as the end of the body.
-            if (mDone || !isBegun() || piece.length == 0) {
-                return;
+            response = mDone ? null : mResponse;
+            writtenListener = mWrittenListener;
+            if (!mDone && mBuffered != null) {
+                tooLong = mBuffered.body().size() + piece.length > MAX_BUFFERED_BYTES;
+                mBuffered.body().writeBytes(tooLong ? EMPTY : piece);
             }
-            if (mBuffered != null) {
-                mBuffered.body().writeBytes(piece);
-                return;
-            }
-            response = mResponse;
         }
-        write(response, piece, false);
+        // An empty piece would be encoded as the end of the body.
+        if (response != null && piece.length > 0) {
+            write(response, piece, false);
+        } else {
+            writtenListener.accept(piece.length);
+        }
+        if (tooLong) {
+            abort();
+        }
     }
 
     /** Finishes a response whose body was sent in pieces. */
@@ -226,17 +251,35 @@
         return mCloseAfterResponse || !mKeepAlive || mConnection.isClosing();
     }
 
+    private void write(HttpResponsePacket response, byte[] body, boolean last) {
+        int offset = 0;
+        do {
+            int length = Math.min(MAX_PIECE_BYTES, body.length - offset);
+            boolean lastPiece = offset + length == body.length;
+            writePiece(response, body, offset, length, last && lastPiece);
+            offset += length;
+        } while (offset < body.length);
+    }
+
+    private synchronized IntConsumer writtenListener() {
+        return mWrittenListener;
+    }
+
     @SuppressWarnings("unchecked")
-    private void write(HttpResponsePacket response, byte[] piece, boolean last) {
-        Buffer buffer = Buffers.wrap(MemoryManager.DEFAULT_MEMORY_MANAGER, piece);
+    private void writePiece(
+            HttpResponsePacket response, byte[] body, int offset, int length, boolean last) {
+        Buffer buffer = Buffers.wrap(MemoryManager.DEFAULT_MEMORY_MANAGER, body, offset, length);
         HttpContent content = HttpContent.builder(response).content(buffer).last(last).build();
         Connection<?> connection = mConnection.connection();
+        mConnection.onWriteStarted(length, System.nanoTime());
         ((Writeable<SocketAddress>) connection)
                 .write(
                         content,
                         new EmptyCompletionHandler<WriteResult<HttpContent, SocketAddress>>() {
                             @Override
                             public void completed(WriteResult<HttpContent, SocketAddress> result) {
+                                mConnection.onWritten(length, System.nanoTime());
+                                writtenListener().accept(length);
                                 if (last) {
                                     mConnection.onResponseSent(isLast());
                                 }
--- a/ebonyrun-ports/src/main/java/org/ebonyrun/ports/http/HttpExchange.java
+++ b/ebonyrun-ports/src/main/java/org/ebonyrun/ports/http/HttpExchange.java
@@ -18,9 +18,10 @@
  * One request and its response.
  *
  * <p>Thread safe: state changes hold the exchange's monitor. The listener is notified of exactly
- * one end: the end of the response or a failure.
+ * one end: the end of the response or a failure. A connection is returned to the pool only while it
+ * is read.
  */
-public final class HttpExchange {
+public final class HttpExchange implements FlowControl.Source {
     private static final long DEFAULT_IDLE_NANOS = Nanos.ofMillis(10_000);
     // The part of the server's keep-alive timeout that is used; the rest covers network delay.
     private static final double IDLE_FRACTION = 0.7;
@@ -33,6 +34,8 @@
     private @Nullable ScheduledFuture<?> mTimeout;
     private @Nullable ScheduledFuture<?> mConnectTimeout;
     private long mIdleNanos = DEFAULT_IDLE_NANOS;
+    private long mReceivedBytes;
+    private boolean mPaused;
     private boolean mSent;
     private boolean mDone;
 
@@ -145,11 +148,39 @@
     }
 
     void onData(byte[] data) {
-        if (!isDone()) {
+        if (isDone()) {
+            return;
+        }
+        mReceivedBytes += data.length;
+        int limit = mRequest.maxResponseBytes();
+        if (limit > 0 && mReceivedBytes > limit) {
+            fail("response body is longer than " + limit + " bytes");
+        } else {
             mListener.onData(data);
         }
     }
 
+    /**
+     * Stops reading the response. Meanwhile the end of the connection is not noticed; a timeout
+     * still ends the exchange.
+     */
+    @Override
+    public synchronized void pause() {
+        if (!mDone && mConnection != null) {
+            mPaused = true;
+            mConnection.setReading(false);
+        }
+    }
+
+    /** Continues to read the response. */
+    @Override
+    public synchronized void resume() {
+        if (!mDone && mPaused && mConnection != null) {
+            mPaused = false;
+            mConnection.setReading(true);
+        }
+    }
+
     /** Ends the exchange normally, and returns the connection to the pool or closes it. */
     void complete(boolean keepAlive) {
         if (!finish()) {
@@ -158,6 +189,9 @@
         ClientConnection connection = mConnection;
         if (connection != null) {
             long now = System.nanoTime();
+            if (mPaused) {
+                connection.setReading(true);
+            }
             connection.unbind(now);
             if (keepAlive && connection.isReusable()) {
                 returnToPool(connection, now + mIdleNanos);
--- a/ebonyrun-ports/src/main/java/org/ebonyrun/ports/http/HttpRequest.java
+++ b/ebonyrun-ports/src/main/java/org/ebonyrun/ports/http/HttpRequest.java
@@ -19,6 +19,8 @@
  * @param timeoutMillis the maximum time until the response is complete, in milliseconds; zero for
  *     no limit except the connect timeout
  * @param correlation how the response is distinguished from others on its connection
+ * @param maxResponseBytes the maximum size of the response's body, in bytes; zero for no limit,
+ *     which is only safe if the listener does not collect the body
  */
 public record HttpRequest(
         String method,
@@ -27,7 +29,11 @@
         HttpHeaders headers,
         byte[] body,
         long timeoutMillis,
-        Correlation correlation) {
+        Correlation correlation,
+        int maxResponseBytes) {
+    /** The default maximum size of a response's body, in bytes. */
+    public static final int DEFAULT_MAX_RESPONSE_BYTES = 8 << 20;
+
     private static final int DEFAULT_PORT = 80;
     private static final HttpHeaders JSON = HttpHeaders.of("Content-Type", "application/json");
 
@@ -42,8 +48,29 @@
         this(method, address, target, headers, body, timeoutMillis, Correlation.byOrder());
     }
 
-    /** Checks the target. */
+    /** Creates a request whose response is limited to the default size. */
+    public HttpRequest(
+            String method,
+            InetSocketAddress address,
+            String target,
+            HttpHeaders headers,
+            byte[] body,
+            long timeoutMillis,
+            Correlation correlation) {
+        this(
+                method,
+                address,
+                target,
+                headers,
+                body,
+                timeoutMillis,
+                correlation,
+                DEFAULT_MAX_RESPONSE_BYTES);
+    }
+
+    /** Checks the limit and the target. */
     public HttpRequest {
+        checkArgument(maxResponseBytes >= 0, "negative limit: %s", maxResponseBytes);
         checkArgument(target.startsWith("/"), "target does not start with a slash: '%s'", target);
     }
 
@@ -94,7 +121,27 @@
     /** Returns a copy of this request with the given correlation. */
     public HttpRequest withCorrelation(Correlation newCorrelation) {
         return new HttpRequest(
-                method, address, target, headers, body, timeoutMillis, newCorrelation);
+                method,
+                address,
+                target,
+                headers,
+                body,
+                timeoutMillis,
+                newCorrelation,
+                maxResponseBytes);
+    }
+
+    /** Returns a copy of this request with the given limit of the response's body. */
+    public HttpRequest withMaxResponseBytes(int newMaxResponseBytes) {
+        return new HttpRequest(
+                method,
+                address,
+                target,
+                headers,
+                body,
+                timeoutMillis,
+                correlation,
+                newMaxResponseBytes);
     }
 
     /**
--- a/ebonyrun-ports/src/main/java/org/ebonyrun/ports/http/HttpResponseListener.java
+++ b/ebonyrun-ports/src/main/java/org/ebonyrun/ports/http/HttpResponseListener.java
@@ -2,6 +2,13 @@
 
 /** Receives one HTTP response. Called on I/O threads, in order; must not block. */
 public interface HttpResponseListener {
+    /**
+     * Called once, before anything is sent.
+     *
+     * @param exchange the exchange, which can be cancelled or paused
+     */
+    default void onStart(HttpExchange exchange) {}
+
     /** Called when the status line and headers have arrived. */
     void onHead(HttpResponseHead head);
 
--- a/ebonyrun-ports/src/test/java/org/ebonyrun/ports/http/AsyncHttpClientTest.java
+++ b/ebonyrun-ports/src/test/java/org/ebonyrun/ports/http/AsyncHttpClientTest.java
@@ -3,7 +3,9 @@
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.containsString;
 import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThan;
 import static org.hamcrest.Matchers.not;
+import static org.hamcrest.Matchers.startsWith;
 
 import java.io.IOException;
 import java.util.concurrent.BlockingQueue;
@@ -19,6 +21,7 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 class AsyncHttpClientTest {
@@ -69,6 +72,58 @@
                 .thenApply(AsyncHttpClientTest::text);
     }
 
+    /** Bytes that a server in trouble sends until its client closes the connection. */
+    enum EndlessResponse {
+        STATUS_LINE("HTTP/1.1 200 ", "x"),
+        HEADER_LINE("HTTP/1.1 200 X\r\nX-Id: 1\r\nX-Any: ", "x"),
+        HEADERS("HTTP/1.1 200 X\r\nX-Id: 1\r\n", "X-Any: 1\r\n"),
+        BODY_UNTIL_CLOSE("HTTP/1.1 200 X\r\nX-Id: 1\r\n\r\n", "x"),
+        BODY_WITH_LENGTH("HTTP/1.1 200 X\r\nX-Id: 1\r\nContent-Length: 99999999999\r\n\r\n", "x"),
+        CHUNKS("HTTP/1.1 200 X\r\nX-Id: 1\r\nTransfer-Encoding: chunked\r\n\r\n", "1\r\nx\r\n"),
+        CHUNK_EXTENSION("HTTP/1.1 200 X\r\nX-Id: 1\r\nTransfer-Encoding: chunked\r\n\r\n1;e=", "x"),
+        TRAILERS(
+                "HTTP/1.1 200 X\r\nX-Id: 1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n",
+                "X-Any: 1\r\n"),
+        NO_RESPONSE("", "x"),
+        EMPTY_LINES("", "\r\n");
+
+        private final String mBegin;
+        private final String mRepeated;
+
+        EndlessResponse(String begin, String repeated) {
+            mBegin = begin;
+            mRepeated = repeated;
+        }
+    }
+
+    @ParameterizedTest
+    @EnumSource
+    void aResponseWithoutEndEndsItsRequestAndItsConnection(EndlessResponse kind) throws Exception {
+        HttpRequest request =
+                request("GET", Correlation.byHeader("X-Id", "1")).withMaxResponseBytes(1 << 20);
+        CompletableFuture<String> response =
+                mClient.request(request, "test").thenApply(AsyncHttpClientTest::text);
+        Received received = mServer.next();
+        long written = received.connection().writeUntilClosed(kind.mBegin, kind.mRepeated);
+
+        String text = response.get(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+        assertThat(text, startsWith(LOST));
+        assertThat(text, not(containsString("timeout")));
+        // The limit, and what the buffers of both sockets hold.
+        assertThat(written, lessThan(32L << 20));
+    }
+
+    @Test
+    void aResponseWithinItsLimitIsWhole() throws Exception {
+        HttpRequest request =
+                request("GET", Correlation.byHeader("X-Id", "1")).withMaxResponseBytes(4);
+        CompletableFuture<String> response =
+                mClient.request(request, "test").thenApply(AsyncHttpClientTest::text);
+        mServer.next().answer("1");
+
+        assertThat(response.get(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS), is("200 to 1"));
+    }
+
     /** Sends a request and ignores its response. */
     private HttpExchange sendIgnoringResponse(String id) {
         HttpResponseListener ignored =
--- a/ebonyrun-ports/src/test/java/org/ebonyrun/ports/http/FrontServerTest.java
+++ b/ebonyrun-ports/src/test/java/org/ebonyrun/ports/http/FrontServerTest.java
@@ -3,23 +3,73 @@
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.containsString;
 import static org.hamcrest.Matchers.endsWith;
+import static org.hamcrest.Matchers.greaterThan;
 import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThan;
 import static org.hamcrest.Matchers.startsWith;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
 import java.io.IOException;
 import java.net.Socket;
+import java.net.SocketException;
 import java.nio.charset.StandardCharsets;
+import java.util.concurrent.atomic.AtomicLong;
 import org.ebonyrun.base.time.Nanos;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 class FrontServerTest extends FrontServerFixture {
+    private static final int LARGE_RESPONSE_PIECES = 32;
     private static final FrontLimits LIMITS = new FrontLimits(300, 100, 1_000, 2_000);
 
     FrontServerTest() {
         super(LIMITS);
     }
 
+    /** Returns how many bytes can be read until the connection ends or is reset. */
+    private static long countUntilEnd(Socket socket) throws IOException {
+        byte[] buffer = new byte[8_192];
+        long count = 0;
+        try {
+            for (int n = socket.getInputStream().read(buffer); n > 0; ) {
+                count += n;
+                n = socket.getInputStream().read(buffer);
+            }
+        } catch (SocketException ignored) {
+            // A reset ends the connection as well.
+        }
+        return count;
+    }
+
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void aCallerThatReadsNothingIsClosedAndASlowOneIsNot(boolean reads) throws Exception {
+        Socket socket = send("GET /a HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+        FrontExchange exchange = mRequests.take();
+        AtomicLong written = new AtomicLong();
+        exchange.begin(200, HttpHeaders.empty(), written::addAndGet);
+        byte[] piece = new byte[1 << 20];
+        for (int i = 0; i < LARGE_RESPONSE_PIECES; i++) {
+            exchange.write(piece);
+        }
+        exchange.finish();
+        long idle = Nanos.ofMillis(LIMITS.idleTimeoutMillis());
+        long later = System.nanoTime() + idle / 2;
+        if (reads) {
+            mServer.closeExpiredConnections(later);
+            assertThat(readAll(socket).length(), greaterThan(LARGE_RESPONSE_PIECES << 20));
+            assertThat(written.get(), is((long) LARGE_RESPONSE_PIECES << 20));
+        } else {
+            // No byte can be written any more once the buffers of both sockets are full.
+            mServer.closeExpiredConnections(later);
+            assertThat(mServer.busyConnectionCount(), is(1));
+            mServer.closeExpiredConnections(later + 2 * idle);
+            assertThat(countUntilEnd(socket), lessThan((long) LARGE_RESPONSE_PIECES << 20));
+        }
+        socket.close();
+    }
+
     @Test
     void chunkedBodyIsPassedToTheListenerWhenComplete() throws Exception {
         String request =
--- a/ebonyrun-ports/src/test/java/org/ebonyrun/ports/http/ScriptedServer.java
+++ b/ebonyrun-ports/src/test/java/org/ebonyrun/ports/http/ScriptedServer.java
@@ -24,6 +24,7 @@
 final class ScriptedServer implements AutoCloseable {
     private static final int TIMEOUT_SECONDS = 10;
     private static final int BACKLOG = 50;
+    private static final long MAX_ENDLESS_BYTES = 256L << 20;
 
     /**
      * A request.
@@ -151,6 +152,26 @@
             mSocket.getOutputStream().write(text.getBytes(StandardCharsets.US_ASCII));
         }
 
+        /**
+         * Writes {@code begin}, and then {@code repeated} until the client closes the connection.
+         *
+         * @return the number of bytes written
+         */
+        long writeUntilClosed(String begin, String repeated) {
+            byte[] piece = repeated.repeat(8_192).getBytes(StandardCharsets.US_ASCII);
+            long written = 0;
+            try {
+                write(begin);
+                while (written < MAX_ENDLESS_BYTES) {
+                    mSocket.getOutputStream().write(piece);
+                    written += piece.length;
+                }
+            } catch (IOException ignored) {
+                // The client has closed the connection.
+            }
+            return written;
+        }
+
         /** Waits until the client has ended the connection. */
         void awaitEnd() throws InterruptedException {
             if (!mEnded.await(TIMEOUT_SECONDS, TimeUnit.SECONDS)) {
