Exit when a thread cannot go on, and lose no unexpected exception

What operators saw: after an Error in the event loop, the I/O thread or a timer, the process stayed up, held its leases and answered nothing, and was reported ready. An exception in the callback of a future left no trace at all; those of the event loop went to a logger without a writer (the deployed class path has only its interface).

Cause: only RuntimeException was caught, nothing watched for dead threads, Grizzly's threads have their own handler of uncaught exceptions, and futures keep what their callbacks throw.

--- a/ebonyrun-base/src/main/java/org/ebonyrun/base/eventloop/EventLoop.java
+++ b/ebonyrun-base/src/main/java/org/ebonyrun/base/eventloop/EventLoop.java
@@ -21,6 +21,9 @@
  * consumer sets {@code mParked} before it checks the ring for the last time, and producers check
  * {@code mParked} after they have offered an event, so no wake-up is lost.
  *
+ * <p>An exception ends the handling of one event. An {@link Error} ends the thread, and with it the
+ * process, if {@link FatalErrors} is installed.
+ *
  * @param <E> the type of event
  */
 public final class EventLoop<E> implements AutoCloseable {
@@ -33,6 +36,7 @@
     private final EventHandler<E> mHandler;
     private final MonotonicClock mClock;
     private final long mTickNanos;
+    private final EventLoopErrorListener mErrorListener;
     private final Thread mThread;
     private final AtomicLong mRefused = new AtomicLong();
     private volatile boolean mParked;
@@ -43,7 +47,8 @@
             int capacity,
             EventHandler<E> handler,
             MonotonicClock clock,
-            long tickNanos) {
+            long tickNanos,
+            EventLoopErrorListener errorListener) {
         checkArgument(capacity >= 2, "capacity is below 2: %s", capacity);
         checkArgument(tickNanos > 0, "tick is not positive: %s ns", tickNanos);
         mName = name;
@@ -51,6 +56,7 @@
         mHandler = handler;
         mClock = clock;
         mTickNanos = tickNanos;
+        mErrorListener = errorListener;
         mThread = new Thread(this::run, name);
         mThread.setDaemon(true);
     }
@@ -84,7 +90,30 @@
             EventHandler<E> handler,
             MonotonicClock clock,
             long tickNanos) {
-        return new EventLoop<>(name, capacity, handler, clock, tickNanos);
+        return create(
+                name,
+                capacity,
+                handler,
+                clock,
+                tickNanos,
+                (what, e) -> Logger.error(e, "event loop {}: {} failed", name, what));
+    }
+
+    /**
+     * Creates an event loop without starting its thread.
+     *
+     * @param capacity the minimum capacity of the ring, in events
+     * @param tickNanos the period of {@link EventHandler#onTick}, in nanoseconds
+     * @param errorListener receives the exceptions of the handler
+     */
+    public static <E> EventLoop<E> create(
+            String name,
+            int capacity,
+            EventHandler<E> handler,
+            MonotonicClock clock,
+            long tickNanos,
+            EventLoopErrorListener errorListener) {
+        return new EventLoop<>(name, capacity, handler, clock, tickNanos, errorListener);
     }
 
     /**
@@ -219,11 +248,7 @@
                 mHandler.onEvent((E) event, mClock.nanoTime());
             }
         } catch (RuntimeException e) {
-            Logger.error(
-                    e,
-                    "event loop {}: cannot handle event of type {}",
-                    mName,
-                    event.getClass().getSimpleName());
+            mErrorListener.onException("event of type " + event.getClass().getSimpleName(), e);
         }
     }
 
@@ -231,7 +256,7 @@
         try {
             mHandler.onTick(now);
         } catch (RuntimeException e) {
-            Logger.error(e, "event loop {}: tick failed", mName);
+            mErrorListener.onException("tick", e);
         }
     }
 }
--- a/ebonyrun-base/src/test/java/org/ebonyrun/base/eventloop/EventLoopTest.java
+++ b/ebonyrun-base/src/test/java/org/ebonyrun/base/eventloop/EventLoopTest.java
@@ -5,8 +5,11 @@
 import static org.hamcrest.Matchers.is;
 
 import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import org.ebonyrun.base.time.MonotonicClock;
 import org.junit.jupiter.api.Test;
@@ -56,6 +59,33 @@
         }
     }
 
+    @Test
+    void anExceptionOfACallbackReachesTheErrorListener() throws Exception {
+        BlockingQueue<String> errors = new LinkedBlockingQueue<>();
+        try (EventLoop<Runnable> eventLoop =
+                EventLoop.create(
+                        "test",
+                        8,
+                        (task, now) -> task.run(),
+                        MonotonicClock.system(),
+                        TICK_NANOS,
+                        (what, e) -> errors.add(e.getMessage()))) {
+            eventLoop.launch();
+            CompletableFuture<String> future = new CompletableFuture<>();
+            future.thenAcceptAsync(
+                    EventLoopCallbacks.rethrowing(
+                            eventLoop::post,
+                            value -> {
+                                throw new IllegalStateException("cannot use " + value);
+                            }),
+                    eventLoop::post);
+            future.complete("it");
+
+            assertThat(errors.take(), is("cannot use it"));
+            assertThat(eventLoop.query(() -> "answer").join(), is("answer"));
+        }
+    }
+
     @Test
     void refusesEventsWhileTheRingIsFull() throws InterruptedException {
         Recorder recorder = new Recorder();
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/DaemonMain.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/DaemonMain.java
@@ -11,6 +11,7 @@
 import net.sourceforge.argparse4j.inf.ArgumentParser;
 import net.sourceforge.argparse4j.inf.ArgumentParserException;
 import net.sourceforge.argparse4j.inf.Namespace;
+import org.ebonyrun.base.eventloop.FatalErrors;
 import org.ebonyrun.core.settings.Problem;
 import org.ebonyrun.daemon.agent.AgentNode;
 import org.ebonyrun.daemon.entry.EntryNode;
@@ -34,6 +35,7 @@
 
     /** Starts a daemon and runs it until the process is stopped. */
     public static void main(String[] args) {
+        FatalErrors.exitOnUncaughtExceptions();
         int status = run(args);
         if (status != EXIT_OK) {
             System.exit(status);
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/EntryLease.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/EntryLease.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.concurrent.Executor;
 import java.util.function.LongConsumer;
+import org.ebonyrun.base.eventloop.EventLoopCallbacks;
 import org.ebonyrun.base.log.EventLog;
 import org.ebonyrun.base.log.LogLine;
 import org.ebonyrun.base.result.Result;
@@ -95,7 +96,11 @@
         }
         mCallPending = true;
         long id = mId;
-        mStore.renew(id).thenAcceptAsync(result -> onRenewed(id, result, now), mExecutor);
+        mStore.renew(id)
+                .thenAcceptAsync(
+                        EventLoopCallbacks.rethrowing(
+                                mExecutor, result -> onRenewed(id, result, now)),
+                        mExecutor);
     }
 
     /** Ends the lease in the store, which removes all keys attached to it. */
@@ -108,7 +113,10 @@
 
     private void grant(long now) {
         mCallPending = true;
-        mStore.grant(TTL_MILLIS).thenAcceptAsync(result -> onGranted(result, now), mExecutor);
+        mStore.grant(TTL_MILLIS)
+                .thenAcceptAsync(
+                        EventLoopCallbacks.rethrowing(mExecutor, result -> onGranted(result, now)),
+                        mExecutor);
     }
 
     private void onGranted(Result<StoreLease> result, long sentAt) {
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/EntryMetrics.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/EntryMetrics.java
@@ -39,6 +39,9 @@
     /** Unsolicited and late responses that were dropped, by reason. */
     static final String DROPPED_RESPONSES = "ebonyrun_entry_dropped_answers";
 
+    /** Exceptions that no code expected, by type. */
+    static final String UNEXPECTED_ERRORS = "ebonyrun_entry_unexpected_errors";
+
     /** Weight orders to endpoints, by reply. */
     static final String ORDERS = "ebonyrun_entry_orders";
 
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/FrontHandler.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/FrontHandler.java
@@ -220,7 +220,8 @@
                         mStepStore
                                 .markEnded(step)
                                 .thenAcceptAsync(
-                                        result -> onStepEnded(exchange, step, result),
+                                        mContext.callback(
+                                                result -> onStepEnded(exchange, step, result)),
                                         mContext.executor()));
     }
 
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/HostedContext.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/HostedContext.java
@@ -3,6 +3,7 @@
 import java.util.Optional;
 import java.util.concurrent.Executor;
 import java.util.function.Consumer;
+import org.ebonyrun.base.eventloop.EventLoopCallbacks;
 import org.ebonyrun.base.log.EventLog;
 import org.ebonyrun.core.fleet.EndpointRecord;
 import org.ebonyrun.core.policy.Policy;
@@ -21,6 +22,11 @@
     /** Returns an executor that runs tasks on the entry's event loop. */
     Executor executor();
 
+    /** Returns a callback of a future whose exceptions are rethrown on the entry's event loop. */
+    default <T> Consumer<T> callback(Consumer<T> callback) {
+        return EventLoopCallbacks.rethrowing(executor(), callback);
+    }
+
     /** Returns which mechanisms are enabled; constant for the life of the process. */
     Policy policy();
 
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/HostedEntry.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/HostedEntry.java
@@ -31,12 +31,10 @@
 import org.ebonyrun.core.route.RouteTable;
 import org.ebonyrun.core.step.StepId;
 import org.ebonyrun.platform.EndpointDecoder;
-import org.ebonyrun.platform.EndpointProtocol;
 import org.ebonyrun.platform.OperatorDecoder;
 import org.ebonyrun.platform.OperatorEvent;
 import org.ebonyrun.platform.StoreClient;
 import org.ebonyrun.ports.http.AsyncHttpClient;
-import org.ebonyrun.ports.http.DroppedResponse;
 import org.ebonyrun.ports.http.FrontLimits;
 import org.ebonyrun.ports.http.FrontServer;
 import org.ebonyrun.ports.http.IoTransports;
@@ -59,6 +57,8 @@
     // After an outage of the store of this length, the entry reports that it is not ready, so that
     // callers are sent to another entry.
     private static final long MAX_STORE_OUTAGE_NANOS = Nanos.ofMillis(1_500);
+    // An event loop without a tick for this long does not serve requests.
+    private static final long MAX_TICK_DELAY_NANOS = Nanos.ofMillis(2_000);
     private static final long DRAIN_POLL_MILLIS = 50;
     // New requests may still arrive until the platform has seen that the entry is not ready.
     private static final long DRAIN_IDLE_NANOS = Nanos.ofMillis(1_000);
@@ -79,6 +79,7 @@
     private final PriorityQueue<ScheduledTask> mScheduledTasks =
             new PriorityQueue<>((a, b) -> Long.signum(a.at() - b.at()));
     private final EntryMetrics mMetrics = new EntryMetrics();
+    private final AnomalyLog mAnomalies;
     private final Fleet mFleet = Fleet.create();
     private final StepDirectory mDirectory;
     private final EntryLease mLease;
@@ -94,6 +95,7 @@
     private volatile RouteTable mRoutes = RouteTable.empty();
     private volatile FrontLimits mLimits = FrontLimits.DEFAULT;
     private volatile boolean mReady;
+    private volatile long mLastTickAt = System.nanoTime();
     private volatile boolean mDraining;
     private volatile int mOwnedSteps;
     private final InstrumentedStore mStore;
@@ -103,12 +105,19 @@
     private HostedEntry(HostedSettings settings, EventLog log) throws IOException {
         mSettings = settings;
         mLog = log;
+        mAnomalies = new AnomalyLog(log, mMetrics, task -> executor().execute(task));
         mProcessName = new ProcessName(settings.vm(), new Random().nextLong());
         mEventLoop =
-                EventLoop.create("entry", RING_CAPACITY, this, MonotonicClock.system(), TICK_NANOS);
+                EventLoop.create(
+                        "entry",
+                        RING_CAPACITY,
+                        this,
+                        MonotonicClock.system(),
+                        TICK_NANOS,
+                        (what, e) -> mAnomalies.onException(what, e));
         mTransport = IoTransports.create("io");
         AsyncHttpClient client =
-                AsyncHttpClient.usingTransport(mTransport, this::onDroppedResponse);
+                AsyncHttpClient.usingTransport(mTransport, mAnomalies::onDroppedResponse);
         mStore =
                 new InstrumentedStore(
                         StoreClient.create(settings.store(), client),
@@ -148,16 +157,20 @@
                         this::onStepSnapshot,
                         this::onStepChange));
         mTransport.start();
+        bindOperatorServers(settings);
+        mFrontServer =
+                FrontServer.bind(
+                        mTransport, settings.front(), mFront.listener(executor()), () -> mLimits);
+    }
+
+    private void bindOperatorServers(HostedSettings settings) throws IOException {
         FrontServer.bind(
-                mTransport, settings.ready(), new ReadinessHandler(() -> mReady), () -> mLimits);
+                mTransport, settings.ready(), new ReadinessHandler(this::isReady), () -> mLimits);
         FrontServer.bind(
                 mTransport,
                 settings.metrics(),
                 new MetricsHandler(executor(), () -> mMetrics.format(gauges(), mStore.counts())),
                 () -> mLimits);
-        mFrontServer =
-                FrontServer.bind(
-                        mTransport, settings.front(), mFront.listener(executor()), () -> mLimits);
     }
 
     /**
@@ -263,16 +276,17 @@
     public void refreshRoutes(Consumer<Boolean> callback) {
         mStore.get(OperatorDecoder.CONFIG_KEY)
                 .thenAcceptAsync(
-                        result -> {
-                            boolean read =
-                                    result.fold(
-                                            item -> {
-                                                onOperatorItem(item.orElse(null));
-                                                return true;
-                                            },
-                                            fault -> false);
-                            callback.accept(read && mRoutes.isConfigured());
-                        },
+                        callback(
+                                result -> {
+                                    boolean read =
+                                            result.fold(
+                                                    item -> {
+                                                        onOperatorItem(item.orElse(null));
+                                                        return true;
+                                                    },
+                                                    fault -> false);
+                                    callback.accept(read && mRoutes.isConfigured());
+                                }),
                         executor());
     }
 
@@ -300,6 +314,12 @@
         }
         mOwnedSteps = mStepOwnership.size();
         updateReady(now);
+        mLastTickAt = now;
+    }
+
+    /** Returns whether the entry is ready and its event loop works. */
+    private boolean isReady() {
+        return mReady && System.nanoTime() - mLastTickAt < MAX_TICK_DELAY_NANOS;
     }
 
     private void updateReady(long now) {
@@ -321,24 +341,6 @@
         mPlanner.onLeaseLost();
     }
 
-    private void onDroppedResponse(DroppedResponse response) {
-        mLog.write(
-                LogLine.of("answer.dropped")
-                        .with("request", response.awaitedId())
-                        .with("answer_to", EndpointProtocol.requestId(response.head()))
-                        .with("status", response.head().status())
-                        .with("reason", response.reason())
-                        .with("peer", response.peer())
-                        .with("connection", response.connectionUse().connection())
-                        .with("connection_requests", response.connectionUse().requests())
-                        .with("connection_idle_ms", response.connectionUse().idleMillis()));
-        executor()
-                .execute(
-                        () ->
-                                mMetrics.count(
-                                        EntryMetrics.DROPPED_RESPONSES, response.reason().name()));
-    }
-
     private boolean isIdle() {
         return !mStepOwnership.needsLease() && !mPlanner.holdsRole();
     }
@@ -381,7 +383,7 @@
             @Override
             public void sendProbe(int round) {
                 mStore.get(StoreKeys.PLANNER)
-                        .thenAcceptAsync(result -> onProbeEnd(round, result), executor());
+                        .thenAcceptAsync(callback(result -> onProbeEnd(round, result)), executor());
             }
 
             @Override
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/HostedMain.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/HostedMain.java
@@ -8,6 +8,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
+import org.ebonyrun.base.eventloop.FatalErrors;
 import org.ebonyrun.base.log.EventLog;
 import org.ebonyrun.base.log.LogLine;
 import org.ebonyrun.core.settings.Problem;
@@ -39,6 +40,7 @@
             System.err.println("usage: HostedMain SETTINGS | reserve");
             System.exit(EXIT_USAGE);
         }
+        FatalErrors.exitOnUncaughtExceptions();
         if (args[0].equals(HostedSettings.ROLE_RESERVE)) {
             // Without settings there is nothing to reload.
             Signal.handle(new Signal("HUP"), SignalHandler.SIG_IGN);
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/OrderLog.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/OrderLog.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.Executor;
 import java.util.function.Consumer;
 import java.util.function.LongFunction;
+import org.ebonyrun.base.eventloop.EventLoopCallbacks;
 import org.ebonyrun.base.json.JsonTrees;
 import org.ebonyrun.base.log.EventLog;
 import org.ebonyrun.base.log.LogLine;
@@ -91,9 +92,12 @@
     void read(long predecessor, Consumer<Optional<OrderAges>> callback) {
         mStore.get(StoreKeys.ORDERS)
                 .thenAcceptAsync(
-                        result ->
-                                callback.accept(
-                                        result.fold(i -> ages(i, predecessor), f -> UNKNOWN)),
+                        EventLoopCallbacks.rethrowing(
+                                mExecutor,
+                                result ->
+                                        callback.accept(
+                                                result.fold(
+                                                        i -> ages(i, predecessor), f -> UNKNOWN))),
                         mExecutor);
     }
 
@@ -167,7 +171,10 @@
                                 .expect(StoreKeys.PLANNER, fence)
                                 .write(StoreKeys.ORDERS, encode(ages.get()))
                                 .build())
-                .thenAcceptAsync(result -> onStored(batch, fence, now, result), mExecutor);
+                .thenAcceptAsync(
+                        EventLoopCallbacks.rethrowing(
+                                mExecutor, result -> onStored(batch, fence, now, result)),
+                        mExecutor);
     }
 
     private byte[] encode(OrderAges ages) {
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/PlannerController.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/PlannerController.java
@@ -213,7 +213,7 @@
                                 .expect(StoreKeys.PLANNER, replaced.getAsLong())
                                 .write(StoreKeys.PLANNER, value, lease)
                                 .build())
-                .thenAcceptAsync(this::onClaimed, mContext.executor());
+                .thenAcceptAsync(mContext.callback(this::onClaimed), mContext.executor());
     }
 
     private void onClaimed(Result<CommitResult> result) {
@@ -287,11 +287,12 @@
                 mSharedStore
                         .commit(done)
                         .thenAcceptAsync(
-                                result -> {
-                                    if (!result.isOk()) {
-                                        mReportedRetirements.remove(vm);
-                                    }
-                                },
+                                mContext.callback(
+                                        result -> {
+                                            if (!result.isOk()) {
+                                                mReportedRetirements.remove(vm);
+                                            }
+                                        }),
                                 mContext.executor());
                 mContext.log().write(LogLine.of("vm.empty").with("vm", vm));
             }
@@ -335,7 +336,9 @@
     public void requestState(Endpoint endpoint) {
         mHttpClient
                 .request(EndpointProtocol.newStateRequest(endpoint.record()), "endpoint.inspect")
-                .thenAcceptAsync(result -> onState(endpoint, result), mContext.executor());
+                .thenAcceptAsync(
+                        mContext.callback(result -> onState(endpoint, result)),
+                        mContext.executor());
     }
 
     /**
@@ -397,7 +400,9 @@
                         EndpointProtocol.newOrderRequest(
                                 endpoint.record(), mSettings.get().vm().value(), order),
                         "endpoint.order")
-                .thenAcceptAsync(result -> onReply(endpoint, order, result), mContext.executor());
+                .thenAcceptAsync(
+                        mContext.callback(result -> onReply(endpoint, order, result)),
+                        mContext.executor());
     }
 
     private void onReply(Endpoint endpoint, SwapOrder order, Result<HttpResponse> result) {
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/ResultReader.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/ResultReader.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.Executor;
+import org.ebonyrun.base.eventloop.EventLoopCallbacks;
 import org.ebonyrun.base.log.EventLog;
 import org.ebonyrun.base.log.LogLine;
 import org.ebonyrun.base.result.Fault;
@@ -154,7 +155,10 @@
         if (cached.mRevision == 0) {
             mStepStore
                     .loadResults(read.step())
-                    .thenAcceptAsync(result -> onLoaded(read, result), mExecutor);
+                    .thenAcceptAsync(
+                            EventLoopCallbacks.rethrowing(
+                                    mExecutor, result -> onLoaded(read, result)),
+                            mExecutor);
         } else {
             watch(read, cached);
         }
@@ -194,7 +198,10 @@
         long wait = Math.max(1, read.waitMillis(mClock.nanoTime()));
         mSharedStore
                 .watch(StoreKeys.resultsPrefix(read.step()), cached.mRevision, wait)
-                .thenAcceptAsync(result -> onWatched(read, cached, result), mExecutor);
+                .thenAcceptAsync(
+                        EventLoopCallbacks.rethrowing(
+                                mExecutor, result -> onWatched(read, cached, result)),
+                        mExecutor);
     }
 
     private void onWatched(Read read, CachedResults cached, Result<StoreChanges> result) {
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/ResultWriter.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/ResultWriter.java
@@ -123,13 +123,14 @@
         }
         mStore.storeCheckpoint(id, owned.mOwnerRevision, checkpoint)
                 .thenAcceptAsync(
-                        result ->
-                                result.fold(
-                                        commit -> commit,
-                                        fault -> {
-                                            logCheckpointNotStored(id, fault.detail());
-                                            return null;
-                                        }),
+                        mContext.callback(
+                                result ->
+                                        result.fold(
+                                                commit -> commit,
+                                                fault -> {
+                                                    logCheckpointNotStored(id, fault.detail());
+                                                    return null;
+                                                })),
                         mContext.executor());
     }
 
@@ -155,7 +156,8 @@
                         pending.mCheckpoint,
                         pending.mLast)
                 .thenAcceptAsync(
-                        result -> onAppended(id, owned, pending, result), mContext.executor());
+                        mContext.callback(result -> onAppended(id, owned, pending, result)),
+                        mContext.executor());
     }
 
     private void onAppended(
@@ -237,7 +239,10 @@
                             }
                             mStore.claim(id, Transaction.ABSENT, mContext.self().format(), lease)
                                     .thenAcceptAsync(
-                                            result -> onReclaimed(id, owned, pending, result),
+                                            mContext.callback(
+                                                    result ->
+                                                            onReclaimed(
+                                                                    id, owned, pending, result)),
                                             mContext.executor());
                         },
                         System.nanoTime());
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/StepOwnership.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/StepOwnership.java
@@ -157,7 +157,8 @@
         mAccepting.add(spec.id());
         mStore.accept(spec.id(), manifest, submission, mContext.self().format(), lease)
                 .thenAcceptAsync(
-                        result -> onAccepted(spec, manifest, route, result, callback),
+                        mContext.callback(
+                                result -> onAccepted(spec, manifest, route, result, callback)),
                         mContext.executor());
     }
 
@@ -196,16 +197,19 @@
             StepId id, Result<CommitResult> unknown, Consumer<Result<Boolean>> callback) {
         mStore.isAccepted(id)
                 .thenAcceptAsync(
-                        result -> {
-                            boolean accepted = result.fold(found -> found, fault -> false);
-                            mContext.log()
-                                    .write(
-                                            LogLine.of("step.readback")
-                                                    .with("step", id)
-                                                    .with("accepted", accepted));
-                            callback.accept(
-                                    accepted ? Result.ok(true) : unknown.map(commit -> false));
-                        },
+                        mContext.callback(
+                                result -> {
+                                    boolean accepted = result.fold(found -> found, fault -> false);
+                                    mContext.log()
+                                            .write(
+                                                    LogLine.of("step.readback")
+                                                            .with("step", id)
+                                                            .with("accepted", accepted));
+                                    callback.accept(
+                                            accepted
+                                                    ? Result.ok(true)
+                                                    : unknown.map(commit -> false));
+                                }),
                         mContext.executor());
     }
 
@@ -230,12 +234,13 @@
         }
         mStore.load(predecessor)
                 .thenAcceptAsync(
-                        result ->
-                                run(
-                                        spec,
-                                        route,
-                                        owned,
-                                        usableTexts(spec, route, predecessor, result)),
+                        mContext.callback(
+                                result ->
+                                        run(
+                                                spec,
+                                                route,
+                                                owned,
+                                                usableTexts(spec, route, predecessor, result))),
                         mContext.executor());
         mContext.schedule(CARRY_WAIT_NANOS, () -> run(spec, route, owned, List.of()));
     }
@@ -390,7 +395,8 @@
                             }
                             mStore.claim(id, Transaction.ABSENT, mContext.self().format(), lease)
                                     .thenAcceptAsync(
-                                            result -> onReclaimed(id, result), mContext.executor());
+                                            mContext.callback(result -> onReclaimed(id, result)),
+                                            mContext.executor());
                         },
                         System.nanoTime());
     }
@@ -459,36 +465,38 @@
         }
         mStore.claim(id, replacedRevision.getAsLong(), mContext.self().format(), lease)
                 .thenAcceptAsync(
-                        result -> {
-                            long revision =
-                                    result.fold(
-                                            commit ->
-                                                    commit.isCommitted()
-                                                            ? commit.revision()
-                                                            : mContext.ownRevision(commit, id),
-                                            fault -> 0L);
-                            if (revision == 0) {
-                                mClaiming.remove(id);
-                            } else {
-                                load(id, revision);
-                            }
-                        },
-                        mContext.executor());
+                        mContext.callback(result -> onClaimed(id, result)), mContext.executor());
+    }
+
+    private void onClaimed(StepId id, Result<CommitResult> result) {
+        long revision =
+                result.fold(
+                        commit ->
+                                commit.isCommitted()
+                                        ? commit.revision()
+                                        : mContext.ownRevision(commit, id),
+                        fault -> 0L);
+        if (revision == 0) {
+            mClaiming.remove(id);
+        } else {
+            load(id, revision);
+        }
     }
 
     private void load(StepId id, long revision) {
         mStore.load(id)
                 .thenAcceptAsync(
-                        result ->
-                                result.fold(
-                                        stored -> {
-                                            onLoaded(id, stored, revision);
-                                            return true;
-                                        },
-                                        fault -> {
-                                            retryLoad(id, revision, fault.detail());
-                                            return false;
-                                        }),
+                        mContext.callback(
+                                result ->
+                                        result.fold(
+                                                stored -> {
+                                                    onLoaded(id, stored, revision);
+                                                    return true;
+                                                },
+                                                fault -> {
+                                                    retryLoad(id, revision, fault.detail());
+                                                    return false;
+                                                })),
                         mContext.executor());
     }
 
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/StepReader.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/StepReader.java
@@ -175,20 +175,22 @@
         mStepStore
                 .load(step)
                 .thenAcceptAsync(
-                        result -> {
-                            Result<StepSpec> spec =
-                                    result.flatMap(stored -> decode(step, manifest, stored));
-                            spec.fold(
-                                    value -> {
-                                        mSubmissions.put(step, value);
-                                        callback.accept(value, null);
-                                        return value;
-                                    },
-                                    fault -> {
-                                        callback.accept(null, fault);
-                                        return null;
-                                    });
-                        },
+                        mContext.callback(
+                                result -> {
+                                    Result<StepSpec> spec =
+                                            result.flatMap(
+                                                    stored -> decode(step, manifest, stored));
+                                    spec.fold(
+                                            value -> {
+                                                mSubmissions.put(step, value);
+                                                callback.accept(value, null);
+                                                return value;
+                                            },
+                                            fault -> {
+                                                callback.accept(null, fault);
+                                                return null;
+                                            });
+                                }),
                         mContext.executor());
     }
 
@@ -218,7 +220,8 @@
         mSharedStore
                 .get(StoreKeys.liveKey(step, StoreKeys.MANIFEST))
                 .thenAcceptAsync(
-                        result -> onManifest(step, to, callback, result), mContext.executor());
+                        mContext.callback(result -> onManifest(step, to, callback, result)),
+                        mContext.executor());
     }
 
     private void onManifest(
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/StoreWatch.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/StoreWatch.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.concurrent.Executor;
 import java.util.function.Supplier;
+import org.ebonyrun.base.eventloop.EventLoopCallbacks;
 import org.ebonyrun.base.result.Fault;
 import org.ebonyrun.base.result.Result;
 import org.ebonyrun.base.time.Nanos;
@@ -141,7 +142,10 @@
     private void readSnapshot(String after, List<StoreItem> items, long revision) {
         int call = beginCall();
         mStore.range(mPrefix, after)
-                .thenAcceptAsync(result -> onPage(call, result, items, revision), mExecutor);
+                .thenAcceptAsync(
+                        EventLoopCallbacks.rethrowing(
+                                mExecutor, result -> onPage(call, result, items, revision)),
+                        mExecutor);
     }
 
     /** Records that a call is made; returns its number. */
@@ -181,7 +185,9 @@
         long wait = mShortWait ? WAIT_AFTER_FAULT_MILLIS : mTiming.get().waitMillis();
         mShortWait = false;
         mStore.watch(mPrefix, mRevision, wait)
-                .thenAcceptAsync(result -> onChanges(call, result), mExecutor);
+                .thenAcceptAsync(
+                        EventLoopCallbacks.rethrowing(mExecutor, result -> onChanges(call, result)),
+                        mExecutor);
     }
 
     private void onChanges(int call, Result<StoreChanges> result) {
--- a/ebonyrun-daemon/src/test/java/org/ebonyrun/daemon/hosted/HostedEntryTest.java
+++ b/ebonyrun-daemon/src/test/java/org/ebonyrun/daemon/hosted/HostedEntryTest.java
@@ -11,6 +11,7 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
 import org.ebonyrun.core.policy.Mechanism;
 import org.ebonyrun.core.step.StepId;
 import org.ebonyrun.platform.standin.StandinEndpoint;
@@ -51,6 +52,47 @@
         assertThat(send(mFirstFront, method, path, "x", "{}").status(), is(status));
     }
 
+    @Test
+    void entryIsNotReadyOnceItsEventLoopHasEnded() {
+        Thread.UncaughtExceptionHandler previous = Thread.getDefaultUncaughtExceptionHandler();
+        CompletableFuture<Throwable> fatal = new CompletableFuture<>();
+        Thread.setDefaultUncaughtExceptionHandler((thread, error) -> fatal.complete(error));
+        try {
+            assertThat(send(mReadyAddress, "GET", "/readyz", "", "").status(), is(200));
+            AssertionError error = new AssertionError("thrown by the test");
+            mFirstEntry
+                    .executor()
+                    .execute(
+                            () -> {
+                                throw error;
+                            });
+            assertThat(fatal.join(), is(error));
+            HttpResponse ready = null;
+            for (int i = 0; i < 50 * MAX_TRIES && (ready == null || ready.isSuccess()); i++) {
+                ready = send(mReadyAddress, "GET", "/readyz", "", "");
+            }
+            assertThat(ready.status(), is(503));
+        } finally {
+            Thread.setDefaultUncaughtExceptionHandler(previous);
+        }
+    }
+
+    @Test
+    void anUnexpectedExceptionEndsOnlyWhatWasBeingHandled() {
+        mFirstEntry
+                .executor()
+                .execute(
+                        () -> {
+                            throw new IllegalStateException("thrown by the test");
+                        });
+        HttpResponse response =
+                send(mFirstFront, "POST", mDeployment.callPath(), "c1", mDeployment.callBody());
+        HttpResponse metrics = send(mMetricsAddress, "GET", "/metrics", "", "");
+
+        assertThat(response.status(), is(200));
+        assertThat(metrics.text(), containsString("ebonyrun_entry_unexpected_errors"));
+    }
+
     @Test
     void stepIsAcceptedOnceAndReadableAtEveryEntry() {
         assertThat(
--- a/ebonyrun-daemon/src/test/java/org/ebonyrun/daemon/hosted/HostedFixture.java
+++ b/ebonyrun-daemon/src/test/java/org/ebonyrun/daemon/hosted/HostedFixture.java
@@ -47,6 +47,7 @@
     String mFirstFront;
     String mSecondFront;
     String mMetricsAddress;
+    String mReadyAddress;
     HostedEntry mFirstEntry;
     HostedEntry mSecondEntry;
     private String mPolicy = "";
@@ -62,6 +63,7 @@
         mFirstFront = formatAddress(freeAddress());
         mSecondFront = formatAddress(freeAddress());
         mMetricsAddress = formatAddress(freeAddress());
+        mReadyAddress = formatAddress(freeAddress());
         mFirstEntry = startEntry("edge-1", mFirstFront);
         mSecondEntry = startEntry("edge-2", mSecondFront);
         awaitReady(mFirstFront);
@@ -89,7 +91,9 @@
                 HostedSettingsTest.COMPLETE_SETTINGS
                         .replace("edge-1", vm)
                         .replace("10.1.0.35:8144", front)
-                        .replace("10.1.0.35:8140", formatAddress(freeAddress()))
+                        .replace(
+                                "10.1.0.35:8140",
+                                vm.equals("edge-1") ? mReadyAddress : formatAddress(freeAddress()))
                         .replace(
                                 "10.1.0.35:9464",
                                 vm.equals("edge-1")
--- a/ebonyrun-ports/src/main/java/org/ebonyrun/ports/http/FrontConnection.java
+++ b/ebonyrun-ports/src/main/java/org/ebonyrun/ports/http/FrontConnection.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayDeque;
 import java.util.Deque;
+import org.ebonyrun.base.eventloop.FatalErrors;
 import org.glassfish.grizzly.Connection;
 import org.jspecify.annotations.Nullable;
 
@@ -110,7 +111,17 @@
         if (exchange.isRefused()) {
             exchange.sendRefusal();
         } else {
-            mListener.onRequest(exchange);
+            notifyListener(() -> mListener.onRequest(exchange));
+        }
+    }
+
+    /** Calls the listener; its errors would be lost in the I/O thread. */
+    private static void notifyListener(Runnable call) {
+        try {
+            call.run();
+        } catch (Error e) {
+            FatalErrors.report(e);
+            throw e;
         }
     }
 
@@ -141,7 +152,7 @@
             mWaiting.clear();
         }
         if (current != null && current.abandon()) {
-            mListener.onAbandoned(current);
+            notifyListener(() -> mListener.onAbandoned(current));
         }
     }
 
--- a/ebonyrun-ports/src/main/java/org/ebonyrun/ports/http/HttpExchange.java
+++ b/ebonyrun-ports/src/main/java/org/ebonyrun/ports/http/HttpExchange.java
@@ -2,6 +2,7 @@
 
 import java.net.SocketAddress;
 import java.util.concurrent.ScheduledFuture;
+import org.ebonyrun.base.eventloop.FatalErrors;
 import org.ebonyrun.base.time.Nanos;
 import org.glassfish.grizzly.Connection;
 import org.glassfish.grizzly.EmptyCompletionHandler;
@@ -129,7 +130,7 @@
             if (seconds >= 0) {
                 mIdleNanos = (long) (IDLE_FRACTION * seconds * Nanos.PER_SECOND);
             }
-            mListener.onHead(head);
+            notifyListener(() -> mListener.onHead(head));
         }
     }
 
@@ -156,7 +157,7 @@
         if (limit > 0 && mReceivedBytes > limit) {
             fail("response body is longer than " + limit + " bytes");
         } else {
-            mListener.onData(data);
+            notifyListener(() -> mListener.onData(data));
         }
     }
 
@@ -199,7 +200,7 @@
                 connection.close();
             }
         }
-        mListener.onEnd();
+        notifyListener(mListener::onEnd);
     }
 
     private void returnToPool(ClientConnection connection, long expiresAt) {
@@ -228,7 +229,17 @@
         if (connection != null) {
             connection.abandon();
         }
-        mListener.onFailure(sent, detail);
+        notifyListener(() -> mListener.onFailure(sent, detail));
+    }
+
+    /** Calls the listener; its errors would be lost in the I/O and timer threads. */
+    private static void notifyListener(Runnable call) {
+        try {
+            call.run();
+        } catch (Error e) {
+            FatalErrors.report(e);
+            throw e;
+        }
     }
 
     private synchronized boolean isDone() {
