Let submissions wait for the store, and owners reclaim their steps first after an outage

Cause: a fixed Retry-After of 300 ms (FrontHandler) for outages of seconds; a claim after 20 ms by any entry that saw the store's return before the owner.

Ruled out: engines (the steps of that time were generated in 2 to 6 s).

Change: SubmissionWait and ClaimDelay, pure and tested with the loads they answer; HeldSubmissions keeps what waits, bounded. submissionDuringAnOutageIsAcceptedOnceTheStoreReturns failed on the code before.

--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/FrontHandler.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/FrontHandler.java
@@ -16,6 +16,7 @@
 import org.ebonyrun.core.step.SampleResult;
 import org.ebonyrun.core.step.StepId;
 import org.ebonyrun.core.step.StepSpec;
+import org.ebonyrun.core.step.SubmissionWait;
 import org.ebonyrun.platform.FrontCall;
 import org.ebonyrun.platform.FrontProtocol;
 import org.ebonyrun.platform.ResultsEncoder;
@@ -39,6 +40,8 @@
     private static final int UNAVAILABLE = 503;
     private static final int GATEWAY_TIMEOUT = 504;
     private static final long RETRY_AFTER_MILLIS = 300;
+    // For trainers that don't say how long they wait.
+    private static final long MAX_CALLER_MILLIS = 3_600_000;
     private static final byte[] EMPTY_BODY = new byte[0];
 
     private final HostedContext mContext;
@@ -47,6 +50,7 @@
     private final StepStore mStepStore;
     private final Supplier<RouteTable> mRoutes;
     private final RandomGenerator mRandom;
+    private final HeldSubmissions mHeldSubmissions;
     private StepReader mReader;
 
     FrontHandler(
@@ -62,6 +66,28 @@
         mStepStore = stepStore;
         mRoutes = routes;
         mRandom = random;
+        mHeldSubmissions =
+                new HeldSubmissions(
+                        () -> !context.storeHealth().isUnavailable(),
+                        new HeldSubmissions.Listener() {
+                            @Override
+                            public void onRetry(HeldSubmissions.Submission submission) {
+                                submit(submission);
+                            }
+
+                            @Override
+                            public void onExpired(HeldSubmissions.Submission submission) {
+                                refuseStep(submission, "waited too long for the shared store");
+                            }
+                        });
+    }
+
+    void onTick(long now) {
+        mHeldSubmissions.onTick(now);
+    }
+
+    void onDrain() {
+        mHeldSubmissions.onDrain(System.nanoTime());
     }
 
     void setReader(StepReader reader) {
@@ -78,11 +104,16 @@
 
             @Override
             public void onAbandoned(FrontExchange exchange) {
-                executor.execute(() -> mCalls.onCallerDisconnected(exchange, System.nanoTime()));
+                executor.execute(() -> onDisconnected(exchange));
             }
         };
     }
 
+    private void onDisconnected(FrontExchange exchange) {
+        mHeldSubmissions.onAbandoned(exchange);
+        mCalls.onCallerDisconnected(exchange, System.nanoTime());
+    }
+
     private void serve(FrontExchange exchange) {
         RouteTable routes = mRoutes.get();
         String id = FrontProtocol.requestId(exchange.headers()).orElse("");
@@ -153,36 +184,79 @@
             exchange.respond(BAD_REQUEST, FrontProtocol.requestIdHeaders(id), EMPTY_BODY);
             return;
         }
+        long callerMillis = FrontProtocol.deadlineMillis(exchange.headers(), MAX_CALLER_MILLIS);
+        long maxWait = SubmissionWait.maxNanos(route.step(), callerMillis);
+        long endsAt = System.nanoTime() + maxWait;
+        submit(new HeldSubmissions.Submission(exchange, id, spec, route, endsAt));
+    }
+
+    private void submit(HeldSubmissions.Submission submission) {
+        StepSpec spec = submission.spec();
         StepStatus known = mContext.directory().get(spec.id());
         if (known != null && known.mManifest != null) {
-            exchange.respond(ACCEPTED, FrontProtocol.requestIdHeaders(id), EMPTY_BODY);
+            HttpHeaders headers = FrontProtocol.requestIdHeaders(submission.id());
+            submission.exchange().respond(ACCEPTED, headers, EMPTY_BODY);
             return;
         }
-        if (mContext.isStoreUnavailable()) {
-            refuse(exchange, id, "the shared store is unavailable");
+        if (mContext.storeHealth().isUnavailable()) {
+            holdOrRefuse(submission, "the shared store is unavailable");
             return;
         }
         mReader.onSubmitted(spec);
         mStepOwnership.accept(
                 spec,
-                route,
-                exchange.body(),
-                result -> onAccepted(exchange, id, result),
+                submission.route(),
+                submission.exchange().body(),
+                result -> onAccepted(submission, result),
                 System.nanoTime());
     }
 
-    private void onAccepted(FrontExchange exchange, String id, Result<Boolean> result) {
+    /** Lets a submission that the store certainly did not take wait for the store. */
+    private void holdOrRefuse(HeldSubmissions.Submission submission, String why) {
+        long now = System.nanoTime();
+        if (!mHeldSubmissions.hold(submission, now)) {
+            refuseStep(submission, why);
+            return;
+        }
+        mContext.log()
+                .write(
+                        LogLine.of("step.held")
+                                .with("step", submission.id())
+                                .with("left_ms", Nanos.toMillis(submission.endsAt() - now))
+                                .with("held", mHeldSubmissions.size())
+                                .with("why", why));
+    }
+
+    private void refuseStep(HeldSubmissions.Submission submission, String why) {
+        long outage = mContext.storeHealth().outageNanos(System.nanoTime());
+        long retryAfter = SubmissionWait.retryAfterMillis(outage, mRandom.nextDouble());
+        mContext.log()
+                .write(
+                        LogLine.of("step.refused")
+                                .with("step", submission.id())
+                                .with("retry_after_ms", retryAfter)
+                                .with("why", why));
+        HttpHeaders headers = FrontProtocol.retryAfterHeaders(submission.id(), retryAfter);
+        submission.exchange().respond(UNAVAILABLE, headers, EMPTY_BODY);
+    }
+
+    private void onAccepted(HeldSubmissions.Submission submission, Result<Boolean> result) {
+        FrontExchange exchange = submission.exchange();
+        String id = submission.id();
         result.fold(
                 accepted -> {
                     exchange.respond(ACCEPTED, FrontProtocol.requestIdHeaders(id), EMPTY_BODY);
                     return accepted;
                 },
                 fault -> {
+                    if (fault.isNotRun()) {
+                        holdOrRefuse(submission, fault.detail());
+                        return false;
+                    }
                     mContext.log()
                             .write(
-                                    LogLine.of("step.refused")
+                                    LogLine.of("step.unknown")
                                             .with("step", id)
-                                            .with("outcome", fault.outcome())
                                             .with("why", fault.detail()));
                     respondFault(exchange, id, fault);
                     return false;
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/HostedContext.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/HostedContext.java
@@ -33,8 +33,8 @@
     /** Schedules a task to run on the entry's event loop after a delay. */
     void schedule(long nanos, Runnable task);
 
-    /** Returns whether the shared store is unavailable. */
-    boolean isStoreUnavailable();
+    /** Returns what is known of the availability of the shared store. */
+    StoreHealth storeHealth();
 
     /** Returns the log. */
     EventLog log();
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/HostedEntry.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/HostedEntry.java
@@ -206,8 +206,8 @@
     }
 
     @Override
-    public boolean isStoreUnavailable() {
-        return mHealth.isUnavailable();
+    public StoreHealth storeHealth() {
+        return mHealth;
     }
 
     @Override
@@ -308,6 +308,7 @@
         mSamples.machine().onTick(now);
         mCalls.onTick(now);
         mStepReader.onTick(now);
+        mFront.onTick(now);
         if (now - mNextSweepAt >= 0) {
             mNextSweepAt = now + SWEEP_NANOS;
             mFrontServer.closeExpiredConnections(now);
@@ -368,7 +369,7 @@
 
                     @Override
                     public void onResponse() {
-                        mHealth.onResponse();
+                        mHealth.onResponse(System.nanoTime());
                     }
 
                     @Override
@@ -553,6 +554,7 @@
         mLog.write(LogLine.of("stop"));
         mEventLoop.post(
                 () -> {
+                    mFront.onDrain();
                     mStepOwnership.onDrain();
                     mPlanner.onDrain();
                 });
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/ResultWriter.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/ResultWriter.java
@@ -67,7 +67,7 @@
     /** Retries a store call that failed, or stores a checkpoint if one is due. */
     void onTick(StepId id, OwnedStep owned, long now) {
         PendingResults pending = owned.mPending;
-        if (mContext.isStoreUnavailable()) {
+        if (mContext.storeHealth().isUnavailable()) {
             return;
         }
         if (pending == null) {
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/StepOwnership.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/StepOwnership.java
@@ -22,6 +22,7 @@
 import org.ebonyrun.core.route.StepOptions;
 import org.ebonyrun.core.route.WeightedService;
 import org.ebonyrun.core.step.CarriedTexts;
+import org.ebonyrun.core.step.ClaimDelay;
 import org.ebonyrun.core.step.SampleCheckpoint;
 import org.ebonyrun.core.step.SampleResult;
 import org.ebonyrun.core.step.StepId;
@@ -48,11 +49,6 @@
  */
 final class StepOwnership implements ResultWriter.Ownership, ResultReader.Ownership {
     private static final long RETRY_NANOS = Nanos.ofMillis(150);
-    // An entry claims a step without an owner after a delay that grows with the number of steps it
-    // owns, so that entries with fewer steps claim first. The jitter separates equal entries.
-    private static final long CLAIM_BASE_NANOS = Nanos.ofMillis(20);
-    private static final long CLAIM_PER_STEP_NANOS = Nanos.ofMillis(60);
-    private static final long CLAIM_JITTER_NANOS = Nanos.ofMillis(40);
     // How long a new step waits for the texts of its predecessor to be loaded.
     private static final long CARRY_WAIT_NANOS = Nanos.ofMillis(150);
 
@@ -432,8 +428,9 @@
         StepStatus status = mContext.directory().get(id);
         boolean ownedByEarlierProcess = status != null && status.mOwner != null;
         if (due == null && !ownedByEarlierProcess) {
-            long delay = CLAIM_BASE_NANOS + CLAIM_PER_STEP_NANOS * mOwned.size();
-            mClaimAt.put(id, now + delay + mRandom.nextLong(CLAIM_JITTER_NANOS));
+            long sinceOutage = mContext.storeHealth().nanosSinceOutage(now);
+            double random = mRandom.nextDouble();
+            mClaimAt.put(id, now + ClaimDelay.nanos(mOwned.size(), sinceOutage, random));
             return;
         }
         if (due != null && now - due < 0) {
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/StoreHealth.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/StoreHealth.java
@@ -44,6 +44,8 @@
     private final Listener mListener;
     private boolean mUnavailable;
     private long mOutageSince;
+    private boolean mHadOutage;
+    private long mAvailableSince;
     // The number of outages that have ended. Faults of probes of an earlier round are ignored.
     private int mRound;
     private int mOpenProbes;
@@ -64,6 +66,17 @@
         return mUnavailable ? now - mOutageSince : 0;
     }
 
+    /**
+     * Returns the time since the store was last unavailable, in nanoseconds; zero during an outage,
+     * and the maximum if there was none.
+     */
+    long nanosSinceOutage(long now) {
+        if (mUnavailable) {
+            return 0;
+        }
+        return mHadOutage ? now - mAvailableSince : Long.MAX_VALUE;
+    }
+
     /**
      * Handles the fault of a call other than a watch. One failed call does not show an outage, so
      * the store is only probed.
@@ -85,9 +98,11 @@
     }
 
     /** Handles a successful response, which ends an outage. */
-    void onResponse() {
+    void onResponse(long now) {
         if (mUnavailable) {
             mUnavailable = false;
+            mHadOutage = true;
+            mAvailableSince = now;
             mRound++;
             mListener.onAvailable();
         }
@@ -103,7 +118,7 @@
     void onProbeEnd(int round, String fault, long now) {
         mOpenProbes--;
         if (fault.isEmpty()) {
-            onResponse();
+            onResponse(now);
         } else if (round == mRound) {
             onWatchFault(fault, now);
         }
--- a/ebonyrun-daemon/src/test/java/org/ebonyrun/daemon/hosted/HostedEntryTest.java
+++ b/ebonyrun-daemon/src/test/java/org/ebonyrun/daemon/hosted/HostedEntryTest.java
@@ -2,6 +2,7 @@
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.containsString;
+import static org.hamcrest.Matchers.greaterThan;
 import static org.hamcrest.Matchers.hasItem;
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.not;
@@ -9,12 +10,16 @@
 
 import java.io.IOException;
 import java.net.Socket;
+import java.net.URI;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import org.ebonyrun.core.policy.Mechanism;
 import org.ebonyrun.core.step.StepId;
+import org.ebonyrun.platform.standin.StandinDeployment;
 import org.ebonyrun.platform.standin.StandinEndpoint;
+import org.ebonyrun.ports.http.HttpRequest;
 import org.ebonyrun.ports.http.HttpResponse;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -52,6 +57,46 @@
         assertThat(send(mFirstFront, method, path, "x", "{}").status(), is(status));
     }
 
+    private CompletableFuture<HttpResponse> submitStep(String id, long deadlineMillis) {
+        URI uri = URI.create("http://" + mFirstFront + mDeployment.stepPath());
+        byte[] body = mDeployment.stepBody().getBytes(StandardCharsets.UTF_8);
+        Map<String, String> headers = StandinDeployment.headers(id, deadlineMillis);
+        HttpRequest request = HttpRequest.to("POST", uri, headers, body, SOCKET_TIMEOUT_MILLIS);
+        return mHttpClient
+                .request(request, "test")
+                .thenApply(result -> result.fold(response -> response, failure -> null));
+    }
+
+    @Test
+    void submissionDuringAnOutageIsAcceptedOnceTheStoreReturns() {
+        mDeployment.platform().setFailureStatus(request -> 503);
+        CompletableFuture<HttpResponse> response = submitStep("held", SOCKET_TIMEOUT_MILLIS);
+        for (int i = 0; i < MAX_TRIES; i++) {
+            send(mFirstFront, "POST", mDeployment.callPath(), "c" + i, "");
+        }
+        assertThat(response.isDone(), is(false));
+        mDeployment.platform().setFailureStatus(request -> 0);
+
+        assertThat(response.join().status(), is(202));
+        assertThat(readResults(mSecondFront, "held"), containsString("sample-2"));
+    }
+
+    @Test
+    void submissionThatTheStoreDoesNotTakeInTimeIsRefusedWithATimeToComeBack() {
+        mDeployment.platform().setFailureStatus(request -> 503);
+        HttpResponse response = submitStep("late", 1_000).join();
+
+        assertThat(response.status(), is(503));
+        assertThat(
+                Double.parseDouble(response.headers().first("Retry-After").orElse("0")),
+                greaterThan(0.2));
+        mDeployment.platform().setFailureStatus(request -> 0);
+        awaitReady(mFirstFront);
+        assertThat(
+                send(mFirstFront, "GET", mDeployment.resultsPath("late", 0), "", "").status(),
+                is(404));
+    }
+
     @Test
     void entryIsNotReadyOnceItsEventLoopHasEnded() {
         Thread.UncaughtExceptionHandler previous = Thread.getDefaultUncaughtExceptionHandler();
--- a/ebonyrun-daemon/src/test/java/org/ebonyrun/daemon/hosted/ResultWriterTest.java
+++ b/ebonyrun-daemon/src/test/java/org/ebonyrun/daemon/hosted/ResultWriterTest.java
@@ -71,8 +71,18 @@
         }
 
         @Override
-        public boolean isStoreUnavailable() {
-            return false;
+        public StoreHealth storeHealth() {
+            return new StoreHealth(
+                    new StoreHealth.Listener() {
+                        @Override
+                        public void sendProbe(int round) {}
+
+                        @Override
+                        public void onUnavailable(String why) {}
+
+                        @Override
+                        public void onAvailable() {}
+                    });
         }
 
         @Override
