--- a/ebonyrun-base/src/main/java/org/ebonyrun/base/log/EventLog.java
+++ b/ebonyrun-base/src/main/java/org/ebonyrun/base/log/EventLog.java
@@ -66,14 +66,22 @@
         long reportedDrops = 0;
         while (!mClosed) {
             LockSupport.parkNanos(FLUSH_INTERVAL_NANOS);
-            long dropped = mDropped.get();
-            if (dropped > reportedDrops) {
-                mRing.offer(LogLine.of("log.dropped").with("lines", dropped).text());
-                reportedDrops = dropped;
-            }
             flush();
+            reportedDrops = reportDrops(reportedDrops);
         }
         flush();
+        reportDrops(reportedDrops);
+        mOut.flush();
+    }
+
+    /** Reports lines that were dropped since the last report; the ring may still be full. */
+    private long reportDrops(long reported) {
+        long dropped = mDropped.get();
+        if (dropped > reported) {
+            mOut.print(LogLine.of("log.dropped").with("lines", dropped).text());
+            mOut.flush();
+        }
+        return dropped;
     }
 
     private void flush() {
--- a/ebonyrun-base/src/test/java/org/ebonyrun/base/log/EventLogTest.java
+++ b/ebonyrun-base/src/test/java/org/ebonyrun/base/log/EventLogTest.java
@@ -37,6 +37,40 @@
         assertThat(out.toString(StandardCharsets.UTF_8).contains("\"event\":\"stop\""), is(true));
     }
 
+    @Test
+    void reportsDroppedLinesEvenIfTheRingStaysFull() throws Exception {
+        CountDownLatch blocked = new CountDownLatch(1);
+        CountDownLatch unblock = new CountDownLatch(1);
+        ByteArrayOutputStream out = new ByteArrayOutputStream();
+        EventLog log =
+                EventLog.start(
+                        new OutputStream() {
+                            @Override
+                            public synchronized void write(int b) {
+                                blocked.countDown();
+                                try {
+                                    unblock.await();
+                                } catch (InterruptedException e) {
+                                    Thread.currentThread().interrupt();
+                                }
+                                out.write(b);
+                            }
+                        });
+        log.write(LogLine.of("first"));
+        blocked.await();
+        for (int i = 0; i < 20_000; i++) {
+            log.write(LogLine.of("flood"));
+        }
+        long dropped = log.dropped();
+        unblock.countDown();
+        log.close();
+
+        assertThat(dropped, greaterThan(0L));
+        assertThat(
+                out.toString(StandardCharsets.UTF_8).contains("\"lines\":" + dropped + "}"),
+                is(true));
+    }
+
     @Test
     void doesNotBlockCallersOnABlockedStreamAndCountsDroppedLines() {
         CountDownLatch unblock = new CountDownLatch(1);
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/StepStore.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/StepStore.java
@@ -285,7 +285,7 @@
                 submission.writeBytes(item.value());
             } else if (StoreKeys.isResultKey(item.key())) {
                 results.addAll(StepCodec.results(item.value()));
-            } else {
+            } else if (StoreKeys.isCheckpointKey(item.key())) {
                 checkpoints.addAll(StepCodec.checkpoint(item.value()));
             }
         }
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/StoreKeys.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/StoreKeys.java
@@ -36,6 +36,8 @@
     private static final String STEP_PREFIX = LIVE_PREFIX + "step/";
     private static final String DATA_PREFIX = "ebonyrun/data/";
 
+    private static final String CHECKPOINT = "partial";
+
     private StoreKeys() {}
 
     /** Returns the live key of one part of a step. */
@@ -93,13 +95,17 @@
 
     /** Returns the key of the texts of a step's unfinished samples. */
     static String checkpointKey(StepId step) {
-        return dataPrefix(step) + "partial";
+        return dataPrefix(step) + CHECKPOINT;
     }
 
     static boolean isChunkKey(String key) {
         return key.contains("/chunk/");
     }
 
+    static boolean isCheckpointKey(String key) {
+        return key.endsWith(CHECKPOINT);
+    }
+
     static boolean isResultKey(String key) {
         return key.contains("/result/");
     }
