--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/InstrumentedStore.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/InstrumentedStore.java
@@ -74,9 +74,9 @@
 
     @Override
     public CompletableFuture<Result<StoreChanges>> watch(
-            String prefix, long afterRevision, long waitMillis) {
-        count("watch");
-        return mDelegate.watch(prefix, afterRevision, waitMillis);
+            String prefix, long afterRevision, long waitMillis, boolean mayBeStale) {
+        count(mayBeStale ? "watch_stale" : "watch");
+        return mDelegate.watch(prefix, afterRevision, waitMillis, mayBeStale);
     }
 
     @Override
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/ResultReader.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/ResultReader.java
@@ -197,7 +197,7 @@
     private void watch(Read read, CachedResults cached) {
         long wait = Math.max(1, read.waitMillis(mClock.nanoTime()));
         mSharedStore
-                .watch(StoreKeys.resultsPrefix(read.step()), cached.mRevision, wait)
+                .watch(StoreKeys.resultsPrefix(read.step()), cached.mRevision, wait, false)
                 .thenAcceptAsync(
                         EventLoopCallbacks.rethrowing(
                                 mExecutor, result -> onWatched(read, cached, result)),
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/StoreWatch.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/StoreWatch.java
@@ -39,8 +39,9 @@
      * @param waitMillis how long a poll waits for a change, in milliseconds
      * @param batchNanos how long to wait after a change before the next poll, so that one poll
      *     returns all changes of that time, in nanoseconds
+     * @param mayBeStale whether changes may arrive seconds late
      */
-    record Timing(long waitMillis, long batchNanos) {}
+    record Timing(long waitMillis, long batchNanos, boolean mayBeStale) {}
 
     /** Receives snapshots, changes and the outcome of calls. */
     interface Listener {
@@ -66,6 +67,8 @@
     private boolean mSynced;
     // Whether a call is in flight.
     private boolean mInFlight;
+    // Whether the call in flight is a poll whose changes may be stale.
+    private boolean mStalePoll;
     // Whether the last call failed.
     private boolean mFailed;
     // Whether the next poll has the short wait after a fault.
@@ -114,6 +117,9 @@
         if (mBatching && now - mBatchStart >= mTiming.get().batchNanos()) {
             mBatching = false;
             poll();
+        } else if (mInFlight && mStalePoll && !mTiming.get().mayBeStale()) {
+            // The response to the poll in flight would come too late.
+            poll();
         } else if (mResuming && now - mResumeAt >= 0) {
             mResuming = false;
             if (mRevision == 0) {
@@ -151,6 +157,7 @@
     /** Records that a call is made; returns its number. */
     private int beginCall() {
         mInFlight = true;
+        mStalePoll = false;
         mCalledAt = System.nanoTime();
         return ++mCallNumber;
     }
@@ -182,9 +189,11 @@
 
     private void poll() {
         int call = beginCall();
-        long wait = mShortWait ? WAIT_AFTER_FAULT_MILLIS : mTiming.get().waitMillis();
+        Timing timing = mTiming.get();
+        long wait = mShortWait ? WAIT_AFTER_FAULT_MILLIS : timing.waitMillis();
+        mStalePoll = timing.mayBeStale() && !mShortWait;
         mShortWait = false;
-        mStore.watch(mPrefix, mRevision, wait)
+        mStore.watch(mPrefix, mRevision, wait, mStalePoll)
                 .thenAcceptAsync(
                         EventLoopCallbacks.rethrowing(mExecutor, result -> onChanges(call, result)),
                         mExecutor);
@@ -197,7 +206,10 @@
         mInFlight = false;
         result.fold(
                 changes -> {
-                    mListener.onResponse();
+                    if (!mStalePoll) {
+                        // A stale read may be answered while the store is unavailable.
+                        mListener.onResponse();
+                    }
                     if (changes.historyCompacted()) {
                         mRevision = 0;
                         start();
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/WatchTimings.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/WatchTimings.java
@@ -48,16 +48,23 @@
     }
 
     /**
-     * Returns the timing of the watch on the live keys of steps and of the planner.
+     * Returns the timing of the watch on the live keys of steps and of the planner. What an idle
+     * entry learns late delays only its claims, which the store checks; an entry that owns a step
+     * must learn of its end in time.
      *
      * @param idle whether the entry owns neither a step nor the planner
      */
     static StoreWatch.Timing forStepKeys(EntryLimits limits, boolean idle) {
-        return timing(limits, idle ? IDLE_STEPS_BATCH_MILLIS : STEPS_BATCH_MILLIS);
+        return timing(limits, idle ? IDLE_STEPS_BATCH_MILLIS : STEPS_BATCH_MILLIS, idle);
     }
 
     private static StoreWatch.Timing timing(EntryLimits limits, long batchMillis) {
+        return timing(limits, batchMillis, false);
+    }
+
+    private static StoreWatch.Timing timing(
+            EntryLimits limits, long batchMillis, boolean mayBeStale) {
         long wait = Math.max(MIN_WAIT_MILLIS, limits.catchUpMillis() - CATCH_UP_SLACK_MILLIS);
-        return new StoreWatch.Timing(wait, Nanos.ofMillis(batchMillis));
+        return new StoreWatch.Timing(wait, Nanos.ofMillis(batchMillis), mayBeStale);
     }
 }
--- a/ebonyrun-daemon/src/test/java/org/ebonyrun/daemon/hosted/ResultReaderTest.java
+++ b/ebonyrun-daemon/src/test/java/org/ebonyrun/daemon/hosted/ResultReaderTest.java
@@ -85,7 +85,7 @@
 
         @Override
         public CompletableFuture<Result<StoreChanges>> watch(
-                String prefix, long afterRevision, long waitMillis) {
+                String prefix, long afterRevision, long waitMillis, boolean mayBeStale) {
             CompletableFuture<Result<StoreChanges>> response = new CompletableFuture<>();
             mPending.add(
                     () -> {
--- a/ebonyrun-daemon/src/test/java/org/ebonyrun/daemon/hosted/StoreWatchTest.java
+++ b/ebonyrun-daemon/src/test/java/org/ebonyrun/daemon/hosted/StoreWatchTest.java
@@ -23,6 +23,7 @@
     /** A store whose watches are completed by the test. */
     private static final class FakeStore extends StubStore {
         final List<Long> mWaits = new ArrayList<>();
+        final List<Boolean> mStale = new ArrayList<>();
         final List<CompletableFuture<Result<StoreChanges>>> mWatches = new ArrayList<>();
         int mRanges;
 
@@ -35,8 +36,9 @@
 
         @Override
         public CompletableFuture<Result<StoreChanges>> watch(
-                String prefix, long afterRevision, long waitMillis) {
+                String prefix, long afterRevision, long waitMillis, boolean mayBeStale) {
             mWaits.add(waitMillis);
+            mStale.add(mayBeStale);
             mWatches.add(new CompletableFuture<>());
             return mWatches.get(mWatches.size() - 1);
         }
@@ -44,11 +46,13 @@
 
     private final FakeStore mStore = new FakeStore();
     private final List<String> mEvents = new ArrayList<>();
+    private boolean mMayBeStale;
+    private int mResponses;
     private final StoreWatch mWatch =
             new StoreWatch(
                     mStore,
                     "p/",
-                    () -> new StoreWatch.Timing(WAIT_MILLIS, 0),
+                    () -> new StoreWatch.Timing(WAIT_MILLIS, 0, mMayBeStale),
                     Runnable::run,
                     new StoreWatch.Listener() {
                         @Override
@@ -63,7 +67,7 @@
 
                         @Override
                         public void onResponse() {
-                            // These tests don't check the store's health.
+                            mResponses++;
                         }
 
                         @Override
@@ -89,6 +93,35 @@
         mWatch.onTick(System.nanoTime() + WAIT_MILLIS * 1_000_000);
     }
 
+    @Test
+    void stalePollIsReplacedOnceChangesAreNeededInTime() {
+        mMayBeStale = true;
+        mWatch.start();
+        mWatch.onTick(System.nanoTime());
+        assertThat(mStore.mStale, contains(true));
+
+        mMayBeStale = false;
+        mWatch.onTick(System.nanoTime());
+        mWatch.onTick(System.nanoTime());
+        assertThat(mStore.mStale, contains(true, false));
+        completeWatch(0, connectionClosed());
+        assertThat(mEvents, contains("snapshot"));
+    }
+
+    @Test
+    void stalePollSaysNothingAboutTheStoresAvailability() {
+        mMayBeStale = true;
+        mWatch.start();
+        int responses = mResponses;
+        completeWatch(0, noChanges());
+        assertThat(mResponses, is(responses));
+
+        mMayBeStale = false;
+        mWatch.onTick(System.nanoTime());
+        completeWatch(2, noChanges());
+        assertThat(mResponses, is(responses + 1));
+    }
+
     @Test
     void firstPollAfterFaultHasShortWait() {
         mWatch.start();
--- a/ebonyrun-daemon/src/test/java/org/ebonyrun/daemon/hosted/StubStore.java
+++ b/ebonyrun-daemon/src/test/java/org/ebonyrun/daemon/hosted/StubStore.java
@@ -25,7 +25,7 @@
 
     @Override
     public CompletableFuture<Result<StoreChanges>> watch(
-            String prefix, long afterRevision, long waitMillis) {
+            String prefix, long afterRevision, long waitMillis, boolean mayBeStale) {
         throw new UnsupportedOperationException("watch " + prefix);
     }
 
--- a/ebonyrun-daemon/src/test/java/org/ebonyrun/daemon/hosted/WatchTimingsTest.java
+++ b/ebonyrun-daemon/src/test/java/org/ebonyrun/daemon/hosted/WatchTimingsTest.java
@@ -28,6 +28,9 @@
                 batchMillis(WatchTimings.forEndpointKeys(limits, false)),
                 lessThan(leaving * 3 / 4));
         assertThat(WatchTimings.forStepKeys(limits, false).waitMillis(), lessThan(catchUp));
+        assertThat(WatchTimings.forOperatorKeys(limits, true).mayBeStale(), is(false));
+        assertThat(WatchTimings.forEndpointKeys(limits, true).mayBeStale(), is(false));
+        assertThat(WatchTimings.forStepKeys(limits, false).mayBeStale(), is(false));
     }
 
     @ParameterizedTest
--- a/ebonyrun-ports/src/main/java/org/ebonyrun/ports/store/SharedStore.java
+++ b/ebonyrun-ports/src/main/java/org/ebonyrun/ports/store/SharedStore.java
@@ -27,9 +27,10 @@
      *
      * @param afterRevision the revision after which changes are returned
      * @param waitMillis how long to wait, in milliseconds
+     * @param mayBeStale whether changes may be returned seconds late, which costs the store less
      */
     CompletableFuture<Result<StoreChanges>> watch(
-            String prefix, long afterRevision, long waitMillis);
+            String prefix, long afterRevision, long waitMillis, boolean mayBeStale);
 
     /** Commits a transaction. */
     CompletableFuture<Result<CommitResult>> commit(Transaction transaction);
