--- a/ebonyrun-base/src/main/java/org/ebonyrun/base/eventloop/FatalErrors.java
+++ b/ebonyrun-base/src/main/java/org/ebonyrun/base/eventloop/FatalErrors.java
@@ -32,6 +32,16 @@
         }
     }
 
+    /** Runs a task on a thread whose owner would catch its errors; reports and rethrows them. */
+    public static void runReporting(Runnable task) {
+        try {
+            task.run();
+        } catch (Error e) {
+            report(e);
+            throw e;
+        }
+    }
+
     private static void exit(Thread thread, Throwable error) {
         try {
             StackTraceElement[] trace = error.getStackTrace();
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/HeldSubmissions.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/HeldSubmissions.java
@@ -63,7 +63,8 @@
     /** Lets a submission wait; returns false if it must be refused instead. */
     boolean hold(Submission submission, long now) {
         int size = submission.exchange().body().length;
-        if (mDraining || now - submission.endsAt() >= 0 || mBytes + size > MAX_BYTES) {
+        boolean abandoned = submission.exchange().isEnded();
+        if (mDraining || abandoned || now - submission.endsAt() >= 0 || mBytes + size > MAX_BYTES) {
             return false;
         }
         // While the store seems available, something else is wrong, which needs some time.
--- a/ebonyrun-ports/src/main/java/org/ebonyrun/ports/http/FrontConnection.java
+++ b/ebonyrun-ports/src/main/java/org/ebonyrun/ports/http/FrontConnection.java
@@ -111,17 +111,7 @@
         if (exchange.isRefused()) {
             exchange.sendRefusal();
         } else {
-            notifyListener(() -> mListener.onRequest(exchange));
-        }
-    }
-
-    /** Calls the listener; its errors would be lost in the I/O thread. */
-    private static void notifyListener(Runnable call) {
-        try {
-            call.run();
-        } catch (Error e) {
-            FatalErrors.report(e);
-            throw e;
+            FatalErrors.runReporting(() -> mListener.onRequest(exchange));
         }
     }
 
@@ -152,7 +142,7 @@
             mWaiting.clear();
         }
         if (current != null && current.abandon()) {
-            notifyListener(() -> mListener.onAbandoned(current));
+            FatalErrors.runReporting(() -> mListener.onAbandoned(current));
         }
     }
 
--- a/ebonyrun-ports/src/main/java/org/ebonyrun/ports/http/FrontExchange.java
+++ b/ebonyrun-ports/src/main/java/org/ebonyrun/ports/http/FrontExchange.java
@@ -213,6 +213,11 @@
         mConnection.close();
     }
 
+    /** Returns whether the response is complete or can't be sent any more. */
+    public synchronized boolean isEnded() {
+        return mDone;
+    }
+
     /** Returns whether a response was begun. */
     public synchronized boolean isBegun() {
         return mResponse != null || mBuffered != null;
--- a/ebonyrun-ports/src/main/java/org/ebonyrun/ports/http/HttpExchange.java
+++ b/ebonyrun-ports/src/main/java/org/ebonyrun/ports/http/HttpExchange.java
@@ -130,7 +130,7 @@
             if (seconds >= 0) {
                 mIdleNanos = (long) (IDLE_FRACTION * seconds * Nanos.PER_SECOND);
             }
-            notifyListener(() -> mListener.onHead(head));
+            FatalErrors.runReporting(() -> mListener.onHead(head));
         }
     }
 
@@ -157,7 +157,7 @@
         if (limit > 0 && mReceivedBytes > limit) {
             fail("response body is longer than " + limit + " bytes");
         } else {
-            notifyListener(() -> mListener.onData(data));
+            FatalErrors.runReporting(() -> mListener.onData(data));
         }
     }
 
@@ -200,7 +200,7 @@
                 connection.close();
             }
         }
-        notifyListener(mListener::onEnd);
+        FatalErrors.runReporting(mListener::onEnd);
     }
 
     private void returnToPool(ClientConnection connection, long expiresAt) {
@@ -229,17 +229,7 @@
         if (connection != null) {
             connection.abandon();
         }
-        notifyListener(() -> mListener.onFailure(sent, detail));
-    }
-
-    /** Calls the listener; its errors would be lost in the I/O and timer threads. */
-    private static void notifyListener(Runnable call) {
-        try {
-            call.run();
-        } catch (Error e) {
-            FatalErrors.report(e);
-            throw e;
-        }
+        FatalErrors.runReporting(() -> mListener.onFailure(sent, detail));
     }
 
     private synchronized boolean isDone() {
