Trust the order of responses only where it is asked for

An answer that a server sends twice goes to the next request on its connection, unless the client matches answers by what they name.

--- a/ebonyrun-bench/src/main/java/org/ebonyrun/bench/OverheadBench.java
+++ b/ebonyrun-bench/src/main/java/org/ebonyrun/bench/OverheadBench.java
@@ -11,6 +11,7 @@
 import org.ebonyrun.daemon.agent.AgentNode;
 import org.ebonyrun.daemon.entry.EntryNode;
 import org.ebonyrun.ports.http.AsyncHttpClient;
+import org.ebonyrun.ports.http.Correlation;
 import org.ebonyrun.ports.http.HttpRequest;
 import org.ebonyrun.ports.http.HttpResponse;
 import org.ebonyrun.ports.vm.VmRecord;
@@ -104,7 +105,10 @@
     private static boolean call(AsyncHttpClient httpClient, URI uri) {
         byte[] body = "{}".getBytes(StandardCharsets.UTF_8);
         return httpClient
-                .request(HttpRequest.json("POST", uri, body, TIMEOUT_MILLIS), "bench.call")
+                .request(
+                        HttpRequest.json("POST", uri, body, TIMEOUT_MILLIS)
+                                .withCorrelation(Correlation.byOrder()),
+                        "bench.call")
                 .join()
                 .fold(HttpResponse::isSuccess, fault -> false);
     }
--- a/ebonyrun-ports/src/main/java/org/ebonyrun/ports/http/HttpRequest.java
+++ b/ebonyrun-ports/src/main/java/org/ebonyrun/ports/http/HttpRequest.java
@@ -37,7 +37,10 @@
     private static final int DEFAULT_PORT = 80;
     private static final HttpHeaders JSON = HttpHeaders.of("Content-Type", "application/json");
 
-    /** Creates a request to a peer that responds to each request exactly once, in order. */
+    /**
+     * Creates a request with a connection of its own, which is right for every peer. A peer that is
+     * known to respond to each request exactly once may be asked {@link Correlation#byOrder()}.
+     */
     public HttpRequest(
             String method,
             InetSocketAddress address,
@@ -45,7 +48,7 @@
             HttpHeaders headers,
             byte[] body,
             long timeoutMillis) {
-        this(method, address, target, headers, body, timeoutMillis, Correlation.byOrder());
+        this(method, address, target, headers, body, timeoutMillis, Correlation.byConnection());
     }
 
     /** Creates a request whose response is limited to the default size. */
--- a/ebonyrun-ports/src/main/java/org/ebonyrun/ports/kv/HttpKeyValueStore.java
+++ b/ebonyrun-ports/src/main/java/org/ebonyrun/ports/kv/HttpKeyValueStore.java
@@ -17,6 +17,7 @@
 import org.ebonyrun.base.result.FaultCode;
 import org.ebonyrun.base.result.Result;
 import org.ebonyrun.ports.http.AsyncHttpClient;
+import org.ebonyrun.ports.http.Correlation;
 import org.ebonyrun.ports.http.HttpRequest;
 import org.ebonyrun.ports.http.HttpResponse;
 
@@ -102,7 +103,10 @@
         URI uri = URI.create(mBase + target);
         byte[] bytes = body.getBytes(StandardCharsets.UTF_8);
         String step = "key-value." + method;
-        return mClient.request(HttpRequest.json(method, uri, bytes, timeoutMillis), step)
+        return mClient.request(
+                        HttpRequest.json(method, uri, bytes, timeoutMillis)
+                                .withCorrelation(Correlation.byOrder()),
+                        step)
                 .thenApply(result -> result.flatMap(response -> decode(response, step, decode)));
     }
 
--- a/ebonyrun-ports/src/main/java/org/ebonyrun/ports/vm/HttpVmDirectory.java
+++ b/ebonyrun-ports/src/main/java/org/ebonyrun/ports/vm/HttpVmDirectory.java
@@ -11,6 +11,7 @@
 import org.ebonyrun.base.result.FaultCode;
 import org.ebonyrun.base.result.Result;
 import org.ebonyrun.ports.http.AsyncHttpClient;
+import org.ebonyrun.ports.http.Correlation;
 import org.ebonyrun.ports.http.HttpRequest;
 import org.ebonyrun.ports.http.HttpResponse;
 
@@ -35,7 +36,9 @@
 
     @Override
     public CompletableFuture<Result<List<VmRecord>>> list() {
-        HttpRequest request = HttpRequest.of("GET", URI.create(mBase + "/vms"), TIMEOUT_MILLIS);
+        HttpRequest request =
+                HttpRequest.of("GET", URI.create(mBase + "/vms"), TIMEOUT_MILLIS)
+                        .withCorrelation(Correlation.byOrder());
         return mClient.request(request, "vm-list.GET")
                 .thenApply(result -> result.flatMap(this::decode));
     }
--- a/ebonyrun-ports/src/main/java/org/ebonyrun/ports/weight/HttpWeightStore.java
+++ b/ebonyrun-ports/src/main/java/org/ebonyrun/ports/weight/HttpWeightStore.java
@@ -7,6 +7,7 @@
 import org.ebonyrun.base.result.FaultCode;
 import org.ebonyrun.base.result.Result;
 import org.ebonyrun.ports.http.AsyncHttpClient;
+import org.ebonyrun.ports.http.Correlation;
 import org.ebonyrun.ports.http.HttpRequest;
 import org.ebonyrun.ports.http.HttpResponse;
 
@@ -31,7 +32,10 @@
     @Override
     public CompletableFuture<Result<Long>> latestVersion(ServiceName service) {
         URI uri = URI.create(mBase + "/weights/" + service + "/latest");
-        return mClient.request(HttpRequest.of("GET", uri, TIMEOUT_MILLIS), STEP)
+        return mClient.request(
+                        HttpRequest.of("GET", uri, TIMEOUT_MILLIS)
+                                .withCorrelation(Correlation.byOrder()),
+                        STEP)
                 .thenApply(result -> result.flatMap(this::decode));
     }
 
