End request bodies that make no progress

What callers could do: a body of which a byte arrived now and then held its connection, and the memory of what had come, without an end, since each byte counted as activity. Cause: only the idle time was checked for bodies. Change: a body may take the idle time and a second for each KiB that has arrived; slow but sound bodies pass (100 bytes a second for 15 s, 2,000 for 5 minutes).

--- a/ebonyrun-ports/src/main/java/org/ebonyrun/ports/http/BodyBuffer.java
+++ b/ebonyrun-ports/src/main/java/org/ebonyrun/ports/http/BodyBuffer.java
@@ -3,7 +3,11 @@
 import java.io.ByteArrayOutputStream;
 import org.glassfish.grizzly.Buffer;
 
-/** Buffers the body of one request up to a size limit. Not thread safe; used by the I/O thread. */
+/**
+ * Buffers the body of one request up to a size limit.
+ *
+ * <p>Not thread safe; used by the I/O thread, except for {@link #size}, which is thread safe.
+ */
 final class BodyBuffer {
     private final int mLimit;
     private final ByteArrayOutputStream mBytes = new ByteArrayOutputStream();
@@ -23,6 +27,10 @@
         mBytes.writeBytes(piece);
     }
 
+    int size() {
+        return mBytes.size();
+    }
+
     boolean isTooLarge() {
         return mTooLarge;
     }
--- a/ebonyrun-ports/src/main/java/org/ebonyrun/ports/http/FrontConnection.java
+++ b/ebonyrun-ports/src/main/java/org/ebonyrun/ports/http/FrontConnection.java
@@ -3,6 +3,7 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import org.ebonyrun.base.eventloop.FatalErrors;
+import org.ebonyrun.base.time.Nanos;
 import org.glassfish.grizzly.Connection;
 import org.jspecify.annotations.Nullable;
 
@@ -16,6 +17,8 @@
  */
 final class FrontConnection {
     private static final int MAX_WAITING = 16;
+    // The slowest rate at which a caller may send the body of a request.
+    private static final long MIN_BODY_BYTES_PER_SECOND = 1_024;
 
     private final Connection<?> mConnection;
     private final FrontListener mListener;
@@ -25,6 +28,7 @@
     private long mUnwrittenBytes;
     private long mLastActiveAt;
     private long mHeaderStartedAt;
+    private long mBodyStartedAt;
     private boolean mClosing;
     private boolean mIgnoresInput;
 
@@ -79,8 +83,9 @@
         return mPendingBody;
     }
 
-    synchronized void setPendingBody(@Nullable BodyBuffer body) {
+    synchronized void setPendingBody(@Nullable BodyBuffer body, long now) {
         mPendingBody = body;
+        mBodyStartedAt = now;
         mHeaderStartedAt = 0;
     }
 
@@ -147,23 +152,32 @@
     }
 
     /**
-     * Closes the connection if it has been idle for too long, its headers take too long, or the
-     * caller has not read any of a response for too long.
+     * Closes the connection if it has been idle for too long, its headers or a body take too long,
+     * or the caller has not read any of a response for too long.
      */
     void closeIfExpired(long now, long idleNanos, long headerNanos) {
-        boolean expired;
-        synchronized (this) {
-            boolean idle =
-                    (mCurrent == null || mUnwrittenBytes > 0) && now - mLastActiveAt > idleNanos;
-            boolean slow = mHeaderStartedAt != 0 && now - mHeaderStartedAt > headerNanos;
-            expired = idle || slow;
-        }
-        if (expired) {
+        if (isExpired(now, idleNanos, headerNanos)) {
             // Closing would wait until the caller has read what is still to be written.
             mConnection.terminateSilently();
         }
     }
 
+    /** Returns whether the connection is to be closed, see {@link #closeIfExpired}. */
+    synchronized boolean isExpired(long now, long idleNanos, long headerNanos) {
+        boolean waits = mCurrent == null || mUnwrittenBytes > 0;
+        boolean slowHeader = mHeaderStartedAt != 0 && now - mHeaderStartedAt > headerNanos;
+        return slowHeader || isBodySlow(now, idleNanos) || waits && now - mLastActiveAt > idleNanos;
+    }
+
+    /** Returns whether a body arrives more slowly than it may, however often bytes of it come. */
+    private boolean isBodySlow(long now, long idleNanos) {
+        if (mPendingBody == null) {
+            return false;
+        }
+        long allowed = mPendingBody.size() * Nanos.PER_SECOND / MIN_BODY_BYTES_PER_SECOND;
+        return now - mBodyStartedAt > idleNanos + allowed;
+    }
+
     /**
      * Makes the next response the last one on this connection. Closes the connection immediately if
      * no request is in progress and there was no activity for {@code idleNanos}.
--- a/ebonyrun-ports/src/main/java/org/ebonyrun/ports/http/FrontServer.java
+++ b/ebonyrun-ports/src/main/java/org/ebonyrun/ports/http/FrontServer.java
@@ -197,7 +197,7 @@
                     return ctx.getStopAction();
                 }
                 body = new BodyBuffer(limits.maxBodyBytes());
-                connection.setPendingBody(body);
+                connection.setPendingBody(body, System.nanoTime());
                 if (!connection.hasPendingResponse()) {
                     // Otherwise the interim response would be sent inside the pending response.
                     // The caller sends its body after a timeout if there is no interim response.
@@ -209,7 +209,7 @@
                 body.add(buffer);
             }
             if (content.isLast() || body.isTooLarge()) {
-                connection.setPendingBody(null);
+                connection.setPendingBody(null, System.nanoTime());
                 submit(connection, packet, body, limits);
             }
             return ctx.getStopAction();
