Wait for what the tests need instead of counting quick refusals

Traced to the tests: refusals take less than half a millisecond, so 2,000 of them end before an idle entry reads a new endpoint's record (up to 1.2 s); a call can be served before the entry is ready. The tests now watch the entry's gauge of endpoints and its readiness; their checks and bounds are unchanged.

--- a/ebonyrun-daemon/src/test/java/org/ebonyrun/daemon/hosted/HostedEntryTest.java
+++ b/ebonyrun-daemon/src/test/java/org/ebonyrun/daemon/hosted/HostedEntryTest.java
@@ -97,13 +97,22 @@
                 is(404));
     }
 
+    /** Probes the readiness until it has the given status; returns the last status. */
+    private int awaitReadiness(int expected) {
+        int status = 0;
+        for (int i = 0; i < 50 * MAX_TRIES && status != expected; i++) {
+            status = send(mReadyAddress, "GET", "/readyz", "", "").status();
+        }
+        return status;
+    }
+
     @Test
     void entryIsNotReadyOnceItsEventLoopHasEnded() {
         Thread.UncaughtExceptionHandler previous = Thread.getDefaultUncaughtExceptionHandler();
         CompletableFuture<Throwable> fatal = new CompletableFuture<>();
         Thread.setDefaultUncaughtExceptionHandler((thread, error) -> fatal.complete(error));
         try {
-            assertThat(send(mReadyAddress, "GET", "/readyz", "", "").status(), is(200));
+            assertThat(awaitReadiness(200), is(200));
             AssertionError error = new AssertionError("thrown by the test");
             mFirstEntry
                     .executor()
@@ -112,11 +121,7 @@
                                 throw error;
                             });
             assertThat(fatal.join(), is(error));
-            HttpResponse ready = null;
-            for (int i = 0; i < 50 * MAX_TRIES && (ready == null || ready.isSuccess()); i++) {
-                ready = send(mReadyAddress, "GET", "/readyz", "", "");
-            }
-            assertThat(ready.status(), is(503));
+            assertThat(awaitReadiness(503), is(503));
         } finally {
             Thread.setDefaultUncaughtExceptionHandler(previous);
         }
--- a/ebonyrun-daemon/src/test/java/org/ebonyrun/daemon/hosted/LargeResponseTest.java
+++ b/ebonyrun-daemon/src/test/java/org/ebonyrun/daemon/hosted/LargeResponseTest.java
@@ -1,6 +1,7 @@
 package org.ebonyrun.daemon.hosted;
 
 import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.containsString;
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.lessThan;
 
@@ -25,6 +26,8 @@
     private static final int LARGE_BYTES = 96 * MEBIBYTE;
     // The buffers of the four sockets on the way, and the entry's own limit.
     private static final long MAX_LAG_BYTES = 24L * MEBIBYTE;
+    // Records reach an idle entry within seconds, a request takes less than a millisecond.
+    private static final int MAX_METRICS_TRIES = 50 * MAX_TRIES;
     private static final long DEADLINE_MILLIS = 15_000;
     private static final int READ_BYTES = 16 * 1024;
     private static final byte[] PIECE = piece();
@@ -63,7 +66,19 @@
         mDeployment.endpoint().announceLeaving("/call/");
         send(mFirstFront, "POST", mDeployment.callPath(), "last", "");
         mDeployment.unregister("i-1");
+        awaitEndpoints(0);
         mDeployment.register("i-9", mRawEndpoint.address(), "ready", 1);
+        awaitEndpoints(1);
+    }
+
+    /** Waits until the first entry knows the given number of endpoints, as its metrics show. */
+    private void awaitEndpoints(int count) {
+        String line = "ebonyrun_entry_endpoints " + count + ".0";
+        String metrics = "";
+        for (int i = 0; i < MAX_METRICS_TRIES && !metrics.contains(line); i++) {
+            metrics = send(mMetricsAddress, "GET", "/metrics", "", "").text();
+        }
+        assertThat(metrics, containsString(line));
     }
 
     private Socket openCall(String id) throws IOException {
