Log the limits that endpoints name, and what each entry sends them

Cause: no line said that an endpoint had named a limit (Server-Limit), so that three hypotheses on why endpoints got more than they take could not be told apart: unread limit, limit kept by each entry alone, kinds of requests that bypass it. Change: endpoint.limit when a limit begins, changes or ends; limit and count of requests on call.sent and sample.sent; a gauge. Nothing is decided by it yet.

--- a/ebonyrun-core/src/main/java/org/ebonyrun/core/fleet/Endpoint.java
+++ b/ebonyrun-core/src/main/java/org/ebonyrun/core/fleet/Endpoint.java
@@ -36,6 +36,9 @@
     private long mLastReceivedAt;
     private boolean mProbed;
     private long mLastProbeAt;
+    private double mLimit = Double.POSITIVE_INFINITY;
+    private long mLimitNamedAt;
+    private long mRequestCount;
 
     Endpoint(EndpointRecord record) {
         mRecord = record;
@@ -81,9 +84,56 @@
         return mActiveRequests;
     }
 
-    /** Handles the sending of a request. */
+    /** Handles the sending of a call or run, which is open until {@link #onEnded}. */
     public void onSent() {
         mActiveRequests++;
+        onRequestSent();
+    }
+
+    /** Handles the sending of any request, also of one that is not counted as open. */
+    public void onRequestSent() {
+        mRequestCount++;
+    }
+
+    /** Returns the number of requests that this process has sent to the endpoint. */
+    public long requestCount() {
+        return mRequestCount;
+    }
+
+    /** Returns whether the endpoint names a limit. */
+    public boolean isLimited() {
+        return Double.isFinite(mLimit);
+    }
+
+    /**
+     * Returns how many requests per second the endpoint takes from all entries together; infinite
+     * if it names no limit.
+     */
+    public double requestsPerSecond() {
+        return mLimit;
+    }
+
+    /**
+     * Handles what a response of this endpoint says about its limit.
+     *
+     * <p>A response without a limit ends it only if its request was sent after the last response
+     * that named one had arrived; an earlier request may have been answered before.
+     *
+     * @param sentAt when the request of that response was sent
+     * @return whether the limit changed
+     */
+    boolean onLimitNotice(LimitNotice notice, long sentAt, long now) {
+        if (!notice.known()) {
+            return false;
+        }
+        if (notice.isLimit()) {
+            mLimitNamedAt = now;
+        } else if (Double.isFinite(mLimit) && sentAt - mLimitNamedAt < 0) {
+            return false;
+        }
+        boolean changed = mLimit != notice.requestsPerSecond();
+        mLimit = notice.requestsPerSecond();
+        return changed;
     }
 
     /** Handles the end of a request, successful or not. */
--- a/ebonyrun-core/src/main/java/org/ebonyrun/core/fleet/Fleet.java
+++ b/ebonyrun-core/src/main/java/org/ebonyrun/core/fleet/Fleet.java
@@ -6,6 +6,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import org.ebonyrun.base.id.ServiceName;
 import org.ebonyrun.base.time.Nanos;
@@ -79,6 +80,23 @@
         return mLeaving.add(record.id(), record.incarnation());
     }
 
+    /**
+     * Handles what a response says about the limit of the endpoint that sent it.
+     *
+     * @param record the record of the incarnation that sent the response
+     * @param sentAt when the request of that response was sent
+     * @return the endpoint if its limit changed; empty otherwise
+     */
+    public Optional<Endpoint> onLimitNotice(
+            EndpointRecord record, LimitNotice notice, long sentAt, long now) {
+        Endpoint known = mEndpoints.get(record.id());
+        boolean changed =
+                known != null
+                        && known.record().incarnation() == record.incarnation()
+                        && known.onLimitNotice(notice, sentAt, now);
+        return changed ? Optional.of(known) : Optional.empty();
+    }
+
     /** Handles the removal of an endpoint's record. */
     public void onRemoved(String id, long now) {
         if (!mEndpoints.containsKey(id)) {
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/CallController.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/CallController.java
@@ -113,19 +113,18 @@
             return;
         }
         boolean streaming = client.caller() != null && call.route().kind() == RouteKind.STREAM;
-        CallExchange exchange =
-                new CallExchange(attempt, streaming, endpoint.record(), mContext, this);
+        CallExchange exchange = new CallExchange(attempt, streaming, endpoint, mContext, this);
         mAttempts.put(attempt, exchange);
         mSpecs.put(attempt, call);
         HttpRequest request = newRequest(client, endpoint, leftMillis);
-        mContext.log()
-                .write(
-                        LogLine.of("call.sent")
-                                .with("request", call.requestId())
-                                .with("endpoint", endpoint.id())
-                                .with("attempt", attempt)
-                                .with("active", endpoint.activeRequests())
-                                .with("left_ms", leftMillis));
+        LogLine line =
+                LogLine.of("call.sent")
+                        .with("request", call.requestId())
+                        .with("endpoint", endpoint.id())
+                        .with("attempt", attempt)
+                        .with("active", endpoint.activeRequests())
+                        .with("left_ms", leftMillis);
+        mContext.log().write(EndpointExchange.withLimit(line, endpoint));
         mHttpClient.send(request, exchange);
     }
 
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/CallExchange.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/CallExchange.java
@@ -2,7 +2,7 @@
 
 import java.io.ByteArrayOutputStream;
 import org.ebonyrun.core.call.AttemptOutcome;
-import org.ebonyrun.core.fleet.EndpointRecord;
+import org.ebonyrun.core.fleet.Endpoint;
 import org.ebonyrun.platform.EndpointProtocol;
 import org.ebonyrun.ports.http.FlowControl;
 import org.ebonyrun.ports.http.HttpExchange;
@@ -46,7 +46,7 @@
     CallExchange(
             long attempt,
             boolean streaming,
-            EndpointRecord endpoint,
+            Endpoint endpoint,
             HostedContext context,
             Listener listener) {
         super(endpoint, context);
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/EndpointExchange.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/EndpointExchange.java
@@ -1,7 +1,9 @@
 package org.ebonyrun.daemon.hosted;
 
 import org.ebonyrun.base.log.LogLine;
+import org.ebonyrun.core.fleet.Endpoint;
 import org.ebonyrun.core.fleet.EndpointRecord;
+import org.ebonyrun.core.fleet.LimitNotice;
 import org.ebonyrun.platform.EndpointProtocol;
 import org.ebonyrun.ports.http.ConnectionUse;
 import org.ebonyrun.ports.http.HttpExchange;
@@ -17,7 +19,9 @@
  */
 abstract class EndpointExchange implements HttpResponseListener {
     private final EndpointRecord mEndpoint;
+    private final boolean mLimited;
     private final HostedContext mContext;
+    private final long mCreatedAt = System.nanoTime();
     private @Nullable HttpExchange mExchange;
 
     /** The head of the response; null until it has arrived. */
@@ -28,8 +32,9 @@
      *
      * @param endpoint the endpoint to which the request is sent
      */
-    EndpointExchange(EndpointRecord endpoint, HostedContext context) {
-        mEndpoint = endpoint;
+    EndpointExchange(Endpoint endpoint, HostedContext context) {
+        mEndpoint = endpoint.record();
+        mLimited = endpoint.isLimited();
         mContext = context;
     }
 
@@ -47,6 +52,11 @@
         if (EndpointProtocol.announcesLeaving(head.headers(), mEndpoint.id())) {
             runOnEventLoop(() -> mContext.onEndpointLeaving(mEndpoint));
         }
+        LimitNotice notice =
+                EndpointProtocol.limitNotice(head.status(), head.headers(), mEndpoint.id());
+        if (mLimited || notice.isLimit()) {
+            runOnEventLoop(() -> mContext.onLimitNotice(mEndpoint, notice, mCreatedAt));
+        }
         handleHead(head);
     }
 
@@ -73,6 +83,14 @@
                 .with("connection_idle_ms", use.idleMillis());
     }
 
+    /** Adds an endpoint's limit, and how many requests it was sent, if it has a limit. */
+    static LogLine withLimit(LogLine line, Endpoint endpoint) {
+        return endpoint.isLimited()
+                ? line.with("limit", endpoint.requestsPerSecond())
+                        .with("requests", endpoint.requestCount())
+                : line;
+    }
+
     /** Runs a task on the entry's event loop. */
     final void runOnEventLoop(Runnable task) {
         mContext.executor().execute(task);
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/HostedContext.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/HostedContext.java
@@ -6,6 +6,7 @@
 import org.ebonyrun.base.eventloop.EventLoopCallbacks;
 import org.ebonyrun.base.log.EventLog;
 import org.ebonyrun.core.fleet.EndpointRecord;
+import org.ebonyrun.core.fleet.LimitNotice;
 import org.ebonyrun.core.policy.Policy;
 import org.ebonyrun.core.route.Route;
 import org.ebonyrun.core.step.StepId;
@@ -69,6 +70,13 @@
     /** Handles an endpoint's announcement that it is leaving: it gets no new work. */
     void onEndpointLeaving(EndpointRecord endpoint);
 
+    /**
+     * Handles what a response says about the limit of the endpoint that sent it.
+     *
+     * @param sentAt when the request of that response was sent
+     */
+    void onLimitNotice(EndpointRecord endpoint, LimitNotice notice, long sentAt);
+
     /** Returns whether a configuration has been read. */
     boolean hasConfiguration();
 
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/HostedEntry.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/HostedEntry.java
@@ -22,8 +22,10 @@
 import org.ebonyrun.base.result.Result;
 import org.ebonyrun.base.time.MonotonicClock;
 import org.ebonyrun.base.time.Nanos;
+import org.ebonyrun.core.fleet.Endpoint;
 import org.ebonyrun.core.fleet.EndpointRecord;
 import org.ebonyrun.core.fleet.Fleet;
+import org.ebonyrun.core.fleet.LimitNotice;
 import org.ebonyrun.core.policy.Policy;
 import org.ebonyrun.core.route.CallerLimits;
 import org.ebonyrun.core.route.Route;
@@ -222,6 +224,7 @@
         gauges.put(
                 "ebonyrun_entry_running_samples", (double) mSamples.machine().runningSampleCount());
         gauges.put("ebonyrun_entry_endpoints", (double) mFleet.all().size());
+        gauges.put("ebonyrun_entry_limited_endpoints", (double) limitedEndpointCount());
         gauges.put("ebonyrun_entry_config_version", (double) mRoutes.version());
         gauges.put("ebonyrun_entry_ready", mReady ? 1.0 : 0.0);
         gauges.put("ebonyrun_entry_store_away", mHealth.isUnavailable() ? 1.0 : 0.0);
@@ -230,6 +233,10 @@
         return gauges;
     }
 
+    private long limitedEndpointCount() {
+        return mFleet.all().stream().filter(Endpoint::isLimited).count();
+    }
+
     @Override
     public EventLog log() {
         return mLog;
@@ -261,6 +268,20 @@
         }
     }
 
+    @Override
+    public void onLimitNotice(EndpointRecord endpoint, LimitNotice notice, long sentAt) {
+        mFleet.onLimitNotice(endpoint, notice, sentAt, System.nanoTime()).ifPresent(this::logLimit);
+    }
+
+    private void logLimit(Endpoint endpoint) {
+        mLog.write(
+                LogLine.of("endpoint.limit")
+                        .with("endpoint", endpoint.id())
+                        .with("service", endpoint.record().service())
+                        .with("requests_per_s", endpoint.requestsPerSecond())
+                        .with("requests", endpoint.requestCount()));
+    }
+
     @Override
     public boolean hasConfiguration() {
         return mRoutes.isConfigured();
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/PlannerController.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/PlannerController.java
@@ -14,6 +14,7 @@
 import org.ebonyrun.base.time.Nanos;
 import org.ebonyrun.core.fleet.Endpoint;
 import org.ebonyrun.core.fleet.Fleet;
+import org.ebonyrun.core.fleet.LimitNotice;
 import org.ebonyrun.core.step.StepId;
 import org.ebonyrun.core.swap.EndpointState;
 import org.ebonyrun.core.swap.OrderAges;
@@ -334,25 +335,32 @@
 
     @Override
     public void requestState(Endpoint endpoint) {
+        long sentAt = System.nanoTime();
+        endpoint.onRequestSent();
         mHttpClient
                 .request(EndpointProtocol.newStateRequest(endpoint.record()), "endpoint.inspect")
                 .thenAcceptAsync(
-                        mContext.callback(result -> onState(endpoint, result)),
+                        mContext.callback(result -> onState(endpoint, result, sentAt)),
                         mContext.executor());
     }
 
-    /**
-     * Notes an endpoint's announcement that it is leaving, which any of its responses may carry.
-     */
-    private void noteLeaving(Endpoint endpoint, Result<HttpResponse> result) {
+    /** Notes what an endpoint announces about itself, which any of its responses may do. */
+    private void noteAnnouncements(Endpoint endpoint, Result<HttpResponse> result, long sentAt) {
         HttpHeaders headers = result.fold(HttpResponse::headers, fault -> HttpHeaders.empty());
         if (EndpointProtocol.announcesLeaving(headers, endpoint.id())) {
             mContext.onEndpointLeaving(endpoint.record());
         }
+        LimitNotice notice =
+                result.fold(
+                        response ->
+                                EndpointProtocol.limitNotice(
+                                        response.status(), headers, endpoint.id()),
+                        fault -> LimitNotice.NONE);
+        mContext.onLimitNotice(endpoint.record(), notice, sentAt);
     }
 
-    private void onState(Endpoint endpoint, Result<HttpResponse> result) {
-        noteLeaving(endpoint, result);
+    private void onState(Endpoint endpoint, Result<HttpResponse> result, long sentAt) {
+        noteAnnouncements(endpoint, result, sentAt);
         long now = System.nanoTime();
         EndpointState state = result.fold(PlannerController::state, fault -> null);
         if (state == null) {
@@ -395,18 +403,21 @@
             refuse(endpoint, order);
             return;
         }
+        long sentAt = System.nanoTime();
+        endpoint.onRequestSent();
         mHttpClient
                 .request(
                         EndpointProtocol.newOrderRequest(
                                 endpoint.record(), mSettings.get().vm().value(), order),
                         "endpoint.order")
                 .thenAcceptAsync(
-                        mContext.callback(result -> onReply(endpoint, order, result)),
+                        mContext.callback(result -> onReply(endpoint, order, result, sentAt)),
                         mContext.executor());
     }
 
-    private void onReply(Endpoint endpoint, SwapOrder order, Result<HttpResponse> result) {
-        noteLeaving(endpoint, result);
+    private void onReply(
+            Endpoint endpoint, SwapOrder order, Result<HttpResponse> result, long sentAt) {
+        noteAnnouncements(endpoint, result, sentAt);
         OrderReply reply =
                 result.fold(
                         response -> EndpointProtocol.orderReply(response.status()),
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/SampleController.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/SampleController.java
@@ -77,20 +77,20 @@
             Endpoint endpoint,
             int lastEvent,
             RunOptions options) {
-        SampleExchange exchange = new SampleExchange(run, endpoint.record(), mContext, this);
+        SampleExchange exchange = new SampleExchange(run, endpoint, mContext, this);
         mRuns.put(run, exchange);
-        mContext.log()
-                .write(
-                        LogLine.of("sample.sent")
-                                .with("request", sample.id())
-                                .with("step", step.id())
-                                .with("run", run)
-                                .with("endpoint", endpoint.id())
-                                .with("version", endpoint.version(step.model()))
-                                .with("active", endpoint.activeRequests())
-                                .with("expected_version", options.expectedVersion())
-                                .with("expected_tokens", sample.expectedTokens())
-                                .with("after", lastEvent));
+        LogLine line =
+                LogLine.of("sample.sent")
+                        .with("request", sample.id())
+                        .with("step", step.id())
+                        .with("run", run)
+                        .with("endpoint", endpoint.id())
+                        .with("version", endpoint.version(step.model()))
+                        .with("active", endpoint.activeRequests())
+                        .with("expected_version", options.expectedVersion())
+                        .with("expected_tokens", sample.expectedTokens())
+                        .with("after", lastEvent);
+        mContext.log().write(EndpointExchange.withLimit(line, endpoint));
         mHttpClient.send(
                 EndpointProtocol.newRunRequest(
                         endpoint.record(), step.host(), sample, lastEvent, options),
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/SampleExchange.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/SampleExchange.java
@@ -2,7 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
-import org.ebonyrun.core.fleet.EndpointRecord;
+import org.ebonyrun.core.fleet.Endpoint;
 import org.ebonyrun.core.step.RunOutcome;
 import org.ebonyrun.platform.EndpointProtocol;
 import org.ebonyrun.ports.http.HttpResponseHead;
@@ -40,7 +40,7 @@
     private int mOtherBytes;
     private volatile int mEventCount;
 
-    SampleExchange(long run, EndpointRecord endpoint, HostedContext context, Listener listener) {
+    SampleExchange(long run, Endpoint endpoint, HostedContext context, Listener listener) {
         super(endpoint, context);
         mRun = run;
         mListener = listener;
--- a/ebonyrun-daemon/src/test/java/org/ebonyrun/daemon/hosted/ResultWriterTest.java
+++ b/ebonyrun-daemon/src/test/java/org/ebonyrun/daemon/hosted/ResultWriterTest.java
@@ -20,6 +20,7 @@
 import org.ebonyrun.core.fleet.Endpoint;
 import org.ebonyrun.core.fleet.EndpointRecord;
 import org.ebonyrun.core.fleet.Fleet;
+import org.ebonyrun.core.fleet.LimitNotice;
 import org.ebonyrun.core.policy.Mechanism;
 import org.ebonyrun.core.policy.Policy;
 import org.ebonyrun.core.route.CallOptions;
@@ -110,6 +111,11 @@
             throw new UnsupportedOperationException("onEndpointLeaving " + endpoint);
         }
 
+        @Override
+        public void onLimitNotice(EndpointRecord endpoint, LimitNotice notice, long sentAt) {
+            throw new UnsupportedOperationException("onLimitNotice " + endpoint);
+        }
+
         @Override
         public boolean hasConfiguration() {
             throw new UnsupportedOperationException("knowsRoutes");
