Keep the limits of endpoints over all entries together

Cause: nothing read Server-Limit. A limit kept by each entry alone would not do either: entries don't know how many others send.

Change: an endpoint's limit is divided into permits, each of which exists once in the store under its holder's lease and admits one request per period. All requests need one (calls, scores, runs, state requests, orders). Processes acquire permits by demand, give up what exceeds their share while others wait, and pass them on in turn where there are too few. What permits don't admit in time is refused at once with the time at which room is expected.

--- a/ebonyrun-core/src/main/java/org/ebonyrun/core/call/CallMachine.java
+++ b/ebonyrun-core/src/main/java/org/ebonyrun/core/call/CallMachine.java
@@ -6,10 +6,12 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import org.ebonyrun.base.id.FailureDomain;
 import org.ebonyrun.base.time.Nanos;
 import org.ebonyrun.core.fleet.Endpoint;
 import org.ebonyrun.core.fleet.Fleet;
+import org.ebonyrun.core.fleet.RequestKind;
 import org.ebonyrun.core.policy.Mechanism;
 import org.ebonyrun.core.policy.Policy;
 import org.jspecify.annotations.Nullable;
@@ -183,7 +185,7 @@
             if (now - call.mSpec.deadline() + REFUSAL_MARGIN_NANOS >= 0) {
                 expire(call);
             } else if (isHedgeDue(call, now)) {
-                trySend(call, now);
+                trySend(call, true, now);
             }
         }
     }
@@ -221,7 +223,7 @@
             endWithoutRetry(call);
             return;
         }
-        if (trySend(call, now)) {
+        if (trySend(call, false, now)) {
             return;
         }
         call.mRejectedBy.clear();
@@ -245,6 +247,11 @@
         if (serving.isEmpty()) {
             return true;
         }
+        Optional<LimitedCapacity> limited = LimitedCapacity.of(serving, now);
+        if (limited.isPresent()) {
+            long wait = limited.get().waitNanos(waitingBefore(call));
+            return wait == Long.MAX_VALUE || now + wait - call.mSpec.deadline() >= 0;
+        }
         int slots = 0;
         double totalLatencyNanos = 0;
         for (Endpoint endpoint : serving) {
@@ -257,11 +264,35 @@
         return now + (long) waitNanos - call.mSpec.deadline() >= 0;
     }
 
+    /** Returns how many calls of the same service wait and go before a call. */
+    private int waitingBefore(PendingCall call) {
+        int count = 0;
+        for (PendingCall other : mCalls.values()) {
+            boolean waits = other != call && other.mOpenAttempts.isEmpty();
+            boolean sameService = other.mSpec.service().equals(call.mSpec.service());
+            if (waits && sameService && mOrder.compare(other.mSpec, call.mSpec) < 0) {
+                count++;
+            }
+        }
+        return count;
+    }
+
     private void refuseOrFail(PendingCall call, long now) {
         if (call.mPossibleRuns > 0) {
             endWithoutRetry(call);
             return;
         }
+        Optional<LimitedCapacity> limited =
+                LimitedCapacity.of(mFleet.serving(call.mSpec.service()), now);
+        if (limited.isPresent()) {
+            long retryAfter = limited.get().retryAfterMillis(waitingBefore(call));
+            mOutputs.refuse(
+                    call.mSpec,
+                    Math.max(MIN_RETRY_AFTER_MILLIS, retryAfter),
+                    "the limits of the endpoints admit no call before the deadline");
+            end(call);
+            return;
+        }
         long thirdOfTimeLeft = Nanos.toMillis(Math.max(0, call.mSpec.deadline() - now)) / 3;
         long retryAfter =
                 Math.max(
@@ -286,8 +317,8 @@
         end(call);
     }
 
-    private boolean trySend(PendingCall call, long now) {
-        Endpoint endpoint = chooseEndpoint(call, now);
+    private boolean trySend(PendingCall call, boolean hedge, long now) {
+        Endpoint endpoint = chooseEndpoint(call, hedge, now);
         if (endpoint == null) {
             return false;
         }
@@ -297,16 +328,23 @@
         call.mPossibleRuns++;
         call.mSentAt = now;
         mCallsByAttempt.put(attempt, call);
-        endpoint.onSent();
+        endpoint.onSent(now);
         mPlacement.onSent(endpoint);
         long leftMillis = Math.max(1, Nanos.toMillis(call.mSpec.deadline() - now));
         mOutputs.send(call.mSpec, attempt, endpoint, leftMillis);
         return true;
     }
 
-    private @Nullable Endpoint chooseEndpoint(PendingCall call, long now) {
+    /**
+     * Returns the endpoint of least cost that may get the call now, or null if there is none.
+     *
+     * @param hedge whether the call has another open attempt; such a request is not worth a part of
+     *     an endpoint's limit
+     */
+    private @Nullable Endpoint chooseEndpoint(PendingCall call, boolean hedge, long now) {
         Endpoint best = null;
         double bestCost = Double.MAX_VALUE;
+        List<Endpoint> notAdmitted = new ArrayList<>();
         for (Endpoint endpoint : mFleet.serving(call.mSpec.service())) {
             if (!hasFreeSlot(endpoint, call) || call.mRejectedBy.contains(endpoint.id())) {
                 continue;
@@ -314,6 +352,13 @@
             if (endpoint.isAvoided(now) && call.mTriedEndpoints.contains(endpoint.id())) {
                 continue;
             }
+            if (hedge && endpoint.isLimited()) {
+                continue;
+            }
+            if (!endpoint.admits(RequestKind.WORK, now)) {
+                notAdmitted.add(endpoint);
+                continue;
+            }
             boolean tried = call.mTriedEndpoints.contains(endpoint.id());
             double cost = mPlacement.cost(endpoint, tried, now);
             if (cost < bestCost) {
@@ -321,6 +366,9 @@
                 bestCost = cost;
             }
         }
+        if (best == null) {
+            notAdmitted.forEach(endpoint -> endpoint.onWaiting(RequestKind.WORK, now));
+        }
         return best;
     }
 
--- a/ebonyrun-core/src/main/java/org/ebonyrun/core/fleet/Endpoint.java
+++ b/ebonyrun-core/src/main/java/org/ebonyrun/core/fleet/Endpoint.java
@@ -4,6 +4,7 @@
 import java.util.Map;
 import java.util.Set;
 import org.ebonyrun.base.time.Nanos;
+import org.jspecify.annotations.Nullable;
 
 /**
  * One incarnation of an endpoint, with its newest record and what this process observed of it.
@@ -39,6 +40,7 @@
     private double mLimit = Double.POSITIVE_INFINITY;
     private long mLimitNamedAt;
     private long mRequestCount;
+    private @Nullable RequestGate mGate;
 
     Endpoint(EndpointRecord record) {
         mRecord = record;
@@ -85,14 +87,39 @@
     }
 
     /** Handles the sending of a call or run, which is open until {@link #onEnded}. */
-    public void onSent() {
+    public void onSent(long now) {
         mActiveRequests++;
-        onRequestSent();
+        onRequestSent(now);
     }
 
     /** Handles the sending of any request, also of one that is not counted as open. */
-    public void onRequestSent() {
+    public void onRequestSent(long now) {
         mRequestCount++;
+        if (mGate != null) {
+            mGate.onSent(now);
+        }
+    }
+
+    /** Sets what admits requests to this endpoint; null admits all. */
+    public void setGate(@Nullable RequestGate gate) {
+        mGate = gate;
+    }
+
+    /** Returns what admits requests to this endpoint; null if all are admitted. */
+    public @Nullable RequestGate gate() {
+        return mGate;
+    }
+
+    /** Returns whether the limit of this endpoint, if it has one, admits a request now. */
+    public boolean admits(RequestKind kind, long now) {
+        return mGate == null || mGate.admits(kind, now);
+    }
+
+    /** Handles a request that could be sent if the limit of this endpoint admitted it. */
+    public void onWaiting(RequestKind kind, long now) {
+        if (mGate != null) {
+            mGate.onWaiting(kind, now);
+        }
     }
 
     /** Returns the number of requests that this process has sent to the endpoint. */
--- a/ebonyrun-core/src/main/java/org/ebonyrun/core/step/SampleScheduler.java
+++ b/ebonyrun-core/src/main/java/org/ebonyrun/core/step/SampleScheduler.java
@@ -1,5 +1,6 @@
 package org.ebonyrun.core.step;
 
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -8,6 +9,7 @@
 import org.ebonyrun.base.time.Nanos;
 import org.ebonyrun.core.fleet.Endpoint;
 import org.ebonyrun.core.fleet.Fleet;
+import org.ebonyrun.core.fleet.RequestKind;
 import org.ebonyrun.core.route.WeightedService;
 
 /**
@@ -79,10 +81,15 @@
         double bestLatency = pool.bestLatency();
         Endpoint choice = null;
         double leastCost = Double.MAX_VALUE;
+        List<Endpoint> notAdmitted = new ArrayList<>();
         for (Endpoint endpoint : pool.endpoints()) {
             boolean full =
                     endpoint.activeRequests() >= mPlacement.concurrencyLimit(endpoint, bestLatency);
-            if (full || !isEligible(endpoint, sample, now)) {
+            if (full || !isSuitable(endpoint, sample, now)) {
+                continue;
+            }
+            if (!endpoint.admits(RequestKind.WORK, now)) {
+                notAdmitted.add(endpoint);
                 continue;
             }
             double cost = mPlacement.cost(endpoint, sample, bestLatency);
@@ -91,13 +98,17 @@
                 choice = endpoint;
             }
         }
+        if (choice == null) {
+            notAdmitted.forEach(endpoint -> endpoint.onWaiting(RequestKind.WORK, now));
+        }
         return Optional.ofNullable(choice);
     }
 
     /**
      * Returns an endpoint to probe whose last known weight version is below the step's minimum. The
      * version in an endpoint's record lags behind by up to a heartbeat, and an endpoint that still
-     * serves the old version rejects the run at once. Probes of an endpoint are limited in rate.
+     * serves the old version rejects the run at once. Probes of an endpoint are limited in rate,
+     * and an endpoint that limits its requests gets none.
      */
     Optional<Endpoint> chooseOutdated(SampleProgress sample, long now) {
         StepSpec step = sample.mStep.mSpec;
@@ -109,6 +120,7 @@
             boolean hasFreeSlot = endpoint.activeRequests() < endpoint.record().slots();
             if (outdated
                     && hasFreeSlot
+                    && !endpoint.isLimited()
                     && !endpoint.isAvoided(now)
                     && endpoint.startProbeIfDue(now)) {
                 return Optional.of(endpoint);
@@ -118,8 +130,8 @@
     }
 
     /** Records that a sample was sent to an endpoint. */
-    void onSent(Endpoint endpoint) {
-        endpoint.onSent();
+    void onSent(Endpoint endpoint, long now) {
+        endpoint.onSent(now);
         mPlacement.onSent(endpoint);
     }
 
@@ -142,7 +154,12 @@
         return service;
     }
 
+    /** Returns whether a sample may be sent to an endpoint that has free capacity. */
     private static boolean isEligible(Endpoint endpoint, SampleProgress sample, long now) {
+        return isSuitable(endpoint, sample, now) && endpoint.admits(RequestKind.WORK, now);
+    }
+
+    private static boolean isSuitable(Endpoint endpoint, SampleProgress sample, long now) {
         StepSpec step = sample.mStep.mSpec;
         boolean recent =
                 step.model().isEmpty() || endpoint.version(step.model()) >= step.minVersion();
--- a/ebonyrun-core/src/main/java/org/ebonyrun/core/step/StepMachine.java
+++ b/ebonyrun-core/src/main/java/org/ebonyrun/core/step/StepMachine.java
@@ -575,7 +575,7 @@
         sample.mLastEventAt = now;
         sample.mRunVersion = 0;
         sample.mRunEvents = 0;
-        mScheduler.onSent(endpoint);
+        mScheduler.onSent(endpoint, now);
         mRuns.put(sample.mRunId, sample);
         int priority = mScheduler.priority(sample, now);
         mOutputs.startRun(
--- a/ebonyrun-core/src/main/java/org/ebonyrun/core/swap/SwapMachine.java
+++ b/ebonyrun-core/src/main/java/org/ebonyrun/core/swap/SwapMachine.java
@@ -10,6 +10,7 @@
 import org.ebonyrun.base.time.Nanos;
 import org.ebonyrun.core.fleet.Endpoint;
 import org.ebonyrun.core.fleet.Fleet;
+import org.ebonyrun.core.fleet.RequestKind;
 import org.ebonyrun.core.policy.Mechanism;
 import org.ebonyrun.core.policy.Policy;
 import org.ebonyrun.core.route.RouteTable;
@@ -58,6 +59,8 @@
         boolean mInspecting;
         // Null until the endpoint's state has arrived and the order was sent.
         @Nullable SwapOrder mOrder;
+        // How many orders the endpoint has accepted, if its limit has not admitted the order yet.
+        @Nullable Long mAcceptedOrders;
 
         PendingLoad(Endpoint endpoint, String model, int version, long now) {
             mEndpoint = endpoint;
@@ -230,16 +233,21 @@
         if (state.versions().getOrDefault(load.mModel, 0) >= load.mVersion) {
             finish(load, now, 0);
         } else if (state.busy()) {
-            load.mNextCheckAt = now + CHECK_INTERVAL_NANOS;
+            load.mNextCheckAt = now + checkIntervalNanos(endpoint);
         } else if (load.mOrder == null) {
             sendOrder(load, state.acceptedOrders(), now);
         } else if (now - load.mStartedAt > NO_EFFECT_NANOS) {
             finish(load, now, 0);
         } else {
-            load.mNextCheckAt = now + CHECK_INTERVAL_NANOS;
+            load.mNextCheckAt = now + checkIntervalNanos(endpoint);
         }
     }
 
+    /** Returns the time between two checks; longer if each is a part of the endpoint's limit. */
+    private static long checkIntervalNanos(Endpoint endpoint) {
+        return endpoint.isLimited() ? NO_EFFECT_NANOS : CHECK_INTERVAL_NANOS;
+    }
+
     /** Handles the failure to get the state of an endpoint. */
     public void onStateUnavailable(Endpoint endpoint, long now) {
         PendingLoad load = mPendingLoads.get(endpoint.id());
@@ -301,16 +309,37 @@
             if (now - load.mNextCheckAt > INSPECT_TIMEOUT_NANOS) {
                 onStateUnavailable(load.mEndpoint, now);
             }
+        } else if (load.mAcceptedOrders != null) {
+            sendOrder(load, load.mAcceptedOrders, now);
         } else if (now - load.mNextCheckAt >= 0) {
-            load.mInspecting = true;
-            load.mNextCheckAt = now;
-            mOutputs.requestState(load.mEndpoint);
+            requestState(load, now);
         }
     }
 
+    /** Requests the state of a load's endpoint if the limit of the endpoint admits it. */
+    private void requestState(PendingLoad load, long now) {
+        Endpoint endpoint = load.mEndpoint;
+        if (!endpoint.admits(RequestKind.CONTROL, now)) {
+            endpoint.onWaiting(RequestKind.CONTROL, now);
+            return;
+        }
+        load.mInspecting = true;
+        load.mNextCheckAt = now;
+        endpoint.onRequestSent(now);
+        mOutputs.requestState(endpoint);
+    }
+
     private void sendOrder(PendingLoad load, long expectedOrders, long now) {
-        mOrderedAt.put(load.mEndpoint.id(), now);
-        load.mNextCheckAt = now + FIRST_CHECK_NANOS;
+        Endpoint endpoint = load.mEndpoint;
+        if (!endpoint.admits(RequestKind.CONTROL, now)) {
+            endpoint.onWaiting(RequestKind.CONTROL, now);
+            load.mAcceptedOrders = expectedOrders;
+            return;
+        }
+        load.mAcceptedOrders = null;
+        endpoint.onRequestSent(now);
+        mOrderedAt.put(endpoint.id(), now);
+        load.mNextCheckAt = now + Math.max(FIRST_CHECK_NANOS, checkIntervalNanos(endpoint));
         SwapMode mode = mSingleVersion ? SwapMode.WAIT : SwapMode.KEEP;
         SwapOrder order =
                 new SwapOrder(
@@ -374,11 +403,14 @@
                 || mPendingLoads.containsKey(endpoint.id())) {
             return;
         }
+        if (!endpoint.admits(RequestKind.CONTROL, now)) {
+            endpoint.onWaiting(RequestKind.CONTROL, now);
+            return;
+        }
         PendingLoad load = new PendingLoad(endpoint, model, version, now);
         mPendingLoads.put(endpoint.id(), load);
         endpoint.setLoading(true);
-        load.mInspecting = true;
-        mOutputs.requestState(endpoint);
+        requestState(load, now);
     }
 
     private List<Endpoint> engines(String model) {
--- a/ebonyrun-core/src/test/java/org/ebonyrun/core/call/CallMachineTest.java
+++ b/ebonyrun-core/src/test/java/org/ebonyrun/core/call/CallMachineTest.java
@@ -15,15 +15,19 @@
 import org.ebonyrun.base.id.FailureDomain;
 import org.ebonyrun.base.time.Nanos;
 import org.ebonyrun.core.fleet.EndpointFixtures;
+import org.ebonyrun.core.fleet.FakeGate;
 import org.ebonyrun.core.fleet.Fleet;
+import org.ebonyrun.core.fleet.LimitNotice;
 import org.ebonyrun.core.policy.Mechanism;
 import org.ebonyrun.core.policy.Policy;
 import org.ebonyrun.core.route.CallOptions;
 import org.ebonyrun.core.route.Route;
 import org.ebonyrun.core.route.RouteKind;
 import org.ebonyrun.core.route.StepOptions;
+import org.jspecify.annotations.Nullable;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
@@ -61,6 +65,56 @@
         }
     }
 
+    private FakeGate limit(String endpoint, int admitted, long waitMillis) {
+        FakeGate gate = new FakeGate();
+        gate.mAdmitted = admitted;
+        gate.mWaitNanos = waitMillis < 0 ? Long.MAX_VALUE : Nanos.ofMillis(waitMillis);
+        mFleet.get(endpoint).setGate(gate);
+        mFleet.onLimitNotice(
+                EndpointFixtures.record(endpoint, 4, 1), LimitNotice.limitedTo(1), 0, 0);
+        return gate;
+    }
+
+    @ParameterizedTest
+    @CsvSource({"-1, refused", "1000, refused", "300,", "0,"})
+    void aCallThatLimitsAdmitTooLateIsRefusedAtOnceWithATimeToComeBack(
+            long waitMillis, @Nullable String outcome) {
+        addEndpoints(1, 4);
+        FakeGate gate = limit("e1", 0, waitMillis);
+        gate.mPerSecond = 0.5;
+
+        mMachine.onCall(call(1, RouteKind.ONCE, false, 0), 0);
+
+        assertThat(mOutputs.mOutcomes.get(1L), is(outcome));
+        assertThat(mOutputs.mRetryAfterMillis.get(1L), is(outcome == null ? null : 2_000L));
+        assertThat(mOutputs.mSent.isEmpty(), is(true));
+        assertThat(gate.mWaiting, is(1));
+    }
+
+    @Test
+    void aCallGoesToAnotherEndpointWhileALimitAdmitsNone() {
+        addEndpoints(2, 4);
+        FakeGate gate = limit("e1", 0, -1);
+
+        mMachine.onCall(call(1, RouteKind.ONCE, false, 0), 0);
+
+        assertThat(mOutputs.last().endpoint(), is("e2"));
+        assertThat(gate.mWaiting, is(0));
+    }
+
+    @Test
+    void aHedgedAttemptUsesNoPartOfALimit() {
+        addEndpoints(2, 4);
+        FakeGate first = limit("e1", 1, -1);
+        FakeGate second = limit("e2", 1, -1);
+
+        mMachine.onCall(call(1, RouteKind.IDEMPOTENT, false, 0), 0);
+        mMachine.onTick(Nanos.ofMillis(400));
+
+        assertThat(mOutputs.mSent.size(), is(1));
+        assertThat(first.mAdmitted + second.mAdmitted, is(1));
+    }
+
     @Test
     void anAnswerIsDeliveredOnce() {
         addEndpoints(1, 4);
--- a/ebonyrun-core/src/test/java/org/ebonyrun/core/call/FakeCallOutputs.java
+++ b/ebonyrun-core/src/test/java/org/ebonyrun/core/call/FakeCallOutputs.java
@@ -15,6 +15,7 @@
     final List<Long> mCancelled = new ArrayList<>();
     final Map<Long, String> mOutcomes = new HashMap<>();
     final Map<Long, Integer> mOutcomeCounts = new HashMap<>();
+    final Map<Long, Long> mRetryAfterMillis = new HashMap<>();
 
     Sent last() {
         return mSent.get(mSent.size() - 1);
@@ -43,6 +44,7 @@
     @Override
     public void refuse(CallSpec call, long retryAfterMillis, String reason) {
         end(call, "refused");
+        mRetryAfterMillis.put(call.id(), retryAfterMillis);
     }
 
     @Override
--- a/ebonyrun-core/src/test/java/org/ebonyrun/core/fleet/FleetTest.java
+++ b/ebonyrun-core/src/test/java/org/ebonyrun/core/fleet/FleetTest.java
@@ -144,7 +144,7 @@
     void aNewIncarnationStartsWithoutTheStateOfThePreviousOne() {
         mFleet.onRecord(EndpointFixtures.record("e", 100, 4, 3, false));
         Endpoint before = mFleet.get("e");
-        before.onSent();
+        before.onSent(0);
         before.onFailure(0);
         mFleet.onRecord(EndpointFixtures.record("e", 200, 4, 1, false));
         Endpoint after = mFleet.get("e");
--- a/ebonyrun-core/src/test/java/org/ebonyrun/core/swap/SwapMachineTest.java
+++ b/ebonyrun-core/src/test/java/org/ebonyrun/core/swap/SwapMachineTest.java
@@ -16,6 +16,7 @@
 import org.ebonyrun.base.time.Nanos;
 import org.ebonyrun.core.fleet.Endpoint;
 import org.ebonyrun.core.fleet.EndpointFixtures;
+import org.ebonyrun.core.fleet.FakeGate;
 import org.ebonyrun.core.fleet.Fleet;
 import org.ebonyrun.core.policy.Mechanism;
 import org.ebonyrun.core.policy.Policy;
@@ -342,4 +343,27 @@
         reportState(endpoint, now);
         assertThat(mEngines.mOrders.get(mEngines.mOrders.size() - 1).version(), is(3));
     }
+
+    @Test
+    void anOrderThatALimitDoesNotAdmitYetIsSentLaterWithoutAnotherRequestForTheState() {
+        List<FakeGate> gates = new ArrayList<>();
+        for (Endpoint endpoint : mFleet.all()) {
+            FakeGate gate = new FakeGate();
+            gate.mAdmitted = 1;
+            gates.add(gate);
+            endpoint.setGate(gate);
+        }
+        mMachine.onLeaseAcquired(1, 0, 0);
+        mMachine.onVersionNamed(EndpointFixtures.MODEL, 2, 0);
+        run(0, Nanos.ofMillis(3_000));
+        assertThat(mEngines.mOrders, empty());
+        assertThat(gates.stream().allMatch(gate -> gate.mAdmitted >= 0), is(true));
+
+        gates.forEach(gate -> gate.mAdmitted += 1);
+        int waiting = (int) gates.stream().filter(gate -> gate.mAdmitted == 1).count();
+        mMachine.onTick(Nanos.ofMillis(3_000));
+
+        assertThat(mEngines.mOrders.size(), is(waiting));
+        assertThat(mEngines.mInspected, empty());
+    }
 }
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/HostedEntry.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/HostedEntry.java
@@ -90,6 +90,7 @@
     private final SampleController mSamples;
     private final StepOwnership mStepOwnership;
     private final StepReader mStepReader;
+    private final PermitController mPermits;
     private final PlannerController mPlanner;
     private final FrontHandler mFront;
     private final TCPNIOTransport mTransport;
@@ -128,6 +129,7 @@
         Random random = new Random();
         mDirectory = new StepDirectory(log);
         mLease = new EntryLease(mStore, executor(), log, this::onLeaseLost);
+        mPermits = new PermitController(this, mStore, mFleet, random);
         mCalls = new CallController(this, client, mFleet, settings.domain());
         mSamples =
                 new SampleController(
@@ -225,6 +227,7 @@
                 "ebonyrun_entry_running_samples", (double) mSamples.machine().runningSampleCount());
         gauges.put("ebonyrun_entry_endpoints", (double) mFleet.all().size());
         gauges.put("ebonyrun_entry_limited_endpoints", (double) limitedEndpointCount());
+        gauges.put("ebonyrun_entry_permits", (double) mPermits.machine().permitCount());
         gauges.put("ebonyrun_entry_config_version", (double) mRoutes.version());
         gauges.put("ebonyrun_entry_ready", mReady ? 1.0 : 0.0);
         gauges.put("ebonyrun_entry_store_away", mHealth.isUnavailable() ? 1.0 : 0.0);
@@ -270,16 +273,8 @@
 
     @Override
     public void onLimitNotice(EndpointRecord endpoint, LimitNotice notice, long sentAt) {
-        mFleet.onLimitNotice(endpoint, notice, sentAt, System.nanoTime()).ifPresent(this::logLimit);
-    }
-
-    private void logLimit(Endpoint endpoint) {
-        mLog.write(
-                LogLine.of("endpoint.limit")
-                        .with("endpoint", endpoint.id())
-                        .with("service", endpoint.record().service())
-                        .with("requests_per_s", endpoint.requestsPerSecond())
-                        .with("requests", endpoint.requestCount()));
+        mFleet.onLimitNotice(endpoint, notice, sentAt, System.nanoTime())
+                .ifPresent(mPermits::onLimitChanged);
     }
 
     @Override
@@ -323,9 +318,10 @@
         }
         mHealth.onTick(now);
         mWatches.forEach(watch -> watch.onTick(now));
-        mLease.onTick(mStepOwnership.needsLease() || mPlanner.holdsRole(), now);
+        mLease.onTick(needsLease(), now);
         mStepOwnership.onTick(mDirectory.ownedOrClaimableBy(mProcessName), now);
         mPlanner.onTick(now);
+        mPermits.machine().onTick(now);
         mSamples.machine().onTick(now);
         mCalls.onTick(now);
         mStepReader.onTick(now);
@@ -359,8 +355,13 @@
         }
     }
 
+    private boolean needsLease() {
+        return !isIdle() || mPermits.machine().needsLease();
+    }
+
     private void onLeaseLost() {
         mPlanner.onLeaseLost();
+        mPermits.machine().onLeaseLost();
     }
 
     private boolean isIdle() {
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/PlannerController.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/PlannerController.java
@@ -336,7 +336,6 @@
     @Override
     public void requestState(Endpoint endpoint) {
         long sentAt = System.nanoTime();
-        endpoint.onRequestSent();
         mHttpClient
                 .request(EndpointProtocol.newStateRequest(endpoint.record()), "endpoint.inspect")
                 .thenAcceptAsync(
@@ -404,7 +403,6 @@
             return;
         }
         long sentAt = System.nanoTime();
-        endpoint.onRequestSent();
         mHttpClient
                 .request(
                         EndpointProtocol.newOrderRequest(
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/StoreKeys.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/StoreKeys.java
@@ -1,10 +1,13 @@
 package org.ebonyrun.daemon.hosted;
 
+import static com.google.common.base.Preconditions.checkArgument;
+
+import org.ebonyrun.base.id.ServiceName;
 import org.ebonyrun.core.step.StepId;
 
 /**
- * The keys of the shared store that an entry uses for steps and for the weight planner. Stateless
- * and thread safe.
+ * The keys of the shared store that an entry uses for steps, for the weight planner and for the
+ * limits of endpoints. Stateless and thread safe.
  *
  * <p>A step has live keys and data keys. Live keys are small: the manifest, the owner, and two
  * markers for a step that was ended or is done. Every entry watches them. Data keys hold the bulk:
@@ -38,8 +41,52 @@
 
     private static final String CHECKPOINT = "partial";
 
+    private static final String PERMITS_PREFIX = "ebonyrun/limit/";
+    private static final String PERMIT = "permit/";
+    private static final String WAITING = "wait/";
+
     private StoreKeys() {}
 
+    /** Returns the prefix of the keys of a service's permits, and of those that wait for one. */
+    static String permitsPrefix(ServiceName service) {
+        return PERMITS_PREFIX + service + "/";
+    }
+
+    /** Returns the key of a permit to send requests to an endpoint. */
+    static String permitKey(ServiceName service, String endpoint, int index) {
+        return permitsPrefix(service) + PERMIT + endpoint + "/" + index;
+    }
+
+    /** Returns the key that says that a process waits for a permit of a service. */
+    static String waitingKey(ServiceName service, ProcessName process) {
+        return permitsPrefix(service) + WAITING + process.format();
+    }
+
+    static boolean isWaitingKey(ServiceName service, String key) {
+        return key.startsWith(permitsPrefix(service) + WAITING);
+    }
+
+    /**
+     * Returns the endpoint of a permit's key.
+     *
+     * @throws IllegalArgumentException if it is not the key of a permit
+     */
+    static String permitEndpoint(ServiceName service, String key) {
+        String prefix = permitsPrefix(service) + PERMIT;
+        int end = key.lastIndexOf('/');
+        checkArgument(key.startsWith(prefix) && end > prefix.length(), "%s is no permit", key);
+        return key.substring(prefix.length(), end);
+    }
+
+    /**
+     * Returns the number of the permit of a key.
+     *
+     * @throws IllegalArgumentException if the key does not end with a number
+     */
+    static int permitIndex(String key) {
+        return Integer.parseInt(key.substring(key.lastIndexOf('/') + 1));
+    }
+
     /** Returns the live key of one part of a step. */
     static String liveKey(StepId step, String part) {
         return STEP_PREFIX + step + "/" + part;
