Keep an endpoint's limit while its record is gone

An endpoint whose record lapsed during an outage of the store and was written again came back without its limit, so that every entry sent freely until the next answer named it. Found by reading; aLimitOutlivesTheRecordButNotTheIncarnation failed before (1 of 2 cases). The fleet keeps removed endpoints that have a limit (at most 1,024) and uses them again for the same incarnation.

--- a/ebonyrun-core/src/main/java/org/ebonyrun/core/fleet/Fleet.java
+++ b/ebonyrun-core/src/main/java/org/ebonyrun/core/fleet/Fleet.java
@@ -4,6 +4,7 @@
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -21,7 +22,8 @@
  *
  * <p>Invariants: the fleet holds at most one incarnation of an endpoint, the newest that was seen;
  * a record of an older incarnation changes nothing; an incarnation that has announced that it is
- * leaving never serves again.
+ * leaving never serves again; a limit holds until its incarnation ends it, also if the record is
+ * removed and written again.
  *
  * <p>Not thread safe; confined to the event loop that owns it.
  */
@@ -29,9 +31,13 @@
     /** Grace period after an outage, in which endpoints can write their expired records again. */
     public static final long EXPIRED_GRACE_NANOS = Nanos.ofMillis(2_000);
 
+    private static final int MAX_REMOVED_LIMITED = 1_024;
+
     private final Map<String, Endpoint> mEndpoints = new HashMap<>();
     private final Map<String, Long> mExpired = new HashMap<>();
     private final LeavingIncarnations mLeaving = new LeavingIncarnations();
+    // Endpoints without a record whose limits hold if the record is written again.
+    private final Map<String, Endpoint> mRemovedLimited = new LinkedHashMap<>();
     private boolean mStoreUnavailable;
     private long mStoreAvailableAt;
     private boolean mHadOutage;
@@ -54,6 +60,13 @@
             if (known != null) {
                 known.setRemoved(true);
             }
+            Endpoint limited = mRemovedLimited.remove(record.id());
+            if (limited != null && limited.record().incarnation() == record.incarnation()) {
+                mEndpoints.put(record.id(), limited);
+                limited.setRemoved(false);
+                limited.update(record);
+                return true;
+            }
             Endpoint endpoint = new Endpoint(record);
             if (mLeaving.contains(record.id(), record.incarnation())) {
                 endpoint.setLeaving();
@@ -151,8 +164,15 @@
 
     private void removeEndpoint(String id) {
         Endpoint endpoint = mEndpoints.remove(id);
-        if (endpoint != null) {
-            endpoint.setRemoved(true);
+        if (endpoint == null) {
+            return;
+        }
+        endpoint.setRemoved(true);
+        if (endpoint.isLimited()) {
+            mRemovedLimited.put(id, endpoint);
+            if (mRemovedLimited.size() > MAX_REMOVED_LIMITED) {
+                mRemovedLimited.remove(mRemovedLimited.keySet().iterator().next());
+            }
         }
     }
 
--- a/ebonyrun-core/src/main/java/org/ebonyrun/core/limit/PermitMachine.java
+++ b/ebonyrun-core/src/main/java/org/ebonyrun/core/limit/PermitMachine.java
@@ -46,6 +46,8 @@
     // A write that got no response may take effect this much later.
     private static final long LATE_WRITE_NANOS = Nanos.ofMillis(8_000);
     private static final int MAX_CHANGES = 8;
+    // Above this number, endpoints without a record are forgotten.
+    private static final int MAX_ENDPOINTS = 1_024;
     // How long a request that waits keeps up the demand for more permits. A process that holds none
     // refuses callers at once, so it must want one until they come back.
     private static final long DEMAND_NANOS = Nanos.ofMillis(500);
@@ -135,7 +137,9 @@
         if (mEndpoints.isEmpty() && mRounds.isEmpty()) {
             return;
         }
-        mEndpoints.values().removeIf(limited -> isGone(limited.endpoint()));
+        if (mEndpoints.size() > MAX_ENDPOINTS) {
+            mEndpoints.values().removeIf(limited -> isGone(limited.endpoint()));
+        }
         for (Map.Entry<ServiceName, Rounds> entry : mRounds.entrySet()) {
             Rounds rounds = entry.getValue();
             boolean uncertain =
@@ -156,7 +160,8 @@
     private List<LimitedEndpoint> limited(ServiceName service) {
         List<LimitedEndpoint> limited = new ArrayList<>();
         for (LimitedEndpoint endpoint : mEndpoints.values()) {
-            if (endpoint.endpoint().record().service().equals(service)) {
+            boolean ofService = endpoint.endpoint().record().service().equals(service);
+            if (ofService && !isGone(endpoint.endpoint())) {
                 limited.add(endpoint);
             }
         }
--- a/ebonyrun-core/src/test/java/org/ebonyrun/core/fleet/FleetTest.java
+++ b/ebonyrun-core/src/test/java/org/ebonyrun/core/fleet/FleetTest.java
@@ -12,6 +12,7 @@
 import org.ebonyrun.base.time.Nanos;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 class FleetTest {
@@ -156,6 +157,33 @@
         assertThat(after.version(EndpointFixtures.MODEL), is(1));
     }
 
+    @ParameterizedTest
+    @CsvSource({"10, true", "20, true", "21, false"})
+    void aLimitEndsWithAResponseToARequestThatWasSentAfterItWasLastNamed(
+            long sentAt, boolean limited) {
+        EndpointRecord record = EndpointFixtures.record("e", 4, 1);
+        mFleet.onRecord(record);
+        mFleet.onLimitNotice(record, LimitNotice.limitedTo(2), 5, 10);
+        mFleet.onLimitNotice(record, LimitNotice.limitedTo(2), 5, 21);
+
+        mFleet.onLimitNotice(record, LimitNotice.UNLIMITED, sentAt, 30);
+
+        assertThat(mFleet.get("e").isLimited(), is(limited));
+    }
+
+    @ParameterizedTest
+    @CsvSource({"100, true", "200, false"})
+    void aLimitOutlivesTheRecordButNotTheIncarnation(long incarnation, boolean limited) {
+        EndpointRecord record = EndpointFixtures.record("e", 100, 4, 1, false);
+        mFleet.onRecord(record);
+        mFleet.onLimitNotice(record, LimitNotice.limitedTo(2), 0, 0);
+        mFleet.onRemoved("e", 0);
+        mFleet.onRecord(EndpointFixtures.record("e", incarnation, 4, 1, false));
+
+        assertThat(servingCount(), is(1));
+        assertThat(mFleet.get("e").isLimited(), is(limited));
+    }
+
     @Test
     void aLateRecordOfAnOlderIncarnationChangesNothing() {
         mFleet.onRecord(EndpointFixtures.record("e", 200, 4, 5, false));
--- a/ebonyrun-core/src/test/java/org/ebonyrun/core/limit/PermitMachineTest.java
+++ b/ebonyrun-core/src/test/java/org/ebonyrun/core/limit/PermitMachineTest.java
@@ -72,7 +72,7 @@
             long from = (10 * i + random.nextInt(5)) * SECOND;
             simulation.storeDown(from, from + random.nextInt(6_000) * Nanos.ofMillis(1));
             long cut = (10 * i + 5 + random.nextInt(3)) * SECOND;
-            simulation.cutOff(1 + random.nextInt(3), cut, cut + random.nextInt(7) * SECOND);
+            simulation.cutOff(1 + random.nextInt(7), cut, cut + random.nextInt(9) * SECOND);
         }
         simulation.changeLimit(limit * 0.9, 30 * SECOND);
         simulation.run(MINUTE);
