Log which calls break the connections of endpoints, under one fingerprint

The logs could not tell whether calls that break endpoints are the same one: each repeat has a new request id, and neither path nor body is logged. A broken attempt now carries the endpoint and a hash of method, host, target and body, equal at all entries.

--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/CallController.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/CallController.java
@@ -6,6 +6,7 @@
 import org.ebonyrun.base.log.LogLine;
 import org.ebonyrun.base.time.Nanos;
 import org.ebonyrun.core.call.AttemptOutcome;
+import org.ebonyrun.core.call.CallFingerprint;
 import org.ebonyrun.core.call.CallMachine;
 import org.ebonyrun.core.call.CallOutputs;
 import org.ebonyrun.core.call.CallSpec;
@@ -268,6 +269,14 @@
         }
     }
 
+    private static CallFingerprint fingerprint(FrontExchange caller) {
+        return CallFingerprint.of(
+                caller.method(),
+                FrontProtocol.host(caller.headers()),
+                caller.target(),
+                caller.body());
+    }
+
     @Override
     public void onHead(CallExchange exchange, HttpResponseHead head) {
         CallSpec call = mSpecs.get(exchange.attempt());
@@ -306,6 +315,11 @@
                         .with("end", outcome)
                         .with("status", head == null ? 0 : head.status())
                         .with("detail", exchange.detail());
+        Client client = mClients.get(call.id());
+        if (exchange.isBroken() && client != null && client.caller() != null) {
+            line.with("endpoint", exchange.endpointId())
+                    .with("fingerprint", fingerprint(client.caller()));
+        }
         mContext.log().write(exchange.withConnection(line));
         mSpecs.remove(exchange.attempt());
         if (outcome == AttemptOutcome.SERVER_ERROR) {
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/CallExchange.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/CallExchange.java
@@ -42,6 +42,7 @@
     private boolean mPassThrough;
     private boolean mTooLong;
     private String mDetail = "";
+    private volatile boolean mBroken;
 
     CallExchange(
             long attempt,
@@ -71,6 +72,11 @@
         return mDetail;
     }
 
+    /** Returns whether the connection broke after the request was sent. */
+    boolean isBroken() {
+        return mBroken;
+    }
+
     @Override
     public void onStart(HttpExchange exchange) {
         super.onStart(exchange);
@@ -138,6 +144,7 @@
     @Override
     public void onFailure(boolean sent, String detail) {
         mDetail = detail;
+        mBroken = sent;
         AttemptOutcome outcome = sent ? AttemptOutcome.LOST : AttemptOutcome.UNREACHABLE;
         runOnEventLoop(() -> mListener.onEnd(this, outcome));
     }
