--- a/ebonyrun-daemon/src/test/java/org/ebonyrun/daemon/hosted/HostedFixture.java
+++ b/ebonyrun-daemon/src/test/java/org/ebonyrun/daemon/hosted/HostedFixture.java
@@ -80,9 +80,14 @@
 
     /** Restarts both entries with one mechanism disabled. */
     void restartWithout(Mechanism mechanism) throws IOException {
+        mPolicy = "\npolicy: {" + mechanism.settingKey() + ": false}";
+        restart();
+    }
+
+    /** Restarts both entries, which then know all endpoints that are registered. */
+    void restart() throws IOException {
         mFirstEntry.close();
         mSecondEntry.close();
-        mPolicy = "\npolicy: {" + mechanism.settingKey() + ": false}";
         startEntries();
     }
 
