Block calls that crash the endpoints that run them, at all entries

Cause: nothing was remembered from one attempt of a client to the next. Each repeat has a new request id, may come at any entry, and got two endpoints again (a retry or a hedge).

Change: calls have a fingerprint (method, host, target, body). A broken connection adds its endpoint to the call's record, which entries share through the store and watch; a call with three endpoints is refused with a time to come back. An answer removes the record. Samples and their scores don't count.

--- a/ebonyrun-core/src/main/java/org/ebonyrun/core/call/CallMachine.java
+++ b/ebonyrun-core/src/main/java/org/ebonyrun/core/call/CallMachine.java
@@ -46,6 +46,7 @@
     private final CallOrder mOrder;
     private final CallPlacement mPlacement;
     private final boolean mHedgingEnabled;
+    private final CallGuard mGuard;
     private final CallOutputs mOutputs;
     private final Map<Long, PendingCall> mCalls = new LinkedHashMap<>();
     private final Map<Long, PendingCall> mCallsByAttempt = new HashMap<>();
@@ -56,22 +57,35 @@
             CallOrder order,
             CallPlacement placement,
             boolean hedgingEnabled,
+            CallGuard guard,
             CallOutputs outputs) {
         mFleet = fleet;
         mOrder = order;
         mPlacement = placement;
         mHedgingEnabled = hedgingEnabled;
+        mGuard = guard;
         mOutputs = outputs;
     }
 
     /** Creates a machine for a process in a failure domain, with the mechanisms of a policy. */
     public static CallMachine create(
             Fleet fleet, FailureDomain domain, Policy policy, CallOutputs outputs) {
+        return create(fleet, domain, policy, CallGuard.NONE, outputs);
+    }
+
+    /** Creates a machine as above that does not send the calls that a guard blocks. */
+    public static CallMachine create(
+            Fleet fleet,
+            FailureDomain domain,
+            Policy policy,
+            CallGuard guard,
+            CallOutputs outputs) {
         return new CallMachine(
                 fleet,
                 new InteractiveFirstCallOrder(),
                 placement(domain, policy),
                 policy.isEnabled(Mechanism.HEDGED_CALLS),
+                guard,
                 outputs);
     }
 
@@ -88,7 +102,7 @@
     /** Creates a machine with a given order and placement, and with hedging. */
     public static CallMachine create(
             Fleet fleet, CallOrder order, CallPlacement placement, CallOutputs outputs) {
-        return new CallMachine(fleet, order, placement, true, outputs);
+        return new CallMachine(fleet, order, placement, true, CallGuard.NONE, outputs);
     }
 
     /** Returns the number of unfinished calls. */
@@ -194,7 +208,8 @@
         if (!mHedgingEnabled
                 || call.mOpenAttempts.size() != 1
                 || call.mStreaming
-                || !call.mayRunAgain()) {
+                || !call.mayRunAgain()
+                || mGuard.isBlocked(call.mSpec)) {
             return false;
         }
         long target = Nanos.ofMillis(call.mSpec.route().call().targetLatencyMillis());
@@ -219,6 +234,10 @@
         if (!call.mOpenAttempts.isEmpty() || !mCalls.containsKey(call.mSpec.id())) {
             return;
         }
+        if (mGuard.isBlocked(call.mSpec)) {
+            endBlocked(call);
+            return;
+        }
         if (!call.mayRunAgain()) {
             endWithoutRetry(call);
             return;
@@ -233,6 +252,16 @@
         }
     }
 
+    private void endBlocked(PendingCall call) {
+        if (call.mPossibleRuns > 0) {
+            endWithoutRetry(call);
+            return;
+        }
+        mOutputs.refuse(
+                call.mSpec, mGuard.retryAfterMillis(), "the call has crashed too many endpoints");
+        end(call);
+    }
+
     private void endWithoutRetry(PendingCall call) {
         if (call.mServerErrorAttempt != null) {
             mOutputs.deliver(call.mSpec, call.mServerErrorAttempt);
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/CallController.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/CallController.java
@@ -7,9 +7,11 @@
 import org.ebonyrun.base.time.Nanos;
 import org.ebonyrun.core.call.AttemptOutcome;
 import org.ebonyrun.core.call.CallFingerprint;
+import org.ebonyrun.core.call.CallGuard;
 import org.ebonyrun.core.call.CallMachine;
 import org.ebonyrun.core.call.CallOutputs;
 import org.ebonyrun.core.call.CallSpec;
+import org.ebonyrun.core.call.CrashRecords;
 import org.ebonyrun.core.fleet.Endpoint;
 import org.ebonyrun.core.fleet.Fleet;
 import org.ebonyrun.core.route.RouteKind;
@@ -25,20 +27,57 @@
 
 /**
  * Performs the I/O that the call state machine requests, for calls of callers and for calls that
- * score samples.
+ * score samples. Calls of callers that crash endpoints are blocked; calls that score samples are
+ * not, since a sample is owed whatever happens to an endpoint.
  *
  * <p>Not thread safe; confined to the entry's event loop.
  */
-final class CallController implements CallOutputs, CallExchange.Listener {
+final class CallController implements CallOutputs, CallGuard, CallExchange.Listener {
     private static final int UNAVAILABLE = 503;
     private static final int GATEWAY_TIMEOUT = 504;
     private static final int BAD_GATEWAY = 502;
 
     /** The client of a call: either a caller, or a sample that is being scored. */
-    private record Client(
-            @Nullable FrontExchange caller,
-            @Nullable ScoreCall score,
-            @Nullable ScoreListener scoreListener) {}
+    private static final class Client {
+        final @Nullable FrontExchange mCaller;
+        final @Nullable ScoreCall mScore;
+        final @Nullable ScoreListener mScoreListener;
+        private @Nullable CallFingerprint mFingerprint;
+
+        Client(
+                @Nullable FrontExchange caller,
+                @Nullable ScoreCall score,
+                @Nullable ScoreListener scoreListener) {
+            mCaller = caller;
+            mScore = score;
+            mScoreListener = scoreListener;
+        }
+
+        @Nullable FrontExchange caller() {
+            return mCaller;
+        }
+
+        @Nullable ScoreCall score() {
+            return mScore;
+        }
+
+        @Nullable ScoreListener scoreListener() {
+            return mScoreListener;
+        }
+
+        /** Returns the fingerprint of a caller's call; null for a call that scores a sample. */
+        @Nullable CallFingerprint fingerprint() {
+            if (mFingerprint == null && mCaller != null) {
+                mFingerprint =
+                        CallFingerprint.of(
+                                mCaller.method(),
+                                FrontProtocol.host(mCaller.headers()),
+                                mCaller.target(),
+                                mCaller.body());
+            }
+            return mFingerprint;
+        }
+    }
 
     /** Receives the outcome of a call that scores a sample. */
     interface ScoreListener {
@@ -53,6 +92,7 @@
 
     private final HostedContext mContext;
     private final AsyncHttpClient mHttpClient;
+    private final CrashController mCrashes;
     private final CallMachine mMachine;
     private final Map<Long, Client> mClients = new HashMap<>();
     private final Map<FrontExchange, Long> mCallIds = new HashMap<>();
@@ -65,10 +105,15 @@
     private long mLastCallId;
 
     CallController(
-            HostedContext context, AsyncHttpClient httpClient, Fleet fleet, FailureDomain domain) {
+            HostedContext context,
+            AsyncHttpClient httpClient,
+            Fleet fleet,
+            CrashController crashes,
+            FailureDomain domain) {
         mContext = context;
         mHttpClient = httpClient;
-        mMachine = CallMachine.create(fleet, domain, context.policy(), this);
+        mCrashes = crashes;
+        mMachine = CallMachine.create(fleet, domain, context.policy(), this, this);
     }
 
     /** Returns an ID for a new call, unique within this process. */
@@ -78,11 +123,28 @@
 
     /** Starts a call on behalf of a caller. */
     void onCall(CallSpec spec, FrontExchange caller, long now) {
-        mClients.put(spec.id(), new Client(caller, null, null));
+        Client client = new Client(caller, null, null);
+        mClients.put(spec.id(), client);
         mCallIds.put(caller, spec.id());
+        CallFingerprint fingerprint = mCrashes.isEmpty() ? null : client.fingerprint();
+        if (fingerprint != null) {
+            mCrashes.onArrival(fingerprint);
+        }
         mMachine.onCall(spec, now);
     }
 
+    @Override
+    public boolean isBlocked(CallSpec call) {
+        Client client = mCrashes.isEmpty() ? null : mClients.get(call.id());
+        CallFingerprint fingerprint = client == null ? null : client.fingerprint();
+        return fingerprint != null && mCrashes.isBlocked(fingerprint);
+    }
+
+    @Override
+    public long retryAfterMillis() {
+        return CrashRecords.RETENTION_MILLIS;
+    }
+
     /** Starts a call that scores a sample. */
     void onScoreCall(CallSpec spec, ScoreCall score, ScoreListener listener, long now) {
         mClients.put(spec.id(), new Client(null, score, listener));
@@ -173,6 +235,10 @@
         if (client == null || head == null) {
             return;
         }
+        CallFingerprint fingerprint = mCrashes.isEmpty() ? null : client.fingerprint();
+        if (fingerprint != null && head.isSuccess()) {
+            mCrashes.onAnswered(fingerprint);
+        }
         FrontExchange caller = client.caller();
         if (caller == null) {
             endScore(client, head, errors);
@@ -269,14 +335,6 @@
         }
     }
 
-    private static CallFingerprint fingerprint(FrontExchange caller) {
-        return CallFingerprint.of(
-                caller.method(),
-                FrontProtocol.host(caller.headers()),
-                caller.target(),
-                caller.body());
-    }
-
     @Override
     public void onHead(CallExchange exchange, HttpResponseHead head) {
         CallSpec call = mSpecs.get(exchange.attempt());
@@ -316,9 +374,11 @@
                         .with("status", head == null ? 0 : head.status())
                         .with("detail", exchange.detail());
         Client client = mClients.get(call.id());
-        if (exchange.isBroken() && client != null && client.caller() != null) {
-            line.with("endpoint", exchange.endpointId())
-                    .with("fingerprint", fingerprint(client.caller()));
+        CallFingerprint fingerprint =
+                exchange.isBroken() && client != null ? client.fingerprint() : null;
+        if (fingerprint != null) {
+            line.with("endpoint", exchange.endpointId()).with("fingerprint", fingerprint);
+            mCrashes.onCrash(fingerprint, call.requestId(), exchange.endpointId());
         }
         mContext.log().write(exchange.withConnection(line));
         mSpecs.remove(exchange.attempt());
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/HostedEntry.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/HostedEntry.java
@@ -91,6 +91,7 @@
     private final StepOwnership mStepOwnership;
     private final StepReader mStepReader;
     private final PermitController mPermits;
+    private final CrashController mCrashes;
     private final PlannerController mPlanner;
     private final FrontHandler mFront;
     private final TCPNIOTransport mTransport;
@@ -130,7 +131,8 @@
         mDirectory = new StepDirectory(log);
         mLease = new EntryLease(mStore, executor(), log, this::onLeaseLost);
         mPermits = new PermitController(this, mStore, mFleet, random);
-        mCalls = new CallController(this, client, mFleet, settings.domain());
+        mCrashes = new CrashController(this, mStore);
+        mCalls = new CallController(this, client, mFleet, mCrashes, settings.domain());
         mSamples =
                 new SampleController(
                         this, client, mFleet, (host, path) -> mRoutes.find(host, path));
@@ -160,6 +162,12 @@
                         () -> WatchTimings.forStepKeys(mSettings.limits(), isIdle()),
                         this::onStepSnapshot,
                         this::onStepChange));
+        mWatches.add(
+                watch(
+                        StoreKeys.CRASH_PREFIX,
+                        WatchTimings::forCrashRecords,
+                        mCrashes::onSnapshot,
+                        mCrashes::onChange));
         mTransport.start();
         bindOperatorServers(settings);
         mFrontServer =
@@ -322,6 +330,7 @@
         mStepOwnership.onTick(mDirectory.ownedOrClaimableBy(mProcessName), now);
         mPlanner.onTick(now);
         mPermits.machine().onTick(now);
+        mCrashes.onTick(mPlanner.holdsRole(), now);
         mSamples.machine().onTick(now);
         mCalls.onTick(now);
         mStepReader.onTick(now);
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/StoreKeys.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/StoreKeys.java
@@ -3,6 +3,7 @@
 import static com.google.common.base.Preconditions.checkArgument;
 
 import org.ebonyrun.base.id.ServiceName;
+import org.ebonyrun.core.call.CallFingerprint;
 import org.ebonyrun.core.step.StepId;
 
 /**
@@ -45,8 +46,21 @@
     private static final String PERMIT = "permit/";
     private static final String WAITING = "wait/";
 
+    /** The prefix of the records of calls that crash endpoints. */
+    static final String CRASH_PREFIX = "ebonyrun/crash/";
+
     private StoreKeys() {}
 
+    /** Returns the key of the record of a call that crashes endpoints. */
+    static String crashKey(CallFingerprint call) {
+        return CRASH_PREFIX + call;
+    }
+
+    /** Returns the call of a key that begins with {@link #CRASH_PREFIX}. */
+    static CallFingerprint crashedCall(String key) {
+        return new CallFingerprint(key.substring(CRASH_PREFIX.length()));
+    }
+
     /** Returns the prefix of the keys of a service's permits, and of those that wait for one. */
     static String permitsPrefix(ServiceName service) {
         return PERMITS_PREFIX + service + "/";
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/WatchTimings.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/WatchTimings.java
@@ -25,6 +25,9 @@
     // An idle entry needs steps only to claim them when their owner is gone.
     private static final long IDLE_STEPS_BATCH_MILLIS = 2_000;
 
+    private static final long CRASHES_WAIT_MILLIS = 15_000;
+    private static final long CRASHES_BATCH_MILLIS = 500;
+
     private WatchTimings() {}
 
     /**
@@ -58,6 +61,15 @@
         return timing(limits, idle ? IDLE_STEPS_BATCH_MILLIS : STEPS_BATCH_MILLIS, idle);
     }
 
+    /**
+     * Returns the timing of the watch on calls that crash endpoints. Records are rare, so a poll
+     * waits long; the other watches detect a connection to the store that went silent.
+     */
+    static StoreWatch.Timing forCrashRecords() {
+        return new StoreWatch.Timing(
+                CRASHES_WAIT_MILLIS, Nanos.ofMillis(CRASHES_BATCH_MILLIS), false);
+    }
+
     private static StoreWatch.Timing timing(EntryLimits limits, long batchMillis) {
         return timing(limits, batchMillis, false);
     }
--- a/ebonyrun-daemon/src/test/java/org/ebonyrun/daemon/hosted/CrashingCallTest.java
+++ b/ebonyrun-daemon/src/test/java/org/ebonyrun/daemon/hosted/CrashingCallTest.java
@@ -90,4 +90,36 @@
         HttpResponse other = send(mFirstFront, "POST", SAFE, "other-body", "another body");
         assertThat(other.status(), is(502));
     }
+
+    @Test
+    void anEntryActsAloneWhileTheStoreIsUnavailableAndTellsTheOthersAfterwards() {
+        mDeployment.platform().setFailureStatus(request -> UNAVAILABLE);
+        mEndpoints.forEach(endpoint -> endpoint.crashOn(SAFE));
+        for (int i = 0; i < REPEATS; i++) {
+            sendCrashing(mFirstFront, SAFE, "crash-" + i);
+        }
+        assertThat(crashes(), lessThanOrEqualTo(CRASHES + MORE_RETRIES));
+
+        mDeployment.platform().setFailureStatus(request -> 0);
+        awaitTrue(
+                () -> !mDeployment.platform().store().range(StoreKeys.CRASH_PREFIX, "").isEmpty());
+        int before = crashes();
+        for (int i = 0; i < REPEATS; i++) {
+            sendCrashing(mSecondFront, SAFE, "second-" + i);
+        }
+        assertThat(crashes() - before, lessThanOrEqualTo(MORE_RETRIES));
+    }
+
+    @Test
+    void aCallThatIsAnsweredBetweenIsNotBlocked() {
+        for (int round = 0; round < CRASHES; round++) {
+            mEndpoints.forEach(endpoint -> endpoint.crashOn(UNSAFE));
+            sendCrashing(mFirstFront, UNSAFE, "first-" + round);
+            sendCrashing(mFirstFront, UNSAFE, "second-" + round);
+            mEndpoints.forEach(endpoint -> endpoint.crashOn(""));
+            HttpResponse response = sendCrashing(mFirstFront, UNSAFE, "answered-" + round);
+            assertThat(response.status(), is(200));
+        }
+        assertThat(crashes(), is(2 * CRASHES));
+    }
 }
