--- a/ebonyrun-ports/src/main/java/org/ebonyrun/ports/http/LineSplitter.java
+++ b/ebonyrun-ports/src/main/java/org/ebonyrun/ports/http/LineSplitter.java
@@ -10,27 +10,32 @@
  * <p>Not thread safe; used by one stream.
  */
 final class LineSplitter {
-    private static final int MAX_LINE_BYTES = 1 << 20;
-
+    private final int mMaxLineBytes;
     private final Consumer<String> mSink;
     private final ByteArrayOutputStream mLine = new ByteArrayOutputStream();
+    private boolean mTooLong;
 
-    LineSplitter(Consumer<String> sink) {
+    LineSplitter(int maxLineBytes, Consumer<String> sink) {
+        mMaxLineBytes = maxLineBytes;
         mSink = sink;
     }
 
-    /** Consumes bytes; returns false once an unfinished line is longer than one mebibyte. */
+    /** Consumes bytes, up to the first line that is too long; returns false from then on. */
     boolean feed(byte[] bytes) {
         for (byte b : bytes) {
+            if (mTooLong) {
+                return false;
+            }
             if (b == '\n') {
                 String line = mLine.toString(StandardCharsets.UTF_8);
                 mLine.reset();
                 mSink.accept(line);
             } else if (b != '\r') {
                 mLine.write(b);
+                mTooLong = mLine.size() > mMaxLineBytes;
             }
         }
-        return mLine.size() <= MAX_LINE_BYTES;
+        return !mTooLong;
     }
 
     /** Returns whether all bytes so far belong to complete lines. */
--- a/ebonyrun-ports/src/main/java/org/ebonyrun/ports/http/SseDataParser.java
+++ b/ebonyrun-ports/src/main/java/org/ebonyrun/ports/http/SseDataParser.java
@@ -9,10 +9,12 @@
  * #feed} then returns false.
  */
 public final class SseDataParser {
+    private static final int MAX_LINE_BYTES = 1 << 20;
+
     private static final String DATA = "data:";
 
     private final Consumer<String> mSink;
-    private final LineSplitter mLines = new LineSplitter(this::onLine);
+    private final LineSplitter mLines = new LineSplitter(MAX_LINE_BYTES, this::onLine);
 
     private SseDataParser(Consumer<String> sink) {
         mSink = sink;
--- a/ebonyrun-ports/src/main/java/org/ebonyrun/ports/http/SseEventParser.java
+++ b/ebonyrun-ports/src/main/java/org/ebonyrun/ports/http/SseEventParser.java
@@ -8,18 +8,22 @@
  * Splits a server-sent event stream into events with numeric IDs.
  *
  * <p>Not thread safe; used by one stream. An event without its terminating empty line is never
- * passed to the sink. A line above the limit makes the stream invalid; {@link #feed} then returns
- * false.
+ * passed to the sink. An event of more than {@value #MAX_EVENT_BYTES} bytes makes the stream
+ * invalid: {@link #feed} returns false from then on, and nothing more is passed to the sink.
  */
 public final class SseEventParser {
+    /** The most bytes of an event, its field names included. */
+    static final int MAX_EVENT_BYTES = 64 * 1024;
+
     private static final int MAX_ID_DIGITS = 9;
 
     private final Consumer<SseEvent> mSink;
-    private final LineSplitter mLines = new LineSplitter(this::onLine);
+    private final LineSplitter mLines = new LineSplitter(MAX_EVENT_BYTES, this::onLine);
     private final StringBuilder mData = new StringBuilder();
     private final Map<String, String> mFields = new HashMap<>();
     private long mId = -1;
     private boolean mHasData;
+    private int mEventBytes;
 
     private SseEventParser(Consumer<SseEvent> sink) {
         mSink = sink;
@@ -30,9 +34,9 @@
         return new SseEventParser(sink);
     }
 
-    /** Consumes bytes of the stream; returns false once a line is longer than one mebibyte. */
+    /** Consumes bytes of the stream; returns false once an event is too large. */
     public boolean feed(byte[] bytes) {
-        return mLines.feed(bytes);
+        return mLines.feed(bytes) && mEventBytes <= MAX_EVENT_BYTES;
     }
 
     /** Returns whether all bytes so far belong to complete events. */
@@ -41,6 +45,9 @@
     }
 
     private void onLine(String line) {
+        if (mEventBytes > MAX_EVENT_BYTES) {
+            return;
+        }
         if (line.isEmpty()) {
             endEvent();
             return;
@@ -49,6 +56,7 @@
         if (colon == 0) {
             return;
         }
+        mEventBytes += line.length() + 1;
         String name = colon < 0 ? line : line.substring(0, colon);
         String rest = colon < 0 ? "" : line.substring(colon + 1);
         String value = rest.startsWith(" ") ? rest.substring(1) : rest;
@@ -84,5 +92,6 @@
         mFields.clear();
         mId = -1;
         mHasData = false;
+        mEventBytes = 0;
     }
 }
