Send a call that crashed two endpoints to one more at a time

A call that crashes endpoints was retried and hedged like any other until its third crash was known, so that an attempt that began at two crashes ended four endpoints. With two crashes on record it is not hedged or retried within an attempt; its client may come again. Cases of aCallThatAGuardStopsIsNotSentAgainOrHedged.

--- a/ebonyrun-core/src/main/java/org/ebonyrun/core/call/CallGuard.java
+++ b/ebonyrun-core/src/main/java/org/ebonyrun/core/call/CallGuard.java
@@ -14,6 +14,11 @@
                     return false;
                 }
 
+                @Override
+                public boolean mayRetry(CallSpec call) {
+                    return true;
+                }
+
                 @Override
                 public long retryAfterMillis() {
                     return 0;
@@ -23,6 +28,9 @@
     /** Returns whether a call may not be sent, not even once more. */
     boolean isBlocked(CallSpec call);
 
+    /** Returns whether a call that an endpoint may have run may be sent to another one. */
+    boolean mayRetry(CallSpec call);
+
     /** Returns when a caller whose call is blocked may come back, in milliseconds. */
     long retryAfterMillis();
 }
--- a/ebonyrun-core/src/main/java/org/ebonyrun/core/call/CallMachine.java
+++ b/ebonyrun-core/src/main/java/org/ebonyrun/core/call/CallMachine.java
@@ -208,8 +208,7 @@
         if (!mHedgingEnabled
                 || call.mOpenAttempts.size() != 1
                 || call.mStreaming
-                || !call.mayRunAgain()
-                || mGuard.isBlocked(call.mSpec)) {
+                || !mayRunAgain(call)) {
             return false;
         }
         long target = Nanos.ofMillis(call.mSpec.route().call().targetLatencyMillis());
@@ -238,7 +237,7 @@
             endBlocked(call);
             return;
         }
-        if (!call.mayRunAgain()) {
+        if (!mayRunAgain(call)) {
             endWithoutRetry(call);
             return;
         }
@@ -252,6 +251,10 @@
         }
     }
 
+    private boolean mayRunAgain(PendingCall call) {
+        return call.mayRunAgain() && (call.mPossibleRuns == 0 || mGuard.mayRetry(call.mSpec));
+    }
+
     private void endBlocked(PendingCall call) {
         if (call.mPossibleRuns > 0) {
             endWithoutRetry(call);
--- a/ebonyrun-core/src/main/java/org/ebonyrun/core/call/CrashRecord.java
+++ b/ebonyrun-core/src/main/java/org/ebonyrun/core/call/CrashRecord.java
@@ -26,6 +26,14 @@
         return endpoints.size() >= MAX_ENDPOINTS;
     }
 
+    /**
+     * Returns whether one more endpoint may block the call. It is then sent to one endpoint at a
+     * time, so that no more endpoints than necessary crash.
+     */
+    public boolean isSuspect() {
+        return endpoints.size() >= MAX_ENDPOINTS - 1;
+    }
+
     /** Returns a record of the endpoints of both, with the later time. */
     public CrashRecord merge(CrashRecord other) {
         return new CrashRecord(
--- a/ebonyrun-core/src/main/java/org/ebonyrun/core/call/CrashRecords.java
+++ b/ebonyrun-core/src/main/java/org/ebonyrun/core/call/CrashRecords.java
@@ -46,6 +46,12 @@
         return record != null && record.isBlocked();
     }
 
+    /** Returns whether a call that one endpoint may have run may be sent to another one. */
+    public boolean mayRetry(CallFingerprint call) {
+        CrashRecord record = mRecords.get(call);
+        return record == null || !record.isSuspect();
+    }
+
     /**
      * Handles a connection that broke while an endpoint ran a call.
      *
--- a/ebonyrun-core/src/test/java/org/ebonyrun/core/call/CallMachineTest.java
+++ b/ebonyrun-core/src/test/java/org/ebonyrun/core/call/CallMachineTest.java
@@ -65,6 +65,64 @@
         }
     }
 
+    /** A guard whose answers a test sets. */
+    private static final class FakeGuard implements CallGuard {
+        boolean mBlocked;
+        boolean mMayRetry = true;
+
+        @Override
+        public boolean isBlocked(CallSpec call) {
+            return mBlocked;
+        }
+
+        @Override
+        public boolean mayRetry(CallSpec call) {
+            return mMayRetry;
+        }
+
+        @Override
+        public long retryAfterMillis() {
+            return 7_000;
+        }
+    }
+
+    @ParameterizedTest
+    @CsvSource({
+        "true, true, 1, failed",
+        "true, false, 1, failed",
+        "false, false, 1, failed",
+        "false, true, 2,"
+    })
+    void aCallThatAGuardStopsIsNotSentAgainOrHedged(
+            boolean blocked, boolean mayRetry, int sent, @Nullable String outcome) {
+        FakeGuard guard = new FakeGuard();
+        mMachine = CallMachine.create(mFleet, FailureDomain.of("a"), Policy.ALL, guard, mOutputs);
+        addEndpoints(3, 4);
+        mMachine.onCall(call(1, RouteKind.IDEMPOTENT, false, 0), 0);
+        guard.mBlocked = blocked;
+        guard.mMayRetry = mayRetry;
+        if (!mayRetry) {
+            mMachine.onTick(Nanos.ofMillis(300));
+        }
+        mMachine.onAttemptEnd(1, AttemptOutcome.LOST, Nanos.ofMillis(300));
+
+        assertThat(mOutputs.mSent.size(), is(sent));
+        assertThat(mOutputs.mOutcomes.get(1L), is(outcome));
+    }
+
+    @Test
+    void aBlockedCallIsRefusedAtOnceWithATimeToComeBack() {
+        FakeGuard guard = new FakeGuard();
+        guard.mBlocked = true;
+        mMachine = CallMachine.create(mFleet, FailureDomain.of("a"), Policy.ALL, guard, mOutputs);
+        addEndpoints(1, 4);
+        mMachine.onCall(call(1, RouteKind.ONCE, false, 0), 0);
+
+        assertThat(mOutputs.mSent.isEmpty(), is(true));
+        assertThat(mOutputs.mOutcomes.get(1L), is("refused"));
+        assertThat(mOutputs.mRetryAfterMillis.get(1L), is(7_000L));
+    }
+
     private FakeGate limit(String endpoint, int admitted, long waitMillis) {
         FakeGate gate = new FakeGate();
         gate.mAdmitted = admitted;
--- a/ebonyrun-core/src/test/java/org/ebonyrun/core/call/CrashRecordsTest.java
+++ b/ebonyrun-core/src/test/java/org/ebonyrun/core/call/CrashRecordsTest.java
@@ -52,6 +52,16 @@
         assertThat(mRecords.isBlocked(new CallFingerprint("other")), is(false));
     }
 
+    @ParameterizedTest
+    @CsvSource({"a, true", "'a,a', true", "'a,b', false"})
+    void aCallThatOneMoreEndpointMayBlockIsNotRetried(String endpoints, boolean mayRetry) {
+        for (String endpoint : endpoints.split(",")) {
+            mRecords.onCrash(CALL, endpoint, 0);
+        }
+
+        assertThat(mRecords.mayRetry(CALL), is(mayRetry));
+    }
+
     @Test
     void crashesThatOtherEntriesSawCount() {
         mRecords.onCrash(CALL, "a", 0);
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/CallController.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/CallController.java
@@ -140,6 +140,13 @@
         return fingerprint != null && mCrashes.isBlocked(fingerprint);
     }
 
+    @Override
+    public boolean mayRetry(CallSpec call) {
+        Client client = mCrashes.isEmpty() ? null : mClients.get(call.id());
+        CallFingerprint fingerprint = client == null ? null : client.fingerprint();
+        return fingerprint == null || mCrashes.mayRetry(fingerprint);
+    }
+
     @Override
     public long retryAfterMillis() {
         return CrashRecords.RETENTION_MILLIS;
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/CrashController.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/CrashController.java
@@ -69,6 +69,11 @@
         return mRecords.isBlocked(call);
     }
 
+    /** Returns whether a call that one endpoint may have run may be sent to another one. */
+    boolean mayRetry(CallFingerprint call) {
+        return mRecords.mayRetry(call);
+    }
+
     /** Handles the arrival of a call. */
     void onArrival(CallFingerprint call) {
         mRecords.onArrival(call, System.currentTimeMillis()).ifPresent(record -> write(call));
