Count endpoints that crash under a call whose caller has left

Unanswered calls are remembered for six seconds and counted if their endpoint breaks other connections, refuses one, or loses its record.

--- a/ebonyrun-core/src/test/java/org/ebonyrun/core/call/CrashRecordsTest.java
+++ b/ebonyrun-core/src/test/java/org/ebonyrun/core/call/CrashRecordsTest.java
@@ -62,6 +62,18 @@
         assertThat(mRecords.mayRetry(CALL), is(mayRetry));
     }
 
+    @ParameterizedTest
+    @CsvSource({"e, 6000, 1", "e, 6001, 0", "f, 0, 0"})
+    void anEndpointThatCrashesSoonAfterItsCallerLeftCounts(
+            String endpoint, long afterMillis, int found) {
+        UnansweredCalls calls = new UnansweredCalls();
+        calls.add(new UnansweredCalls.Unanswered(CALL, "r", "e", 0));
+        long now = Nanos.ofMillis(afterMillis);
+
+        assertThat(calls.onEndpointCrashed(endpoint, now).size(), is(found));
+        assertThat(calls.onEndpointCrashed(endpoint, now).size(), is(0));
+    }
+
     @Test
     void crashesThatOtherEntriesSawCount() {
         mRecords.onCrash(CALL, "a", 0);
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/CallController.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/CallController.java
@@ -162,12 +162,28 @@
     void onCallerDisconnected(FrontExchange caller, long now) {
         Long call = mCallIds.remove(caller);
         if (call != null) {
+            noteUnanswered(call);
             mClients.remove(call);
             mMachine.onAbandoned(call, now);
             removeErrors(call);
         }
     }
 
+    /** Notes the endpoints that have not answered a call which ends now. */
+    private void noteUnanswered(long call) {
+        Client client = mClients.get(call);
+        mSpecs.forEach(
+                (attempt, spec) -> {
+                    CallExchange exchange = mAttempts.get(attempt);
+                    boolean open = spec.id() == call && exchange != null && exchange.head() == null;
+                    CallFingerprint fingerprint =
+                            open && client != null ? client.fingerprint() : null;
+                    if (fingerprint != null) {
+                        mCrashes.onUnanswered(fingerprint, spec.requestId(), exchange.endpointId());
+                    }
+                });
+    }
+
     int openCalls() {
         return mMachine.callCount();
     }
@@ -306,6 +322,7 @@
                                 .with("timeout", timeout)
                                 .with("why", reason));
         int errors = mErrorCounts.getOrDefault(call.id(), 0);
+        noteUnanswered(call.id());
         Client client = finish(call);
         if (client == null) {
             return;
@@ -387,6 +404,9 @@
             line.with("endpoint", exchange.endpointId()).with("fingerprint", fingerprint);
             mCrashes.onCrash(fingerprint, call.requestId(), exchange.endpointId());
         }
+        if (outcome == AttemptOutcome.UNREACHABLE || exchange.isBroken()) {
+            mCrashes.onEndpointCrashed(exchange.endpointId());
+        }
         mContext.log().write(exchange.withConnection(line));
         mSpecs.remove(exchange.attempt());
         if (outcome == AttemptOutcome.SERVER_ERROR) {
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/CrashController.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/CrashController.java
@@ -12,6 +12,7 @@
 import org.ebonyrun.core.call.CallFingerprint;
 import org.ebonyrun.core.call.CrashRecord;
 import org.ebonyrun.core.call.CrashRecords;
+import org.ebonyrun.core.call.UnansweredCalls;
 import org.ebonyrun.ports.store.CommitResult;
 import org.ebonyrun.ports.store.SharedStore;
 import org.ebonyrun.ports.store.StoreChange;
@@ -46,6 +47,7 @@
     private final HostedContext mContext;
     private final SharedStore mStore;
     private final CrashRecords mRecords = new CrashRecords();
+    private final UnansweredCalls mUnanswered = new UnansweredCalls();
     private final Map<CallFingerprint, Stored> mStored = new LinkedHashMap<>();
     // Calls that were answered, until the store has what is known of them since.
     private final Set<CallFingerprint> mCleared = new HashSet<>();
@@ -104,6 +106,19 @@
         }
     }
 
+    /** Handles the end of a call that an endpoint was sent and did not answer. */
+    void onUnanswered(CallFingerprint call, String requestId, String endpoint) {
+        mUnanswered.add(
+                new UnansweredCalls.Unanswered(call, requestId, endpoint, System.nanoTime()));
+    }
+
+    /** Handles a sign that an endpoint has crashed. */
+    void onEndpointCrashed(String endpoint) {
+        mUnanswered
+                .onEndpointCrashed(endpoint, System.nanoTime())
+                .forEach(call -> onCrash(call.call(), call.requestId(), endpoint));
+    }
+
     private void write(CallFingerprint call) {
         if (mPending.size() < MAX_PENDING) {
             mPending.put(call, System.nanoTime());
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/HostedEntry.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/HostedEntry.java
@@ -527,6 +527,7 @@
                             .with("endpoint", id)
                             .with("away", mHealth.isUnavailable()));
             mFleet.onRemoved(id, System.nanoTime());
+            mCrashes.onEndpointCrashed(id);
         }
     }
 
