--- a/ebonyrun-core/src/test/java/org/ebonyrun/core/limit/LimitedServiceSimulation.java
+++ b/ebonyrun-core/src/test/java/org/ebonyrun/core/limit/LimitedServiceSimulation.java
@@ -273,6 +273,11 @@
                 });
     }
 
+    /** Forgets the requests that were sent so far. */
+    void forgetArrivals() {
+        mArrivals.clear();
+    }
+
     void run(long nanos) {
         mClock.runUntil(nanos);
     }
--- a/ebonyrun-core/src/test/java/org/ebonyrun/core/limit/PermitMachineTest.java
+++ b/ebonyrun-core/src/test/java/org/ebonyrun/core/limit/PermitMachineTest.java
@@ -64,9 +64,9 @@
     @ValueSource(ints = {1, 2, 3, 4, 5, 6, 7, 8})
     void itHoldsThroughOutagesCutsLostResponsesAndChanges(int seed) {
         Random random = new Random(seed);
-        double limit = 1 + random.nextInt(8) / 2.0;
+        double limit = 1 + random.nextInt(24) / 2.0;
         LimitedServiceSimulation simulation = new LimitedServiceSimulation(4, limit, seed);
-        simulation.addEntries(8, 5);
+        simulation.addEntries(8, 5 + 4 * limit);
         simulation.loseResponses(0.2);
         for (int i = 0; i < 4; i++) {
             long from = (10 * i + random.nextInt(5)) * SECOND;
@@ -74,12 +74,26 @@
             long cut = (10 * i + 5 + random.nextInt(3)) * SECOND;
             simulation.cutOff(1 + random.nextInt(7), cut, cut + random.nextInt(9) * SECOND);
         }
-        simulation.changeLimit(limit * 0.9, 30 * SECOND);
         simulation.run(MINUTE);
 
         assertThat(simulation.mostInWindow(), lessThanOrEqualTo(allowed(limit)));
     }
 
+    @ParameterizedTest
+    @CsvSource({"10, 1", "4, 0.5", "2, 1.5", "50, 5"})
+    void aLowerLimitHoldsAtOnce(double before, double after) {
+        for (long seed = 1; seed <= 5; seed++) {
+            LimitedServiceSimulation simulation = new LimitedServiceSimulation(4, before, seed);
+            simulation.addEntries(5, 4 * before);
+            simulation.changeLimit(after, 20 * SECOND);
+            simulation.run(20 * SECOND);
+            simulation.forgetArrivals();
+            simulation.run(MINUTE);
+
+            assertThat(simulation.mostInWindow(), lessThanOrEqualTo(allowed(after)));
+        }
+    }
+
     @ParameterizedTest
     @CsvSource({"1, 4, 1.5, 20", "3, 4, 5, 20", "5, 3, 1, 5"})
     void whatTheLimitsAllowIsUsed(int entries, int endpoints, double limit, double demand) {
