--- a/ebonyrun-core/src/test/java/org/ebonyrun/core/limit/LimitedServiceSimulation.java
+++ b/ebonyrun-core/src/test/java/org/ebonyrun/core/limit/LimitedServiceSimulation.java
@@ -307,11 +307,16 @@
 
     /** Returns the most requests that any endpoint got in any window of four seconds. */
     int mostInWindow() {
+        return mostInWindow(WINDOW_NANOS);
+    }
+
+    /** Returns the most requests that any endpoint got in any window of a length. */
+    int mostInWindow(long nanos) {
         int most = 0;
         for (List<Long> arrivals : mArrivals.values()) {
             int first = 0;
             for (int last = 0; last < arrivals.size(); last++) {
-                while (arrivals.get(last) - arrivals.get(first) >= WINDOW_NANOS) {
+                while (arrivals.get(last) - arrivals.get(first) >= nanos) {
                     first++;
                 }
                 most = Math.max(most, last - first + 1);
--- a/ebonyrun-core/src/test/java/org/ebonyrun/core/limit/PermitMachineTest.java
+++ b/ebonyrun-core/src/test/java/org/ebonyrun/core/limit/PermitMachineTest.java
@@ -57,9 +57,29 @@
             simulation.run(MINUTE);
 
             assertThat(simulation.mostInWindow(), lessThanOrEqualTo(allowed(limit)));
+            PermitTerms terms = new PermitTerms(limit);
+            for (long window : new long[] {SECOND, 5 * SECOND, 20 * SECOND}) {
+                long periods = terms.permits() * (1 + window / terms.periodNanos());
+                assertThat(simulation.mostInWindow(window), lessThanOrEqualTo((int) periods));
+            }
         }
     }
 
+    @ParameterizedTest
+    @ValueSource(ints = {1, 2, 3})
+    void entriesThatAreCutOffUseTheirPermitsAtHalfPaceWhileOthersTakeThem(int seed) {
+        double limit = 8;
+        LimitedServiceSimulation simulation = new LimitedServiceSimulation(2, limit, seed);
+        simulation.addEntries(8, 20);
+        simulation.cutOff(7, 10 * SECOND, 50 * SECOND);
+        simulation.run(MINUTE);
+
+        int permits = 2 * new PermitTerms(limit).permits();
+        assertThat(
+                simulation.mostInWindow(20 * SECOND),
+                lessThanOrEqualTo((int) (1.5 * limit * 20 + permits)));
+    }
+
     @ParameterizedTest
     @ValueSource(ints = {1, 2, 3, 4, 5, 6, 7, 8})
     void itHoldsThroughOutagesCutsLostResponsesAndChanges(int seed) {
