Limit the depth of JSON texts that are read

A submission, or any other JSON text, that is nested a thousand levels deep overflowed the stack of an entry's thread (256 KiB): an Error, after which the process ends, and with it the calls and steps of all its callers.

--- a/ebonyrun-base/src/main/java/org/ebonyrun/base/json/JsonTrees.java
+++ b/ebonyrun-base/src/main/java/org/ebonyrun/base/json/JsonTrees.java
@@ -4,6 +4,7 @@
 import com.fasterxml.jackson.core.JsonGenerator;
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonToken;
+import com.fasterxml.jackson.core.StreamReadConstraints;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
@@ -20,7 +21,13 @@
  * takes a large part of the time that a restarted process needs until it is ready.
  */
 public final class JsonTrees {
-    private static final JsonFactory FACTORY = new JsonFactory();
+    // Trees are read recursively, on threads with a stack of 256 KiB.
+    private static final int MAX_DEPTH = 64;
+    private static final JsonFactory FACTORY =
+            JsonFactory.builder()
+                    .streamReadConstraints(
+                            StreamReadConstraints.builder().maxNestingDepth(MAX_DEPTH).build())
+                    .build();
     private static final JsonNodeFactory NODES = JsonNodeFactory.instance;
 
     private JsonTrees() {}
@@ -33,7 +40,8 @@
     /**
      * Parses UTF-8 text that consists of one JSON value.
      *
-     * @throws IllegalArgumentException if the text is not exactly one JSON value
+     * @throws IllegalArgumentException if the text is not exactly one JSON value, or is nested too
+     *     deeply
      */
     public static JsonNode read(byte[] text) {
         try (JsonParser parser = FACTORY.createParser(text)) {
