Share the first crash of a call only if no retry is answered

Every broken connection of a call was written to the store and, a moment later, its removal, since the retry is answered in most cases: two writes, and polls of all entries. The first endpoint of a call is now shared after 0.3 s; a call that was answered meanwhile writes nothing. Further endpoints are shared at once.

--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/CrashController.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/CrashController.java
@@ -34,6 +34,8 @@
     private static final int MAX_PENDING = 1_024;
     private static final int MAX_STORED = 8_192;
     private static final long RETRY_NANOS = Nanos.ofMillis(500);
+    // A call whose retry is answered within this time needs no record.
+    private static final long FIRST_WRITE_NANOS = Nanos.ofMillis(300);
     private static final long SWEEP_NANOS = Nanos.ofMillis(60_000);
 
     /**
@@ -94,7 +96,7 @@
                                             .with("endpoint", endpoint)
                                             .with("endpoints", updated.endpoints().size())
                                             .with("blocked", updated.isBlocked()));
-                    write(call);
+                    write(call, updated.endpoints().size() == 1 ? FIRST_WRITE_NANOS : 0);
                 });
     }
 
@@ -120,8 +122,12 @@
     }
 
     private void write(CallFingerprint call) {
+        write(call, 0);
+    }
+
+    private void write(CallFingerprint call, long delayNanos) {
         if (mPending.size() < MAX_PENDING) {
-            mPending.put(call, System.nanoTime());
+            mPending.put(call, System.nanoTime() + delayNanos);
             writePending(System.nanoTime());
         }
     }
