Tell callers whose call waited in vain for a limit when there is room

A call that met its deadline between two tries was refused with 50 ms, whatever the limits admit. By reading; the test passes before too, since the tick's try refuses first in it.

--- a/ebonyrun-core/src/main/java/org/ebonyrun/core/call/CallMachine.java
+++ b/ebonyrun-core/src/main/java/org/ebonyrun/core/call/CallMachine.java
@@ -197,7 +197,7 @@
         sendWaiting(now);
         for (PendingCall call : List.copyOf(mCalls.values())) {
             if (now - call.mSpec.deadline() + REFUSAL_MARGIN_NANOS >= 0) {
-                expire(call);
+                expire(call, now);
             } else if (isHedgeDue(call, now)) {
                 trySend(call, true, now);
             }
@@ -314,13 +314,11 @@
             endWithoutRetry(call);
             return;
         }
-        Optional<LimitedCapacity> limited =
-                LimitedCapacity.of(mFleet.serving(call.mSpec.service()), now);
+        Optional<Long> limited = limitedRetryAfterMillis(call, now);
         if (limited.isPresent()) {
-            long retryAfter = limited.get().retryAfterMillis(waitingBefore(call));
             mOutputs.refuse(
                     call.mSpec,
-                    Math.max(MIN_RETRY_AFTER_MILLIS, retryAfter),
+                    limited.get(),
                     "the limits of the endpoints admit no call before the deadline");
             end(call);
             return;
@@ -335,7 +333,7 @@
         end(call);
     }
 
-    private void expire(PendingCall call) {
+    private void expire(PendingCall call, long now) {
         if (call.mServerErrorAttempt != null && call.mOpenAttempts.isEmpty()) {
             mOutputs.deliver(call.mSpec, call.mServerErrorAttempt);
         } else if (call.mPossibleRuns > 0 || !call.mOpenAttempts.isEmpty()) {
@@ -343,12 +341,19 @@
         } else {
             mOutputs.refuse(
                     call.mSpec,
-                    MIN_RETRY_AFTER_MILLIS,
+                    limitedRetryAfterMillis(call, now).orElse(MIN_RETRY_AFTER_MILLIS),
                     "no endpoint had a free slot before the deadline");
         }
         end(call);
     }
 
+    /** Returns when a refused call finds room; empty unless all endpoints limit their requests. */
+    private Optional<Long> limitedRetryAfterMillis(PendingCall call, long now) {
+        return LimitedCapacity.of(mFleet.serving(call.mSpec.service()), now)
+                .map(limited -> limited.retryAfterMillis(waitingBefore(call)))
+                .map(millis -> Math.max(MIN_RETRY_AFTER_MILLIS, millis));
+    }
+
     private boolean trySend(PendingCall call, boolean hedge, long now) {
         Endpoint endpoint = chooseEndpoint(call, hedge, now);
         if (endpoint == null) {
--- a/ebonyrun-core/src/test/java/org/ebonyrun/core/call/CallMachineTest.java
+++ b/ebonyrun-core/src/test/java/org/ebonyrun/core/call/CallMachineTest.java
@@ -149,6 +149,18 @@
         assertThat(gate.mWaiting, is(1));
     }
 
+    @Test
+    void aCallThatWaitedInVainForALimitIsToldWhenThereIsRoom() {
+        addEndpoints(1, 4);
+        FakeGate gate = limit("e1", 0, 300);
+        gate.mPerSecond = 0.5;
+        mMachine.onCall(call(1, RouteKind.ONCE, false, 0), 0);
+        mMachine.onTick(DEADLINE);
+
+        assertThat(mOutputs.mOutcomes.get(1L), is("refused"));
+        assertThat(mOutputs.mRetryAfterMillis.get(1L), is(2_000L));
+    }
+
     @Test
     void aCallGoesToAnotherEndpointWhileALimitAdmitsNone() {
         addEndpoints(2, 4);
