Refuse requests whose headers or target contain control characters

The codec accepts line ends and other control characters in values of headers, and blanks and bytes beyond ASCII in targets. They were forwarded to endpoints, which may take them for the end of a header or of the request line: a caller could add headers that the entry sets itself, or smuggle a request in another. Such requests get 400 and the connection is closed, as for other ambiguous requests.

--- a/ebonyrun-ports/src/main/java/org/ebonyrun/ports/http/RequestFraming.java
+++ b/ebonyrun-ports/src/main/java/org/ebonyrun/ports/http/RequestFraming.java
@@ -1,6 +1,5 @@
 package org.ebonyrun.ports.http;
 
-import com.google.common.base.CharMatcher;
 import org.glassfish.grizzly.http.HttpRequestPacket;
 import org.glassfish.grizzly.http.Protocol;
 import org.glassfish.grizzly.http.util.MimeHeaders;
@@ -11,17 +10,10 @@
  *
  * <p>The codec ignores headers with an unknown name and transfer codings that it does not support,
  * and then parses the body as further requests. Such a request cannot be separated from the bytes
- * that follow it. Stateless and thread safe.
+ * that follow it. It also accepts line ends in values and spaces in targets, which an endpoint may
+ * take for the end of a header or of the request line. Stateless and thread safe.
  */
 final class RequestFraming {
-    // RFC 9110, section 5.6.2.
-    private static final CharMatcher TOKEN =
-            CharMatcher.inRange('a', 'z')
-                    .or(CharMatcher.inRange('A', 'Z'))
-                    .or(CharMatcher.inRange('0', '9'))
-                    .or(CharMatcher.anyOf("!#$%&'*+-.^_`|~"))
-                    .precomputed();
-
     private RequestFraming() {}
 
     /** Returns whether a request whose head was parsed has exactly one possible end. */
@@ -30,12 +22,18 @@
         if (protocol != Protocol.HTTP_1_1 && protocol != Protocol.HTTP_1_0) {
             return false;
         }
+        String query = packet.getQueryString();
+        if (!HeaderSyntax.isTarget(packet.getRequestURI())
+                || (query != null && !query.isEmpty() && !HeaderSyntax.isTarget(query))) {
+            return false;
+        }
         int transferCodings = 0;
         boolean hasLength = false;
         MimeHeaders headers = packet.getHeaders();
         for (int i = 0; i < headers.size(); i++) {
             String name = headers.getName(i).toString();
-            if (!isToken(name)) {
+            if (!HeaderSyntax.isToken(name)
+                    || !HeaderSyntax.isValue(headers.getValue(i).toString())) {
                 return false;
             }
             if (name.equalsIgnoreCase("Transfer-Encoding")) {
@@ -54,10 +52,8 @@
 
     /** The codec reads no body of a TRACE, and reads everything after a CONNECT as its body. */
     private static boolean isMethodUnambiguous(String method, boolean hasBody) {
-        return isToken(method) && !method.equals("CONNECT") && !(method.equals("TRACE") && hasBody);
-    }
-
-    private static boolean isToken(String text) {
-        return !text.isEmpty() && TOKEN.matchesAllOf(text);
+        return HeaderSyntax.isToken(method)
+                && !method.equals("CONNECT")
+                && !(method.equals("TRACE") && hasBody);
     }
 }
