--- a/ebonyrun-ports/src/main/java/org/ebonyrun/ports/http/ExchangeFilter.java
+++ b/ebonyrun-ports/src/main/java/org/ebonyrun/ports/http/ExchangeFilter.java
@@ -44,6 +44,8 @@
         if (state.markHeadSeen()) {
             if (!state.isUnambiguous() && containsNextHead(head)) {
                 exchange.fail("protocol: a response head contains the head of another response");
+            } else if (!isWellFormed(head)) {
+                exchange.fail("protocol: a response head contains a malformed header");
             } else {
                 beginResponse(state, exchange, responseHead(head));
             }
@@ -79,6 +81,18 @@
         return found;
     }
 
+    /** Returns whether the headers can be passed on to a caller. */
+    private static boolean isWellFormed(HttpResponsePacket packet) {
+        MimeHeaders headers = packet.getHeaders();
+        for (int i = 0; i < headers.size(); i++) {
+            if (!HeaderSyntax.isToken(headers.getName(i).toString())
+                    || !HeaderSyntax.isValue(headers.getValue(i).toString())) {
+                return false;
+            }
+        }
+        return true;
+    }
+
     private static boolean containsStatusLine(DataChunk text) {
         return !text.isNull() && STATUS_LINE.matcher(text.toString()).find();
     }
--- a/ebonyrun-ports/src/test/java/org/ebonyrun/ports/http/AsyncHttpClientTest.java
+++ b/ebonyrun-ports/src/test/java/org/ebonyrun/ports/http/AsyncHttpClientTest.java
@@ -72,6 +72,23 @@
                 .thenApply(AsyncHttpClientTest::text);
     }
 
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "X-Any: a\rX-Other: b",
+                "X-Any: a\u0000b",
+                "X Any: 1",
+                "X-Any: a\u007fb",
+                "X\u0001: 1"
+            })
+    void aResponseWithAMalformedHeaderIsNoResponse(String header) throws Exception {
+        CompletableFuture<String> response = send(Correlation.byHeader("X-Id", "1"));
+        String head = "HTTP/1.1 200 X\r\nX-Id: 1\r\n" + header + "\r\nContent-Length: 2\r\n\r\n";
+        mServer.next().connection().write(head + "ok");
+
+        assertThat(response.get(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS), startsWith(LOST));
+    }
+
     /** Bytes that a server in trouble sends until its client closes the connection. */
     enum EndlessResponse {
         STATUS_LINE("HTTP/1.1 200 ", "x"),
