--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/HostedEntry.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/HostedEntry.java
@@ -13,7 +13,6 @@
 import java.util.concurrent.Executor;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
-import java.util.function.Supplier;
 import org.ebonyrun.base.eventloop.EventHandler;
 import org.ebonyrun.base.eventloop.EventLoop;
 import org.ebonyrun.base.log.EventLog;
@@ -144,35 +143,40 @@
         mStepReader = new StepReader(this, mStore, stepStore, mStepOwnership, mFront);
         mFront.setReader(mStepReader);
         mSamples.bind(mCalls, mStepOwnership, mStepReader);
+        addWatches();
+        mTransport.start();
+        bindOperatorServers(settings);
+        mFrontServer =
+                FrontServer.bind(
+                        mTransport, settings.front(), mFront.listener(executor()), () -> mLimits);
+    }
+
+    private void addWatches() {
+        StoreWatchFactory watches = new StoreWatchFactory(mStore, executor(), mHealth);
         mWatches.add(
-                watch(
+                watches.create(
                         OperatorDecoder.PREFIX,
                         () -> WatchTimings.forOperatorKeys(mSettings.limits(), isIdle()),
                         items -> items.forEach(this::onOperatorItem),
                         change -> onOperatorItem(change.item())));
         mWatches.add(
-                watch(
+                watches.create(
                         EndpointDecoder.PREFIX,
                         () -> WatchTimings.forEndpointKeys(mSettings.limits(), isIdle()),
                         this::onEndpointSnapshot,
                         this::onEndpointChange));
         mWatches.add(
-                watch(
+                watches.create(
                         StoreKeys.LIVE_PREFIX,
                         () -> WatchTimings.forStepKeys(mSettings.limits(), isIdle()),
                         this::onStepSnapshot,
                         this::onStepChange));
         mWatches.add(
-                watch(
+                watches.create(
                         StoreKeys.CRASH_PREFIX,
                         WatchTimings::forCrashRecords,
                         mCrashes::onSnapshot,
                         mCrashes::onChange));
-        mTransport.start();
-        bindOperatorServers(settings);
-        mFrontServer =
-                FrontServer.bind(
-                        mTransport, settings.front(), mFront.listener(executor()), () -> mLimits);
     }
 
     private void bindOperatorServers(HostedSettings settings) throws IOException {
@@ -377,39 +381,6 @@
         return !mStepOwnership.needsLease() && !mPlanner.holdsRole();
     }
 
-    private StoreWatch watch(
-            String prefix,
-            Supplier<StoreWatch.Timing> timing,
-            Consumer<List<StoreItem>> onSnapshot,
-            Consumer<StoreChange> onChange) {
-        return new StoreWatch(
-                mStore,
-                prefix,
-                timing,
-                executor(),
-                new StoreWatch.Listener() {
-                    @Override
-                    public void onSnapshot(List<StoreItem> items) {
-                        onSnapshot.accept(items);
-                    }
-
-                    @Override
-                    public void onChange(StoreChange change) {
-                        onChange.accept(change);
-                    }
-
-                    @Override
-                    public void onResponse() {
-                        mHealth.onResponse(System.nanoTime());
-                    }
-
-                    @Override
-                    public void onFault(Fault fault) {
-                        mHealth.onWatchFault(prefix + ": " + fault.detail(), System.nanoTime());
-                    }
-                });
-    }
-
     private StoreHealth.Listener healthListener() {
         return new StoreHealth.Listener() {
             @Override
