--- a/ebonyrun-core/src/main/java/org/ebonyrun/core/call/CallSpec.java
+++ b/ebonyrun-core/src/main/java/org/ebonyrun/core/call/CallSpec.java
@@ -2,6 +2,7 @@
 
 import java.util.OptionalInt;
 import org.ebonyrun.base.id.ServiceName;
+import org.ebonyrun.base.id.WorkspaceName;
 import org.ebonyrun.core.route.Route;
 import org.ebonyrun.core.route.RouteKind;
 import org.ebonyrun.core.stream.StreamOrigin;
@@ -19,6 +20,7 @@
  *     waiting or the route's timeout ends, whichever is first
  * @param background whether no person waits for the answer; other calls go first
  * @param origin what began the stream that the call resumes; null if it resumes none
+ * @param workspace the workspace on whose behalf the call is made; null if there are none
  */
 public record CallSpec(
         long id,
@@ -28,14 +30,23 @@
         long arrivedAt,
         long deadline,
         boolean background,
-        @Nullable StreamOrigin origin) {
+        @Nullable StreamOrigin origin,
+        @Nullable WorkspaceName workspace) {
     /** The priority of callers' streams at an endpoint. */
     public static final int STREAM_PRIORITY = 1;
 
     /** Returns this call as one that goes on with a stream. */
     public CallSpec goingOnAt(StreamOrigin began) {
         return new CallSpec(
-                id, requestId, route, began.service(), arrivedAt, deadline, background, began);
+                id,
+                requestId,
+                route,
+                began.service(),
+                arrivedAt,
+                deadline,
+                background,
+                began,
+                workspace);
     }
 
     /**
--- a/ebonyrun-core/src/test/java/org/ebonyrun/core/call/CallMachineTest.java
+++ b/ebonyrun-core/src/test/java/org/ebonyrun/core/call/CallMachineTest.java
@@ -58,6 +58,7 @@
                 now,
                 now + DEADLINE,
                 background,
+                null,
                 null);
     }
 
--- a/ebonyrun-core/src/test/java/org/ebonyrun/core/call/ServiceLoadSimulation.java
+++ b/ebonyrun-core/src/test/java/org/ebonyrun/core/call/ServiceLoadSimulation.java
@@ -118,6 +118,7 @@
                         now,
                         now + deadline,
                         background,
+                        null,
                         null);
         mMachine.onCall(call, now);
     }
--- a/ebonyrun-core/src/test/java/org/ebonyrun/core/call/StreamCallTest.java
+++ b/ebonyrun-core/src/test/java/org/ebonyrun/core/call/StreamCallTest.java
@@ -36,6 +36,7 @@
                 0,
                 Nanos.ofMillis(10_000),
                 background,
+                null,
                 null);
     }
 
@@ -109,6 +110,7 @@
                 0,
                 Nanos.ofMillis(10_000),
                 false,
+                null,
                 null);
     }
 
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/FrontHandler.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/FrontHandler.java
@@ -173,6 +173,7 @@
                         now,
                         endsAt,
                         false,
+                        null,
                         null);
         Optional<StreamResumption> resumption =
                 route.kind() == RouteKind.RESUMABLE_STREAM
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/SampleController.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/SampleController.java
@@ -165,6 +165,7 @@
                         now,
                         now + SCORE_TIMEOUT_FACTOR * targetLatency,
                         true,
+                        null,
                         null);
         int maxAttempts = route.get().call().maxAttempts();
         mCalls.onScoreCall(
