--- a/ebonyrun-core/src/main/java/org/ebonyrun/core/step/SampleProgress.java
+++ b/ebonyrun-core/src/main/java/org/ebonyrun/core/step/SampleProgress.java
@@ -1,7 +1,9 @@
 package org.ebonyrun.core.step;
 
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 import java.util.TreeSet;
 import org.ebonyrun.core.fleet.Endpoint;
 import org.ebonyrun.core.stream.StreamOrigin;
@@ -18,6 +20,8 @@
  * <p>Not thread safe; confined to the event loop of its {@link StepMachine}.
  */
 final class SampleProgress {
+    private static final int MAX_REJECTED_BY = 64;
+
     /** The stage that a sample has reached. */
     enum State {
         WAITING,
@@ -29,6 +33,7 @@
     final StepProgress mStep;
     final SampleSpec mSpec;
     final int mRank;
+    private final Set<String> mRejectedBy = new HashSet<>();
     final List<String> mEvents = new ArrayList<>();
     final List<Integer> mVersions = new ArrayList<>();
     @Nullable StreamOrigin mOrigin;
@@ -51,6 +56,29 @@
         mRank = rank;
     }
 
+    /** Records that an endpoint rejected the sample without running it. */
+    void onRejected(Endpoint endpoint) {
+        if (mRejectedBy.size() == MAX_REJECTED_BY) {
+            mRejectedBy.clear();
+        }
+        mRejectedBy.add(endpoint.id());
+    }
+
+    /** Returns whether an endpoint has rejected the sample. */
+    boolean isRejectedBy(Endpoint endpoint) {
+        return mRejectedBy.contains(endpoint.id());
+    }
+
+    /** Returns whether the sample's last run was at an endpoint, or it rejected the sample. */
+    boolean wasTriedAt(Endpoint endpoint) {
+        return endpoint.id().equals(mLastEndpointId) || isRejectedBy(endpoint);
+    }
+
+    /** Returns whether any endpoint has rejected the sample. */
+    boolean isRejected() {
+        return !mRejectedBy.isEmpty();
+    }
+
     void discardText() {
         mEvents.clear();
         mVersions.clear();
--- a/ebonyrun-core/src/main/java/org/ebonyrun/core/step/SampleScheduler.java
+++ b/ebonyrun-core/src/main/java/org/ebonyrun/core/step/SampleScheduler.java
@@ -12,13 +12,15 @@
 import org.ebonyrun.core.fleet.Fleet;
 import org.ebonyrun.core.fleet.RequestKind;
 import org.ebonyrun.core.route.WeightedService;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Chooses endpoints for samples and decides when a running sample migrates to another endpoint.
  *
  * <p>Designed for pools in which some endpoints are several times slower than others or do not
- * respond: a sample migrates from a slow endpoint when a fast one has free capacity. The endpoints
- * of a service are looked up once per scheduling round, however many samples wait.
+ * respond: a sample for which its group waits migrates from a slow endpoint when a fast one has
+ * free capacity, and each free place draws one sample. The endpoints of a service are looked up
+ * once per scheduling round, however many samples wait.
  *
  * <p>Not thread safe; confined to the event loop of its {@link StepMachine}.
  */
@@ -52,16 +54,26 @@
     private final SamplePlacement mPlacement;
     private final boolean mMigratesFromSlow;
     private final Map<ServiceName, Pool> mPools = new HashMap<>();
+    private final Map<Endpoint, Integer> mMigrationTargets = new HashMap<>();
+    private final GroupForecast mForecast;
+    private final MigrationGain mGain;
 
     /**
      * Creates a scheduler.
      *
+     * @param forecast receives what runs show
      * @param migratesFromSlow whether samples also migrate from endpoints that are slow or that
      *     stall a run; samples of an endpoint that stops responding always migrate
      */
-    SampleScheduler(Fleet fleet, SamplePlacement placement, boolean migratesFromSlow) {
+    SampleScheduler(
+            Fleet fleet,
+            SamplePlacement placement,
+            GroupForecast forecast,
+            boolean migratesFromSlow) {
         mFleet = fleet;
         mPlacement = placement;
+        mForecast = forecast;
+        mGain = new MigrationGain(forecast);
         mMigratesFromSlow = migratesFromSlow;
     }
 
@@ -76,6 +88,19 @@
      */
     void beginRound() {
         mPools.clear();
+        mMigrationTargets.clear();
+    }
+
+    /** Handles the first event of a sample's run. */
+    void onFirstEvent(SampleProgress sample, long now) {
+        mForecast.statistics(sample).onStarted(now - sample.mStartedAt);
+    }
+
+    /** Handles the end of a sample's text. */
+    void onTextComplete(SampleProgress sample) {
+        mForecast
+                .statistics(sample)
+                .onComplete(sample.mSpec.expectedTokens(), sample.mEvents.size());
     }
 
     /** Returns the eligible endpoint with free capacity at which a sample costs least, if any. */
@@ -139,8 +164,10 @@
         for (Endpoint endpoint : pool(sample, now).endpoints()) {
             boolean outdated = endpoint.version(step.model()) < step.minVersion();
             boolean hasFreeSlot = endpoint.activeRequests() < endpoint.record().slots();
+            // The response to a second try of the same sample needs a connection of its own.
             if (outdated
                     && hasFreeSlot
+                    && !sample.isRejectedBy(endpoint)
                     && sample.canGoOnAt(endpoint)
                     && !endpoint.isLimited()
                     && !endpoint.isAvoided(now)
@@ -236,18 +263,33 @@
         if (bestLatency == 0 || endpoint.latencyNanos() < SLOW_FACTOR * bestLatency) {
             return "";
         }
+        Endpoint target = fastEndpointWithCapacity(sample, pool, now);
+        if (target == null) {
+            return "";
+        }
+        double gain = mGain.gainNanos(sample, target.latencyNanos());
+        if (gain == 0) {
+            return "";
+        }
+        mMigrationTargets.merge(target, 1, Integer::sum);
+        return "endpoint is slow: "
+                + Nanos.toMillis((long) endpoint.latencyNanos())
+                + " ms, migrating gains "
+                + Nanos.toMillis((long) gain)
+                + " ms";
+    }
+
+    private @Nullable Endpoint fastEndpointWithCapacity(
+            SampleProgress sample, Pool pool, long now) {
         for (Endpoint other : pool.endpoints()) {
-            boolean hasCapacity =
-                    other.activeRequests() < mPlacement.concurrencyLimit(other, bestLatency);
-            if (SpeedProportionalPlacement.isFast(other, bestLatency)
-                    && isEligible(other, sample, now)
-                    && hasCapacity) {
-                return "endpoint is slow: "
-                        + Nanos.toMillis((long) endpoint.latencyNanos())
-                        + " ms";
+            int active = other.activeRequests() + mMigrationTargets.getOrDefault(other, 0);
+            if (SpeedProportionalPlacement.isFast(other, pool.bestLatency())
+                    && active < mPlacement.concurrencyLimit(other, pool.bestLatency())
+                    && isEligible(other, sample, now)) {
+                return other;
             }
         }
-        return "";
+        return null;
     }
 
     private boolean isOtherEndpointIdle(SampleProgress sample, long now) {
--- a/ebonyrun-core/src/main/java/org/ebonyrun/core/step/SpeedProportionalPlacement.java
+++ b/ebonyrun-core/src/main/java/org/ebonyrun/core/step/SpeedProportionalPlacement.java
@@ -37,6 +37,6 @@
                 (endpoint.activeRequests() + 1.0)
                         / endpoint.record().slots()
                         * Math.max(1, slowdown);
-        return endpoint.id().equals(sample.mLastEndpointId) ? cost + 1 : cost;
+        return sample.wasTriedAt(endpoint) ? cost + 1 : cost;
     }
 }
--- a/ebonyrun-core/src/main/java/org/ebonyrun/core/step/StepMachine.java
+++ b/ebonyrun-core/src/main/java/org/ebonyrun/core/step/StepMachine.java
@@ -59,12 +59,14 @@
             Fleet fleet,
             SampleOrder order,
             SamplePlacement placement,
+            GroupForecast forecast,
             Policy policy,
             StepOutputs outputs) {
         mFleet = fleet;
         mOrder = order;
         mOutputs = outputs;
-        mScheduler = new SampleScheduler(fleet, placement, policy.isEnabled(Mechanism.MOVES));
+        mScheduler =
+                new SampleScheduler(fleet, placement, forecast, policy.isEnabled(Mechanism.MOVES));
         mMaxBatchAgeNanos = policy.isEnabled(Mechanism.LISTING_DELAY) ? MAX_BATCH_AGE_NANOS : 0;
         mProbesOutdated = policy.isEnabled(Mechanism.TRY_OUTDATED);
     }
@@ -75,17 +77,22 @@
                 policy.isEnabled(Mechanism.SAMPLE_ORDER)
                         ? new WantedGroupsFirstSampleOrder()
                         : new FifoSampleOrder();
+        GroupForecast forecast = new GroupForecast();
         SamplePlacement placement =
                 policy.isEnabled(Mechanism.SAMPLE_PLACEMENT)
-                        ? new SpeedProportionalPlacement()
+                        ? new GroupEndPlacement(forecast)
                         : new RoundRobinSamplePlacement();
-        return new StepMachine(fleet, order, placement, policy, outputs);
+        return new StepMachine(fleet, order, placement, forecast, policy, outputs);
     }
 
     /** Creates a state machine that owns no step and uses the given order and placement. */
     static StepMachine create(
-            Fleet fleet, SampleOrder order, SamplePlacement placement, StepOutputs outputs) {
-        return new StepMachine(fleet, order, placement, Policy.ALL, outputs);
+            Fleet fleet,
+            SampleOrder order,
+            SamplePlacement placement,
+            GroupForecast forecast,
+            StepOutputs outputs) {
+        return new StepMachine(fleet, order, placement, forecast, Policy.ALL, outputs);
     }
 
     /** Returns the number of owned steps that are not finished. */
@@ -283,6 +290,8 @@
         }
         if (sample.mRunEvents > 0) {
             sample.mEndpoint.recordLatency(now - sample.mLastEventAt, now);
+        } else {
+            mScheduler.onFirstEvent(sample, now);
         }
         sample.mEndpoint.onReceived(now);
         if (sample.mEvents.isEmpty()) {
@@ -303,8 +312,12 @@
         switch (outcome) {
             case COMPLETE -> onTextComplete(sample, now);
             case UNFRAMED -> requeue(sample, now, 0);
-            case WRONG_VERSION -> requeue(sample, now, 0);
+            case WRONG_VERSION -> {
+                sample.onRejected(sample.mEndpoint);
+                requeue(sample, now, 0);
+            }
             case NOT_RUN -> {
+                sample.onRejected(sample.mEndpoint);
                 sample.mEndpoint.avoidFor(REJECTED_BACKOFF_NANOS, now);
                 requeue(sample, now, REJECTED_BACKOFF_NANOS);
             }
@@ -348,6 +361,7 @@
     private void onTextComplete(SampleProgress sample, long now) {
         releaseEndpoint(sample);
         sample.mTextComplete = true;
+        mScheduler.onTextComplete(sample);
         scoreOrFinish(sample, now);
     }
 
@@ -514,9 +528,9 @@
             }
             SampleScheduler.PlacementKey key = SampleScheduler.placementKey(sample);
             boolean placed = !unplaceable.contains(key) && tryPlace(sample, now);
-            // Samples without text of one step and service are eligible at the same endpoints, so
-            // the others of them need not be tried in this round.
-            if (!placed && sample.mEvents.isEmpty()) {
+            // Samples without text of one step and service that no endpoint has rejected are
+            // eligible at the same endpoints, so the others need not be tried in this round.
+            if (!placed && sample.mEvents.isEmpty() && !sample.isRejected()) {
                 unplaceable.add(key);
             }
         }
--- a/ebonyrun-core/src/main/java/org/ebonyrun/core/step/StepProgress.java
+++ b/ebonyrun-core/src/main/java/org/ebonyrun/core/step/StepProgress.java
@@ -30,6 +30,7 @@
     long mFinishedSince;
     boolean mEnded;
     private final Map<String, Integer> mUnfinishedByGroup = new HashMap<>();
+    private final Map<String, List<SampleProgress>> mGroups = new HashMap<>();
     private int mCompleteGroups;
 
     StepProgress(StepSpec spec, Route route, long dueAt, long abandonAt) {
@@ -39,11 +40,18 @@
         mAbandonAt = abandonAt;
         Map<String, Integer> ranks = GroupRanking.rankGroups(spec);
         for (SampleSpec sample : spec.samples()) {
-            mSamples.put(sample.id(), new SampleProgress(this, sample, ranks.get(sample.group())));
+            SampleProgress progress = new SampleProgress(this, sample, ranks.get(sample.group()));
+            mSamples.put(sample.id(), progress);
+            mGroups.computeIfAbsent(sample.group(), group -> new ArrayList<>()).add(progress);
             mUnfinishedByGroup.merge(sample.group(), 1, Integer::sum);
         }
     }
 
+    /** Returns the samples of a group, also those that are finished. */
+    List<SampleProgress> group(String name) {
+        return mGroups.getOrDefault(name, List.of());
+    }
+
     boolean isComplete() {
         return mListed.size() == mSamples.size();
     }
--- a/ebonyrun-core/src/test/java/org/ebonyrun/core/step/TrainerLoadSimulation.java
+++ b/ebonyrun-core/src/test/java/org/ebonyrun/core/step/TrainerLoadSimulation.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Random;
 import java.util.Set;
+import java.util.function.Function;
 import org.ebonyrun.base.time.Nanos;
 import org.ebonyrun.core.VirtualClock;
 import org.ebonyrun.core.fleet.Endpoint;
@@ -66,6 +67,8 @@
     private final Map<StepId, List<SampleCheckpoint>> mCheckpoints = new HashMap<>();
     private final Set<Long> mOpenRuns = new HashSet<>();
     private final boolean mCarriesTexts;
+    private int mMigrations;
+    private int mListedSamples;
 
     /**
      * Creates a simulation.
@@ -77,13 +80,14 @@
      */
     TrainerLoadSimulation(
             SampleOrder order,
-            SamplePlacement placement,
+            Function<GroupForecast, SamplePlacement> placement,
             List<Double> slowdowns,
             int trainers,
             int groups,
             boolean carriesTexts,
             long seed) {
-        mMachine = StepMachine.create(mFleet, order, placement, this);
+        GroupForecast forecast = new GroupForecast();
+        mMachine = StepMachine.create(mFleet, order, placement.apply(forecast), forecast, this);
         mRandom = new Random(seed);
         mGroups = groups;
         mCarriesTexts = carriesTexts;
@@ -107,6 +111,16 @@
         return steps == 0 ? Double.MAX_VALUE : Nanos.toMillis(waited) / (double) steps;
     }
 
+    /** Returns how many samples were listed. */
+    int listedSamples() {
+        return mListedSamples;
+    }
+
+    /** Returns how many samples migrated from a slow endpoint. */
+    int migrations() {
+        return mMigrations;
+    }
+
     private void submit(Trainer trainer, long now) {
         List<SampleSpec> samples = new ArrayList<>(trainer.mCarried);
         trainer.mStep++;
@@ -180,6 +194,7 @@
 
     @Override
     public void cancelRun(long run, String reason) {
+        mMigrations += reason.startsWith("endpoint is slow") ? 1 : 0;
         mOpenRuns.remove(run);
     }
 
@@ -208,6 +223,7 @@
         if (!trainer.mSpec.id().equals(step)) {
             return;
         }
+        mListedSamples += results.size();
         for (SampleResult result : results) {
             trainer.mListed.add(result.id());
             trainer.mUnlistedRequired.remove(result.id());
