--- a/ebonyrun-core/src/main/java/org/ebonyrun/core/fleet/Endpoint.java
+++ b/ebonyrun-core/src/main/java/org/ebonyrun/core/fleet/Endpoint.java
@@ -27,6 +27,8 @@
     private final Map<String, Integer> mVersions = new HashMap<>();
     private int mActiveRequests;
     private int mActiveCalls;
+    private long mSentCalls;
+    private long mSentRuns;
     private int mConsecutiveFailures;
     private long mAvoidUntil;
     private boolean mAvoiding;
@@ -87,12 +89,27 @@
         return mActiveRequests;
     }
 
-    /** Handles the sending of a call or run, which is open until {@link #onEnded}. */
+    /** Handles the sending of a run, which is open until {@link #onEnded}. */
     public void onSent(long now) {
+        mSentRuns++;
+        onOpened(now);
+    }
+
+    private void onOpened(long now) {
         mActiveRequests++;
         onRequestSent(now);
     }
 
+    /** Returns the number of calls that this process has sent to the endpoint. */
+    public long sentCalls() {
+        return mSentCalls;
+    }
+
+    /** Returns the number of runs of samples that this process has sent to the endpoint. */
+    public long sentRuns() {
+        return mSentRuns;
+    }
+
     /** Returns the number of calls among the open requests. */
     public int activeCalls() {
         return mActiveCalls;
@@ -101,7 +118,8 @@
     /** Handles the sending of a call, which is open until {@link #onCallEnded}. */
     public void onCallSent(long now) {
         mActiveCalls++;
-        onSent(now);
+        mSentCalls++;
+        onOpened(now);
     }
 
     /** Handles the end of a call, successful or not. */
