--- a/ebonyrun-core/src/main/java/org/ebonyrun/core/call/CallMachine.java
+++ b/ebonyrun-core/src/main/java/org/ebonyrun/core/call/CallMachine.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Optional;
 import org.ebonyrun.base.id.FailureDomain;
+import org.ebonyrun.base.id.ServiceName;
 import org.ebonyrun.base.time.Nanos;
 import org.ebonyrun.core.fleet.Endpoint;
 import org.ebonyrun.core.fleet.Fleet;
@@ -112,6 +113,17 @@
         return mCalls.size();
     }
 
+    /** Returns the number of unfinished calls of a service. */
+    public int callCount(ServiceName service) {
+        int count = 0;
+        for (PendingCall call : mCalls.values()) {
+            if (call.mSpec.service().equals(service)) {
+                count++;
+            }
+        }
+        return count;
+    }
+
     /** Accepts a call, and sends it if an endpoint has a free slot. */
     public void onCall(CallSpec spec, long now) {
         PendingCall call = new PendingCall(spec);
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/CallController.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/CallController.java
@@ -2,7 +2,9 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import java.util.function.Consumer;
 import org.ebonyrun.base.id.FailureDomain;
+import org.ebonyrun.base.id.ServiceName;
 import org.ebonyrun.base.log.LogLine;
 import org.ebonyrun.base.time.Nanos;
 import org.ebonyrun.core.call.AttemptOutcome;
@@ -113,6 +115,7 @@
     // its response may still be delivered.
     private final Map<Long, Long> mErrorAttempts = new HashMap<>();
     private final Map<Long, Integer> mErrorCounts = new HashMap<>();
+    private Consumer<ServiceName> mRefusalListener = service -> {};
     private long mLastCallId;
 
     CallController(
@@ -134,6 +137,16 @@
         return ++mLastCallId;
     }
 
+    /** Sets what is told of the service of each call that is refused. */
+    void setRefusalListener(Consumer<ServiceName> listener) {
+        mRefusalListener = listener;
+    }
+
+    /** Returns the number of open calls of a service. */
+    int openCalls(ServiceName service) {
+        return mMachine.callCount(service);
+    }
+
     /** Starts a call on behalf of a caller. */
     void onCall(CallSpec spec, FrontExchange caller, long now) {
         Client client = new Client(caller, null, null);
@@ -340,6 +353,7 @@
     @Override
     public void refuse(CallSpec call, long retryAfterMillis, String reason) {
         mContext.metrics().count(EntryMetrics.CALLS, "refused");
+        mRefusalListener.accept(call.service());
         mContext.log()
                 .write(
                         LogLine.of("call.refused")
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/EntryMetrics.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/EntryMetrics.java
@@ -45,6 +45,9 @@
     /** Weight orders to endpoints, by reply. */
     static final String ORDERS = "ebonyrun_entry_orders";
 
+    /** Orders of endpoints, by reason and reply. */
+    static final String SCALING_ORDERS = "ebonyrun_entry_scaling_orders";
+
     private static final String STORE_CALLS = "ebonyrun_entry_store_calls";
     private static final String CALL_SECONDS = "ebonyrun_entry_call_seconds";
     private static final double[] BUCKET_BOUNDS = {
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/StoreKeys.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/StoreKeys.java
@@ -52,8 +52,16 @@
     private static final String SOFTWARE_PREFIX = "ebonyrun/software/";
     private static final String STREAMS_PREFIX = "ebonyrun/stream/";
 
+    /** The prefix of the keys under which entries store the load of services that are scaled. */
+    static final String LOADS_PREFIX = "ebonyrun/scaling/load/";
+
     private StoreKeys() {}
 
+    /** Returns the key under which the entry of a VM stores the load that it sees. */
+    static String loadKey(String vm) {
+        return LOADS_PREFIX + vm;
+    }
+
     /** Returns the key of the software versions at which streams of a service may have begun. */
     static String softwareKey(ServiceName service) {
         return SOFTWARE_PREFIX + service;
