--- a/ebonyrun-core/src/main/java/org/ebonyrun/core/fleet/EndpointRecord.java
+++ b/ebonyrun-core/src/main/java/org/ebonyrun/core/fleet/EndpointRecord.java
@@ -37,4 +37,9 @@
         checkArgument(slots > 0, "endpoint %s has %s slots", id, slots);
         versions = Map.copyOf(versions);
     }
+
+    /** Returns a name of this incarnation; the ID alone if the incarnation is not reported. */
+    public String lifeName() {
+        return incarnation == 0 ? id : id + "@" + incarnation;
+    }
 }
--- a/ebonyrun-core/src/main/java/org/ebonyrun/core/fleet/Fleet.java
+++ b/ebonyrun-core/src/main/java/org/ebonyrun/core/fleet/Fleet.java
@@ -51,11 +51,11 @@
 
     /** Applies a record. Returns whether it is the first one of a new incarnation. */
     public boolean onRecord(EndpointRecord record) {
-        mExpired.remove(record.id());
         Endpoint known = mEndpoints.get(record.id());
         if (known != null && record.incarnation() < known.record().incarnation()) {
             return false;
         }
+        mExpired.remove(record.id());
         if (known == null || record.incarnation() > known.record().incarnation()) {
             if (known != null) {
                 known.setRemoved(true);
--- a/ebonyrun-core/src/main/java/org/ebonyrun/core/swap/SwapMachine.java
+++ b/ebonyrun-core/src/main/java/org/ebonyrun/core/swap/SwapMachine.java
@@ -222,8 +222,15 @@
         }
     }
 
-    /** Handles the state of an endpoint: ends its load, sends the order, or checks again later. */
+    /**
+     * Handles the state of an endpoint: ends its load, sends the order, or checks again later. The
+     * state of another incarnation counts as unavailable.
+     */
     public void onState(Endpoint endpoint, EndpointState state, long now) {
+        if (!isOfSameLife(endpoint, state)) {
+            onStateUnavailable(endpoint, now);
+            return;
+        }
         state.versions().forEach(endpoint::observeVersion);
         PendingLoad load = mPendingLoads.get(endpoint.id());
         if (load == null || load.mEndpoint != endpoint) {
@@ -243,6 +250,11 @@
         }
     }
 
+    private static boolean isOfSameLife(Endpoint endpoint, EndpointState state) {
+        long expected = endpoint.record().incarnation();
+        return expected == 0 || state.incarnation() == 0 || state.incarnation() == expected;
+    }
+
     /** Returns the time between two checks; longer if each is a part of the endpoint's limit. */
     private static long checkIntervalNanos(Endpoint endpoint) {
         return endpoint.isLimited() ? NO_EFFECT_NANOS : CHECK_INTERVAL_NANOS;
--- a/ebonyrun-core/src/test/java/org/ebonyrun/core/fleet/FleetTest.java
+++ b/ebonyrun-core/src/test/java/org/ebonyrun/core/fleet/FleetTest.java
@@ -214,4 +214,58 @@
         endpoint.onReachable();
         assertThat(endpoint.isAvoided(1), is(false));
     }
+
+    @Test
+    void aRecordOfAnEarlierLifeDoesNotKeepAnExpiredEndpoint() {
+        mFleet.onRecord(EndpointFixtures.record("e", 200, 4, 1, false));
+        mFleet.onStoreUnavailable();
+        mFleet.onStoreAvailable(10 * SECOND);
+        mFleet.onRemoved("e", 10 * SECOND);
+        mFleet.onRecord(EndpointFixtures.record("e", 100, 4, 1, false));
+        mFleet.onTick(13 * SECOND);
+
+        assertThat(servingCount(), is(0));
+    }
+
+    @Test
+    void anEndpointThatStartsAgainUnderItsIdHasNothingOfItsEarlierLife() {
+        mFleet.onRecord(EndpointFixtures.record("e", 100, 4, 3, false));
+        Endpoint earlier = mFleet.get("e");
+        EndpointRecord earlierRecord = earlier.record();
+        earlier.recordLatency(SECOND, SECOND);
+        earlier.onCallSent(SECOND);
+        earlier.onFailure(SECOND);
+        earlier.setLoading(true);
+        earlier.observeVersion(EndpointFixtures.MODEL, 7);
+        mFleet.onLeaving(earlierRecord);
+        mFleet.onLimitNotice(earlierRecord, LimitNotice.limitedTo(5), SECOND, SECOND);
+        mFleet.onRecord(EndpointFixtures.record("e", 200, 4, 3, false));
+        Endpoint later = mFleet.get("e");
+
+        assertThat(later, is(not(sameInstance(earlier))));
+        assertThat(earlier.isServing(), is(false));
+        assertThat(later.isServing(), is(true));
+        assertThat(later.latencyNanos(), is(0.0));
+        assertThat(later.activeRequests(), is(0));
+        assertThat(later.requestCount(), is(0L));
+        assertThat(later.isAvoided(SECOND), is(false));
+        assertThat(later.isLoading(), is(false));
+        assertThat(later.isLimited(), is(false));
+        assertThat(later.version(EndpointFixtures.MODEL), is(3));
+    }
+
+    @Test
+    void lateAnnouncementsOfAnEarlierLifeChangeNothing() {
+        mFleet.onRecord(EndpointFixtures.record("e", 100, 4, 3, false));
+        EndpointRecord earlier = mFleet.get("e").record();
+        mFleet.onRecord(EndpointFixtures.record("e", 200, 4, 3, false));
+        mFleet.onLeaving(earlier);
+        mFleet.onLimitNotice(earlier, LimitNotice.limitedTo(5), 0, SECOND);
+        mFleet.onRecord(EndpointFixtures.record("e", 100, 4, 9, true));
+
+        Endpoint later = mFleet.get("e");
+        assertThat(later.isServing(), is(true));
+        assertThat(later.isLimited(), is(false));
+        assertThat(later.version(EndpointFixtures.MODEL), is(3));
+    }
 }
--- a/ebonyrun-core/src/test/java/org/ebonyrun/core/swap/SwapMachineTest.java
+++ b/ebonyrun-core/src/test/java/org/ebonyrun/core/swap/SwapMachineTest.java
@@ -116,10 +116,35 @@
                 new EndpointState(
                         Map.of(EndpointFixtures.MODEL, version),
                         busy,
-                        mEngines.mAcceptedOrders.getOrDefault(endpoint.id(), 0));
+                        mEngines.mAcceptedOrders.getOrDefault(endpoint.id(), 0),
+                        0);
         mMachine.onState(endpoint, state, now);
     }
 
+    @Test
+    void theStateOfAnotherLifeOfAnEndpointIsNotBelieved() {
+        mFleet.all().forEach(endpoint -> mFleet.onLeaving(endpoint.record()));
+        mFleet.onRecord(EndpointFixtures.record("e", 100, 4, 1, false));
+        Endpoint endpoint = mFleet.get("e");
+        mMachine.onLeaseAcquired(7, 0, 0);
+        mMachine.onVersionNamed(EndpointFixtures.MODEL, 4, 0);
+        long now = 5 * Nanos.PER_SECOND;
+        mMachine.onTick(now);
+        assertThat(mEngines.mInspected, is(List.of(endpoint)));
+
+        mMachine.onState(
+                endpoint, new EndpointState(Map.of(EndpointFixtures.MODEL, 3), false, 5, 200), now);
+        assertThat(mEngines.mOrders, is(empty()));
+        assertThat(endpoint.version(EndpointFixtures.MODEL), is(1));
+
+        now += 10 * Nanos.PER_SECOND;
+        mMachine.onTick(now);
+        mMachine.onTick(now + TICK);
+        mMachine.onState(
+                endpoint, new EndpointState(Map.of(EndpointFixtures.MODEL, 1), false, 2, 100), now);
+        assertThat(mEngines.mOrders.get(0).expectedOrders(), is(2L));
+    }
+
     @Test
     void withoutTheLeaseNoOrderIsSent() {
         mMachine.onVersionNamed(EndpointFixtures.MODEL, 2, 0);
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/CallController.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/CallController.java
@@ -225,7 +225,8 @@
                     CallFingerprint fingerprint =
                             open && client != null ? client.fingerprint() : null;
                     if (fingerprint != null) {
-                        mCrashes.onUnanswered(fingerprint, spec.requestId(), exchange.endpointId());
+                        mCrashes.onUnanswered(
+                                fingerprint, spec.requestId(), exchange.endpoint().lifeName());
                     }
                 });
     }
@@ -563,10 +564,10 @@
                 exchange.isBroken() && client != null ? client.fingerprint() : null;
         if (fingerprint != null) {
             line.with("endpoint", exchange.endpointId()).with("fingerprint", fingerprint);
-            mCrashes.onCrash(fingerprint, call.requestId(), exchange.endpointId());
+            mCrashes.onCrash(fingerprint, call.requestId(), exchange.endpoint().lifeName());
         }
         if (outcome == AttemptOutcome.UNREACHABLE || exchange.isBroken()) {
-            mCrashes.onEndpointCrashed(exchange.endpointId());
+            mCrashes.onEndpointCrashed(exchange.endpoint().lifeName());
         }
         mContext.log().write(exchange.withConnection(line));
         mSpecs.remove(exchange.attempt());
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/HostedEntry.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/HostedEntry.java
@@ -160,7 +160,8 @@
 
     private void addWatches() {
         StoreWatchFactory watches = new StoreWatchFactory(mStore, executor(), mHealth);
-        EndpointRecords endpoints = new EndpointRecords(this, mFleet, mCrashes);
+        EndpointRecords endpoints =
+                new EndpointRecords(this, mFleet, mCrashes, MonotonicClock.system());
         mWatches.add(
                 watches.create(
                         OperatorDecoder.PREFIX,
