--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/EntryMetrics.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/EntryMetrics.java
@@ -36,6 +36,9 @@
     /** Events of steps, by kind. */
     static final String STEPS = "ebonyrun_entry_steps";
 
+    /** Orders of endpoints, by reason and reply. */
+    static final String SCALING_ORDERS = "ebonyrun_entry_scaling_orders";
+
     /** Unsolicited and late responses that were dropped, by reason. */
     static final String DROPPED_RESPONSES = "ebonyrun_entry_dropped_answers";
 
@@ -45,9 +48,6 @@
     /** Weight orders to endpoints, by reply. */
     static final String ORDERS = "ebonyrun_entry_orders";
 
-    /** Orders of endpoints, by reason and reply. */
-    static final String SCALING_ORDERS = "ebonyrun_entry_scaling_orders";
-
     private static final String STORE_CALLS = "ebonyrun_entry_store_calls";
     private static final String CALL_SECONDS = "ebonyrun_entry_call_seconds";
     private static final double[] BUCKET_BOUNDS = {
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/StoreKeys.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/StoreKeys.java
@@ -36,6 +36,9 @@
     /** The part of a live key that marks a step as done: every sample is listed. */
     static final String DONE = "done";
 
+    /** The prefix of the keys under which entries store the load of services that are scaled. */
+    static final String LOADS_PREFIX = "ebonyrun/scaling/load/";
+
     private static final int NUMBER_DIGITS = 8;
     private static final String STEP_PREFIX = LIVE_PREFIX + "step/";
     private static final String DATA_PREFIX = "ebonyrun/data/";
@@ -52,16 +55,8 @@
     private static final String SOFTWARE_PREFIX = "ebonyrun/software/";
     private static final String STREAMS_PREFIX = "ebonyrun/stream/";
 
-    /** The prefix of the keys under which entries store the load of services that are scaled. */
-    static final String LOADS_PREFIX = "ebonyrun/scaling/load/";
-
     private StoreKeys() {}
 
-    /** Returns the key under which the entry of a VM stores the load that it sees. */
-    static String loadKey(String vm) {
-        return LOADS_PREFIX + vm;
-    }
-
     /** Returns the key of the software versions at which streams of a service may have begun. */
     static String softwareKey(ServiceName service) {
         return SOFTWARE_PREFIX + service;
@@ -82,6 +77,11 @@
         return CRASH_PREFIX + call;
     }
 
+    /** Returns the key under which the entry of a VM stores the load that it sees. */
+    static String loadKey(String vm) {
+        return LOADS_PREFIX + vm;
+    }
+
     /** Returns the call of a key that begins with {@link #CRASH_PREFIX}. */
     static CallFingerprint crashedCall(String key) {
         return new CallFingerprint(key.substring(CRASH_PREFIX.length()));
