--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/CallController.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/CallController.java
@@ -107,6 +107,7 @@
     private final CrashController mCrashes;
     private final StreamController mStreams;
     private final CallMachine mMachine;
+    private Consumer<ServiceName> mRefusalListener = service -> {};
     private final Map<Long, Client> mClients = new HashMap<>();
     private final Map<FrontExchange, Long> mCallIds = new HashMap<>();
     private final Map<Long, CallExchange> mAttempts = new HashMap<>();
@@ -115,7 +116,6 @@
     // its response may still be delivered.
     private final Map<Long, Long> mErrorAttempts = new HashMap<>();
     private final Map<Long, Integer> mErrorCounts = new HashMap<>();
-    private Consumer<ServiceName> mRefusalListener = service -> {};
     private long mLastCallId;
 
     CallController(
@@ -137,16 +137,6 @@
         return ++mLastCallId;
     }
 
-    /** Sets what is told of the service of each call that is refused. */
-    void setRefusalListener(Consumer<ServiceName> listener) {
-        mRefusalListener = listener;
-    }
-
-    /** Returns the number of open calls of a service. */
-    int openCalls(ServiceName service) {
-        return mMachine.callCount(service);
-    }
-
     /** Starts a call on behalf of a caller. */
     void onCall(CallSpec spec, FrontExchange caller, long now) {
         Client client = new Client(caller, null, null);
@@ -235,6 +225,16 @@
         return mMachine.callCount();
     }
 
+    /** Sets what is told of the service of each call that is refused. */
+    void setRefusalListener(Consumer<ServiceName> listener) {
+        mRefusalListener = listener;
+    }
+
+    /** Returns the number of open calls of a service. */
+    int openCalls(ServiceName service) {
+        return mMachine.callCount(service);
+    }
+
     void onTick(long now) {
         mMachine.onTick(now);
     }
