Test what the first tests of scaling left open

Four of ten hand-made changes of ServiceScaler survived its tests: no guard after a raise, no wait for ordered endpoints, no foresight, and a refused order that keeps its number. A test for each.

--- a/ebonyrun-core/src/test/java/org/ebonyrun/core/scaling/ServiceScalerTest.java
+++ b/ebonyrun-core/src/test/java/org/ebonyrun/core/scaling/ServiceScalerTest.java
@@ -99,6 +99,51 @@
         }
     }
 
+    @Test
+    void aSteepRiseIsOrderedForBeforeThePlacesAreTaken() {
+        mSim.run(10, 20);
+        double demand = 20;
+        for (int second = 0; second < 16; second++) {
+            demand += 4;
+            mSim.step(demand);
+        }
+        mSim.run(3, demand);
+
+        assertThat((double) places(), is(greaterThanOrEqualTo(demand)));
+    }
+
+    @Test
+    void whatMadeUpForALostDomainIsNotGivenBackSoonAfterItsReturn() {
+        mSim.run(HOLD_SECONDS + 5, 30);
+        mSim.mLost.add(FIRST);
+        mSim.run(BOOT_SECONDS + SLACK_SECONDS + 4, 30);
+        assertThat(mSim.mScaler.counts().get(SECOND), is(greaterThan(4)));
+        mSim.mLost.clear();
+        int before = mSim.mReceived.size();
+        mSim.run(HOLD_SECONDS - 10, 30);
+        assertThat(reasons(mSim.mReceived.subList(before, mSim.mReceived.size())), is(empty()));
+    }
+
+    @Test
+    void nothingIsGivenBackWhileOrderedEndpointsMayStillCome() {
+        mSim.run(2, 60);
+        mSim.run(HOLD_SECONDS - 1, 10);
+        int before = mSim.mReceived.size();
+        mSim.crash(FIRST, 2);
+        mSim.run(BOOT_SECONDS + SLACK_SECONDS, 10);
+        assertThat(reasons(mSim.mReceived.subList(before, mSim.mReceived.size())), is(empty()));
+    }
+
+    @Test
+    void aRefusedOrderLeavesTheNumberThatWasOrderedBefore() {
+        mSim.run(3, 60);
+        Map<FailureDomain, Integer> ordered = new HashMap<>(mSim.mOrdered);
+        mSim.mAnswer = Answer.REFUSED;
+        mSim.run(3, 90);
+
+        assertThat(mSim.mScaler.counts(), is(ordered));
+    }
+
     @Test
     void aBurstIsGivenBackOnceAfterTheHoldTime() {
         mSim.run(40, 20);
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/CallController.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/CallController.java
@@ -215,8 +215,7 @@
                     CallFingerprint fingerprint =
                             open && client != null ? client.fingerprint() : null;
                     if (fingerprint != null) {
-                        mCrashes.onUnanswered(
-                                fingerprint, spec.requestId(), exchange.endpoint().lifeName());
+                        mCrashes.onUnanswered(fingerprint, spec.requestId(), exchange.lifeName());
                     }
                 });
     }
@@ -564,10 +563,10 @@
                 exchange.isBroken() && client != null ? client.fingerprint() : null;
         if (fingerprint != null) {
             line.with("endpoint", exchange.endpointId()).with("fingerprint", fingerprint);
-            mCrashes.onCrash(fingerprint, call.requestId(), exchange.endpoint().lifeName());
+            mCrashes.onCrash(fingerprint, call.requestId(), exchange.lifeName());
         }
         if (outcome == AttemptOutcome.UNREACHABLE || exchange.isBroken()) {
-            mCrashes.onEndpointCrashed(exchange.endpoint().lifeName());
+            mCrashes.onEndpointCrashed(exchange.lifeName());
         }
         mContext.log().write(exchange.withConnection(line));
         mSpecs.remove(exchange.attempt());
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/EndpointExchange.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/EndpointExchange.java
@@ -45,6 +45,11 @@
         return mEndpoint.id();
     }
 
+    /** Returns the name of the incarnation to which the request is sent. */
+    final String lifeName() {
+        return mEndpoint.lifeName();
+    }
+
     /** Returns the record that the endpoint had when the request was sent. */
     final EndpointRecord endpoint() {
         return mEndpoint;
