--- a/ebonyrun-core/src/test/java/org/ebonyrun/core/scaling/ServiceScalerTest.java
+++ b/ebonyrun-core/src/test/java/org/ebonyrun/core/scaling/ServiceScalerTest.java
@@ -107,7 +107,6 @@
             demand += 4;
             mSim.step(demand);
         }
-        mSim.run(3, demand);
 
         assertThat((double) places(), is(greaterThanOrEqualTo(demand)));
     }
