--- a/ebonyrun-core/src/main/java/org/ebonyrun/core/step/StepMachine.java
+++ b/ebonyrun-core/src/main/java/org/ebonyrun/core/step/StepMachine.java
@@ -435,7 +435,7 @@
         if (!immediately
                 && !isOld
                 && !step.areAllFinished()
-                && textLength(step.mFinished) < FULL_BATCH_CHARS) {
+                && step.finishedChars() < FULL_BATCH_CHARS) {
             return;
         }
         step.mStoring = List.copyOf(step.mFinished);
@@ -444,10 +444,6 @@
         mOutputs.storeResults(step.mSpec.id(), step.mListed.size(), step.mStoring, last);
     }
 
-    private static int textLength(List<SampleResult> results) {
-        return results.stream().mapToInt(result -> result.text().length()).sum();
-    }
-
     /** Lists the results that were being stored, after the store has acknowledged them. */
     public void onResultsStored(StepId id, long now) {
         StepProgress step = mSteps.get(id);
--- a/ebonyrun-core/src/main/java/org/ebonyrun/core/step/StepProgress.java
+++ b/ebonyrun-core/src/main/java/org/ebonyrun/core/step/StepProgress.java
@@ -108,6 +108,11 @@
         return countFinished(sample.mSpec.group());
     }
 
+    /** Returns the length of the finished texts that are not being stored. */
+    int finishedChars() {
+        return mFinished.stream().mapToInt(result -> result.text().length()).sum();
+    }
+
     private boolean countFinished(String group) {
         int unfinished = mUnfinishedByGroup.merge(group, -1, Integer::sum);
         if (unfinished == 0) {
