--- a/ebonyrun-core/src/main/java/org/ebonyrun/core/call/CallMachine.java
+++ b/ebonyrun-core/src/main/java/org/ebonyrun/core/call/CallMachine.java
@@ -127,6 +127,19 @@
         }
     }
 
+    /**
+     * Handles that a caller's key was withdrawn: endpoints that run the call finish, and no other
+     * one starts it.
+     */
+    public void onKeyWithdrawn(long id, long now) {
+        PendingCall call = mCalls.get(id);
+        if (call != null) {
+            call.mKeyWithdrawn = true;
+            advance(call, now);
+            sendWaiting(now);
+        }
+    }
+
     /**
      * Handles the start of a streamed response. From here on only this attempt can answer the call,
      * and its other attempts are cancelled.
@@ -256,6 +269,11 @@
         if (!call.mOpenAttempts.isEmpty() || !mCalls.containsKey(call.mSpec.id())) {
             return;
         }
+        if (call.mKeyWithdrawn && call.mPossibleRuns == 0 && !call.mGoingOn) {
+            mOutputs.refuseKey(call.mSpec);
+            end(call);
+            return;
+        }
         if (mGuard.isBlocked(call.mSpec)) {
             endBlocked(call);
             return;
--- a/ebonyrun-core/src/main/java/org/ebonyrun/core/call/CallOutputs.java
+++ b/ebonyrun-core/src/main/java/org/ebonyrun/core/call/CallOutputs.java
@@ -32,6 +32,9 @@
      */
     void refuse(CallSpec call, long retryAfterMillis, String reason);
 
+    /** Responds to the caller that its key is not valid. The call did not run. */
+    void refuseKey(CallSpec call);
+
     /**
      * Responds to the caller that the call failed and may have run.
      *
--- a/ebonyrun-core/src/main/java/org/ebonyrun/core/call/CallSpec.java
+++ b/ebonyrun-core/src/main/java/org/ebonyrun/core/call/CallSpec.java
@@ -49,6 +49,15 @@
                 workspace);
     }
 
+    /**
+     * Returns the priority of the call among the calls that wait here, zero being the highest. That
+     * of the workspace goes before that of the route; the route that the call is created with
+     * applies to its workspace.
+     */
+    public int priority() {
+        return route.call().priority();
+    }
+
     /**
      * Returns the priority of the call at an endpoint, zero being the highest; empty for the
      * endpoint's default. A caller who waits for a stream of tokens goes before training, whose
--- a/ebonyrun-core/src/main/java/org/ebonyrun/core/call/InteractiveFirstCallOrder.java
+++ b/ebonyrun-core/src/main/java/org/ebonyrun/core/call/InteractiveFirstCallOrder.java
@@ -3,8 +3,7 @@
 import java.util.Comparator;
 
 /**
- * Puts interactive calls before background calls, then orders by the route's priority, then by
- * deadline.
+ * Puts interactive calls before background calls, then orders by priority, then by deadline.
  *
  * <p>A trainer may have hundreds of samples scored at once by a service that also serves people's
  * lookups; the lookups must not wait behind such a burst. Immutable and thread safe.
@@ -12,7 +11,7 @@
 public final class InteractiveFirstCallOrder implements CallOrder {
     private static final Comparator<CallSpec> ORDER =
             Comparator.comparing(CallSpec::background)
-                    .thenComparing(call -> call.route().call().priority())
+                    .thenComparing(CallSpec::priority)
                     .thenComparing(CallSpec::deadline);
 
     @Override
--- a/ebonyrun-core/src/main/java/org/ebonyrun/core/call/PendingCall.java
+++ b/ebonyrun-core/src/main/java/org/ebonyrun/core/call/PendingCall.java
@@ -28,6 +28,8 @@
     long mRetryAt;
     long mSentAt;
     boolean mStreaming;
+    // Whether the caller's key was withdrawn, so that no endpoint may run the call any more.
+    boolean mKeyWithdrawn;
     // Whether the caller has a part of the stream, with which another endpoint has to go on.
     boolean mGoingOn;
     // When the caller is better off to come again, if no endpoint has taken the stream by then.
@@ -42,6 +44,9 @@
 
     /** Returns whether another attempt is allowed, given the attempts that may have run. */
     boolean mayRunAgain() {
+        if (mKeyWithdrawn) {
+            return false;
+        }
         if (mPossibleRuns == 0) {
             return true;
         }
--- a/ebonyrun-core/src/main/java/org/ebonyrun/core/route/Route.java
+++ b/ebonyrun-core/src/main/java/org/ebonyrun/core/route/Route.java
@@ -20,6 +20,7 @@
  * @param services the services that handle the requests, at least one
  * @param call the settings for calls
  * @param step the settings for steps
+ * @param isPublic whether calls need no key
  */
 public record Route(
         String name,
@@ -28,13 +29,37 @@
         RouteKind kind,
         List<WeightedService> services,
         CallOptions call,
-        StepOptions step) {
+        StepOptions step,
+        boolean isPublic) {
     /** Copies the services and checks that there is at least one. */
     public Route {
         services = List.copyOf(services);
         checkArgument(!services.isEmpty(), "route '%s' has no service", name);
     }
 
+    /** Creates a route whose calls need a key if the configuration has workspaces. */
+    public Route(
+            String name,
+            String host,
+            String prefix,
+            RouteKind kind,
+            List<WeightedService> services,
+            CallOptions call,
+            StepOptions step) {
+        this(name, host, prefix, kind, services, call, step, false);
+    }
+
+    /** Returns this route with another priority of its calls. */
+    public Route withPriority(int priority) {
+        CallOptions options =
+                new CallOptions(
+                        call.timeoutMillis(),
+                        call.targetLatencyMillis(),
+                        call.maxAttempts(),
+                        priority);
+        return new Route(name, host, prefix, kind, services, options, step, isPublic);
+    }
+
     /** Returns a service chosen at random in proportion to the weights. */
     public ServiceName pickService(RandomGenerator random) {
         int totalWeight = services.stream().mapToInt(WeightedService::weight).sum();
--- a/ebonyrun-core/src/main/java/org/ebonyrun/core/route/RouteTable.java
+++ b/ebonyrun-core/src/main/java/org/ebonyrun/core/route/RouteTable.java
@@ -9,29 +9,40 @@
 import java.util.Optional;
 import java.util.Set;
 import org.ebonyrun.base.id.ServiceName;
+import org.ebonyrun.core.workspace.Workspaces;
 
 /**
- * One version of the operator's configuration of routes. Among the matching routes of a host, the
- * one with the longest prefix takes precedence.
+ * One version of the operator's configuration of routes and workspaces. Among the matching routes
+ * of a host, the one with the longest prefix takes precedence.
  *
  * <p>Immutable and thread safe.
  */
 public final class RouteTable {
     private static final RouteTable EMPTY =
             new RouteTable(
-                    0, List.of(), Set.of(), new CallerLimits(16_384, 32 << 20, 5_000, 30_000));
+                    0,
+                    List.of(),
+                    Set.of(),
+                    new CallerLimits(16_384, 32 << 20, 5_000, 30_000),
+                    Workspaces.none());
 
     private final long mVersion;
     private final Map<String, List<Route>> mByHost = new HashMap<>();
     private final Set<ServiceName> mEngines;
     private final CallerLimits mLimits;
+    private final Workspaces mWorkspaces;
     private final int mSize;
 
     private RouteTable(
-            long version, List<Route> routes, Set<ServiceName> engines, CallerLimits limits) {
+            long version,
+            List<Route> routes,
+            Set<ServiceName> engines,
+            CallerLimits limits,
+            Workspaces workspaces) {
         mVersion = version;
         mEngines = Set.copyOf(engines);
         mLimits = limits;
+        mWorkspaces = workspaces;
         mSize = routes.size();
         for (Route route : routes) {
             mByHost.computeIfAbsent(route.host(), host -> new ArrayList<>()).add(route);
@@ -56,7 +67,17 @@
      */
     public static RouteTable of(
             long version, List<Route> routes, Set<ServiceName> engines, CallerLimits limits) {
-        return new RouteTable(version, routes, engines, limits);
+        return of(version, routes, engines, limits, Workspaces.none());
+    }
+
+    /** Creates a table as above of a configuration with workspaces. */
+    public static RouteTable of(
+            long version,
+            List<Route> routes,
+            Set<ServiceName> engines,
+            CallerLimits limits,
+            Workspaces workspaces) {
+        return new RouteTable(version, routes, engines, limits, workspaces);
     }
 
     /** Returns the version; zero if no configuration has been received. */
@@ -74,6 +95,11 @@
         return mLimits;
     }
 
+    /** Returns the workspaces. */
+    public Workspaces workspaces() {
+        return mWorkspaces;
+    }
+
     /** Returns the number of routes. */
     public int size() {
         return mSize;
--- a/ebonyrun-core/src/main/java/org/ebonyrun/core/step/StepSpec.java
+++ b/ebonyrun-core/src/main/java/org/ebonyrun/core/step/StepSpec.java
@@ -3,6 +3,8 @@
 import static com.google.common.base.Preconditions.checkArgument;
 
 import java.util.List;
+import org.ebonyrun.base.id.WorkspaceName;
+import org.jspecify.annotations.Nullable;
 
 /**
  * A step, as the trainer submitted it.
@@ -17,6 +19,7 @@
  * @param minVersion the oldest weight version that may generate a token
  * @param wantedGroups the number of complete groups that the trainer waits for
  * @param samples the samples; groups that the trainer waits for in any case come first
+ * @param workspace the workspace that submitted the step; null if there are none
  */
 public record StepSpec(
         StepId id,
@@ -26,7 +29,8 @@
         String model,
         int minVersion,
         int wantedGroups,
-        List<SampleSpec> samples) {
+        List<SampleSpec> samples,
+        @Nullable WorkspaceName workspace) {
     /** Copies the samples. */
     public StepSpec {
         samples = List.copyOf(samples);
@@ -34,4 +38,23 @@
         checkArgument(
                 minVersion >= 0, "minimum version of step %s is negative: %s", id, minVersion);
     }
+
+    /** Creates a step that belongs to no workspace. */
+    public StepSpec(
+            StepId id,
+            String host,
+            String prefix,
+            int number,
+            String model,
+            int minVersion,
+            int wantedGroups,
+            List<SampleSpec> samples) {
+        this(id, host, prefix, number, model, minVersion, wantedGroups, samples, null);
+    }
+
+    /** Returns this step as one of a workspace. */
+    public StepSpec withWorkspace(@Nullable WorkspaceName owner) {
+        return new StepSpec(
+                id, host, prefix, number, model, minVersion, wantedGroups, samples, owner);
+    }
 }
--- a/ebonyrun-core/src/test/java/org/ebonyrun/core/call/FakeCallOutputs.java
+++ b/ebonyrun-core/src/test/java/org/ebonyrun/core/call/FakeCallOutputs.java
@@ -53,6 +53,11 @@
         mRetryAfterMillis.put(call.id(), retryAfterMillis);
     }
 
+    @Override
+    public void refuseKey(CallSpec call) {
+        end(call, "key refused");
+    }
+
     @Override
     public void fail(CallSpec call, boolean timeout, String reason) {
         end(call, timeout ? "timeout" : "failed");
--- a/ebonyrun-core/src/test/java/org/ebonyrun/core/call/ServiceLoadSimulation.java
+++ b/ebonyrun-core/src/test/java/org/ebonyrun/core/call/ServiceLoadSimulation.java
@@ -156,6 +156,11 @@
         // Counts as not answered.
     }
 
+    @Override
+    public void refuseKey(CallSpec call) {
+        // Counts as not answered.
+    }
+
     @Override
     public void fail(CallSpec call, boolean timeout, String reason) {
         // Counts as not answered.
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/CallController.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/CallController.java
@@ -1,6 +1,8 @@
 package org.ebonyrun.daemon.hosted;
 
+import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import org.ebonyrun.base.id.FailureDomain;
 import org.ebonyrun.base.log.LogLine;
@@ -45,6 +47,7 @@
 
     /** The client of a call: either a caller, or a sample that is being scored. */
     private static final class Client {
+        final CallSpec mCall;
         final @Nullable FrontExchange mCaller;
         final @Nullable ScoreCall mScore;
         final @Nullable ScoreListener mScoreListener;
@@ -55,9 +58,11 @@
         volatile @Nullable CallExchange mCurrent;
 
         Client(
+                CallSpec call,
                 @Nullable FrontExchange caller,
                 @Nullable ScoreCall score,
                 @Nullable ScoreListener scoreListener) {
+            mCall = call;
             mCaller = caller;
             mScore = score;
             mScoreListener = scoreListener;
@@ -101,6 +106,7 @@
     }
 
     private final HostedContext mContext;
+    private final CallerKeys mKeys;
     private final AsyncHttpClient mHttpClient;
     private final CrashController mCrashes;
     private final StreamController mStreams;
@@ -117,12 +123,14 @@
 
     CallController(
             HostedContext context,
+            CallerKeys keys,
             AsyncHttpClient httpClient,
             Fleet fleet,
             CrashController crashes,
             StreamController streams,
             FailureDomain domain) {
         mContext = context;
+        mKeys = keys;
         mHttpClient = httpClient;
         mCrashes = crashes;
         mStreams = streams;
@@ -136,7 +144,7 @@
 
     /** Starts a call on behalf of a caller. */
     void onCall(CallSpec spec, FrontExchange caller, long now) {
-        Client client = new Client(caller, null, null);
+        Client client = new Client(spec, caller, null, null);
         mClients.put(spec.id(), client);
         mCallIds.put(caller, spec.id());
         CallFingerprint fingerprint = mCrashes.isEmpty() ? null : client.fingerprint();
@@ -172,7 +180,7 @@
 
     /** Starts a call that scores a sample. */
     void onScoreCall(CallSpec spec, ScoreCall score, ScoreListener listener, long now) {
-        mClients.put(spec.id(), new Client(null, score, listener));
+        mClients.put(spec.id(), new Client(spec, null, score, listener));
         mMachine.onCall(spec, now);
     }
 
@@ -188,6 +196,27 @@
         }
     }
 
+    /** Ends the calls whose keys were withdrawn, except where endpoints run them already. */
+    void onKeysChanged(CallerKeys keys, long now) {
+        List<CallSpec> withdrawn = new ArrayList<>();
+        mClients.values()
+                .forEach(
+                        client -> {
+                            CallSpec call = client.mCall;
+                            FrontExchange caller = client.caller();
+                            boolean refused =
+                                    caller != null
+                                            && !keys.isStillAdmitted(
+                                                    caller,
+                                                    call.workspace(),
+                                                    call.route().isPublic());
+                            if (refused) {
+                                withdrawn.add(call);
+                            }
+                        });
+        withdrawn.forEach(call -> mMachine.onKeyWithdrawn(call.id(), now));
+    }
+
     /** Notes that the caller of a call left before the end of its response. */
     private void noteBrokenStream(long call) {
         mSpecs.values().stream()
@@ -236,6 +265,10 @@
         mAttempts.put(attempt, exchange);
         mSpecs.put(attempt, call);
         HttpRequest request = newRequest(call, client, endpoint, leftMillis);
+        if (call.workspace() != null || mContext.workspaces().isEnabled()) {
+            request =
+                    EndpointProtocol.forWorkspace(request, mContext.workspaces(), call.workspace());
+        }
         LogLine line =
                 LogLine.of("call.sent")
                         .with("request", call.requestId())
@@ -244,6 +277,9 @@
                         .with("active", endpoint.activeRequests())
                         .with("waited_ms", Nanos.toMillis(System.nanoTime() - call.arrivedAt()))
                         .with("left_ms", leftMillis);
+        if (call.workspace() != null) {
+            line.with("workspace", call.workspace());
+        }
         if (streaming) {
             line.with("software", endpoint.record().software());
             FrontProtocol.resumption(client.caller().headers())
@@ -367,6 +403,14 @@
         }
     }
 
+    @Override
+    public void refuseKey(CallSpec call) {
+        Client client = finish(call);
+        if (client != null && client.caller() != null) {
+            mKeys.refuseKey(client.caller(), call.requestId(), "the key was withdrawn");
+        }
+    }
+
     @Override
     public void fail(CallSpec call, boolean timeout, String reason) {
         mContext.metrics().count(EntryMetrics.CALLS, timeout ? "timeout" : "failed");
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/EntryLimits.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/EntryLimits.java
@@ -2,8 +2,10 @@
 
 import static com.google.common.base.Preconditions.checkArgument;
 
+import org.ebonyrun.base.time.Nanos;
 import org.ebonyrun.core.settings.SettingsNode;
 import org.ebonyrun.core.settings.ValueParser;
+import org.ebonyrun.core.workspace.AdmissionPolicy;
 
 /**
  * Limits of a deployment; all times are in milliseconds.
@@ -16,6 +18,10 @@
  * @param catchUpMillis the longest time until an entry that was cut off from the shared store is up
  *     to date again
  * @param storeWritesPerSecond how many writes the shared store takes from all entries together
+ * @param strictKeys whether keys are refused once the store has been silent for {@code
+ *     keysSilenceMillis}
+ * @param keysSilenceMillis how long the store may be silent before keys may have been withdrawn
+ *     unnoticed
  */
 public record EntryLimits(
         long orderQuietPeriodMillis,
@@ -24,22 +30,53 @@
         long configDelayMillis,
         long leavingDelayMillis,
         long catchUpMillis,
-        double storeWritesPerSecond) {
+        double storeWritesPerSecond,
+        boolean strictKeys,
+        long keysSilenceMillis) {
+    private static final long DEFAULT_KEYS_SILENCE_MILLIS = 5_000;
+
     /** The defaults for limits that the settings omit. */
     public static final EntryLimits DEFAULT =
             new EntryLimits(3_000, 8_000, 120_000, 2_000, 2_000, 3_000, 400);
 
-    /** Checks that the last four limits are positive. */
+    /** Checks that the limits with which the entry computes are positive. */
     public EntryLimits {
         checkArgument(
                 configDelayMillis > 0, "config_within is not positive: %s", configDelayMillis);
         checkArgument(
                 leavingDelayMillis > 0, "leaving_within is not positive: %s", leavingDelayMillis);
+        checkArgument(keysSilenceMillis > 0, "keys_silence is not positive: %s", keysSilenceMillis);
         checkArgument(catchUpMillis > 0, "contact_within is not positive: %s", catchUpMillis);
         checkArgument(
                 storeWritesPerSecond > 0, "store_writes is not positive: %s", storeWritesPerSecond);
     }
 
+    /** Creates limits with which keys are accepted however long the store is silent. */
+    public EntryLimits(
+            long orderQuietPeriodMillis,
+            long gracePeriodMillis,
+            long retentionMillis,
+            long configDelayMillis,
+            long leavingDelayMillis,
+            long catchUpMillis,
+            double storeWritesPerSecond) {
+        this(
+                orderQuietPeriodMillis,
+                gracePeriodMillis,
+                retentionMillis,
+                configDelayMillis,
+                leavingDelayMillis,
+                catchUpMillis,
+                storeWritesPerSecond,
+                false,
+                DEFAULT_KEYS_SILENCE_MILLIS);
+    }
+
+    /** Returns how keys are checked. */
+    AdmissionPolicy admission() {
+        return new AdmissionPolicy(strictKeys, Nanos.ofMillis(keysSilenceMillis));
+    }
+
     /** Reads limits; a limit that is missing or unreadable has its default value. */
     static EntryLimits read(SettingsNode node) {
         return new EntryLimits(
@@ -50,8 +87,9 @@
                 positive(node.get("config_within"), DEFAULT.configDelayMillis),
                 positive(node.get("leaving_within"), DEFAULT.leavingDelayMillis),
                 positive(node.get("contact_within"), DEFAULT.catchUpMillis),
-                node.get("store_writes")
-                        .read(EntryLimits::parseRate, DEFAULT.storeWritesPerSecond));
+                node.get("store_writes").read(EntryLimits::parseRate, DEFAULT.storeWritesPerSecond),
+                node.get("strict_keys").read(HostedSettings::parseBoolean, DEFAULT.strictKeys),
+                positive(node.get("keys_silence"), DEFAULT.keysSilenceMillis));
     }
 
     private static double parseRate(String text) {
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/FrontHandler.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/FrontHandler.java
@@ -3,8 +3,11 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.Executor;
+import java.util.function.Consumer;
+import java.util.function.Predicate;
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
+import org.ebonyrun.base.id.WorkspaceName;
 import org.ebonyrun.base.log.LogLine;
 import org.ebonyrun.base.result.Fault;
 import org.ebonyrun.base.result.Result;
@@ -18,6 +21,8 @@
 import org.ebonyrun.core.step.StepSpec;
 import org.ebonyrun.core.step.SubmissionWait;
 import org.ebonyrun.core.stream.StreamResumption;
+import org.ebonyrun.core.workspace.Admission;
+import org.ebonyrun.core.workspace.Workspace;
 import org.ebonyrun.platform.FrontCall;
 import org.ebonyrun.platform.FrontProtocol;
 import org.ebonyrun.platform.ResultsEncoder;
@@ -26,6 +31,7 @@
 import org.ebonyrun.ports.http.FrontListener;
 import org.ebonyrun.ports.http.HttpHeaders;
 import org.ebonyrun.ports.store.CommitResult;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Handles the HTTP requests of callers and trainers: finds the route of each request, dispatches it
@@ -46,6 +52,7 @@
     private static final byte[] EMPTY_BODY = new byte[0];
 
     private final HostedContext mContext;
+    private final CallerKeys mKeys;
     private final CallController mCalls;
     private final ResumedCalls mResumedCalls;
     private final StepOwnership mStepOwnership;
@@ -57,6 +64,7 @@
 
     FrontHandler(
             HostedContext context,
+            CallerKeys keys,
             CallController calls,
             ResumedCalls resumedCalls,
             StepOwnership stepOwnership,
@@ -64,6 +72,7 @@
             Supplier<RouteTable> routes,
             RandomGenerator random) {
         mContext = context;
+        mKeys = keys;
         mCalls = calls;
         mResumedCalls = resumedCalls;
         mStepOwnership = stepOwnership;
@@ -72,7 +81,9 @@
         mRandom = random;
         mHeldSubmissions =
                 new HeldSubmissions(
-                        () -> !context.storeHealth().isUnavailable(),
+                        () ->
+                                !context.storeHealth().isUnavailable()
+                                        && keys.areReadSinceOutage(System.nanoTime()),
                         new HeldSubmissions.Listener() {
                             @Override
                             public void onRetry(HeldSubmissions.Submission submission) {
@@ -86,7 +97,14 @@
                         });
     }
 
+    /** Ends what waits for callers whose keys were withdrawn. */
+    void onConfigurationChanged(long now) {
+        mResumedCalls.onKeysChanged(mKeys);
+        mCalls.onKeysChanged(mKeys, now);
+    }
+
     void onTick(long now) {
+        mKeys.onTick(now);
         mHeldSubmissions.onTick(now);
     }
 
@@ -128,18 +146,60 @@
         }
         FrontCall call = FrontCall.decode(exchange.method(), exchange.target(), exchange.headers());
         if (call instanceof FrontCall.ReadResults read) {
-            mReader.read(read.step(), read.from(), read.waitMillis(), exchange);
+            withStepAccess(
+                    exchange,
+                    id,
+                    read.step(),
+                    access ->
+                            mReader.read(
+                                    read.step(), read.from(), read.waitMillis(), access, exchange));
         } else if (call instanceof FrontCall.ReadSample read) {
-            mReader.readSample(read.step(), read.sample(), exchange);
+            withStepAccess(
+                    exchange,
+                    id,
+                    read.step(),
+                    access -> mReader.readSample(read.step(), read.sample(), access, exchange));
         } else if (call instanceof FrontCall.EndStep end) {
-            endStep(exchange, end.step());
+            withStepAccess(
+                    exchange, id, end.step(), access -> endStep(exchange, end.step(), access));
         } else if (call instanceof FrontCall.Routed routed) {
             dispatch(exchange, id, routes, routed.path());
         } else {
-            sendNotFound(exchange, "step");
+            withStepAccess(exchange, id, null, access -> sendNotFound(exchange, "step"));
         }
     }
 
+    /**
+     * Passes {@code action} which steps the caller may reach, or refuses the request.
+     *
+     * @param step the step that the request is for; null if it can't exist
+     */
+    private void withStepAccess(
+            FrontExchange exchange,
+            String id,
+            @Nullable StepId step,
+            Consumer<Predicate<StepManifest>> action) {
+        if (!mContext.workspaces().isEnabled()) {
+            action.accept(manifest -> true);
+            return;
+        }
+        Admission admission = mKeys.admit(exchange, step != null && isPublicStep(step));
+        if (admission.isAdmitted()) {
+            action.accept(manifest -> manifest.isAccessibleTo(admission.workspaceName()));
+        } else {
+            mKeys.refuse(exchange, id, admission);
+        }
+    }
+
+    /** Returns whether a step is known here to be of no workspace and of a public route. */
+    private boolean isPublicStep(StepId step) {
+        StepStatus known = mContext.directory().get(step);
+        StepManifest manifest = known == null ? null : known.mManifest;
+        return manifest != null
+                && manifest.workspace() == null
+                && mContext.routeOf(manifest).filter(Route::isPublic).isPresent();
+    }
+
     private void dispatch(FrontExchange exchange, String id, RouteTable routes, String path) {
         String host = FrontProtocol.host(exchange.headers());
         Optional<Route> route = routes.find(host, path);
@@ -152,14 +212,21 @@
                                     .with("path", path)
                                     .with("config", routes.version()));
             sendNotFound(exchange, "route");
+            return;
+        }
+        Admission admission = mKeys.admit(exchange, route.get().isPublic());
+        if (!admission.isAdmitted()) {
+            mKeys.refuse(exchange, id, admission);
         } else if (route.get().kind() == RouteKind.STEPS) {
-            submitStep(exchange, id, host, route.get());
+            submitStep(exchange, id, host, route.get(), admission.workspaceName());
         } else {
-            startCall(exchange, id, route.get());
+            startCall(exchange, id, route.get(), admission.workspace());
         }
     }
 
-    private void startCall(FrontExchange exchange, String id, Route route) {
+    private void startCall(
+            FrontExchange exchange, String id, Route matched, @Nullable Workspace workspace) {
+        Route route = workspace == null ? matched : workspace.applyTo(matched);
         long now = System.nanoTime();
         long timeout = route.call().timeoutMillis();
         long deadline = FrontProtocol.deadlineMillis(exchange.headers(), timeout);
@@ -174,7 +241,7 @@
                         endsAt,
                         false,
                         null,
-                        null);
+                        workspace == null ? null : workspace.name());
         Optional<StreamResumption> resumption =
                 route.kind() == RouteKind.RESUMABLE_STREAM
                         ? FrontProtocol.resumption(exchange.headers())
@@ -186,10 +253,17 @@
         }
     }
 
-    private void submitStep(FrontExchange exchange, String id, String host, Route route) {
+    private void submitStep(
+            FrontExchange exchange,
+            String id,
+            String host,
+            Route route,
+            @Nullable WorkspaceName workspace) {
         StepSpec spec;
         try {
-            spec = StepDecoder.decode(StepId.of(id), host, route.prefix(), exchange.body());
+            spec =
+                    StepDecoder.decode(StepId.of(id), host, route.prefix(), exchange.body())
+                            .withWorkspace(workspace);
         } catch (IllegalArgumentException e) {
             mContext.log()
                     .write(
@@ -208,9 +282,13 @@
     private void submit(HeldSubmissions.Submission submission) {
         StepSpec spec = submission.spec();
         StepStatus known = mContext.directory().get(spec.id());
+        boolean isPublic = submission.route().isPublic();
+        if (!mKeys.isStillAdmitted(submission.exchange(), spec.workspace(), isPublic)) {
+            mKeys.refuseKey(submission.exchange(), submission.id(), "the key was withdrawn");
+            return;
+        }
         if (known != null && known.mManifest != null) {
-            HttpHeaders headers = FrontProtocol.requestIdHeaders(submission.id());
-            submission.exchange().respond(ACCEPTED, headers, EMPTY_BODY);
+            respondAccepted(submission, known.mManifest.isAccessibleTo(spec.workspace()));
             return;
         }
         if (mContext.storeHealth().isUnavailable()) {
@@ -226,6 +304,17 @@
                 System.nanoTime());
     }
 
+    /**
+     * Responds that the store has a step.
+     *
+     * @param accessible whether the step is the caller's; another workspace learns nothing of it
+     */
+    private void respondAccepted(HeldSubmissions.Submission submission, boolean accessible) {
+        boolean accepted = accessible || !mContext.workspaces().isEnabled();
+        HttpHeaders headers = FrontProtocol.requestIdHeaders(submission.id());
+        submission.exchange().respond(accepted ? ACCEPTED : NOT_FOUND, headers, EMPTY_BODY);
+    }
+
     /** Lets a submission that the store certainly did not take wait for the store. */
     private void holdOrRefuse(HeldSubmissions.Submission submission, String why) {
         long now = System.nanoTime();
@@ -260,7 +349,7 @@
         String id = submission.id();
         result.fold(
                 accepted -> {
-                    exchange.respond(ACCEPTED, FrontProtocol.requestIdHeaders(id), EMPTY_BODY);
+                    respondAccepted(submission, accepted);
                     return accepted;
                 },
                 fault -> {
@@ -294,9 +383,12 @@
                 UNAVAILABLE, FrontProtocol.retryAfterHeaders(id, RETRY_AFTER_MILLIS), EMPTY_BODY);
     }
 
-    private void endStep(FrontExchange exchange, StepId step) {
+    private void endStep(FrontExchange exchange, StepId step, Predicate<StepManifest> access) {
         StepStatus known = mContext.directory().get(step);
-        if (known != null && known.mDone) {
+        StepManifest manifest = known == null ? null : known.mManifest;
+        boolean reachable =
+                manifest == null ? !mContext.workspaces().isEnabled() : access.test(manifest);
+        if (known != null && known.mDone && reachable) {
             // A step that is done has no runs left to stop.
             mContext.log().write(LogLine.of("step.end").with("step", step).with("done", true));
             exchange.respond(OK, HttpHeaders.empty(), EMPTY_BODY);
@@ -304,8 +396,9 @@
         }
         mReader.withManifest(
                 step,
+                access,
                 exchange,
-                manifest ->
+                found ->
                         mStepStore
                                 .markEnded(step)
                                 .thenAcceptAsync(
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/HostedContext.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/HostedContext.java
@@ -10,6 +10,7 @@
 import org.ebonyrun.core.policy.Policy;
 import org.ebonyrun.core.route.Route;
 import org.ebonyrun.core.step.StepId;
+import org.ebonyrun.core.workspace.Workspaces;
 import org.ebonyrun.ports.store.CommitResult;
 import org.ebonyrun.ports.store.StoreItem;
 
@@ -80,6 +81,9 @@
     /** Returns whether a configuration has been read. */
     boolean hasConfiguration();
 
+    /** Returns the workspaces of the configuration in force. */
+    Workspaces workspaces();
+
     /** Returns the route of a stored step; empty if the current configuration has none for it. */
     Optional<Route> routeOf(StepManifest manifest);
 
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/HostedEntry.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/HostedEntry.java
@@ -31,6 +31,7 @@
 import org.ebonyrun.core.route.RouteKind;
 import org.ebonyrun.core.route.RouteTable;
 import org.ebonyrun.core.step.StepId;
+import org.ebonyrun.core.workspace.Workspaces;
 import org.ebonyrun.platform.EndpointDecoder;
 import org.ebonyrun.platform.OperatorDecoder;
 import org.ebonyrun.platform.OperatorEvent;
@@ -69,6 +70,8 @@
     private static final double FINISH_FRACTION = 0.5;
     // Fraction of the grace period that the drain may take in all.
     private static final double DRAIN_FRACTION = 0.85;
+    // The index of the watch that reads the configuration.
+    private static final int OPERATOR_WATCH = 0;
 
     /** A task that is due at a time of the monotonic clock. */
     private record ScheduledTask(long at, Runnable task) {}
@@ -85,6 +88,7 @@
     private final StepDirectory mDirectory;
     private final EntryLease mLease;
     private final List<StoreWatch> mWatches = new ArrayList<>();
+    private final CallerKeys mKeys;
     private final CallController mCalls;
     private final SampleController mSamples;
     private final StepOwnership mStepOwnership;
@@ -135,7 +139,14 @@
         mStreams =
                 new StreamController(
                         this, mStore, mFleet, settings.limits().storeWritesPerSecond());
-        mCalls = new CallController(this, client, mFleet, mCrashes, mStreams, settings.domain());
+        mKeys =
+                new CallerKeys(
+                        this,
+                        () -> mSettings.limits().admission(),
+                        now -> mWatches.get(OPERATOR_WATCH).silenceNanos(now));
+        mCalls =
+                new CallController(
+                        this, mKeys, client, mFleet, mCrashes, mStreams, settings.domain());
         mSamples =
                 new SampleController(
                         this, client, mFleet, (host, path) -> mRoutes.find(host, path));
@@ -146,7 +157,14 @@
         ResumedCalls resumed = new ResumedCalls(this, mCalls, mStreams);
         mFront =
                 new FrontHandler(
-                        this, mCalls, resumed, mStepOwnership, stepStore, () -> mRoutes, random);
+                        this,
+                        mKeys,
+                        mCalls,
+                        resumed,
+                        mStepOwnership,
+                        stepStore,
+                        () -> mRoutes,
+                        random);
         mStepReader = new StepReader(this, mStore, stepStore, mStepOwnership, mFront);
         mFront.setReader(mStepReader);
         mSamples.bind(mCalls, mStepOwnership, mStepReader);
@@ -251,6 +269,7 @@
         gauges.put("ebonyrun_entry_streams", (double) mStreams.machine().streamCount());
         gauges.put("ebonyrun_entry_streams_recorded", mStreams.machine().isRecording() ? 1.0 : 0.0);
         gauges.put("ebonyrun_entry_config_version", (double) mRoutes.version());
+        gauges.put("ebonyrun_entry_keys_outdated", mKeys.isOutdated() ? 1.0 : 0.0);
         gauges.put("ebonyrun_entry_ready", mReady ? 1.0 : 0.0);
         gauges.put("ebonyrun_entry_store_away", mHealth.isUnavailable() ? 1.0 : 0.0);
         gauges.put("ebonyrun_entry_planner", mPlanner.holdsRole() ? 1.0 : 0.0);
@@ -304,6 +323,11 @@
         return mRoutes.isConfigured();
     }
 
+    @Override
+    public Workspaces workspaces() {
+        return mRoutes.workspaces();
+    }
+
     @Override
     public Optional<Route> routeOf(StepManifest manifest) {
         return mRoutes.find(manifest.host(), manifest.prefix())
@@ -463,10 +487,13 @@
                         limits.headerTimeoutMillis(),
                         limits.idleTimeoutMillis());
         mPlanner.machine().onRoutes(routes, configured.singleVersion());
+        mFront.onConfigurationChanged(System.nanoTime());
         mLog.write(
                 LogLine.of("config.applied")
                         .with("version", routes.version())
-                        .with("routes", routes.size()));
+                        .with("routes", routes.size())
+                        .with("workspaces", routes.workspaces().size())
+                        .with("keys", routes.workspaces().keyCount()));
     }
 
     private void onStepSnapshot(List<StoreItem> items) {
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/HostedSettings.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/HostedSettings.java
@@ -66,7 +66,9 @@
                     "config_within",
                     "leaving_within",
                     "contact_within",
-                    "store_writes");
+                    "store_writes",
+                    "strict_keys",
+                    "keys_silence");
 
     /**
      * The result of parsing settings.
@@ -137,7 +139,7 @@
         return policy;
     }
 
-    private static boolean parseBoolean(String text) {
+    static boolean parseBoolean(String text) {
         checkArgument(text.equals("true") || text.equals("false"), "not true or false: '%s'", text);
         return text.equals("true");
     }
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/ResumedCalls.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/ResumedCalls.java
@@ -1,6 +1,8 @@
 package org.ebonyrun.daemon.hosted;
 
+import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import org.ebonyrun.base.log.LogLine;
 import org.ebonyrun.base.time.Nanos;
@@ -26,7 +28,11 @@
     private final HostedContext mContext;
     private final CallController mCalls;
     private final StreamController mStreams;
-    private final Map<FrontExchange, Long> mLookups = new HashMap<>();
+
+    /** A lookup of what began a stream, for a call that resumes it. */
+    private record Lookup(long id, CallSpec call) {}
+
+    private final Map<FrontExchange, Lookup> mLookups = new HashMap<>();
 
     ResumedCalls(HostedContext context, CallController calls, StreamController streams) {
         mContext = context;
@@ -42,7 +48,7 @@
                         : StreamId.of(
                                 FrontProtocol.host(caller.headers()), resumption.firstRequestId());
         long lookup = mStreams.newLookup();
-        mLookups.put(caller, lookup);
+        mLookups.put(caller, new Lookup(lookup, call));
         mStreams.resolve(
                 lookup,
                 stream,
@@ -55,12 +61,27 @@
 
     /** Ends the lookup of a caller that has disconnected. */
     void onCallerDisconnected(FrontExchange caller) {
-        Long lookup = mLookups.remove(caller);
+        Lookup lookup = mLookups.remove(caller);
         if (lookup != null) {
-            mStreams.onAbandoned(lookup);
+            mStreams.onAbandoned(lookup.id());
         }
     }
 
+    /** Refuses the calls whose keys were withdrawn. */
+    void onKeysChanged(CallerKeys keys) {
+        List<FrontExchange> withdrawn = new ArrayList<>();
+        mLookups.forEach(
+                (caller, lookup) -> {
+                    CallSpec call = lookup.call();
+                    boolean isPublic = call.route().isPublic();
+                    if (!keys.isStillAdmitted(caller, call.workspace(), isPublic)) {
+                        withdrawn.add(caller);
+                        keys.refuseKey(caller, call.requestId(), "the key was withdrawn");
+                    }
+                });
+        withdrawn.forEach(this::onCallerDisconnected);
+    }
+
     private void onResolved(
             CallSpec call,
             StreamResumption resumption,
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/SampleController.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/SampleController.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import org.ebonyrun.base.id.WorkspaceName;
 import org.ebonyrun.base.log.LogLine;
 import org.ebonyrun.base.time.Nanos;
 import org.ebonyrun.core.call.CallSpec;
@@ -22,8 +23,10 @@
 import org.ebonyrun.core.step.StepMachine;
 import org.ebonyrun.core.step.StepOutputs;
 import org.ebonyrun.core.step.StepSpec;
+import org.ebonyrun.core.workspace.Workspaces;
 import org.ebonyrun.platform.EndpointProtocol;
 import org.ebonyrun.ports.http.AsyncHttpClient;
+import org.ebonyrun.ports.http.HttpRequest;
 import org.ebonyrun.ports.http.SseEvent;
 
 /**
@@ -92,10 +95,28 @@
                         .with("expected_tokens", sample.expectedTokens())
                         .with("after", lastEvent);
         mContext.log().write(EndpointExchange.withLimit(line, endpoint));
-        mHttpClient.send(
-                EndpointProtocol.newRunRequest(
-                        endpoint.record(), step.host(), sample, lastEvent, options),
-                exchange);
+        mHttpClient.send(newRequest(step, sample, endpoint, lastEvent, options), exchange);
+    }
+
+    private HttpRequest newRequest(
+            StepSpec step,
+            SampleSpec sample,
+            Endpoint endpoint,
+            int lastEvent,
+            RunOptions options) {
+        Workspaces workspaces = mContext.workspaces();
+        if (step.workspace() == null && !workspaces.isEnabled()) {
+            return EndpointProtocol.newRunRequest(
+                    endpoint.record(), step.host(), sample, lastEvent, options);
+        }
+        return EndpointProtocol.newRunRequest(
+                endpoint.record(),
+                step.host(),
+                sample,
+                lastEvent,
+                options,
+                workspaces,
+                step.workspace());
     }
 
     @Override
@@ -155,18 +176,24 @@
             mMachine.onScoreEnd(run, ScoreOutcome.UNKNOWN, "", 0, 1, now);
             return;
         }
+        WorkspaceName workspace = step.workspace();
+        Route applied =
+                Optional.ofNullable(workspace)
+                        .flatMap(mContext.workspaces()::get)
+                        .map(found -> found.applyTo(route.get()))
+                        .orElse(route.get());
         long targetLatency = Nanos.ofMillis(route.get().call().targetLatencyMillis());
         CallSpec call =
                 new CallSpec(
                         mCalls.nextCallId(),
                         score.id(),
-                        route.get(),
+                        applied,
                         route.get().services().get(0).service(),
                         now,
                         now + SCORE_TIMEOUT_FACTOR * targetLatency,
                         true,
                         null,
-                        null);
+                        workspace);
         int maxAttempts = route.get().call().maxAttempts();
         mCalls.onScoreCall(
                 call,
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/StepCodec.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/StepCodec.java
@@ -6,6 +6,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import org.ebonyrun.base.id.ServiceName;
+import org.ebonyrun.base.id.WorkspaceName;
 import org.ebonyrun.base.json.JsonTrees;
 import org.ebonyrun.core.step.SampleCheckpoint;
 import org.ebonyrun.core.step.SampleResult;
@@ -27,6 +28,9 @@
         node.put("number", manifest.number());
         node.put("min_version", manifest.minVersion());
         node.put("samples", manifest.samples());
+        if (manifest.workspace() != null) {
+            node.put("workspace", manifest.workspace().value());
+        }
         node.put("accepted_at", manifest.acceptedAt());
         return JsonTrees.write(node);
     }
@@ -40,6 +44,7 @@
                 node.path("number").asInt(),
                 node.path("min_version").asInt(),
                 node.path("samples").asInt(),
+                node.has("workspace") ? WorkspaceName.of(node.path("workspace").asText()) : null,
                 node.path("accepted_at").asLong());
     }
 
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/StepManifest.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/StepManifest.java
@@ -1,5 +1,9 @@
 package org.ebonyrun.daemon.hosted;
 
+import java.util.Objects;
+import org.ebonyrun.base.id.WorkspaceName;
+import org.jspecify.annotations.Nullable;
+
 /**
  * The manifest of a step that an entry without agents stores under one of the step's live keys: the
  * small part of the step, which every entry holds in memory. The submission with the samples is
@@ -14,6 +18,7 @@
  * @param number the trainer's count of steps
  * @param minVersion the oldest weight version that may generate its samples
  * @param samples the number of its samples
+ * @param workspace the workspace that submitted the step; null if there is none
  * @param acceptedAt when it was accepted, in Unix milliseconds
  */
 record StepManifest(
@@ -23,9 +28,25 @@
         int number,
         int minVersion,
         int samples,
+        @Nullable WorkspaceName workspace,
         long acceptedAt) {
-    /** Returns whether both steps belong to the same trainer: same host, route prefix and model. */
+    /**
+     * Returns whether a caller may reach the step.
+     *
+     * @param caller the workspace that holds the caller's key; null if there is none
+     */
+    boolean isAccessibleTo(@Nullable WorkspaceName caller) {
+        return workspace == null || workspace.equals(caller);
+    }
+
+    /**
+     * Returns whether both steps belong to the same trainer: same host, route prefix, model and
+     * workspace.
+     */
     boolean isOfSameTrainer(StepManifest other) {
-        return host.equals(other.host) && prefix.equals(other.prefix) && model.equals(other.model);
+        return host.equals(other.host)
+                && prefix.equals(other.prefix)
+                && model.equals(other.model)
+                && Objects.equals(workspace, other.workspace);
     }
 }
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/StepOwnership.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/StepOwnership.java
@@ -31,6 +31,7 @@
 import org.ebonyrun.platform.StepDecoder;
 import org.ebonyrun.ports.store.CommitOutcome;
 import org.ebonyrun.ports.store.CommitResult;
+import org.ebonyrun.ports.store.StoreItem;
 import org.ebonyrun.ports.store.Transaction;
 import org.jspecify.annotations.Nullable;
 
@@ -108,8 +109,9 @@
     /**
      * Accepts a step.
      *
-     * @param callback receives true once the store has the step; otherwise a fault, whose outcome
-     *     shows whether the store may still accept it
+     * @param callback receives true once the store has the step, false if it has a step of that ID
+     *     of another workspace; otherwise a fault, whose outcome shows whether the store may still
+     *     accept it
      */
     void accept(
             StepSpec spec,
@@ -149,6 +151,7 @@
                         spec.number(),
                         spec.minVersion(),
                         spec.samples().size(),
+                        spec.workspace(),
                         acceptedAt);
         mAccepting.add(spec.id());
         mStore.accept(spec.id(), manifest, submission, mContext.self().format(), lease)
@@ -167,7 +170,7 @@
         mAccepting.remove(spec.id());
         boolean mayHaveRun = result.fold(commit -> false, fault -> !fault.isNotRun());
         if (mayHaveRun) {
-            readBack(spec.id(), result, callback);
+            readBack(spec, result, callback);
             return;
         }
         Result<Boolean> outcome =
@@ -178,20 +181,30 @@
                             }
                             if (commit.isCommitted()) {
                                 begin(spec, manifest, route, commit.revision());
+                                return Result.ok(true);
                             }
-                            return Result.ok(true);
+                            return Result.ok(isAccessible(spec, commit.current()));
                         });
         callback.accept(outcome);
     }
 
+    /** Returns whether the workspace of a step may reach the one that was accepted before. */
+    private static boolean isAccessible(StepSpec spec, List<StoreItem> current) {
+        String key = StoreKeys.liveKey(spec.id(), StoreKeys.MANIFEST);
+        return current.stream()
+                .filter(item -> item.key().equals(key))
+                .allMatch(item -> StepStore.isAccessible(item, spec.workspace()));
+    }
+
     /**
      * Reads whether a step was accepted after the response to the transaction was lost. If it was,
      * the watch will show its owner. If it was not, the transaction may still take effect, so the
      * outcome stays unknown.
      */
     private void readBack(
-            StepId id, Result<CommitResult> unknown, Consumer<Result<Boolean>> callback) {
-        mStore.isAccepted(id)
+            StepSpec spec, Result<CommitResult> unknown, Consumer<Result<Boolean>> callback) {
+        StepId id = spec.id();
+        mStore.isAccepted(id, spec.workspace())
                 .thenAcceptAsync(
                         mContext.callback(
                                 result -> {
@@ -546,7 +559,9 @@
         }
         StepSpec spec;
         try {
-            spec = StepDecoder.decode(id, manifest.host(), manifest.prefix(), stored.submission());
+            spec =
+                    StepDecoder.decode(id, manifest.host(), manifest.prefix(), stored.submission())
+                            .withWorkspace(manifest.workspace());
         } catch (IllegalArgumentException e) {
             mContext.log()
                     .write(
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/StepReader.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/StepReader.java
@@ -3,9 +3,11 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Optional;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
+import java.util.function.Predicate;
 import org.ebonyrun.base.log.LogLine;
 import org.ebonyrun.base.result.Fault;
 import org.ebonyrun.base.result.FaultCode;
@@ -94,10 +96,17 @@
      *
      * @param from the position of the first result
      * @param waitMillis how long to wait if there is no such result yet, in milliseconds
+     * @param access returns whether the caller may reach a step
      */
-    void read(StepId step, int from, long waitMillis, FrontExchange to) {
+    void read(
+            StepId step,
+            int from,
+            long waitMillis,
+            Predicate<StepManifest> access,
+            FrontExchange to) {
         withManifest(
                 step,
+                access,
                 to,
                 manifest ->
                         mResults.read(
@@ -136,10 +145,15 @@
         return Fault.notRun(FaultCode.PLATFORM_UNAVAILABLE, "step.read", "", detail);
     }
 
-    /** Reads the body of a sample. */
-    void readSample(StepId step, String sample, FrontExchange to) {
+    /**
+     * Reads the body of a sample.
+     *
+     * @param access returns whether the caller may reach a step
+     */
+    void readSample(StepId step, String sample, Predicate<StepManifest> access, FrontExchange to) {
         withManifest(
                 step,
+                access,
                 to,
                 manifest ->
                         withSubmission(
@@ -168,7 +182,7 @@
     private void withSubmission(
             StepId step, StepManifest manifest, BiConsumer<StepSpec, @Nullable Fault> callback) {
         StepSpec cached = mSubmissions.get(step);
-        if (cached != null) {
+        if (cached != null && Objects.equals(cached.workspace(), manifest.workspace())) {
             callback.accept(cached, null);
             return;
         }
@@ -198,7 +212,8 @@
         try {
             return Result.ok(
                     StepDecoder.decode(
-                            step, manifest.host(), manifest.prefix(), stored.submission()));
+                                    step, manifest.host(), manifest.prefix(), stored.submission())
+                            .withWorkspace(manifest.workspace()));
         } catch (IllegalArgumentException e) {
             return Result.err(unreadable("the stored submission is malformed: " + e.getMessage()));
         }
@@ -209,18 +224,35 @@
         mSubmissions.put(spec.id(), spec);
     }
 
-    /** Passes {@code callback} the manifest of a step; responds to the read if it is missing. */
-    void withManifest(StepId step, FrontExchange to, Consumer<StepManifest> callback) {
+    /**
+     * Passes {@code callback} the manifest of a step; responds to the read if it is missing.
+     *
+     * @param access returns whether the caller may reach a step; one that it may not reach counts
+     *     as missing
+     */
+    void withManifest(
+            StepId step,
+            Predicate<StepManifest> access,
+            FrontExchange to,
+            Consumer<StepManifest> callback) {
+        Consumer<StepManifest> checked =
+                found -> {
+                    if (access.test(found)) {
+                        callback.accept(found);
+                    } else {
+                        mResponder.sendNotFound(to, "step " + step);
+                    }
+                };
         StepStatus status = mContext.directory().get(step);
         StepManifest manifest = status == null ? null : status.mManifest;
         if (manifest != null) {
-            callback.accept(manifest);
+            checked.accept(manifest);
             return;
         }
         mSharedStore
                 .get(StoreKeys.liveKey(step, StoreKeys.MANIFEST))
                 .thenAcceptAsync(
-                        mContext.callback(result -> onManifest(step, to, callback, result)),
+                        mContext.callback(result -> onManifest(step, to, checked, result)),
                         mContext.executor());
     }
 
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/StepStore.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/StepStore.java
@@ -5,8 +5,8 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
-import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import org.ebonyrun.base.id.WorkspaceName;
 import org.ebonyrun.base.result.Fault;
 import org.ebonyrun.base.result.FaultCode;
 import org.ebonyrun.base.result.Result;
@@ -18,6 +18,7 @@
 import org.ebonyrun.ports.store.StoreItem;
 import org.ebonyrun.ports.store.StorePage;
 import org.ebonyrun.ports.store.Transaction;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Reads and writes steps in the shared store.
@@ -87,10 +88,24 @@
         return chunks;
     }
 
-    /** Returns whether a step is accepted. */
-    CompletableFuture<Result<Boolean>> isAccepted(StepId id) {
+    /** Returns whether a step is accepted that a workspace may reach. */
+    CompletableFuture<Result<Boolean>> isAccepted(StepId id, @Nullable WorkspaceName workspace) {
         return mStore.get(StoreKeys.liveKey(id, StoreKeys.MANIFEST))
-                .thenApply(result -> result.map(Optional::isPresent));
+                .thenApply(
+                        result ->
+                                result.map(
+                                        item ->
+                                                item.isPresent()
+                                                        && isAccessible(item.get(), workspace)));
+    }
+
+    /** Returns whether a workspace may reach a step; one that is unreadable is of none. */
+    static boolean isAccessible(StoreItem manifest, @Nullable WorkspaceName workspace) {
+        try {
+            return StepCodec.manifest(manifest.value()).isAccessibleTo(workspace);
+        } catch (IllegalArgumentException ignored) {
+            return workspace == null;
+        }
     }
 
     /**
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/StoreWatch.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/StoreWatch.java
@@ -81,6 +81,7 @@
     private long mBatchStart;
     private boolean mResuming;
     private long mResumeAt;
+    private long mRespondedAt;
     // The store revision after which changes are missing; zero before the first snapshot.
     private long mRevision;
 
@@ -100,6 +101,7 @@
         mTiming = timing;
         mExecutor = executor;
         mListener = listener;
+        mRespondedAt = System.nanoTime();
     }
 
     /** Begins to watch. */
@@ -107,6 +109,11 @@
         readSnapshot("", new ArrayList<>(), 0);
     }
 
+    /** Returns the time since the store last confirmed what was read, in nanoseconds. */
+    long silenceNanos(long now) {
+        return now - mRespondedAt;
+    }
+
     /** Returns whether a snapshot has been read. */
     boolean isSynced() {
         return mSynced;
@@ -170,6 +177,7 @@
         result.fold(
                 page -> {
                     mListener.onResponse();
+                    mRespondedAt = System.nanoTime();
                     items.addAll(page.items());
                     // The first page's revision covers every change after it.
                     long first = revision == 0 ? page.revision() : revision;
@@ -209,6 +217,7 @@
                     if (!mStalePoll) {
                         // A stale read may be answered while the store is unavailable.
                         mListener.onResponse();
+                        mRespondedAt = System.nanoTime();
                     }
                     if (changes.historyCompacted()) {
                         mRevision = 0;
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/WatchTimings.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/WatchTimings.java
@@ -41,7 +41,13 @@
      */
     static StoreWatch.Timing forOperatorKeys(EntryLimits limits, boolean idle) {
         // An idle entry does not need a named version at once.
-        return timing(limits, idle ? (long) (CONFIG_FRACTION * limits.configDelayMillis()) : 0);
+        long batch = idle ? (long) (CONFIG_FRACTION * limits.configDelayMillis()) : 0;
+        if (!limits.strictKeys()) {
+            return timing(limits, batch);
+        }
+        // Two polls fit into the silence after which keys are refused.
+        long maxWait = Math.max(MIN_WAIT_MILLIS, limits.keysSilenceMillis() / 2 - batch);
+        return timing(Math.min(waitMillis(limits), maxWait), batch, false);
     }
 
     /**
@@ -82,8 +88,11 @@
 
     private static StoreWatch.Timing timing(
             EntryLimits limits, long batchMillis, boolean mayBeStale) {
-        long wait = Math.max(MIN_WAIT_MILLIS, limits.catchUpMillis() - CATCH_UP_SLACK_MILLIS);
-        return timing(wait, batchMillis, mayBeStale);
+        return timing(waitMillis(limits), batchMillis, mayBeStale);
+    }
+
+    private static long waitMillis(EntryLimits limits) {
+        return Math.max(MIN_WAIT_MILLIS, limits.catchUpMillis() - CATCH_UP_SLACK_MILLIS);
     }
 
     private static StoreWatch.Timing timing(long waitMillis, long batchMillis, boolean mayBeStale) {
--- a/ebonyrun-daemon/src/test/java/org/ebonyrun/daemon/hosted/HostedFixture.java
+++ b/ebonyrun-daemon/src/test/java/org/ebonyrun/daemon/hosted/HostedFixture.java
@@ -51,6 +51,7 @@
     HostedEntry mFirstEntry;
     HostedEntry mSecondEntry;
     private String mPolicy = "";
+    private String mLimits = "";
 
     @BeforeEach
     void start() throws IOException {
@@ -84,6 +85,12 @@
         restart();
     }
 
+    /** Restarts both entries with more limits, each with a comma before it. */
+    void restartWithLimits(String limits) throws IOException {
+        mLimits = limits;
+        restart();
+    }
+
     /** Restarts both entries, which then know all endpoints that are registered. */
     void restart() throws IOException {
         mFirstEntry.close();
@@ -94,6 +101,7 @@
     HostedEntry startEntry(String vm, String front) throws IOException {
         String settings =
                 HostedSettingsTest.COMPLETE_SETTINGS
+                        .replace("contact_within: 3s", "contact_within: 3s" + mLimits)
                         .replace("edge-1", vm)
                         .replace("10.1.0.35:8144", front)
                         .replace(
--- a/ebonyrun-daemon/src/test/java/org/ebonyrun/daemon/hosted/ResultWriterTest.java
+++ b/ebonyrun-daemon/src/test/java/org/ebonyrun/daemon/hosted/ResultWriterTest.java
@@ -35,6 +35,7 @@
 import org.ebonyrun.core.step.StepMachine;
 import org.ebonyrun.core.step.StepOutputs;
 import org.ebonyrun.core.step.StepSpec;
+import org.ebonyrun.core.workspace.Workspaces;
 import org.ebonyrun.ports.store.CommitResult;
 import org.ebonyrun.ports.store.Transaction;
 import org.junit.jupiter.api.Test;
@@ -121,6 +122,11 @@
             throw new UnsupportedOperationException("knowsRoutes");
         }
 
+        @Override
+        public Workspaces workspaces() {
+            return Workspaces.none();
+        }
+
         @Override
         public Optional<Route> routeOf(StepManifest manifest) {
             throw new UnsupportedOperationException("routeOf " + manifest);
--- a/ebonyrun-daemon/src/test/java/org/ebonyrun/daemon/hosted/StepDirectoryTest.java
+++ b/ebonyrun-daemon/src/test/java/org/ebonyrun/daemon/hosted/StepDirectoryTest.java
@@ -21,7 +21,7 @@
     private static final StepId STEP = StepId.of("st");
     private static final ProcessName SELF = new ProcessName(VmId.of("edge-1"), 0xabc);
     private static final byte[] MANIFEST =
-            StepCodec.manifest(new StepManifest("h", "/p/", "m", 1, 1, 2, 1_000));
+            StepCodec.manifest(new StepManifest("h", "/p/", "m", 1, 1, 2, null, 1_000));
 
     private final StepDirectory mDirectory =
             new StepDirectory(EventLog.start(OutputStream.nullOutputStream()));
@@ -86,7 +86,7 @@
 
     private void putManifest(String id, String model, int number) {
         String key = StoreKeys.liveKey(StepId.of(id), StoreKeys.MANIFEST);
-        StepManifest manifest = new StepManifest("h", "/p/", model, number, 1, 2, 1_000);
+        StepManifest manifest = new StepManifest("h", "/p/", model, number, 1, 2, null, 1_000);
         StoreItem item = new StoreItem(key, StepCodec.manifest(manifest), ++mRevision, 0);
         mDirectory.onChange(new StoreChange(key, mRevision, item));
     }
@@ -102,7 +102,7 @@
         String done = StoreKeys.liveKey(StepId.of("whole"), StoreKeys.DONE);
         StoreItem item = new StoreItem(done, new byte[] {'1'}, ++mRevision, 0);
         mDirectory.onChange(new StoreChange(done, mRevision, item));
-        StepManifest manifest = new StepManifest("h", "/p/", model, number, 1, 2, 2_000);
+        StepManifest manifest = new StepManifest("h", "/p/", model, number, 1, 2, null, 2_000);
 
         StepId predecessor = mDirectory.findIncompletePredecessor(manifest);
         assertThat(predecessor == null ? "none" : predecessor.toString(), is(expected));
