--- /dev/null
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/CallClient.java
@@ -0,0 +1,66 @@
+package org.ebonyrun.daemon.hosted;
+
+import org.ebonyrun.core.call.CallFingerprint;
+import org.ebonyrun.core.call.CallSpec;
+import org.ebonyrun.core.step.ScoreCall;
+import org.ebonyrun.core.stream.EventRelay;
+import org.ebonyrun.platform.FrontProtocol;
+import org.ebonyrun.ports.http.FrontExchange;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * The client of a call: either a caller, or a sample that is being scored.
+ *
+ * <p>Confined to the entry's event loop, except for {@code mCurrent}.
+ */
+final class CallClient {
+    private final CallSpec mCall;
+    private final @Nullable FrontExchange mCaller;
+    private final @Nullable ScoreCall mScore;
+    private final CallController.@Nullable ScoreListener mScoreListener;
+    private @Nullable CallFingerprint mFingerprint;
+    // The events that were passed on; null until a resumable stream has begun.
+    @Nullable EventRelay mRelay;
+    // The attempt whose response is passed on; read by the I/O thread too.
+    volatile @Nullable CallExchange mCurrent;
+
+    CallClient(
+            CallSpec call,
+            @Nullable FrontExchange caller,
+            @Nullable ScoreCall score,
+            CallController.@Nullable ScoreListener scoreListener) {
+        mCall = call;
+        mCaller = caller;
+        mScore = score;
+        mScoreListener = scoreListener;
+    }
+
+    CallSpec call() {
+        return mCall;
+    }
+
+    @Nullable FrontExchange caller() {
+        return mCaller;
+    }
+
+    @Nullable ScoreCall score() {
+        return mScore;
+    }
+
+    CallController.@Nullable ScoreListener scoreListener() {
+        return mScoreListener;
+    }
+
+    /** Returns the fingerprint of a caller's call; null for a call that scores a sample. */
+    @Nullable CallFingerprint fingerprint() {
+        if (mFingerprint == null && mCaller != null) {
+            mFingerprint =
+                    CallFingerprint.of(
+                            mCaller.method(),
+                            FrontProtocol.host(mCaller.headers()),
+                            mCaller.target(),
+                            mCaller.body());
+        }
+        return mFingerprint;
+    }
+}
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/CallController.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/CallController.java
@@ -45,55 +45,6 @@
     // For callers that say that they wait longer, or for ever.
     private static final long MAX_CALLER_MILLIS = 3_600_000;
 
-    /** The client of a call: either a caller, or a sample that is being scored. */
-    private static final class Client {
-        final CallSpec mCall;
-        final @Nullable FrontExchange mCaller;
-        final @Nullable ScoreCall mScore;
-        final @Nullable ScoreListener mScoreListener;
-        private @Nullable CallFingerprint mFingerprint;
-        // The events that were passed on; null until a resumable stream has begun.
-        @Nullable EventRelay mRelay;
-        // The attempt whose response is passed on; read by the I/O thread too.
-        volatile @Nullable CallExchange mCurrent;
-
-        Client(
-                CallSpec call,
-                @Nullable FrontExchange caller,
-                @Nullable ScoreCall score,
-                @Nullable ScoreListener scoreListener) {
-            mCall = call;
-            mCaller = caller;
-            mScore = score;
-            mScoreListener = scoreListener;
-        }
-
-        @Nullable FrontExchange caller() {
-            return mCaller;
-        }
-
-        @Nullable ScoreCall score() {
-            return mScore;
-        }
-
-        @Nullable ScoreListener scoreListener() {
-            return mScoreListener;
-        }
-
-        /** Returns the fingerprint of a caller's call; null for a call that scores a sample. */
-        @Nullable CallFingerprint fingerprint() {
-            if (mFingerprint == null && mCaller != null) {
-                mFingerprint =
-                        CallFingerprint.of(
-                                mCaller.method(),
-                                FrontProtocol.host(mCaller.headers()),
-                                mCaller.target(),
-                                mCaller.body());
-            }
-            return mFingerprint;
-        }
-    }
-
     /** Receives the outcome of a call that scores a sample. */
     interface ScoreListener {
         /**
@@ -111,7 +62,7 @@
     private final CrashController mCrashes;
     private final StreamController mStreams;
     private final CallMachine mMachine;
-    private final Map<Long, Client> mClients = new HashMap<>();
+    private final Map<Long, CallClient> mClients = new HashMap<>();
     private final Map<FrontExchange, Long> mCallIds = new HashMap<>();
     private final Map<Long, CallExchange> mAttempts = new HashMap<>();
     private final Map<Long, CallSpec> mSpecs = new HashMap<>();
@@ -144,7 +95,7 @@
 
     /** Starts a call on behalf of a caller. */
     void onCall(CallSpec spec, FrontExchange caller, long now) {
-        Client client = new Client(spec, caller, null, null);
+        CallClient client = new CallClient(spec, caller, null, null);
         mClients.put(spec.id(), client);
         mCallIds.put(caller, spec.id());
         CallFingerprint fingerprint = mCrashes.isEmpty() ? null : client.fingerprint();
@@ -156,14 +107,14 @@
 
     @Override
     public boolean isBlocked(CallSpec call) {
-        Client client = mCrashes.isEmpty() ? null : mClients.get(call.id());
+        CallClient client = mCrashes.isEmpty() ? null : mClients.get(call.id());
         CallFingerprint fingerprint = client == null ? null : client.fingerprint();
         return fingerprint != null && mCrashes.isBlocked(fingerprint);
     }
 
     @Override
     public boolean mayRetry(CallSpec call) {
-        Client client = mCrashes.isEmpty() ? null : mClients.get(call.id());
+        CallClient client = mCrashes.isEmpty() ? null : mClients.get(call.id());
         CallFingerprint fingerprint = client == null ? null : client.fingerprint();
         return fingerprint == null || mCrashes.mayRetry(fingerprint);
     }
@@ -180,7 +131,7 @@
 
     /** Starts a call that scores a sample. */
     void onScoreCall(CallSpec spec, ScoreCall score, ScoreListener listener, long now) {
-        mClients.put(spec.id(), new Client(spec, null, score, listener));
+        mClients.put(spec.id(), new CallClient(spec, null, score, listener));
         mMachine.onCall(spec, now);
     }
 
@@ -202,7 +153,7 @@
         mClients.values()
                 .forEach(
                         client -> {
-                            CallSpec call = client.mCall;
+                            CallSpec call = client.call();
                             FrontExchange caller = client.caller();
                             boolean refused =
                                     caller != null
@@ -233,7 +184,7 @@
 
     /** Notes the endpoints that have not answered a call which ends now. */
     private void noteUnanswered(long call) {
-        Client client = mClients.get(call);
+        CallClient client = mClients.get(call);
         mSpecs.forEach(
                 (attempt, spec) -> {
                     CallExchange exchange = mAttempts.get(attempt);
@@ -256,7 +207,7 @@
 
     @Override
     public void send(CallSpec call, long attempt, Endpoint endpoint, long leftMillis) {
-        Client client = mClients.get(call.id());
+        CallClient client = mClients.get(call.id());
         if (client == null) {
             return;
         }
@@ -293,7 +244,7 @@
     }
 
     private static HttpRequest newRequest(
-            CallSpec call, Client client, Endpoint endpoint, long leftMillis) {
+            CallSpec call, CallClient client, Endpoint endpoint, long leftMillis) {
         FrontExchange caller = client.caller();
         ScoreCall score = client.score();
         if (caller != null) {
@@ -338,7 +289,7 @@
         mContext.metrics().count(EntryMetrics.CALLS, "answered");
         CallExchange exchange = mAttempts.remove(attempt);
         int errors = mErrorCounts.getOrDefault(call.id(), 0);
-        Client client = finish(call);
+        CallClient client = finish(call);
         HttpResponseHead head = exchange == null ? null : exchange.head();
         if (client == null || head == null) {
             return;
@@ -361,7 +312,7 @@
         }
     }
 
-    private static void endScore(Client client, HttpResponseHead head, int errors) {
+    private static void endScore(CallClient client, HttpResponseHead head, int errors) {
         ScoreListener listener = client.scoreListener();
         if (listener == null) {
             return;
@@ -385,7 +336,7 @@
                                 .with("open_calls", mMachine.callCount())
                                 .with("why", reason));
         int errors = mErrorCounts.getOrDefault(call.id(), 0);
-        Client client = finish(call);
+        CallClient client = finish(call);
         if (client == null) {
             return;
         }
@@ -405,7 +356,7 @@
 
     @Override
     public void refuseKey(CallSpec call) {
-        Client client = finish(call);
+        CallClient client = finish(call);
         if (client != null && client.caller() != null) {
             mKeys.refuseKey(client.caller(), call.requestId(), "the key was withdrawn");
         }
@@ -423,7 +374,7 @@
                                 .with("why", reason));
         int errors = mErrorCounts.getOrDefault(call.id(), 0);
         noteUnanswered(call.id());
-        Client client = finish(call);
+        CallClient client = finish(call);
         if (client == null) {
             return;
         }
@@ -441,8 +392,8 @@
         }
     }
 
-    private @Nullable Client finish(CallSpec call) {
-        Client client = mClients.remove(call.id());
+    private @Nullable CallClient finish(CallSpec call) {
+        CallClient client = mClients.remove(call.id());
         double seconds = (System.nanoTime() - call.arrivedAt()) / (double) Nanos.PER_SECOND;
         mContext.metrics().recordCallSeconds(seconds);
         if (client != null && client.caller() != null) {
@@ -463,7 +414,7 @@
     @Override
     public void onHead(CallExchange exchange, HttpResponseHead head) {
         CallSpec call = mSpecs.get(exchange.attempt());
-        Client client = call == null ? null : mClients.get(call.id());
+        CallClient client = call == null ? null : mClients.get(call.id());
         if (client == null || client.caller() == null) {
             return;
         }
@@ -487,7 +438,7 @@
 
     /** Begins the response, or goes on with it. */
     private static void begin(
-            CallSpec call, Client client, CallExchange exchange, HttpResponseHead head) {
+            CallSpec call, CallClient client, CallExchange exchange, HttpResponseHead head) {
         FrontExchange caller = client.caller();
         client.mCurrent = exchange;
         if (caller.isBegun()) {
@@ -513,7 +464,7 @@
 
     @Override
     public boolean canGoOn(CallSpec call) {
-        Client client = mClients.get(call.id());
+        CallClient client = mClients.get(call.id());
         EventRelay relay = client == null ? null : client.mRelay;
         if (relay == null || !relay.canGoOn()) {
             return false;
@@ -540,7 +491,7 @@
     @Override
     public void onChunk(CallExchange exchange, byte[] chunk) {
         CallSpec call = mSpecs.get(exchange.attempt());
-        Client client = call == null ? null : mClients.get(call.id());
+        CallClient client = call == null ? null : mClients.get(call.id());
         if (client != null && client.caller() != null && client.mCurrent == exchange) {
             passOn(client, exchange, chunk);
         } else {
@@ -549,7 +500,7 @@
         }
     }
 
-    private static void passOn(Client client, CallExchange exchange, byte[] chunk) {
+    private static void passOn(CallClient client, CallExchange exchange, byte[] chunk) {
         EventRelay relay = client.mRelay;
         try {
             client.caller().write(relay == null ? chunk : relay.feed(chunk));
@@ -562,7 +513,7 @@
 
     /** Returns the outcome of an attempt, given what its caller already has of the response. */
     private AttemptOutcome outcome(CallSpec call, CallExchange exchange, AttemptOutcome outcome) {
-        Client client = mClients.get(call.id());
+        CallClient client = mClients.get(call.id());
         boolean goingOn = client != null && client.mRelay != null;
         HttpResponseHead head = exchange.head();
         boolean failed = head != null && !head.isSuccess();
@@ -588,7 +539,7 @@
                         .with("status", head == null ? 0 : head.status())
                         .with("head_ms", exchange.headMillis())
                         .with("detail", exchange.detail());
-        Client client = mClients.get(call.id());
+        CallClient client = mClients.get(call.id());
         CallFingerprint fingerprint =
                 exchange.isBroken() && client != null ? client.fingerprint() : null;
         if (fingerprint != null) {
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/HostedEntry.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/HostedEntry.java
@@ -31,6 +31,7 @@
 import org.ebonyrun.core.route.RouteKind;
 import org.ebonyrun.core.route.RouteTable;
 import org.ebonyrun.core.step.StepId;
+import org.ebonyrun.core.workspace.AdmissionPolicy;
 import org.ebonyrun.core.workspace.Workspaces;
 import org.ebonyrun.platform.EndpointDecoder;
 import org.ebonyrun.platform.OperatorDecoder;
@@ -88,7 +89,8 @@
     private final StepDirectory mDirectory;
     private final EntryLease mLease;
     private final List<StoreWatch> mWatches = new ArrayList<>();
-    private final CallerKeys mKeys;
+    private final CallerKeys mKeys =
+            new CallerKeys(this, this::admissionPolicy, this::configurationSilenceNanos);
     private final CallController mCalls;
     private final SampleController mSamples;
     private final StepOwnership mStepOwnership;
@@ -139,11 +141,6 @@
         mStreams =
                 new StreamController(
                         this, mStore, mFleet, settings.limits().storeWritesPerSecond());
-        mKeys =
-                new CallerKeys(
-                        this,
-                        () -> mSettings.limits().admission(),
-                        now -> mWatches.get(OPERATOR_WATCH).silenceNanos(now));
         mCalls =
                 new CallController(
                         this, mKeys, client, mFleet, mCrashes, mStreams, settings.domain());
@@ -176,6 +173,14 @@
                         mTransport, settings.front(), mFront.listener(executor()), () -> mLimits);
     }
 
+    private AdmissionPolicy admissionPolicy() {
+        return mSettings.limits().admission();
+    }
+
+    private long configurationSilenceNanos(long now) {
+        return mWatches.get(OPERATOR_WATCH).silenceNanos(now);
+    }
+
     private void addWatches() {
         StoreWatchFactory watches = new StoreWatchFactory(mStore, executor(), mHealth);
         EndpointRecords endpoints = new EndpointRecords(this, mFleet, mCrashes);
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/StepManifest.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/StepManifest.java
@@ -1,7 +1,14 @@
 package org.ebonyrun.daemon.hosted;
 
+import java.util.List;
 import java.util.Objects;
+import org.ebonyrun.base.id.ServiceName;
 import org.ebonyrun.base.id.WorkspaceName;
+import org.ebonyrun.core.route.CallOptions;
+import org.ebonyrun.core.route.Route;
+import org.ebonyrun.core.route.RouteKind;
+import org.ebonyrun.core.route.StepOptions;
+import org.ebonyrun.core.route.WeightedService;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -39,6 +46,18 @@
         return workspace == null || workspace.equals(caller);
     }
 
+    /** Returns a route without endpoints, for a step whose route was removed. */
+    Route closedRoute() {
+        return new Route(
+                "closed",
+                host,
+                prefix,
+                RouteKind.STEPS,
+                List.of(new WeightedService(ServiceName.of("closed"), 1)),
+                new CallOptions(1, 1, 1, 0),
+                StepOptions.NONE);
+    }
+
     /**
      * Returns whether both steps belong to the same trainer: same host, route prefix, model and
      * workspace.
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/StepOwnership.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/StepOwnership.java
@@ -9,18 +9,13 @@
 import java.util.Set;
 import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
-import org.ebonyrun.base.id.ServiceName;
 import org.ebonyrun.base.log.LogLine;
 import org.ebonyrun.base.result.Fault;
 import org.ebonyrun.base.result.FaultCode;
 import org.ebonyrun.base.result.Result;
 import org.ebonyrun.base.time.Nanos;
 import org.ebonyrun.core.policy.Mechanism;
-import org.ebonyrun.core.route.CallOptions;
 import org.ebonyrun.core.route.Route;
-import org.ebonyrun.core.route.RouteKind;
-import org.ebonyrun.core.route.StepOptions;
-import org.ebonyrun.core.route.WeightedService;
 import org.ebonyrun.core.step.CarriedTexts;
 import org.ebonyrun.core.step.ClaimDelay;
 import org.ebonyrun.core.step.SampleCheckpoint;
@@ -31,7 +26,6 @@
 import org.ebonyrun.platform.StepDecoder;
 import org.ebonyrun.ports.store.CommitOutcome;
 import org.ebonyrun.ports.store.CommitResult;
-import org.ebonyrun.ports.store.StoreItem;
 import org.ebonyrun.ports.store.Transaction;
 import org.jspecify.annotations.Nullable;
 
@@ -183,19 +177,11 @@
                                 begin(spec, manifest, route, commit.revision());
                                 return Result.ok(true);
                             }
-                            return Result.ok(isAccessible(spec, commit.current()));
+                            return Result.ok(StepStore.isAccessible(commit.current(), spec));
                         });
         callback.accept(outcome);
     }
 
-    /** Returns whether the workspace of a step may reach the one that was accepted before. */
-    private static boolean isAccessible(StepSpec spec, List<StoreItem> current) {
-        String key = StoreKeys.liveKey(spec.id(), StoreKeys.MANIFEST);
-        return current.stream()
-                .filter(item -> item.key().equals(key))
-                .allMatch(item -> StepStore.isAccessible(item, spec.workspace()));
-    }
-
     /**
      * Reads whether a step was accepted after the response to the transaction was lost. If it was,
      * the watch will show its owner. If it was not, the transaction may still take effect, so the
@@ -538,18 +524,6 @@
                 });
     }
 
-    /** Returns a route without endpoints, for a step whose route was removed. */
-    private static Route closedRoute(StepManifest manifest) {
-        return new Route(
-                "closed",
-                manifest.host(),
-                manifest.prefix(),
-                RouteKind.STEPS,
-                List.of(new WeightedService(ServiceName.of("closed"), 1)),
-                new CallOptions(1, 1, 1, 0),
-                StepOptions.NONE);
-    }
-
     /** Begins to own a claimed step, with the results and checkpoint that the store has. */
     private void adopt(StepId id, StoredStep stored, long revision) {
         StepStatus status = mContext.directory().get(id);
@@ -574,7 +548,7 @@
             // Every sample is listed already; the watch has not shown the done marker yet.
             return;
         }
-        Route route = mContext.routeOf(manifest).orElseGet(() -> closedRoute(manifest));
+        Route route = mContext.routeOf(manifest).orElseGet(manifest::closedRoute);
         long age = System.currentTimeMillis() - manifest.acceptedAt();
         OwnedStep owned = new OwnedStep(revision);
         owned.mRunning = true;
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/StepStore.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/StepStore.java
@@ -13,6 +13,7 @@
 import org.ebonyrun.core.step.SampleCheckpoint;
 import org.ebonyrun.core.step.SampleResult;
 import org.ebonyrun.core.step.StepId;
+import org.ebonyrun.core.step.StepSpec;
 import org.ebonyrun.ports.store.CommitResult;
 import org.ebonyrun.ports.store.SharedStore;
 import org.ebonyrun.ports.store.StoreItem;
@@ -99,8 +100,20 @@
                                                         && isAccessible(item.get(), workspace)));
     }
 
+    /**
+     * Returns whether the workspace of a step may reach the one that was accepted before.
+     *
+     * @param current items of the store, with the manifest that was accepted before if it is known
+     */
+    static boolean isAccessible(List<StoreItem> current, StepSpec spec) {
+        String key = StoreKeys.liveKey(spec.id(), StoreKeys.MANIFEST);
+        return current.stream()
+                .filter(item -> item.key().equals(key))
+                .allMatch(item -> isAccessible(item, spec.workspace()));
+    }
+
     /** Returns whether a workspace may reach a step; one that is unreadable is of none. */
-    static boolean isAccessible(StoreItem manifest, @Nullable WorkspaceName workspace) {
+    private static boolean isAccessible(StoreItem manifest, @Nullable WorkspaceName workspace) {
         try {
             return StepCodec.manifest(manifest.value()).isAccessibleTo(workspace);
         } catch (IllegalArgumentException ignored) {
