--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/SampleController.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/SampleController.java
@@ -94,6 +94,9 @@
                         .with("expected_version", options.expectedVersion())
                         .with("expected_tokens", sample.expectedTokens())
                         .with("after", lastEvent);
+        if (step.workspace() != null) {
+            line.with("workspace", step.workspace());
+        }
         mContext.log().write(EndpointExchange.withLimit(line, endpoint));
         mHttpClient.send(newRequest(step, sample, endpoint, lastEvent, options), exchange);
     }
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/StepOwnership.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/StepOwnership.java
@@ -211,15 +211,18 @@
     /** Begins to own an accepted step, which first waits for texts of an incomplete predecessor. */
     private void begin(StepSpec spec, StepManifest manifest, Route route, long revision) {
         mContext.metrics().count(EntryMetrics.STEPS, "accepted");
-        mContext.log()
-                .write(
-                        LogLine.of("step.owned")
-                                .with("step", spec.id())
-                                .with("samples", spec.samples().size())
-                                .with("model", spec.model())
-                                .with("bound", spec.minVersion())
-                                .with("number", spec.number())
-                                .with("fence", revision));
+        LogLine line =
+                LogLine.of("step.owned")
+                        .with("step", spec.id())
+                        .with("samples", spec.samples().size())
+                        .with("model", spec.model())
+                        .with("bound", spec.minVersion())
+                        .with("number", spec.number())
+                        .with("fence", revision);
+        if (spec.workspace() != null) {
+            line.with("workspace", spec.workspace());
+        }
+        mContext.log().write(line);
         OwnedStep owned = new OwnedStep(revision);
         mOwned.put(spec.id(), owned);
         StepId predecessor = mContext.directory().findIncompletePredecessor(manifest);
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/StepStore.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/StepStore.java
@@ -53,9 +53,15 @@
         CompletableFuture<Result<CommitResult>> written =
                 CompletableFuture.completedFuture(Result.ok(null));
         int last = chunks.size() - CHUNKS_WITH_MANIFEST;
+        String manifestKey = StoreKeys.liveKey(id, StoreKeys.MANIFEST);
         for (int i = 0; i < last; i++) {
-            Transaction chunk =
-                    Transaction.builder().write(StoreKeys.chunkKey(id, i), chunks.get(i)).build();
+            Transaction.Builder builder =
+                    Transaction.builder().write(StoreKeys.chunkKey(id, i), chunks.get(i));
+            if (manifest.workspace() != null) {
+                // Another workspace must not replace the samples of an accepted step.
+                builder.expect(manifestKey, Transaction.ABSENT);
+            }
+            Transaction chunk = builder.build();
             written =
                     written.thenCompose(
                             result ->
@@ -63,7 +69,6 @@
                                             ? mStore.commit(chunk)
                                             : CompletableFuture.completedFuture(result));
         }
-        String manifestKey = StoreKeys.liveKey(id, StoreKeys.MANIFEST);
         Transaction acceptance =
                 Transaction.builder()
                         .expect(manifestKey, Transaction.ABSENT)
