--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/EntryLimits.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/EntryLimits.java
@@ -2,7 +2,7 @@
 
 import static com.google.common.base.Preconditions.checkArgument;
 
-import org.ebonyrun.base.time.Nanos;
+import java.util.concurrent.TimeUnit;
 import org.ebonyrun.core.settings.SettingsNode;
 import org.ebonyrun.core.settings.ValueParser;
 import org.ebonyrun.core.workspace.AdmissionPolicy;
@@ -74,7 +74,7 @@
 
     /** Returns how keys are checked. */
     AdmissionPolicy admission() {
-        return new AdmissionPolicy(strictKeys, Nanos.ofMillis(keysSilenceMillis));
+        return new AdmissionPolicy(strictKeys, TimeUnit.MILLISECONDS.toNanos(keysSilenceMillis));
     }
 
     /** Reads limits; a limit that is missing or unreadable has its default value. */
--- a/ebonyrun-daemon/src/test/java/org/ebonyrun/daemon/hosted/HostedSettingsTest.java
+++ b/ebonyrun-daemon/src/test/java/org/ebonyrun/daemon/hosted/HostedSettingsTest.java
@@ -5,8 +5,10 @@
 import static org.hamcrest.Matchers.empty;
 import static org.hamcrest.Matchers.is;
 
+import org.ebonyrun.base.time.Nanos;
 import org.ebonyrun.core.policy.Mechanism;
 import org.ebonyrun.core.policy.Policy;
+import org.ebonyrun.core.workspace.AdmissionPolicy;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -88,4 +90,29 @@
 
         assertThat(parsed.problems().toString(), containsString(field));
     }
+
+    @Test
+    void silenceBeyondItsRangeIsLimitedInsteadOfWrapped() {
+        EntryLimits limits = new EntryLimits(1, 1, 1, 1, 1, 1, 1, true, 3_599_999_996_400_000L);
+
+        assertThat(limits.admission(), is(new AdmissionPolicy(true, Long.MAX_VALUE)));
+    }
+
+    @ParameterizedTest
+    @CsvSource({
+        "'', false, 5000, 0",
+        "', strict_keys: true, keys_silence: 1200ms', true, 1200, 0",
+        "', strict_keys: false, keys_silence: 4s', false, 4000, 0",
+        "', strict_keys: maybe', false, 5000, 1",
+        "', keys_silence: 0ms', false, 5000, 1"
+    })
+    void parsesHowKeysAreChecked(String more, boolean strict, long silenceMillis, int problems) {
+        String settings =
+                COMPLETE_SETTINGS.replace("contact_within: 3s", "contact_within: 3s" + more);
+        HostedSettings.Parsed parsed = HostedSettings.parse("f", settings);
+        AdmissionPolicy policy = parsed.settings().limits().admission();
+
+        assertThat(parsed.problems().size(), is(problems));
+        assertThat(policy, is(new AdmissionPolicy(strict, Nanos.ofMillis(silenceMillis))));
+    }
 }
--- a/ebonyrun-daemon/src/test/java/org/ebonyrun/daemon/hosted/WatchTimingsTest.java
+++ b/ebonyrun-daemon/src/test/java/org/ebonyrun/daemon/hosted/WatchTimingsTest.java
@@ -82,4 +82,22 @@
     private static long batchMillis(StoreWatch.Timing timing) {
         return Nanos.toMillis(timing.batchNanos());
     }
+
+    @ParameterizedTest
+    @CsvSource({"5000, 4000, 3000", "1200, 4000, 2000", "60000, 4000, 3000", "2500, 20000, 3000"})
+    void strictEntryHearsOfTheConfigurationWithinTheSilence(
+            long silence, long catchUp, long config) {
+        EntryLimits strict =
+                new EntryLimits(3_000, 8_000, 1, config, 1, catchUp, 400, true, silence);
+        EntryLimits lenient =
+                new EntryLimits(3_000, 8_000, 1, config, 1, catchUp, 400, false, silence);
+        for (boolean idle : new boolean[] {true, false}) {
+            StoreWatch.Timing timing = WatchTimings.forOperatorKeys(strict, idle);
+            StoreWatch.Timing usual = WatchTimings.forOperatorKeys(lenient, idle);
+
+            assertThat(timing.waitMillis(), lessThan(silence));
+            assertThat(timing.waitMillis() <= usual.waitMillis(), is(true));
+            assertThat(batchMillis(timing), is(batchMillis(usual)));
+        }
+    }
 }
