--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/StepOwnership.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/StepOwnership.java
@@ -9,18 +9,13 @@
 import java.util.Set;
 import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
-import org.ebonyrun.base.id.ServiceName;
 import org.ebonyrun.base.log.LogLine;
 import org.ebonyrun.base.result.Fault;
 import org.ebonyrun.base.result.FaultCode;
 import org.ebonyrun.base.result.Result;
 import org.ebonyrun.base.time.Nanos;
 import org.ebonyrun.core.policy.Mechanism;
-import org.ebonyrun.core.route.CallOptions;
 import org.ebonyrun.core.route.Route;
-import org.ebonyrun.core.route.RouteKind;
-import org.ebonyrun.core.route.StepOptions;
-import org.ebonyrun.core.route.WeightedService;
 import org.ebonyrun.core.step.CarriedTexts;
 import org.ebonyrun.core.step.ClaimDelay;
 import org.ebonyrun.core.step.SampleCheckpoint;
@@ -108,8 +103,9 @@
     /**
      * Accepts a step.
      *
-     * @param callback receives true once the store has the step; otherwise a fault, whose outcome
-     *     shows whether the store may still accept it
+     * @param callback receives true once the store has the step, false if it has a step of that ID
+     *     of another workspace; otherwise a fault, whose outcome shows whether the store may still
+     *     accept it
      */
     void accept(
             StepSpec spec,
@@ -149,6 +145,7 @@
                         spec.number(),
                         spec.minVersion(),
                         spec.samples().size(),
+                        spec.workspace(),
                         acceptedAt);
         mAccepting.add(spec.id());
         mStore.accept(spec.id(), manifest, submission, mContext.self().format(), lease)
@@ -167,7 +164,7 @@
         mAccepting.remove(spec.id());
         boolean mayHaveRun = result.fold(commit -> false, fault -> !fault.isNotRun());
         if (mayHaveRun) {
-            readBack(spec.id(), result, callback);
+            readBack(spec, result, callback);
             return;
         }
         Result<Boolean> outcome =
@@ -178,8 +175,9 @@
                             }
                             if (commit.isCommitted()) {
                                 begin(spec, manifest, route, commit.revision());
+                                return Result.ok(true);
                             }
-                            return Result.ok(true);
+                            return Result.ok(StepStore.isAccessible(commit.current(), spec));
                         });
         callback.accept(outcome);
     }
@@ -190,8 +188,9 @@
      * outcome stays unknown.
      */
     private void readBack(
-            StepId id, Result<CommitResult> unknown, Consumer<Result<Boolean>> callback) {
-        mStore.isAccepted(id)
+            StepSpec spec, Result<CommitResult> unknown, Consumer<Result<Boolean>> callback) {
+        StepId id = spec.id();
+        mStore.isAccepted(id, spec.workspace())
                 .thenAcceptAsync(
                         mContext.callback(
                                 result -> {
@@ -212,15 +211,18 @@
     /** Begins to own an accepted step, which first waits for texts of an incomplete predecessor. */
     private void begin(StepSpec spec, StepManifest manifest, Route route, long revision) {
         mContext.metrics().count(EntryMetrics.STEPS, "accepted");
-        mContext.log()
-                .write(
-                        LogLine.of("step.owned")
-                                .with("step", spec.id())
-                                .with("samples", spec.samples().size())
-                                .with("model", spec.model())
-                                .with("bound", spec.minVersion())
-                                .with("number", spec.number())
-                                .with("fence", revision));
+        LogLine line =
+                LogLine.of("step.owned")
+                        .with("step", spec.id())
+                        .with("samples", spec.samples().size())
+                        .with("model", spec.model())
+                        .with("bound", spec.minVersion())
+                        .with("number", spec.number())
+                        .with("fence", revision);
+        if (spec.workspace() != null) {
+            line.with("workspace", spec.workspace());
+        }
+        mContext.log().write(line);
         OwnedStep owned = new OwnedStep(revision);
         mOwned.put(spec.id(), owned);
         StepId predecessor = mContext.directory().findIncompletePredecessor(manifest);
@@ -525,18 +527,6 @@
                 });
     }
 
-    /** Returns a route without endpoints, for a step whose route was removed. */
-    private static Route closedRoute(StepManifest manifest) {
-        return new Route(
-                "closed",
-                manifest.host(),
-                manifest.prefix(),
-                RouteKind.STEPS,
-                List.of(new WeightedService(ServiceName.of("closed"), 1)),
-                new CallOptions(1, 1, 1, 0),
-                StepOptions.NONE);
-    }
-
     /** Begins to own a claimed step, with the results and checkpoint that the store has. */
     private void adopt(StepId id, StoredStep stored, long revision) {
         StepStatus status = mContext.directory().get(id);
@@ -546,7 +536,9 @@
         }
         StepSpec spec;
         try {
-            spec = StepDecoder.decode(id, manifest.host(), manifest.prefix(), stored.submission());
+            spec =
+                    StepDecoder.decode(id, manifest.host(), manifest.prefix(), stored.submission())
+                            .withWorkspace(manifest.workspace());
         } catch (IllegalArgumentException e) {
             mContext.log()
                     .write(
@@ -559,7 +551,7 @@
             // Every sample is listed already; the watch has not shown the done marker yet.
             return;
         }
-        Route route = mContext.routeOf(manifest).orElseGet(() -> closedRoute(manifest));
+        Route route = mContext.routeOf(manifest).orElseGet(manifest::closedRoute);
         long age = System.currentTimeMillis() - manifest.acceptedAt();
         OwnedStep owned = new OwnedStep(revision);
         owned.mRunning = true;
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/StepStore.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/StepStore.java
@@ -5,19 +5,21 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
-import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import org.ebonyrun.base.id.WorkspaceName;
 import org.ebonyrun.base.result.Fault;
 import org.ebonyrun.base.result.FaultCode;
 import org.ebonyrun.base.result.Result;
 import org.ebonyrun.core.step.SampleCheckpoint;
 import org.ebonyrun.core.step.SampleResult;
 import org.ebonyrun.core.step.StepId;
+import org.ebonyrun.core.step.StepSpec;
 import org.ebonyrun.ports.store.CommitResult;
 import org.ebonyrun.ports.store.SharedStore;
 import org.ebonyrun.ports.store.StoreItem;
 import org.ebonyrun.ports.store.StorePage;
 import org.ebonyrun.ports.store.Transaction;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Reads and writes steps in the shared store.
@@ -51,9 +53,15 @@
         CompletableFuture<Result<CommitResult>> written =
                 CompletableFuture.completedFuture(Result.ok(null));
         int last = chunks.size() - CHUNKS_WITH_MANIFEST;
+        String manifestKey = StoreKeys.liveKey(id, StoreKeys.MANIFEST);
         for (int i = 0; i < last; i++) {
-            Transaction chunk =
-                    Transaction.builder().write(StoreKeys.chunkKey(id, i), chunks.get(i)).build();
+            Transaction.Builder builder =
+                    Transaction.builder().write(StoreKeys.chunkKey(id, i), chunks.get(i));
+            if (manifest.workspace() != null) {
+                // Another workspace must not replace the samples of an accepted step.
+                builder.expect(manifestKey, Transaction.ABSENT);
+            }
+            Transaction chunk = builder.build();
             written =
                     written.thenCompose(
                             result ->
@@ -61,7 +69,6 @@
                                             ? mStore.commit(chunk)
                                             : CompletableFuture.completedFuture(result));
         }
-        String manifestKey = StoreKeys.liveKey(id, StoreKeys.MANIFEST);
         Transaction acceptance =
                 Transaction.builder()
                         .expect(manifestKey, Transaction.ABSENT)
@@ -87,10 +94,36 @@
         return chunks;
     }
 
-    /** Returns whether a step is accepted. */
-    CompletableFuture<Result<Boolean>> isAccepted(StepId id) {
+    /** Returns whether a step is accepted that a workspace may reach. */
+    CompletableFuture<Result<Boolean>> isAccepted(StepId id, @Nullable WorkspaceName workspace) {
         return mStore.get(StoreKeys.liveKey(id, StoreKeys.MANIFEST))
-                .thenApply(result -> result.map(Optional::isPresent));
+                .thenApply(
+                        result ->
+                                result.map(
+                                        item ->
+                                                item.isPresent()
+                                                        && isAccessible(item.get(), workspace)));
+    }
+
+    /**
+     * Returns whether the workspace of a step may reach the one that was accepted before.
+     *
+     * @param current items of the store, with the manifest that was accepted before if it is known
+     */
+    static boolean isAccessible(List<StoreItem> current, StepSpec spec) {
+        String key = StoreKeys.liveKey(spec.id(), StoreKeys.MANIFEST);
+        return current.stream()
+                .filter(item -> item.key().equals(key))
+                .allMatch(item -> isAccessible(item, spec.workspace()));
+    }
+
+    /** Returns whether a workspace may reach a step; one that is unreadable is of none. */
+    private static boolean isAccessible(StoreItem manifest, @Nullable WorkspaceName workspace) {
+        try {
+            return StepCodec.manifest(manifest.value()).isAccessibleTo(workspace);
+        } catch (IllegalArgumentException ignored) {
+            return workspace == null;
+        }
     }
 
     /**
