Show that a version which returns as it is forgotten joins texts

The simulation of resumed streams also kills all entries at once, ends leases, discards the store's history, splits routes and has callers who don't name their first request. A version that returns within seconds of the removal of its announcement is: an entry that sees it early begins streams at it, while another, whose watch is behind, removes it.

--- a/ebonyrun-core/src/test/java/org/ebonyrun/core/fleet/EndpointFixtures.java
+++ b/ebonyrun-core/src/test/java/org/ebonyrun/core/fleet/EndpointFixtures.java
@@ -43,6 +43,21 @@
         return record(id, 0, slots, version, false, "a", software);
     }
 
+    /** Returns the record of a serving endpoint of a service. */
+    public static EndpointRecord record(ServiceName service, String id, String software) {
+        EndpointRecord record = recordWithSoftware(id, 8, 1, software);
+        return new EndpointRecord(
+                id,
+                record.incarnation(),
+                service,
+                record.address(),
+                record.domain(),
+                record.slots(),
+                record.leaving(),
+                record.versions(),
+                software);
+    }
+
     private static EndpointRecord record(
             String id, long incarnation, int slots, int version, boolean leaving, String domain) {
         return record(id, incarnation, slots, version, leaving, domain, "");
--- a/ebonyrun-core/src/test/java/org/ebonyrun/core/stream/ResumedStreamsSimulation.java
+++ b/ebonyrun-core/src/test/java/org/ebonyrun/core/stream/ResumedStreamsSimulation.java
@@ -18,14 +18,17 @@
 import org.jspecify.annotations.Nullable;
 
 /**
- * Simulates entries that carry streams of one service during releases of its software, in virtual
- * time: endpoints that are replaced, entries that learn of it at different times, are killed or cut
- * off from the store, and a store with latency, outages, lost responses and late writes. Callers
- * resume broken streams at any entry.
+ * Simulates entries that carry streams of a service during releases of its software, in virtual
+ * time: endpoints that are replaced, entries that learn of it at different times, are killed alone
+ * or all at once, or cut off from the store, and a store with latency, outages, lost responses,
+ * late writes, leases that end and a history that is discarded. Some routes name a second service.
+ * Callers resume broken streams at any entry; some don't name their first request.
  */
 final class ResumedStreamsSimulation {
     private static final ServiceName SERVICE = EndpointFixtures.SERVICE;
+    private static final ServiceName OTHER_SERVICE = ServiceName.of("other");
     private static final Set<ServiceName> SERVICES = Set.of(SERVICE);
+    private static final Set<ServiceName> BOTH_SERVICES = Set.of(SERVICE, OTHER_SERVICE);
     private static final int ENDPOINTS = 6;
     private static final int MAX_TRIES = 4;
     private static final long TICK_NANOS = Nanos.ofMillis(20);
@@ -35,19 +38,41 @@
     private static final long MAX_VIEW_LAG_NANOS = Nanos.ofMillis(4_000);
     private static final long CALLER_WAITS_NANOS = Nanos.ofMillis(12_000);
     private static final long RETRY_AFTER_NANOS = Nanos.ofMillis(300);
+    private static final long LEASE_NANOS = Nanos.ofMillis(60_000);
+
+    /** The versions that are announced for a service. */
+    private record Table(Set<String> versions, long revision) {
+        static final Table ABSENT = new Table(Set.of(), 0);
+    }
+
+    /**
+     * A stream whose entry was killed.
+     *
+     * @param ageNanos how long the stream had run then
+     * @param survived whether its caller got the rest of it
+     */
+    record KilledStream(long ageNanos, boolean survived) {}
 
     /** A stream of a caller. */
     private static final class Stream {
         final StreamId mId;
+        final Set<ServiceName> mServices;
+        final boolean mIsNamed;
+        final long mBegunAt;
         final long mExpiresAt;
         @Nullable StreamOrigin mOrigin;
         boolean mKilled;
         boolean mDisturbed;
+        boolean mSurvived;
+        long mAgeAtKill;
         int mTries;
 
-        Stream(StreamId id, long expiresAt) {
+        Stream(StreamId id, Set<ServiceName> services, boolean isNamed, long now) {
             mId = id;
-            mExpiresAt = expiresAt;
+            mServices = services;
+            mIsNamed = isNamed;
+            mBegunAt = now;
+            mExpiresAt = now + CALLER_WAITS_NANOS;
         }
     }
 
@@ -62,6 +87,7 @@
         boolean mCutOff;
         boolean mDead;
         long mLastLookup;
+        long mReadAgainAt = -1;
 
         Entry(int number, int life) {
             mNumber = number;
@@ -73,9 +99,12 @@
         }
 
         /** Returns an endpoint at which a stream may begin or go on. */
-        private @Nullable Endpoint choose(@Nullable StreamOrigin origin, long now) {
+        private @Nullable Endpoint choose(
+                Set<ServiceName> services, @Nullable StreamOrigin origin, long now) {
+            List<Endpoint> serving = new ArrayList<>();
+            services.stream().sorted().forEach(name -> serving.addAll(mFleet.serving(name)));
             List<Endpoint> allowed = new ArrayList<>();
-            for (Endpoint endpoint : mFleet.serving(SERVICE)) {
+            for (Endpoint endpoint : serving) {
                 boolean fits =
                         origin == null
                                 ? mMachine.admit(endpoint.record(), now) == StreamAdmission.ADMITTED
@@ -88,14 +117,19 @@
         }
 
         void begin(long now) {
+            if (mDead) {
+                return;
+            }
             mAsked++;
-            Endpoint endpoint = choose(null, now);
+            Set<ServiceName> services =
+                    mCallers.nextDouble() < mSplitShare ? BOTH_SERVICES : SERVICES;
+            Endpoint endpoint = choose(services, null, now);
             if (endpoint == null) {
                 return;
             }
             mBegun++;
             StreamId id = StreamId.of("x", "r" + mBegun);
-            Stream stream = new Stream(id, now + CALLER_WAITS_NANOS);
+            Stream stream = new Stream(id, services, mCallers.nextDouble() >= mUnnamedShare, now);
             stream.mDisturbed = mCutOff || mStoreDown;
             run(stream, endpoint, now);
         }
@@ -108,8 +142,10 @@
                 mMixed.add(stream.mOrigin + " then " + origin + " at " + now);
             }
             mCarried.add(stream);
-            mMachine.onBegun(stream.mId, origin, SERVICES, stream.mExpiresAt, now);
-            mClock.schedule(now + mRandom.nextInt(800) * Nanos.PER_MILLI, at -> end(stream, at));
+            stream.mSurvived = true;
+            mMachine.onBegun(stream.mId, origin, stream.mServices, stream.mExpiresAt, now);
+            long runs = mRandom.nextInt(mMaxRunMillis) * Nanos.PER_MILLI;
+            mClock.schedule(now + runs, at -> end(stream, at));
         }
 
         private void end(Stream stream, long now) {
@@ -118,27 +154,50 @@
             }
             if (mRandom.nextDouble() < mBreaks) {
                 stream.mDisturbed |= mCutOff || mStoreDown;
-                mMachine.onBroken(SERVICE, now);
+                mMachine.onBroken(stream.mOrigin.service(), now);
                 comeAgain(stream, now + mRandom.nextInt(5) * Nanos.PER_MILLI);
             }
         }
 
         void resume(Stream stream, long now) {
+            if (mDead) {
+                comeAgain(stream, now + RETRY_AFTER_NANOS);
+                return;
+            }
             long lookup = ++mLastLookup;
             mLookups.put(lookup, stream);
             stream.mDisturbed |= mCutOff || mStoreDown;
-            mMachine.resolve(lookup, stream.mId, SERVICES);
+            mMachine.resolve(lookup, stream.mIsNamed ? stream.mId : null, stream.mServices);
         }
 
         void kill(long now) {
             mDead = true;
             for (Stream stream : mCarried) {
                 stream.mKilled = true;
+                stream.mSurvived = false;
+                stream.mAgeAtKill = now - stream.mBegunAt;
+                mKilledStreams.add(stream);
                 comeAgain(stream, now + mRandom.nextInt(50) * Nanos.PER_MILLI);
             }
             mLookups.values().forEach(stream -> comeAgain(stream, now + RETRY_AFTER_NANOS));
             mCarried.clear();
             mLookups.clear();
+            mClock.schedule(now + LEASE_NANOS, later -> removeRecords());
+        }
+
+        private void removeRecords() {
+            mRecords.values().forEach(bucket -> bucket.remove(mNumber + "/" + mLife));
+        }
+
+        /** Reads all endpoints again, in place of the changes that are still to be told. */
+        void readAgain(long now) {
+            mReadAgainAt = now;
+            List<String> known =
+                    mFleet.all().stream().map(endpoint -> endpoint.record().id()).toList();
+            known.stream()
+                    .filter(id -> !mEndpoints.containsKey(id))
+                    .forEach(id -> mFleet.onRemoved(id, now));
+            mEndpoints.values().forEach(mFleet::onRecord);
         }
 
         @Override
@@ -151,8 +210,9 @@
             if (origin != null && !origin.equals(stream.mOrigin)) {
                 mMixed.add(stream.mOrigin + " taken for " + origin + ": " + reason);
             }
-            Endpoint endpoint = origin == null ? null : choose(origin, now);
-            boolean counts = !stream.mDisturbed && servingCount(stream.mOrigin) >= 2;
+            Endpoint endpoint = origin == null ? null : choose(stream.mServices, origin, now);
+            boolean counts =
+                    !stream.mDisturbed && stream.mIsNamed && servingCount(stream.mOrigin) >= 2;
             if (endpoint != null) {
                 mWentOn += counts ? 1 : 0;
                 run(stream, endpoint, now);
@@ -196,9 +256,8 @@
             call(
                     false,
                     () -> {
-                        Set<String> versions = mTable;
-                        long revision = mTableRevision;
-                        respond(() -> mMachine.onTable(service, versions, revision, mClock.now()));
+                        Table table = table(service);
+                        respond(() -> onTable(service, table));
                     },
                     () -> mMachine.onTableFailed(service, mClock.now()));
         }
@@ -209,18 +268,16 @@
             call(
                     true,
                     () -> {
-                        if (mTableRevision == revision) {
-                            mTable = versions;
-                            mTableRevision++;
-                            mTableWrites++;
+                        if (table(service).revision() == revision) {
+                            mTables.put(service, new Table(versions, ++mRevision));
+                            mTableWrites.add(mClock.now());
                         }
-                        Set<String> now = mTable;
-                        long newRevision = mTableRevision;
+                        Table now = table(service);
                         respond(
                                 () -> {
                                     if (!ended[0]) {
                                         ended[0] = true;
-                                        mMachine.onTable(service, now, newRevision, mClock.now());
+                                        onTable(service, now);
                                     }
                                 });
                     },
@@ -230,17 +287,24 @@
                     });
         }
 
+        private void onTable(ServiceName service, Table table) {
+            mMachine.onTable(service, table.versions(), table.revision(), mClock.now());
+        }
+
         @Override
         public void readTableFor(long lookup, ServiceName service) {
             call(
                     false,
                     () -> {
-                        Set<String> versions = mTable;
-                        long revision = mTableRevision;
+                        Table table = table(service);
                         respond(
                                 () ->
                                         mMachine.onLookupTable(
-                                                lookup, service, versions, revision, mClock.now()));
+                                                lookup,
+                                                service,
+                                                table.versions(),
+                                                table.revision(),
+                                                mClock.now()));
                     },
                     () -> mMachine.onLookupFailed(lookup, "lost", mClock.now()));
         }
@@ -304,13 +368,18 @@
 
     private final VirtualClock mClock = new VirtualClock();
     private final Random mRandom;
+    private final Random mCallers;
     private final double mBreaks;
     private final double mLosses;
     private final Entry[] mEntries;
     private final Map<String, EndpointRecord> mEndpoints = new TreeMap<>();
     private final Map<Integer, Map<String, Map<StreamId, StreamOrigin>>> mRecords = new HashMap<>();
-    private Set<String> mTable = Set.of();
-    private long mTableRevision;
+    private final Map<ServiceName, Table> mTables = new HashMap<>();
+    private final List<Stream> mKilledStreams = new ArrayList<>();
+    private double mSplitShare;
+    private double mUnnamedShare;
+    private int mMaxRunMillis = 800;
+    private long mRevision;
     private boolean mStoreDown;
     private int mLives;
     private int mAsked;
@@ -319,7 +388,7 @@
     private int mRefused;
     private int mRefusedAlive;
     private final List<Long> mRecordWrites = new ArrayList<>();
-    private int mTableWrites;
+    private final List<Long> mTableWrites = new ArrayList<>();
     private final List<String> mMixed = new ArrayList<>();
 
     /**
@@ -330,6 +399,7 @@
      */
     ResumedStreamsSimulation(long seed, int entries, double breaks, double losses) {
         mRandom = new Random(seed);
+        mCallers = new Random(seed);
         mBreaks = breaks;
         mLosses = losses;
         mEntries = new Entry[entries];
@@ -372,7 +442,24 @@
     }
 
     int tableWrites() {
-        return mTableWrites;
+        return mTableWrites.size();
+    }
+
+    /** Returns when the announced versions were last written, in milliseconds. */
+    long lastTableWriteMillis() {
+        return Nanos.toMillis(mTableWrites.get(mTableWrites.size() - 1));
+    }
+
+    /** Returns the streams whose entry was killed and whose version two endpoints serve now. */
+    List<KilledStream> killedStreams() {
+        return mKilledStreams.stream()
+                .filter(stream -> stream.mIsNamed && servingCount(stream.mOrigin) >= 2)
+                .map(stream -> new KilledStream(stream.mAgeAtKill, stream.mSurvived))
+                .toList();
+    }
+
+    private Table table(ServiceName service) {
+        return mTables.getOrDefault(service, Table.ABSENT);
     }
 
     private int servingCount(@Nullable StreamOrigin origin) {
@@ -383,8 +470,11 @@
     }
 
     private void register(String id, String software, boolean atOnce) {
-        EndpointRecord record = EndpointFixtures.recordWithSoftware(id, 8, 1, software);
-        mEndpoints.put(id, record);
+        register(EndpointFixtures.recordWithSoftware(id, 8, 1, software), atOnce);
+    }
+
+    private void register(EndpointRecord record, boolean atOnce) {
+        mEndpoints.put(record.id(), record);
         for (Entry entry : mEntries) {
             if (entry != null && !atOnce) {
                 seeLater(entry, () -> entry.mFleet.onRecord(record));
@@ -394,10 +484,14 @@
 
     /** Applies a change at an entry when its watch delivers it. */
     private void seeLater(Entry entry, Runnable change) {
-        long at = mClock.now() + (long) (mRandom.nextDouble() * MAX_VIEW_LAG_NANOS);
+        long happenedAt = mClock.now();
+        long at = happenedAt + (long) (mRandom.nextDouble() * MAX_VIEW_LAG_NANOS);
         mClock.schedule(
                 at,
                 now -> {
+                    if (entry.mReadAgainAt >= happenedAt) {
+                        return;
+                    }
                     if (entry.reachesStore()) {
                         change.run();
                     } else {
@@ -429,7 +523,8 @@
                         List<String> old = new ArrayList<>();
                         mEndpoints.forEach(
                                 (id, e) -> {
-                                    if (!e.software().equals(software)) {
+                                    if (e.service().equals(SERVICE)
+                                            && !e.software().equals(software)) {
                                         old.add(id);
                                     }
                                 });
@@ -451,11 +546,79 @@
                 Nanos.ofMillis(millis),
                 now -> {
                     int number = mRandom.nextInt(mEntries.length);
-                    mEntries[number].kill(now);
-                    restart(number);
+                    if (!mEntries[number].mDead) {
+                        mEntries[number].kill(now);
+                        restart(number);
+                    }
+                });
+    }
+
+    /** Kills all entries at once, and starts them with nothing in memory after a while. */
+    void losePower(long atMillis, long forMillis) {
+        mClock.schedule(
+                Nanos.ofMillis(atMillis),
+                now -> {
+                    for (Entry entry : mEntries) {
+                        entry.kill(now);
+                    }
+                });
+        mClock.schedule(
+                Nanos.ofMillis(atMillis + forMillis),
+                now -> {
+                    for (int i = 0; i < mEntries.length; i++) {
+                        restart(i);
+                    }
+                });
+    }
+
+    /** Ends all leases at once, so that the store has no records of streams. */
+    void endLeases(long atMillis) {
+        mClock.schedule(
+                Nanos.ofMillis(atMillis),
+                now -> {
+                    mRecords.clear();
+                    for (Entry entry : mEntries) {
+                        entry.ifAlive(entry.mMachine::onRecordsLost);
+                    }
                 });
     }
 
+    /** Discards the store's history, so that entries read all endpoints again. */
+    void discardHistory(long atMillis) {
+        mClock.schedule(
+                Nanos.ofMillis(atMillis),
+                now -> {
+                    for (Entry entry : mEntries) {
+                        if (!entry.mDead && entry.reachesStore()) {
+                            entry.readAgain(now);
+                        }
+                    }
+                });
+    }
+
+    /** Lets a share of the streams run on routes that name a second service too. */
+    void splitRoutes(double share) {
+        mSplitShare = share;
+        for (int i = 0; i < ENDPOINTS; i++) {
+            EndpointRecord record =
+                    EndpointFixtures.record(OTHER_SERVICE, "other-" + i, i % 2 == 0 ? "v1" : "v2");
+            register(record, true);
+            for (Entry entry : mEntries) {
+                entry.mFleet.onRecord(record);
+            }
+        }
+    }
+
+    /** Lets a share of the callers not name the first request of a stream. */
+    void withoutNames(double share) {
+        mUnnamedShare = share;
+    }
+
+    /** Sets how long a part of a stream runs at most. */
+    void setMaxRun(int millis) {
+        mMaxRunMillis = millis;
+    }
+
     /** Cuts random entries off from the store for a while, from time to time. */
     void cutOffEvery(long millis, long forMillis) {
         mClock.scheduleEvery(
@@ -483,7 +646,7 @@
                 TICK_NANOS,
                 now -> {
                     for (Entry entry : mEntries) {
-                        entry.mMachine.onTick(now);
+                        entry.ifAlive(() -> entry.mMachine.onTick(now));
                     }
                 });
         mClock.runUntil(Nanos.ofMillis(untilMillis));
--- a/ebonyrun-core/src/test/java/org/ebonyrun/core/stream/StreamOriginMachineTest.java
+++ b/ebonyrun-core/src/test/java/org/ebonyrun/core/stream/StreamOriginMachineTest.java
@@ -39,6 +39,53 @@
         assertThat(simulation.wentOn(), greaterThan(100));
     }
 
+    @ParameterizedTest
+    @MethodSource("seeds")
+    void noStreamGoesOnAtAnotherVersionAfterAllEntriesLostEverything(long seed) {
+        ResumedStreamsSimulation simulation = new ResumedStreamsSimulation(seed, 5, 0.4, 0.05);
+        simulation.withoutNames(0.3);
+        simulation.splitRoutes(seed % 2 == 0 ? 0.2 : 0);
+        simulation.setMaxRun(4_000);
+        boolean oldOnesLeave = seed % 3 == 0;
+        simulation.release(3_000, "v2", oldOnesLeave ? 6 : 3, oldOnesLeave ? 10 : 500);
+        simulation.losePower(4_000 + 97 * seed, 800);
+        simulation.endLeases(5_000 + 97 * seed);
+        simulation.release(17_000, "v3", 3, 300);
+        simulation.discardHistory(18_000);
+        simulation.losePower(18_000 + 61 * seed, 100);
+        simulation.release(30_000, "v1", 6, 200);
+        simulation.outage(31_000, 1_500);
+        simulation.losePower(31_000 + 53 * seed, 1_500);
+        simulation.cutOffEvery(5_100, 2_000);
+        simulation.run(END_MILLIS, 40);
+
+        assertThat(simulation.mixed(), is(empty()));
+        assertThat(simulation.wentOn(), greaterThan(100));
+    }
+
+    private static ResumedStreamsSimulation releaseAndWait(long seed) {
+        ResumedStreamsSimulation simulation = new ResumedStreamsSimulation(seed, 5, 0.4, 0);
+        simulation.release(3_000, "v2", 6, 10);
+        return simulation;
+    }
+
+    @ParameterizedTest
+    @MethodSource("seeds")
+    void noStreamGoesOnAtAnotherVersionWhenOneReturnsAsItIsForgotten(long seed) {
+        long untilMillis = 1_500_000;
+        ResumedStreamsSimulation forgets = releaseAndWait(seed);
+        forgets.run(untilMillis, 20);
+        long forgottenAt = forgets.lastTableWriteMillis();
+        assertThat(forgottenAt, greaterThan(600_000L));
+
+        // The same events happen until the version returns.
+        ResumedStreamsSimulation simulation = releaseAndWait(seed);
+        simulation.release(forgottenAt - 500 * (1 + seed % 6), "v1", 3, 100);
+        simulation.run(forgottenAt + 70_000, 20);
+
+        assertThat(simulation.mixed(), is(empty()));
+    }
+
     @ParameterizedTest
     @CsvSource({"5, 40, 0", "5, 40, 2300", "40, 200, 0", "40, 200, 2300"})
     void streamsGoOnWhileTwoVersionsServe(int entries, int streamsPerSecond, long killEvery) {
