Remove the announcement of a software version in two steps

Cause: an entry removed the announcement of a version ten minutes after its watch last showed an endpoint, while another, whose watch was seconds ahead, had begun streams at its returned endpoints without writing; the condition on the table's revision held. Change: a version without endpoints for 30 s is marked as absent in the table. An entry that reads the mark announces the version again before it begins a stream there. The announcement is removed if the table has not changed for eleven minutes since: ten after which no caller comes again, and the minute in which entries read a table. Every new revision begins the time anew. The table without absent versions is written as before.

--- a/ebonyrun-core/src/main/java/org/ebonyrun/core/stream/SoftwareTable.java
+++ b/ebonyrun-core/src/main/java/org/ebonyrun/core/stream/SoftwareTable.java
@@ -9,15 +9,16 @@
  * What this process knows of the software versions of one service at which streams may have begun.
  *
  * <p>Invariants: a version counts as announced only while streams are placed at it regularly, since
- * the stored announcement of a version without endpoints is removed some time; a read that is older
- * than what is known changes nothing.
+ * the stored announcement of a version without endpoints is removed some time; a version that the
+ * store counts as absent is not announced; a read that is older than what is known changes nothing;
+ * each new revision begins the times of absence anew.
  *
  * <p>Not thread safe; confined to the event loop of its {@link SoftwareTables}.
  */
 final class SoftwareTable {
     private final Map<String, Long> mUsedAt = new HashMap<>();
     private final Map<String, Long> mAbsentSince = new HashMap<>();
-    private Set<String> mStored = Set.of();
+    private SoftwareVersions mStored = SoftwareVersions.NONE;
     private long mRevision = -1;
     private long mReadAt;
     private String mWanted = "";
@@ -27,20 +28,24 @@
     private long mRetryAt = Long.MIN_VALUE;
 
     /** Returns whether what was read is not older than what is known, and takes it if so. */
-    boolean setStored(Set<String> versions, long revision, long now) {
+    boolean setStored(SoftwareVersions versions, long revision, long now) {
         if (revision < mRevision) {
             return false;
         }
+        if (revision > mRevision) {
+            mAbsentSince.clear();
+        }
         mRevision = revision;
-        mStored = Set.copyOf(versions);
+        mStored = versions;
         mReadAt = now;
-        mUsedAt.keySet().retainAll(mStored);
-        mStored.forEach(version -> mUsedAt.put(version, now));
-        mAbsentSince.keySet().retainAll(mStored);
+        mUsedAt.clear();
+        mStored.announced().stream()
+                .filter(mStored::allows)
+                .forEach(version -> mUsedAt.put(version, now));
         return true;
     }
 
-    Set<String> stored() {
+    SoftwareVersions stored() {
         return mStored;
     }
 
@@ -54,7 +59,7 @@
 
     /** Returns whether streams of this service may have begun at several versions. */
     boolean isAmbiguous() {
-        return mStored.size() > 1;
+        return mStored.announced().size() > 1;
     }
 
     /** Returns whether a version is announced, and counts it as used if it is. */
@@ -104,18 +109,18 @@
         mAnnouncing = true;
     }
 
-    /** Returns the version that is still to be announced; empty set if there is none. */
-    Set<String> unannounced() {
-        if (mAnnouncing && mStored.contains(mWanted)) {
+    /** Returns what is stored, with the version that is still to be announced if there is one. */
+    SoftwareVersions announced() {
+        if (mAnnouncing && mStored.allows(mWanted)) {
             mAnnouncing = false;
         }
-        return mAnnouncing ? Set.of(mWanted) : Set.of();
+        return mAnnouncing ? mStored.with(mWanted) : mStored;
     }
 
     /** Records which of the stored versions endpoints run at the moment. */
     void setPresent(Set<String> present, long now) {
         mAbsentSince.keySet().removeAll(present);
-        for (String version : mStored) {
+        for (String version : mStored.announced()) {
             if (!present.contains(version)) {
                 mAbsentSince.putIfAbsent(version, now);
             }
@@ -127,14 +132,15 @@
         mAbsentSince.clear();
     }
 
-    /** Returns the versions that endpoints have run within a time. */
-    Set<String> presentWithin(long nanos, long now) {
-        Set<String> present = new HashSet<>(mStored);
-        present.removeIf(
-                version -> {
-                    Long since = mAbsentSince.get(version);
-                    return since != null && now - since >= nanos;
+    /** Returns the stored versions that no endpoint has run for a time, at this revision. */
+    Set<String> absentFor(long nanos, long now) {
+        Set<String> absent = new HashSet<>();
+        mAbsentSince.forEach(
+                (version, since) -> {
+                    if (now - since >= nanos) {
+                        absent.add(version);
+                    }
                 });
-        return present;
+        return absent;
     }
 }
--- a/ebonyrun-core/src/main/java/org/ebonyrun/core/stream/SoftwareTables.java
+++ b/ebonyrun-core/src/main/java/org/ebonyrun/core/stream/SoftwareTables.java
@@ -15,11 +15,14 @@
  * Announces to all entries at which software versions of a service streams may have begun.
  *
  * <p>Designed for releases, in which two versions serve side by side for minutes: a version costs
- * the store one write, however many entries and streams there are.
+ * the store one write when it comes and two when it has gone, however many entries and streams
+ * there are.
  *
  * <p>Invariants: a stream is admitted at a version only after the store has acknowledged its
- * announcement; an announcement is removed only after no endpoint has run the version for {@link
- * StreamOriginMachine#RETENTION_NANOS}.
+ * announcement. An announcement is removed in two steps: an entry that sees no endpoint of the
+ * version for a while marks it as absent, after which no entry that reads the table begins a stream
+ * at it without announcing it again; it is removed only if the table has not changed for {@link
+ * StreamOriginMachine#RETENTION_NANOS} since, far longer than entries take to read it again.
  *
  * <p>Not thread safe; confined to the event loop of its {@link StreamOriginMachine}.
  */
@@ -27,8 +30,13 @@
     private static final int MAX_VERSIONS = 256;
     // After this time without a stream, an announcement is checked before the next one begins.
     private static final long MAX_IDLE_NANOS = Nanos.ofMillis(60_000);
-    private static final long REFRESH_NANOS = Nanos.ofMillis(60_000);
+
+    /** How often entries read a table that names several versions. */
+    static final long REFRESH_NANOS = Nanos.ofMillis(60_000);
+
     private static final long RETRY_NANOS = Nanos.ofMillis(200);
+    // Endpoints that restart, or whose records expire in an outage of the store, are back by then.
+    private static final long ABSENT_NANOS = Nanos.ofMillis(30_000);
 
     private final Fleet mFleet;
     private final StreamOriginOutputs mOutputs;
@@ -79,30 +87,44 @@
     }
 
     /** Handles what the store has of a service; ends the open round unless there is more to do. */
-    void onTable(ServiceName service, Set<String> versions, long revision, long now) {
+    void onTable(ServiceName service, SoftwareVersions versions, long revision, long now) {
         SoftwareTable table = table(service);
         onRead(service, versions, revision, now);
         table.endRound();
-        Set<String> announced = Set.copyOf(Sets.union(table.stored(), table.unannounced()));
-        if (announced.size() > table.stored().size() && announced.size() <= MAX_VERSIONS) {
-            write(service, table, announced);
-            return;
+        SoftwareVersions wanted = table.announced();
+        if (wanted.announced().size() > MAX_VERSIONS) {
+            wanted = table.stored();
+        }
+        if (wanted.equals(table.stored())) {
+            wanted = withoutAbsent(table, now);
         }
-        Set<String> present = table.presentWithin(StreamOriginMachine.RETENTION_NANOS, now);
-        if (!present.isEmpty() && present.size() < table.stored().size()) {
-            write(service, table, present);
+        if (!wanted.equals(table.stored())) {
+            write(service, table, wanted);
+        }
+    }
+
+    /** Returns what is stored, with the next step of the removal of versions without endpoints. */
+    private static SoftwareVersions withoutAbsent(SoftwareTable table, long now) {
+        SoftwareVersions stored = table.stored();
+        Set<String> gone =
+                Sets.intersection(
+                        table.absentFor(StreamOriginMachine.RETENTION_NANOS, now), stored.absent());
+        if (!gone.isEmpty()) {
+            return stored.without(gone);
         }
+        Set<String> absent = table.absentFor(ABSENT_NANOS, now);
+        return absent.size() < stored.announced().size() ? stored.withAbsent(absent) : stored;
     }
 
-    private void write(ServiceName service, SoftwareTable table, Set<String> versions) {
+    private void write(ServiceName service, SoftwareTable table, SoftwareVersions versions) {
         table.openRound();
         mOutputs.writeTable(service, versions, table.revision());
     }
 
     /** Handles what the store has of a service, outside of a round. */
-    void onRead(ServiceName service, Set<String> versions, long revision, long now) {
+    void onRead(ServiceName service, SoftwareVersions versions, long revision, long now) {
         SoftwareTable table = table(service);
-        Set<String> before = table.stored();
+        SoftwareVersions before = table.stored();
         if (table.setStored(versions, revision, now) && !before.equals(table.stored())) {
             mOutputs.onTableChanged(service, table.stored());
         }
--- a/ebonyrun-core/src/main/java/org/ebonyrun/core/stream/StreamOriginMachine.java
+++ b/ebonyrun-core/src/main/java/org/ebonyrun/core/stream/StreamOriginMachine.java
@@ -25,11 +25,15 @@
  * <p>Not thread safe; confined to one event loop.
  */
 public final class StreamOriginMachine {
-    /** How long a version stays announced after its last endpoint has gone. */
-    public static final long RETENTION_NANOS = Nanos.ofMillis(600_000);
-
     private static final int MAX_STREAMS = 16_384;
     private static final long MAX_RECORD_NANOS = Nanos.ofMillis(600_000);
+
+    /**
+     * How long a version stays announced after an entry has marked it as absent: until no caller
+     * comes again for a stream which an entry began before it read the mark.
+     */
+    public static final long RETENTION_NANOS = MAX_RECORD_NANOS + SoftwareTables.REFRESH_NANOS;
+
     private static final long SWEEP_NANOS = Nanos.ofMillis(1_000);
 
     private final StreamOriginOutputs mOutputs;
@@ -135,7 +139,7 @@
     }
 
     /** Handles what the store has of a service. */
-    public void onTable(ServiceName service, Set<String> versions, long revision, long now) {
+    public void onTable(ServiceName service, SoftwareVersions versions, long revision, long now) {
         mTables.onTable(service, versions, revision, now);
         updateWriter(now);
     }
@@ -147,10 +151,10 @@
 
     /** Handles the versions that were read for a lookup. */
     public void onLookupTable(
-            long lookup, ServiceName service, Set<String> versions, long revision, long now) {
+            long lookup, ServiceName service, SoftwareVersions versions, long revision, long now) {
         mTables.onRead(service, versions, revision, now);
         updateWriter(now);
-        mLookups.onTable(lookup, service, versions, now);
+        mLookups.onTable(lookup, service, versions.announced(), now);
     }
 
     /**
--- a/ebonyrun-core/src/main/java/org/ebonyrun/core/stream/StreamOriginOutputs.java
+++ b/ebonyrun-core/src/main/java/org/ebonyrun/core/stream/StreamOriginOutputs.java
@@ -1,7 +1,6 @@
 package org.ebonyrun.core.stream;
 
 import java.util.Map;
-import java.util.Set;
 import org.ebonyrun.base.id.ServiceName;
 import org.jspecify.annotations.Nullable;
 
@@ -18,7 +17,7 @@
      * StreamOriginMachine#onTable}, with the versions that are announced then, or with {@link
      * StreamOriginMachine#onTableFailed}.
      */
-    void writeTable(ServiceName service, Set<String> versions, long revision);
+    void writeTable(ServiceName service, SoftwareVersions versions, long revision);
 
     /**
      * Reads the announced versions for a lookup; the read is linearizable. Ends with {@link
@@ -55,5 +54,5 @@
     void onResolved(long lookup, @Nullable StreamOrigin origin, String reason);
 
     /** Called when the versions that are announced for a service have changed. */
-    void onTableChanged(ServiceName service, Set<String> versions);
+    void onTableChanged(ServiceName service, SoftwareVersions versions);
 }
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/StreamCodec.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/StreamCodec.java
@@ -10,6 +10,7 @@
 import java.util.TreeSet;
 import org.ebonyrun.base.id.ServiceName;
 import org.ebonyrun.base.json.JsonTrees;
+import org.ebonyrun.core.stream.SoftwareVersions;
 import org.ebonyrun.core.stream.StreamId;
 import org.ebonyrun.core.stream.StreamOrigin;
 
@@ -21,21 +22,29 @@
 final class StreamCodec {
     private StreamCodec() {}
 
-    static byte[] encodeVersions(Set<String> versions) {
+    static byte[] encodeVersions(SoftwareVersions versions) {
         ObjectNode json = JsonTrees.object();
-        ArrayNode array = json.putArray("versions");
-        new TreeSet<>(versions).forEach(array::add);
+        ArrayNode announced = json.putArray("versions");
+        new TreeSet<>(versions.announced()).forEach(announced::add);
+        if (!versions.absent().isEmpty()) {
+            ArrayNode absent = json.putArray("absent");
+            new TreeSet<>(versions.absent()).forEach(absent::add);
+        }
         return JsonTrees.write(json);
     }
 
-    static Set<String> decodeVersions(byte[] value) {
-        JsonNode array = JsonTrees.read(value).path("versions");
-        if (!array.isArray()) {
+    static SoftwareVersions decodeVersions(byte[] value) {
+        JsonNode json = JsonTrees.read(value);
+        if (!json.path("versions").isArray()) {
             throw new IllegalArgumentException("no array of versions");
         }
-        Set<String> versions = new HashSet<>();
-        array.forEach(version -> versions.add(version.asText()));
-        return versions;
+        return new SoftwareVersions(texts(json.path("versions")), texts(json.path("absent")));
+    }
+
+    private static Set<String> texts(JsonNode array) {
+        Set<String> texts = new HashSet<>();
+        array.forEach(text -> texts.add(text.asText()));
+        return texts;
     }
 
     /** Encodes records, grouped by origin, since few origins have many streams. */
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/StreamController.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/StreamController.java
@@ -18,6 +18,7 @@
 import org.ebonyrun.core.fleet.EndpointRecord;
 import org.ebonyrun.core.fleet.Fleet;
 import org.ebonyrun.core.route.Route;
+import org.ebonyrun.core.stream.SoftwareVersions;
 import org.ebonyrun.core.stream.StreamAdmission;
 import org.ebonyrun.core.stream.StreamId;
 import org.ebonyrun.core.stream.StreamOrigin;
@@ -144,23 +145,24 @@
     }
 
     @Override
-    public void onTableChanged(ServiceName service, Set<String> versions) {
+    public void onTableChanged(ServiceName service, SoftwareVersions versions) {
         mContext.log()
                 .write(
                         LogLine.of("stream.versions")
                                 .with("service", service)
-                                .with("versions", new TreeSet<>(versions)));
+                                .with("versions", new TreeSet<>(versions.announced()))
+                                .with("absent", new TreeSet<>(versions.absent())));
     }
 
     /** An announced table as it was read. */
-    private record Table(Set<String> versions, long revision) {}
+    private record Table(SoftwareVersions versions, long revision) {}
 
     private Optional<Table> table(Optional<StoreItem> item) {
         if (item.isEmpty()) {
-            return Optional.of(new Table(Set.of(), Transaction.ABSENT));
+            return Optional.of(new Table(SoftwareVersions.NONE, Transaction.ABSENT));
         }
         try {
-            Set<String> versions = StreamCodec.decodeVersions(item.get().value());
+            SoftwareVersions versions = StreamCodec.decodeVersions(item.get().value());
             return Optional.of(new Table(versions, item.get().revision()));
         } catch (IllegalArgumentException e) {
             logUnreadable(item.get(), e);
@@ -195,7 +197,7 @@
     }
 
     @Override
-    public void writeTable(ServiceName service, Set<String> versions, long revision) {
+    public void writeTable(ServiceName service, SoftwareVersions versions, long revision) {
         String key = StoreKeys.softwareKey(service);
         Transaction transaction =
                 Transaction.builder()
@@ -209,7 +211,7 @@
     }
 
     private void onTableWritten(
-            ServiceName service, Set<String> versions, Result<CommitResult> result) {
+            ServiceName service, SoftwareVersions versions, Result<CommitResult> result) {
         long now = System.nanoTime();
         CommitResult commit = result.fold(done -> done, fault -> null);
         if (commit == null) {
