--- /dev/null
+++ b/ebonyrun-daemon/src/test/java/org/ebonyrun/daemon/hosted/EntryProcess.java
@@ -0,0 +1,89 @@
+package org.ebonyrun.daemon.hosted;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.concurrent.CompletableFuture;
+
+/** An entry in a process of its own, which can be killed. */
+final class EntryProcess {
+    private final Process mProcess;
+    private final String mFront;
+    private final CompletableFuture<Void> mReady = new CompletableFuture<>();
+
+    private EntryProcess(Process process, String front) {
+        mProcess = process;
+        mFront = front;
+        Thread reader = new Thread(this::readLog, "log of " + front);
+        reader.setDaemon(true);
+        reader.start();
+    }
+
+    /**
+     * Starts an entry.
+     *
+     * @param folder where its settings are written
+     */
+    static EntryProcess start(Path folder, String vm, InetSocketAddress store) throws IOException {
+        String front = HostedFixture.formatAddress(HostedFixture.freeAddress());
+        String settings =
+                HostedSettingsTest.COMPLETE_SETTINGS
+                        .replace("edge-1", vm)
+                        .replace("10.1.0.35:8144", front)
+                        .replace("10.1.0.35:8140", freeAddress())
+                        .replace("10.1.0.35:9464", freeAddress())
+                        .replace("10.200.1.7:8142", HostedFixture.formatAddress(store));
+        Path file = Files.writeString(folder.resolve(vm + ".yaml"), settings);
+        Process process =
+                new ProcessBuilder(
+                                ProcessHandle.current().info().command().orElse("java"),
+                                "-XX:TieredStopAtLevel=1",
+                                "-cp",
+                                System.getProperty("java.class.path"),
+                                HostedMain.class.getName(),
+                                file.toString())
+                        .redirectError(ProcessBuilder.Redirect.DISCARD)
+                        .start();
+        return new EntryProcess(process, front);
+    }
+
+    private static String freeAddress() throws IOException {
+        return HostedFixture.formatAddress(HostedFixture.freeAddress());
+    }
+
+    private void readLog() {
+        try (BufferedReader log =
+                new BufferedReader(
+                        new InputStreamReader(mProcess.getInputStream(), StandardCharsets.UTF_8))) {
+            for (String line = log.readLine(); line != null; line = log.readLine()) {
+                if (line.contains("\"ready\":true")) {
+                    mReady.complete(null);
+                }
+            }
+        } catch (IOException e) {
+            // The process was killed; what it logged before counts.
+        }
+        mReady.completeExceptionally(new IOException("the entry has ended"));
+    }
+
+    String front() {
+        return mFront;
+    }
+
+    void awaitReady() {
+        mReady.join();
+    }
+
+    /** Kills the process by SIGKILL; does not wait for its end. */
+    void kill() {
+        mProcess.destroyForcibly();
+    }
+
+    void awaitEnd() throws InterruptedException {
+        mProcess.waitFor();
+    }
+}
