Count the entries that write streams' records right after the first write

What callers saw: after all entries lost power while two versions served, streams were refused since no record of them was written. Entries waited a second between writes for the first six seconds of two versions, and again after each start, since they didn't know how many they were. Change: an entry counts them after its first write, and waits as long as that count says; the interval runs from the end of a write, so that a slow store is written less often. The simulation counts a refused connection as no try, so that callers outlast a power loss.

--- a/ebonyrun-core/src/main/java/org/ebonyrun/core/stream/RecordWriter.java
+++ b/ebonyrun-core/src/main/java/org/ebonyrun/core/stream/RecordWriter.java
@@ -8,7 +8,9 @@
  *
  * <p>Designed for the minutes in which two versions serve side by side: all new records go in one
  * write, and the rate of writes falls with the number of entries, so that all of them together take
- * a fixed share of what the store takes. The records of a broken stream don't wait.
+ * a fixed share of what the store takes. The entries are counted right after the first write: a few
+ * soon write often, and a fleet that lost power counts the records from before. The records of a
+ * broken stream don't wait.
  *
  * <p>Invariant: one write is open at a time; what a failed one held is written again.
  *
@@ -18,9 +20,10 @@
     private static final double WRITE_SHARE = 0.1;
     private static final long MIN_INTERVAL_NANOS = Nanos.ofMillis(100);
     private static final long RETRY_NANOS = Nanos.ofMillis(250);
-    // All entries begin to write within seconds, so that the first counts are too low.
+    // All entries begin to write within seconds, so that the first counts soon are too low.
     private static final long FIRST_COUNTS_NANOS = Nanos.ofMillis(6_000);
-    private static final long FIRST_INTERVAL_NANOS = Nanos.ofMillis(1_000);
+    private static final long FIRST_COUNT_NANOS = Nanos.ofMillis(1_000);
+    private static final long UNCOUNTED_INTERVAL_NANOS = Nanos.ofMillis(1_000);
     private static final long COUNT_NANOS = Nanos.ofMillis(10_000);
 
     private final StreamRecords mRecords;
@@ -28,7 +31,9 @@
     private final StreamOriginOutputs mOutputs;
     private boolean mEnabled;
     private boolean mWriting;
-    private long mNextAt = Long.MIN_VALUE;
+    private boolean mCounted;
+    private boolean mBroken;
+    private long mWrittenAt = Long.MIN_VALUE;
     private long mRetryAt = Long.MIN_VALUE;
     private long mCountAt;
     private long mCountedFrom;
@@ -40,7 +45,7 @@
         mOutputs = outputs;
     }
 
-    /** Returns how long an entry waits between two writes, if so many entries write. */
+    /** Returns how long an entry waits after a write, if so many entries write. */
     static long intervalNanos(int entries, double storeWritesPerSecond) {
         double seconds = entries / (WRITE_SHARE * storeWritesPerSecond);
         return Math.max(MIN_INTERVAL_NANOS, (long) (seconds * Nanos.PER_SECOND));
@@ -55,7 +60,8 @@
         if (enabled && !mEnabled) {
             mRecords.setAllChanged();
             mCountedFrom = now + FIRST_COUNTS_NANOS;
-            mCountAt = now + FIRST_INTERVAL_NANOS;
+            mCountAt = Long.MAX_VALUE;
+            mCounted = false;
         }
         mEnabled = enabled;
     }
@@ -63,27 +69,36 @@
     /** Sets how many entries write records. */
     void setEntries(int entries) {
         mEntries = Math.max(1, entries);
+        mCounted = true;
     }
 
-    /** Counts the entries from time to time. */
+    /** Counts the entries after the first write, and then from time to time. */
     void countIfDue(long now) {
         if (mEnabled && now >= mCountAt && mOutputs.isStoreAvailable()) {
-            mCountAt = now + (now < mCountedFrom ? FIRST_INTERVAL_NANOS : COUNT_NANOS);
+            mCountAt = now + (now < mCountedFrom ? FIRST_COUNT_NANOS : COUNT_NANOS);
             mOutputs.countEntries();
         }
     }
 
     /** Handles a broken stream. */
     void onBroken(long now) {
-        mNextAt = now;
+        mBroken = true;
         writeIfDue(now);
     }
 
+    private boolean isDue(long now) {
+        if (now < mRetryAt) {
+            return false;
+        }
+        long interval = intervalNanos(mEntries, mStoreWritesPerSecond);
+        long waits = mCounted ? interval : Math.max(interval, UNCOUNTED_INTERVAL_NANOS);
+        return mBroken || mWrittenAt == Long.MIN_VALUE || now - mWrittenAt >= waits;
+    }
+
     void writeIfDue(long now) {
-        boolean due = now >= mNextAt && now >= mRetryAt;
         if (!mEnabled
                 || mWriting
-                || !due
+                || !isDue(now)
                 || !mRecords.isChanged()
                 || !mOutputs.isStoreAvailable()) {
             return;
@@ -91,13 +106,17 @@
         mRecords.removeExpired(now);
         Map<Integer, Map<StreamId, StreamOrigin>> buckets = mRecords.takeChanged();
         mWriting = true;
-        long interval = intervalNanos(mEntries, mStoreWritesPerSecond);
-        mNextAt = now + (now < mCountedFrom ? Math.max(interval, FIRST_INTERVAL_NANOS) : interval);
+        mBroken = false;
         mOutputs.writeRecords(buckets);
     }
 
     void onWritten(long now) {
         mWriting = false;
+        mWrittenAt = now;
+        if (mCountAt == Long.MAX_VALUE) {
+            mCountAt = now;
+            countIfDue(now);
+        }
         writeIfDue(now);
     }
 
--- a/ebonyrun-core/src/test/java/org/ebonyrun/core/stream/ResumedStreamsSimulation.java
+++ b/ebonyrun-core/src/test/java/org/ebonyrun/core/stream/ResumedStreamsSimulation.java
@@ -125,6 +125,8 @@
 
         void resume(SimulatedStream stream, long now) {
             if (mDead) {
+                // A connection that is refused is no try.
+                stream.mTries--;
                 comeAgain(stream, now + RETRY_AFTER_NANOS);
                 return;
             }
--- a/ebonyrun-core/src/test/java/org/ebonyrun/core/stream/StreamOriginMachineTest.java
+++ b/ebonyrun-core/src/test/java/org/ebonyrun/core/stream/StreamOriginMachineTest.java
@@ -9,6 +9,7 @@
 import static org.hamcrest.Matchers.lessThanOrEqualTo;
 
 import java.util.stream.LongStream;
+import org.ebonyrun.base.time.Nanos;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -129,6 +130,35 @@
         assertThat(simulation.mixed(), is(empty()));
     }
 
+    // The entries know both versions 4 s after the first one of the new version registers.
+    @ParameterizedTest
+    @CsvSource({
+        "5, 40, 8000, 150, 0.97",
+        "5, 40, 15000, 150, 0.97",
+        "40, 200, 8000, 1200, 0.97",
+        "40, 200, 15000, 1200, 0.97"
+    })
+    void streamsOlderThanAWriteGoOnAfterAllEntriesLostPower(
+            int entries, int streamsPerSecond, long atMillis, long ageMillis, double least) {
+        int killed = 0;
+        int survived = 0;
+        for (long seed = 1; seed <= 20; seed++) {
+            ResumedStreamsSimulation simulation = new ResumedStreamsSimulation(seed, entries, 0, 0);
+            simulation.setMaxRun(4_000);
+            simulation.release(3_000, "v2", 3, 100);
+            simulation.losePower(atMillis, 1_000);
+            simulation.run(atMillis + 9_000, streamsPerSecond);
+            for (SimulatedStream.Killed stream : simulation.killedStreams()) {
+                boolean old = Nanos.toMillis(stream.ageNanos()) >= ageMillis;
+                killed += old ? 1 : 0;
+                survived += old && stream.survived() ? 1 : 0;
+            }
+        }
+
+        assertThat(killed, greaterThan(500));
+        assertThat((double) survived, greaterThan(least * killed));
+    }
+
     @Test
     void manyEntriesWriteNoMoreOftenThanTheStoreTakes() {
         ResumedStreamsSimulation simulation = new ResumedStreamsSimulation(5, 200, 0, 0);
