Bound announced versions, and decide in core which take-ups are refused

A version longer than 128 characters is announced and recorded as its beginning and a hash. Which resumed streams are refused, and when their callers should come again, is ResumptionPolicy; behaviour unchanged.

--- a/ebonyrun-core/src/main/java/org/ebonyrun/core/stream/SoftwareTables.java
+++ b/ebonyrun-core/src/main/java/org/ebonyrun/core/stream/SoftwareTables.java
@@ -22,19 +22,26 @@
  * announcement. An announcement is removed in two steps: an entry that sees no endpoint of the
  * version for a while marks it as absent, after which no entry that reads the table begins a stream
  * at it without announcing it again; it is removed only if the table has not changed for {@link
- * StreamOriginMachine#RETENTION_NANOS} since, far longer than entries take to read it again.
+ * StreamOriginMachine#RETENTION_NANOS} since, far longer than entries take to read it again. A
+ * table has {@link #MAX_VERSIONS} versions at most; no stream begins at a further one until a
+ * version has been removed.
  *
  * <p>Not thread safe; confined to the event loop of its {@link StreamOriginMachine}.
  */
 final class SoftwareTables {
-    private static final int MAX_VERSIONS = 256;
+    /** How many versions of a service may be announced. */
+    static final int MAX_VERSIONS = 256;
+
     // After this time without a stream, an announcement is checked before the next one begins.
     private static final long MAX_IDLE_NANOS = Nanos.ofMillis(60_000);
 
     /** How often entries read a table that names several versions. */
     static final long REFRESH_NANOS = Nanos.ofMillis(60_000);
 
+    // Streams wait for the announcement; the store is asked five times a second at most.
     private static final long RETRY_NANOS = Nanos.ofMillis(200);
+    // A full table changes at the earliest when an absent version is removed.
+    private static final long FULL_RETRY_NANOS = Nanos.ofMillis(10_000);
     // Endpoints that restart, or whose records expire in an outage of the store, are back by then.
     private static final long ABSENT_NANOS = Nanos.ofMillis(30_000);
 
@@ -61,11 +68,12 @@
     /** Returns whether a stream may begin at an endpoint; announces its version if necessary. */
     StreamAdmission admit(EndpointRecord endpoint, long now) {
         SoftwareTable table = table(endpoint.service());
-        if (table.use(endpoint.software(), MAX_IDLE_NANOS, now)) {
+        String software = StreamOrigin.of(endpoint).software();
+        if (table.use(software, MAX_IDLE_NANOS, now)) {
             return StreamAdmission.ADMITTED;
         }
         if (table.mayOpenRound(now)) {
-            table.announce(endpoint.software());
+            table.announce(software);
             refresh(endpoint.service(), now);
         }
         return table.isRoundOpen() && !table.hasFailed()
@@ -94,6 +102,7 @@
         SoftwareVersions wanted = table.announced();
         if (wanted.announced().size() > MAX_VERSIONS) {
             wanted = table.stored();
+            table.failRound(now + FULL_RETRY_NANOS);
         }
         if (wanted.equals(table.stored())) {
             wanted = withoutAbsent(table, now);
@@ -154,7 +163,7 @@
         Set<String> present = new HashSet<>();
         for (Endpoint endpoint : mFleet.all()) {
             if (endpoint.record().service().equals(service)) {
-                present.add(endpoint.record().software());
+                present.add(StreamOrigin.of(endpoint.record()).software());
             }
         }
         return present;
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/ResumedCalls.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/ResumedCalls.java
@@ -4,9 +4,11 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import org.ebonyrun.base.log.LogLine;
 import org.ebonyrun.base.time.Nanos;
 import org.ebonyrun.core.call.CallSpec;
+import org.ebonyrun.core.stream.ResumptionPolicy;
 import org.ebonyrun.core.stream.StreamId;
 import org.ebonyrun.core.stream.StreamOrigin;
 import org.ebonyrun.core.stream.StreamResumption;
@@ -23,7 +25,6 @@
  */
 final class ResumedCalls {
     private static final int UNAVAILABLE = 503;
-    private static final long RETRY_AFTER_MILLIS = 300;
 
     private final HostedContext mContext;
     private final CallController mCalls;
@@ -88,10 +89,10 @@
             FrontExchange caller,
             @Nullable StreamOrigin origin,
             String reason) {
-        if (origin == null) {
-            refuse(call, resumption, caller, reason);
-        } else if (!call.route().serviceNames().contains(origin.service())) {
-            refuse(call, resumption, caller, "the route names another service now");
+        Optional<String> refusal =
+                ResumptionPolicy.refusal(origin, reason, call.route().serviceNames());
+        if (origin == null || refusal.isPresent()) {
+            refuse(call, resumption, caller, refusal.orElse(reason));
         } else {
             long now = System.nanoTime();
             LogLine line =
@@ -117,11 +118,12 @@
                                 .with("request", call.requestId())
                                 .with("resumes", resumption.firstRequestId())
                                 .with("after", resumption.lastEvent())
-                                .with("retry_after_ms", RETRY_AFTER_MILLIS)
+                                .with("retry_after_ms", ResumptionPolicy.RETRY_AFTER_MILLIS)
                                 .with("why", reason));
         caller.respond(
                 UNAVAILABLE,
-                FrontProtocol.retryAfterHeaders(call.requestId(), RETRY_AFTER_MILLIS),
+                FrontProtocol.retryAfterHeaders(
+                        call.requestId(), ResumptionPolicy.RETRY_AFTER_MILLIS),
                 EndpointProtocol.emptyBody());
     }
 }
