Carry young and old streams over each power loss of the test

Half of a round's streams begin before other streams run and half after, so that some have no record at the kill.

--- a/ebonyrun-daemon/src/test/java/org/ebonyrun/daemon/hosted/PowerLossStreamTest.java
+++ b/ebonyrun-daemon/src/test/java/org/ebonyrun/daemon/hosted/PowerLossStreamTest.java
@@ -113,14 +113,26 @@
         caller.mServed = part.status() == OK && part.complete();
     }
 
+    /** Runs other streams, so that those before are older at the kill than those after. */
+    private void runOthers(int round) {
+        for (int others = mRandom.nextInt(MAX_OTHERS); others > 0; others--) {
+            String front = mEntries.get(mRandom.nextInt(ENTRIES)).front();
+            call(front, "other" + round + "-" + others, Map.of(), () -> {});
+        }
+    }
+
     /** Returns the callers whose streams were under way when all entries were killed. */
     private List<Caller> beginAndKill(int round, Release release) throws Exception {
         List<Caller> callers = new ArrayList<>();
         List<CompletableFuture<StreamCaller.Part>> parts = new ArrayList<>();
         // The entries are killed as soon as callers have so many pieces of streams.
-        int begun = 1 + mRandom.nextInt(STREAMS_A_ROUND);
+        int begun = 1 + mRandom.nextInt(STREAMS_A_ROUND / 2);
         Semaphore pieces = new Semaphore(0);
         for (int i = 0; i < STREAMS_A_ROUND; i++) {
+            if (i == STREAMS_A_ROUND / 2) {
+                runOthers(round);
+                pieces.drainPermits();
+            }
             Caller caller = new Caller("s" + round + "-" + i, mRandom.nextInt(4) > 0);
             callers.add(caller);
             mBreaks.addHold(caller.mFirst, 1 + mRandom.nextInt(EVENTS - 1));
@@ -130,11 +142,6 @@
                             () -> call(front, caller.mFirst, Map.of(), pieces::release), mThreads));
         }
         pieces.acquire(begun);
-        // Other streams run meanwhile, so that these are of different ages.
-        for (int others = mRandom.nextInt(MAX_OTHERS); others > 0; others--) {
-            String front = mEntries.get(mRandom.nextInt(ENTRIES)).front();
-            call(front, "other" + round + "-" + others, Map.of(), () -> {});
-        }
         if (release == Release.NEW_ONES_REPLACE_THEM_AT_THE_KILL) {
             startEndpoint("i-3", "v2");
             startEndpoint("i-4", "v2");
