Write records no more often while the store refuses them

Cause (found in review): since the interval ran from the end of a successful write, a failed one was repeated after 0.25 s whatever the number of entries: 800 calls a second at 200 entries, which keeps an overload up. Also: an absent version that isn't announced no longer makes a table unreadable.

--- a/ebonyrun-core/src/main/java/org/ebonyrun/core/stream/RecordWriter.java
+++ b/ebonyrun-core/src/main/java/org/ebonyrun/core/stream/RecordWriter.java
@@ -12,7 +12,8 @@
  * soon write often, and a fleet that lost power counts the records from before. The records of a
  * broken stream don't wait.
  *
- * <p>Invariant: one write is open at a time; what a failed one held is written again.
+ * <p>Invariants: one write is open at a time; what a failed one held is written again, at the same
+ * rate.
  *
  * <p>Not thread safe; confined to the event loop of its {@link StreamOriginMachine}.
  */
@@ -33,7 +34,7 @@
     private boolean mWriting;
     private boolean mCounted;
     private boolean mBroken;
-    private long mWrittenAt = Long.MIN_VALUE;
+    private long mEndedAt = Long.MIN_VALUE;
     private long mRetryAt = Long.MIN_VALUE;
     private long mCountAt;
     private long mCountedFrom;
@@ -92,7 +93,7 @@
         }
         long interval = intervalNanos(mEntries, mStoreWritesPerSecond);
         long waits = mCounted ? interval : Math.max(interval, UNCOUNTED_INTERVAL_NANOS);
-        return mBroken || mWrittenAt == Long.MIN_VALUE || now - mWrittenAt >= waits;
+        return mBroken || mEndedAt == Long.MIN_VALUE || now - mEndedAt >= waits;
     }
 
     void writeIfDue(long now) {
@@ -112,7 +113,7 @@
 
     void onWritten(long now) {
         mWriting = false;
-        mWrittenAt = now;
+        mEndedAt = now;
         if (mCountAt == Long.MAX_VALUE) {
             mCountAt = now;
             countIfDue(now);
@@ -122,6 +123,7 @@
 
     void onFailed(long now) {
         mWriting = false;
+        mEndedAt = now;
         mRetryAt = now + RETRY_NANOS;
         mRecords.setAllChanged();
     }
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/StreamCodec.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/StreamCodec.java
@@ -38,7 +38,10 @@
         if (!json.path("versions").isArray()) {
             throw new IllegalArgumentException("no array of versions");
         }
-        return new SoftwareVersions(texts(json.path("versions")), texts(json.path("absent")));
+        Set<String> announced = texts(json.path("versions"));
+        Set<String> absent = texts(json.path("absent"));
+        absent.retainAll(announced);
+        return new SoftwareVersions(announced, absent);
     }
 
     private static Set<String> texts(JsonNode array) {
