--- a/ebonyrun-core/src/test/java/org/ebonyrun/core/stream/StreamOriginMachineTest.java
+++ b/ebonyrun-core/src/test/java/org/ebonyrun/core/stream/StreamOriginMachineTest.java
@@ -9,6 +9,7 @@
 import static org.hamcrest.Matchers.lessThanOrEqualTo;
 
 import java.util.stream.LongStream;
+import org.ebonyrun.base.time.Nanos;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -39,6 +40,53 @@
         assertThat(simulation.wentOn(), greaterThan(100));
     }
 
+    @ParameterizedTest
+    @MethodSource("seeds")
+    void noStreamGoesOnAtAnotherVersionAfterAllEntriesLostEverything(long seed) {
+        ResumedStreamsSimulation simulation = new ResumedStreamsSimulation(seed, 5, 0.4, 0.05);
+        simulation.withoutNames(0.3);
+        simulation.splitRoutes(seed % 2 == 0 ? 0.2 : 0);
+        simulation.setMaxRun(4_000);
+        boolean oldOnesLeave = seed % 3 == 0;
+        simulation.release(3_000, "v2", oldOnesLeave ? 6 : 3, oldOnesLeave ? 10 : 500);
+        simulation.losePower(4_000 + 97 * seed, 800);
+        simulation.endLeases(5_000 + 97 * seed);
+        simulation.release(17_000, "v3", 3, 300);
+        simulation.discardHistory(18_000);
+        simulation.losePower(18_000 + 61 * seed, 100);
+        simulation.release(30_000, "v1", 6, 200);
+        simulation.outage(31_000, 1_500);
+        simulation.losePower(31_000 + 53 * seed, 1_500);
+        simulation.cutOffEvery(5_100, 2_000);
+        simulation.run(END_MILLIS, 40);
+
+        assertThat(simulation.mixed(), is(empty()));
+        assertThat(simulation.wentOn(), greaterThan(100));
+    }
+
+    private static ResumedStreamsSimulation releaseAndWait(long seed) {
+        ResumedStreamsSimulation simulation = new ResumedStreamsSimulation(seed, 5, 0.4, 0);
+        simulation.release(3_000, "v2", 6, 10);
+        return simulation;
+    }
+
+    @ParameterizedTest
+    @MethodSource("seeds")
+    void noStreamGoesOnAtAnotherVersionWhenOneReturnsAsItIsForgotten(long seed) {
+        long untilMillis = 1_000_000;
+        ResumedStreamsSimulation forgets = releaseAndWait(seed);
+        forgets.run(untilMillis, 20);
+        long forgottenAt = forgets.lastTableWriteMillis();
+        assertThat(forgottenAt, greaterThan(600_000L));
+
+        // The same events happen until the version returns.
+        ResumedStreamsSimulation simulation = releaseAndWait(seed);
+        simulation.release(forgottenAt - 500 * (1 + seed % 6), "v1", 3, 100);
+        simulation.run(forgottenAt + 70_000, 20);
+
+        assertThat(simulation.mixed(), is(empty()));
+    }
+
     @ParameterizedTest
     @CsvSource({"5, 40, 0", "5, 40, 2300", "40, 200, 0", "40, 200, 2300"})
     void streamsGoOnWhileTwoVersionsServe(int entries, int streamsPerSecond, long killEvery) {
@@ -72,16 +120,45 @@
     void aVersionThatIsGoneForLongIsForgottenAndAnnouncedAgainWhenItReturns(long seed) {
         ResumedStreamsSimulation simulation = new ResumedStreamsSimulation(seed, 5, 0.4, 0);
         simulation.release(3_000, "v2", 6, 500);
-        simulation.release(730_000, "v1", 3, 500);
+        simulation.release(900_000, "v1", 3, 500);
         simulation.killEvery(170_000);
-        simulation.run(760_000, 20);
+        simulation.run(930_000, 20);
 
         assertThat(simulation.recordWrites(10_000), greaterThan(0));
-        assertThat(simulation.recordWrites(690_000) - simulation.recordWrites(730_000), is(0));
-        assertThat(simulation.recordWrites(740_000), greaterThan(0));
+        assertThat(simulation.recordWrites(860_000) - simulation.recordWrites(900_000), is(0));
+        assertThat(simulation.recordWrites(910_000), greaterThan(0));
         assertThat(simulation.mixed(), is(empty()));
     }
 
+    // The entries know both versions 4 s after the first one of the new version registers.
+    @ParameterizedTest
+    @CsvSource({
+        "5, 40, 8000, 150, 0.97",
+        "5, 40, 15000, 150, 0.97",
+        "40, 200, 8000, 1200, 0.97",
+        "40, 200, 15000, 1200, 0.97"
+    })
+    void streamsOlderThanAWriteGoOnAfterAllEntriesLostPower(
+            int entries, int streamsPerSecond, long atMillis, long ageMillis, double least) {
+        int killed = 0;
+        int survived = 0;
+        for (long seed = 1; seed <= 20; seed++) {
+            ResumedStreamsSimulation simulation = new ResumedStreamsSimulation(seed, entries, 0, 0);
+            simulation.setMaxRun(4_000);
+            simulation.release(3_000, "v2", 3, 100);
+            simulation.losePower(atMillis, 1_000);
+            simulation.run(atMillis + 9_000, streamsPerSecond);
+            for (SimulatedStream.Killed stream : simulation.killedStreams()) {
+                boolean old = Nanos.toMillis(stream.ageNanos()) >= ageMillis;
+                killed += old ? 1 : 0;
+                survived += old && stream.survived() ? 1 : 0;
+            }
+        }
+
+        assertThat(killed, greaterThan(500));
+        assertThat((double) survived, greaterThan(least * killed));
+    }
+
     @Test
     void manyEntriesWriteNoMoreOftenThanTheStoreTakes() {
         ResumedStreamsSimulation simulation = new ResumedStreamsSimulation(5, 200, 0, 0);
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/ResumedCalls.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/ResumedCalls.java
@@ -1,10 +1,14 @@
 package org.ebonyrun.daemon.hosted;
 
+import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import org.ebonyrun.base.log.LogLine;
 import org.ebonyrun.base.time.Nanos;
 import org.ebonyrun.core.call.CallSpec;
+import org.ebonyrun.core.stream.ResumptionPolicy;
 import org.ebonyrun.core.stream.StreamId;
 import org.ebonyrun.core.stream.StreamOrigin;
 import org.ebonyrun.core.stream.StreamResumption;
@@ -21,12 +25,15 @@
  */
 final class ResumedCalls {
     private static final int UNAVAILABLE = 503;
-    private static final long RETRY_AFTER_MILLIS = 300;
 
     private final HostedContext mContext;
     private final CallController mCalls;
     private final StreamController mStreams;
-    private final Map<FrontExchange, Long> mLookups = new HashMap<>();
+
+    /** A lookup of what began a stream, for a call that resumes it. */
+    private record Lookup(long id, CallSpec call) {}
+
+    private final Map<FrontExchange, Lookup> mLookups = new HashMap<>();
 
     ResumedCalls(HostedContext context, CallController calls, StreamController streams) {
         mContext = context;
@@ -42,7 +49,7 @@
                         : StreamId.of(
                                 FrontProtocol.host(caller.headers()), resumption.firstRequestId());
         long lookup = mStreams.newLookup();
-        mLookups.put(caller, lookup);
+        mLookups.put(caller, new Lookup(lookup, call));
         mStreams.resolve(
                 lookup,
                 stream,
@@ -55,22 +62,37 @@
 
     /** Ends the lookup of a caller that has disconnected. */
     void onCallerDisconnected(FrontExchange caller) {
-        Long lookup = mLookups.remove(caller);
+        Lookup lookup = mLookups.remove(caller);
         if (lookup != null) {
-            mStreams.onAbandoned(lookup);
+            mStreams.onAbandoned(lookup.id());
         }
     }
 
+    /** Refuses the calls whose keys were withdrawn. */
+    void onKeysChanged(CallerKeys keys) {
+        List<FrontExchange> withdrawn = new ArrayList<>();
+        mLookups.forEach(
+                (caller, lookup) -> {
+                    CallSpec call = lookup.call();
+                    boolean isPublic = call.route().isPublic();
+                    if (!keys.isStillAdmitted(caller, call.workspace(), isPublic)) {
+                        withdrawn.add(caller);
+                        keys.refuseKey(caller, call.requestId(), "the key was withdrawn");
+                    }
+                });
+        withdrawn.forEach(this::onCallerDisconnected);
+    }
+
     private void onResolved(
             CallSpec call,
             StreamResumption resumption,
             FrontExchange caller,
             @Nullable StreamOrigin origin,
             String reason) {
-        if (origin == null) {
-            refuse(call, resumption, caller, reason);
-        } else if (!call.route().serviceNames().contains(origin.service())) {
-            refuse(call, resumption, caller, "the route names another service now");
+        Optional<String> refusal =
+                ResumptionPolicy.refusal(origin, reason, call.route().serviceNames());
+        if (origin == null || refusal.isPresent()) {
+            refuse(call, resumption, caller, refusal.orElse(reason));
         } else {
             long now = System.nanoTime();
             LogLine line =
@@ -96,11 +118,12 @@
                                 .with("request", call.requestId())
                                 .with("resumes", resumption.firstRequestId())
                                 .with("after", resumption.lastEvent())
-                                .with("retry_after_ms", RETRY_AFTER_MILLIS)
+                                .with("retry_after_ms", ResumptionPolicy.RETRY_AFTER_MILLIS)
                                 .with("why", reason));
         caller.respond(
                 UNAVAILABLE,
-                FrontProtocol.retryAfterHeaders(call.requestId(), RETRY_AFTER_MILLIS),
+                FrontProtocol.retryAfterHeaders(
+                        call.requestId(), ResumptionPolicy.RETRY_AFTER_MILLIS),
                 EndpointProtocol.emptyBody());
     }
 }
--- a/ebonyrun-daemon/src/test/java/org/ebonyrun/daemon/hosted/EndpointRecordsTest.java
+++ b/ebonyrun-daemon/src/test/java/org/ebonyrun/daemon/hosted/EndpointRecordsTest.java
@@ -54,7 +54,7 @@
 
     private static String record(long born) {
         return "{\"service\":\"s\",\"addr\":\"10.0.0.9:80\",\"zone\":\"a\",\"slots\":8,"
-                + "\"state\":\"ready\",\"born\":"
+                + "\"version\":\"v1\",\"seq\":1,\"state\":\"ready\",\"born\":"
                 + born
                 + "}";
     }
@@ -91,7 +91,7 @@
                 "{\"service\":\"s\"}",
                 "{\"service\":\"s\",\"addr\":7,\"zone\":\"a\",\"slots\":8,\"state\":\"ready\"}",
                 "{\"service\":\"s\",\"addr\":\"10.0.0.9:80\",\"zone\":\"a\",\"slots\":8,"
-                        + "\"state\":\"odd\"}"
+                        + "\"version\":\"v1\",\"seq\":1,\"state\":\"odd\"}"
             })
     void anUnreadableRecordNamesNoEndpointAndTheOthersHold(String value) {
         change("a", record(100));
--- a/ebonyrun-daemon/src/test/java/org/ebonyrun/daemon/hosted/ScalingControllerTest.java
+++ b/ebonyrun-daemon/src/test/java/org/ebonyrun/daemon/hosted/ScalingControllerTest.java
@@ -299,7 +299,8 @@
         load("vm1", 0, 8, 2);
         start();
         for (int step = 1; step <= 4; step++) {
-            mController.onStep(new StepManifest("h", "/p", "m", step, 0, 96, step * 4_000L), mNow);
+            mController.onStep(
+                    new StepManifest("h", "/p", "m", step, 0, 96, null, step * 4_000L), mNow);
         }
         run(3);
 
--- a/ebonyrun-daemon/src/test/java/org/ebonyrun/daemon/hosted/StubContext.java
+++ b/ebonyrun-daemon/src/test/java/org/ebonyrun/daemon/hosted/StubContext.java
@@ -9,6 +9,7 @@
 import org.ebonyrun.core.fleet.LimitNotice;
 import org.ebonyrun.core.policy.Policy;
 import org.ebonyrun.core.route.Route;
+import org.ebonyrun.core.workspace.Workspaces;
 
 /**
  * A base class of fake contexts, which run tasks at once and have an available store: a test
@@ -98,6 +99,11 @@
         throw new UnsupportedOperationException("hasConfiguration");
     }
 
+    @Override
+    public Workspaces workspaces() {
+        throw new UnsupportedOperationException("workspaces");
+    }
+
     @Override
     public Optional<Route> routeOf(StepManifest manifest) {
         throw new UnsupportedOperationException("routeOf " + manifest);
