--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/FrontHandler.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/FrontHandler.java
@@ -13,6 +13,7 @@
 import org.ebonyrun.base.result.Result;
 import org.ebonyrun.base.time.Nanos;
 import org.ebonyrun.core.call.CallSpec;
+import org.ebonyrun.core.route.CallerLimits;
 import org.ebonyrun.core.route.Route;
 import org.ebonyrun.core.route.RouteKind;
 import org.ebonyrun.core.route.RouteTable;
@@ -28,6 +29,7 @@
 import org.ebonyrun.platform.ResultsEncoder;
 import org.ebonyrun.platform.StepDecoder;
 import org.ebonyrun.ports.http.FrontExchange;
+import org.ebonyrun.ports.http.FrontLimits;
 import org.ebonyrun.ports.http.FrontListener;
 import org.ebonyrun.ports.http.HttpHeaders;
 import org.ebonyrun.ports.store.CommitResult;
@@ -441,4 +443,13 @@
         to.respond(
                 UNAVAILABLE, FrontProtocol.retryAfterHeaders("", RETRY_AFTER_MILLIS), EMPTY_BODY);
     }
+
+    /** Returns the limits of the front's connections under the configured limits for callers. */
+    static FrontLimits limits(CallerLimits limits) {
+        return new FrontLimits(
+                limits.maxHeaderBytes(),
+                limits.maxBodyBytes(),
+                limits.headerTimeoutMillis(),
+                limits.idleTimeoutMillis());
+    }
 }
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/HostedEntry.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/HostedEntry.java
@@ -6,7 +6,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.PriorityQueue;
 import java.util.Random;
 import java.util.TreeMap;
 import java.util.concurrent.CountDownLatch;
@@ -26,7 +25,6 @@
 import org.ebonyrun.core.fleet.Fleet;
 import org.ebonyrun.core.fleet.LimitNotice;
 import org.ebonyrun.core.policy.Policy;
-import org.ebonyrun.core.route.CallerLimits;
 import org.ebonyrun.core.route.Route;
 import org.ebonyrun.core.route.RouteKind;
 import org.ebonyrun.core.route.RouteTable;
@@ -74,15 +72,11 @@
     // The index of the watch that reads the configuration.
     private static final int OPERATOR_WATCH = 0;
 
-    /** A task that is due at a time of the monotonic clock. */
-    private record ScheduledTask(long at, Runnable task) {}
-
     private volatile HostedSettings mSettings;
     private final EventLog mLog;
     private final EventLoop<Runnable> mEventLoop;
     private final ProcessName mProcessName;
-    private final PriorityQueue<ScheduledTask> mScheduledTasks =
-            new PriorityQueue<>((a, b) -> Long.signum(a.at() - b.at()));
+    private final ScheduledTasks mScheduledTasks = new ScheduledTasks();
     private final EntryMetrics mMetrics = new EntryMetrics();
     private final AnomalyLog mAnomalies;
     private final Fleet mFleet = Fleet.create();
@@ -119,14 +113,7 @@
         mLog = log;
         mAnomalies = new AnomalyLog(log, mMetrics, task -> executor().execute(task));
         mProcessName = new ProcessName(settings.vm(), new Random().nextLong());
-        mEventLoop =
-                EventLoop.create(
-                        "entry",
-                        RING_CAPACITY,
-                        this,
-                        MonotonicClock.system(),
-                        TICK_NANOS,
-                        (what, e) -> mAnomalies.onException(what, e));
+        mEventLoop = newEventLoop();
         mTransport = IoTransports.create("io");
         AsyncHttpClient client =
                 AsyncHttpClient.usingTransport(mTransport, mAnomalies::onDroppedResponse);
@@ -154,16 +141,14 @@
         mPlanner =
                 new PlannerController(
                         this, client, mStore, stepStore, mFleet, () -> mSettings, mDuties);
-        mDuties.add(mPlanner);
-        mPlatformCalls = PlatformCalls.create(settings, this, mStore, mDuties, client);
-        mCalls.countUsageWith(mPlatformCalls.usageCounter());
-        ResumedCalls resumed = new ResumedCalls(this, mCalls, mStreams);
+        mPlatformCalls =
+                PlatformCalls.create(this, mStore, mDuties, mPlanner, client, mCalls, settings);
         mFront =
                 new FrontHandler(
                         this,
                         mKeys,
                         mCalls,
-                        resumed,
+                        new ResumedCalls(this, mCalls, mStreams),
                         mStepOwnership,
                         stepStore,
                         () -> mRoutes,
@@ -172,13 +157,22 @@
         mFront.setReader(mStepReader);
         mSamples.bind(mCalls, mStepOwnership, mStepReader);
         addWatches();
-        mTransport.start();
-        bindOperatorServers(settings);
+        startTransport(settings);
         mFrontServer =
                 FrontServer.bind(
                         mTransport, settings.front(), mFront.listener(executor()), () -> mLimits);
     }
 
+    private EventLoop<Runnable> newEventLoop() {
+        return EventLoop.create(
+                "entry",
+                RING_CAPACITY,
+                this,
+                MonotonicClock.system(),
+                TICK_NANOS,
+                (what, e) -> mAnomalies.onException(what, e));
+    }
+
     private AdmissionPolicy admissionPolicy() {
         return mSettings.limits().admission();
     }
@@ -216,7 +210,8 @@
                         mCrashes::onChange));
     }
 
-    private void bindOperatorServers(HostedSettings settings) throws IOException {
+    private void startTransport(HostedSettings settings) throws IOException {
+        mTransport.start();
         FrontServer.bind(
                 mTransport, settings.ready(), new ReadinessHandler(this::isReady), () -> mLimits);
         FrontServer.bind(
@@ -255,7 +250,7 @@
 
     @Override
     public void schedule(long nanos, Runnable task) {
-        mScheduledTasks.add(new ScheduledTask(System.nanoTime() + nanos, task));
+        mScheduledTasks.add(System.nanoTime() + nanos, task);
     }
 
     @Override
@@ -371,9 +366,7 @@
 
     @Override
     public void onTick(long now) {
-        while (!mScheduledTasks.isEmpty() && now - mScheduledTasks.peek().at() >= 0) {
-            mScheduledTasks.poll().task().run();
-        }
+        mScheduledTasks.onTick(now);
         mHealth.onTick(now);
         mWatches.forEach(watch -> watch.onTick(now));
         mLease.onTick(needsLease(), now);
@@ -492,13 +485,7 @@
             return;
         }
         mRoutes = routes;
-        CallerLimits limits = routes.limits();
-        mLimits =
-                new FrontLimits(
-                        limits.maxHeaderBytes(),
-                        limits.maxBodyBytes(),
-                        limits.headerTimeoutMillis(),
-                        limits.idleTimeoutMillis());
+        mLimits = FrontHandler.limits(routes.limits());
         mPlanner.machine().onRoutes(routes, configured.singleVersion());
         mFront.onConfigurationChanged(System.nanoTime());
         mLog.write(
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/PlatformCalls.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/PlatformCalls.java
@@ -5,7 +5,6 @@
 import org.ebonyrun.base.time.MonotonicClock;
 import org.ebonyrun.base.time.Nanos;
 import org.ebonyrun.core.duty.DutyRules;
-import org.ebonyrun.core.usage.UsageCounter;
 import org.ebonyrun.core.usage.UsageTimes;
 import org.ebonyrun.platform.PlatformDuties;
 import org.ebonyrun.ports.duty.DutyApi;
@@ -50,13 +49,16 @@
         return new DutyHolder(context, sharedStore, rules, !settings.firstStart(), random);
     }
 
-    /** Creates the duties that the settings name, and adds them to the holder. */
+    /** Adds the planner and the duties that the settings name to the holder. */
     static PlatformCalls create(
-            HostedSettings settings,
             HostedContext context,
             SharedStore sharedStore,
             DutyHolder holder,
-            AsyncHttpClient client) {
+            PlannerController planner,
+            AsyncHttpClient client,
+            CallController calls,
+            HostedSettings settings) {
+        holder.add(planner);
         DutySettings duties = settings.duties();
         if (duties == null) {
             return new PlatformCalls(null, null, null);
@@ -78,7 +80,9 @@
                 UsageTimes.of(window, duties.usageLateMillis(), MAX_CLAIM_MILLIS + quiet);
         UsageController usage = new UsageController(context, sharedStore, holder, api, times);
         holder.add(usage);
-        return new PlatformCalls(api, new UsageRecorder(context, sharedStore, window), usage);
+        UsageRecorder recorder = new UsageRecorder(context, sharedStore, window);
+        calls.countUsageWith(recorder.counter());
+        return new PlatformCalls(api, recorder, usage);
     }
 
     /** Returns the interface through which duties call the platform; null if there is none. */
@@ -86,11 +90,6 @@
         return mApi;
     }
 
-    /** Returns the counter to be told of callers' calls. */
-    UsageCounter usageCounter() {
-        return mUsageRecorder == null ? UsageCounter.NONE : mUsageRecorder.counter();
-    }
-
     void onTick() {
         if (mUsageRecorder != null) {
             mUsageRecorder.onTick(System.currentTimeMillis());
