Keep the counts of usage by time, and bound them while the store is away

With windows of 500 ms the six windows kept were 3 s: a reporter that came later missed counts. At least 15 s are kept now, within MAX_WINDOWS (windows shorter than 250 ms are kept for less). Counts were pruned only in takeDue, which the recorder skips while the store is away, so they grew with the outage; they are pruned with each call that is sent, too. Tests: shortWindowsAreKeptByTimeWithinABound (3 of 4 cases) and countsOfALongOutageAreBoundedAlthoughNothingIsStored failed before.

--- a/ebonyrun-core/src/main/java/org/ebonyrun/core/usage/UsageCounts.java
+++ b/ebonyrun-core/src/main/java/org/ebonyrun/core/usage/UsageCounts.java
@@ -14,8 +14,8 @@
  *
  * <p>Invariants: a call counts once, in the window of its first attempt that was not rejected as
  * not run; the counts of a window are stored after its end, and again when a later rejection
- * changes them; windows are kept until they are both stored and {@link #KEPT_WINDOWS} old, and not
- * longer than {@link #MAX_WINDOWS}.
+ * changes them; windows are kept until they are both stored and, at least, {@link #KEPT_WINDOWS}
+ * and {@link #KEPT_MILLIS} old, and not longer than {@link #MAX_WINDOWS}.
  *
  * <p>The load is two events a call and one write a window in which calls were sent. Memory: one
  * record for each open call, and one number for each workspace and kept window.
@@ -26,7 +26,10 @@
     /** How many windows are stored together, so that a reporter may come late or miss a write. */
     public static final int KEPT_WINDOWS = 6;
 
-    /** How many windows are kept while they can't be stored. */
+    /** For how long windows are stored at least, within {@link #MAX_WINDOWS}. */
+    public static final long KEPT_MILLIS = 15_000;
+
+    /** How many windows are kept at most. */
     public static final int MAX_WINDOWS = 60;
 
     // Endpoints reject what they don't run within milliseconds.
@@ -46,6 +49,7 @@
 
     private final long mWindowMillis;
     private final long mSpreadMillis;
+    private final long mKeptWindows;
     private final Map<Long, OpenCall> mOpenCalls = new HashMap<>();
     private final WindowCounts mCounts = WindowCounts.create();
     // The windows whose counts have changed since they were stored last.
@@ -58,6 +62,7 @@
     private UsageCounts(long windowMillis, long spreadMillis) {
         mWindowMillis = windowMillis;
         mSpreadMillis = spreadMillis;
+        mKeptWindows = Math.max(KEPT_WINDOWS, (KEPT_MILLIS + windowMillis - 1) / windowMillis);
     }
 
     /**
@@ -85,6 +90,7 @@
     @Override
     public void onSent(long call, WorkspaceName workspace, long attempt, long wallMillis) {
         long window = Math.floorDiv(wallMillis, mWindowMillis);
+        prune(wallMillis);
         OpenCall open = mOpenCalls.computeIfAbsent(call, id -> new OpenCall(workspace));
         if (open.mWindows.isEmpty()) {
             add(window, workspace, 1);
@@ -137,8 +143,7 @@
         if (!ended || mPending || (wallMillis < mNextTryAt && !stopping)) {
             return false;
         }
-        mCounts.removeBefore(firstKept(wallMillis));
-        mUnstored.headSet(firstKept(wallMillis)).clear();
+        prune(wallMillis);
         mStoring = new TreeSet<>(mUnstored);
         if (mStoring.isEmpty()) {
             return false;
@@ -148,10 +153,17 @@
         return true;
     }
 
+    /** Removes windows that are no longer kept, also while the store is away. */
+    private void prune(long wallMillis) {
+        long first = firstKept(wallMillis);
+        mCounts.removeBefore(first);
+        mUnstored.headSet(first).clear();
+    }
+
     private long firstKept(long wallMillis) {
         long current = Math.floorDiv(wallMillis, mWindowMillis);
         long unstored = mUnstored.isEmpty() ? current : mUnstored.first();
-        return Math.max(current - MAX_WINDOWS, Math.min(unstored, current - KEPT_WINDOWS));
+        return Math.max(current - MAX_WINDOWS, Math.min(unstored, current - mKeptWindows));
     }
 
     /** Handles the outcome of storing the counts. */
--- a/ebonyrun-core/src/test/java/org/ebonyrun/core/usage/UsageCountsTest.java
+++ b/ebonyrun-core/src/test/java/org/ebonyrun/core/usage/UsageCountsTest.java
@@ -2,10 +2,13 @@
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
 
 import java.util.Map;
 import org.ebonyrun.base.id.WorkspaceName;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 
 class UsageCountsTest {
     private static final WorkspaceName ONE = WorkspaceName.of("one");
@@ -144,6 +147,19 @@
         assertThat(mCounts.counts().windows().size(), is(UsageCounts.MAX_WINDOWS));
     }
 
+    @Test
+    void countsOfALongOutageAreBoundedAlthoughNothingIsStored() {
+        for (long window = 0; window < 500; window++) {
+            send(window, ONE, window, window * WINDOW);
+            mCounts.onCallEnd(window);
+        }
+
+        assertThat(
+                mCounts.counts().windows().size(), lessThanOrEqualTo(UsageCounts.MAX_WINDOWS + 1));
+        assertThat(mCounts.takeDue(START + 501 * WINDOW, false), is(true));
+        assertThat(mCounts.counts().windows().lastKey(), is(699L));
+    }
+
     @Test
     void storedWindowsAreKeptForALateReporterOnly() {
         for (long window = 0; window < 20; window++) {
@@ -156,6 +172,22 @@
         assertThat(mCounts.counts().windows().lastKey(), is(219L));
     }
 
+    @ParameterizedTest
+    @CsvSource({"500, 30", "1000, 15", "10, 60", "10000, 6"})
+    void shortWindowsAreKeptByTimeWithinABound(long length, int kept) {
+        UsageCounts counts = UsageCounts.create(length, 0);
+        for (long window = 0; window < 200; window++) {
+            long end = START + (window + 1) * length;
+            counts.onSent(window, ONE, window, end - length);
+            counts.onCallEnd(window);
+            if (counts.takeDue(end, true)) {
+                counts.onStored(true, end);
+            }
+        }
+
+        assertThat(counts.counts().windows().size(), is(kept));
+    }
+
     @Test
     void aRejectionThatComesAfterTheWindowWasRemovedIsIgnored() {
         send(1, ONE, 1, 0);
