Ignore late responses to claims of the role that have ended

A response that came after the removal of the key, or after another process's claim, had been seen made the process act under the old fence. The role keeps the last revision at which the key was not its own, and acquires only above it. Tests: aLateResponseToAClaimThatHasEndedIsIgnored (both cases) failed before; Usage*Test and Duty*Test of core pass.

--- a/ebonyrun-core/src/main/java/org/ebonyrun/core/duty/DutyRole.java
+++ b/ebonyrun-core/src/main/java/org/ebonyrun/core/duty/DutyRole.java
@@ -35,6 +35,8 @@
     private boolean mDraining;
     private long mNextClaimAt;
     private long mFence;
+    // The last revision at which the key was seen to be gone or another process's.
+    private long mLastOtherRevision;
     private long mQuietUntil;
     private boolean mWasHolder;
     private long mReleasedAt;
@@ -95,6 +97,9 @@
         if (key == RoleKey.OTHER || key == RoleKey.EARLIER_PROCESS) {
             mHasPredecessor = true;
         }
+        if (key != RoleKey.OWN) {
+            mLastOtherRevision = Math.max(mLastOtherRevision, revision);
+        }
         if (mHolding && key != RoleKey.OWN && revision > mFence) {
             release(false, "the planner's key is " + holder, now);
         }
@@ -105,7 +110,7 @@
         noteSuspension(now, wallMillis);
         boolean inherited = key == RoleKey.EARLIER_PROCESS;
         boolean idle = !mHolding && !mClaiming && !mDraining;
-        if (idle && key == RoleKey.OWN && revision > mFence) {
+        if (idle && key == RoleKey.OWN && isNew(revision)) {
             // The response to the claim was lost.
             acquire(revision, now);
         } else if (idle && (key == RoleKey.ABSENT || inherited)) {
@@ -140,11 +145,16 @@
     /** Handles a claim that the store has committed. */
     public void onClaimed(long fence, long now) {
         mClaiming = false;
-        if (fence > mFence) {
+        if (isNew(fence)) {
             acquire(fence, now);
         }
     }
 
+    /** Returns whether a claim was neither held before nor seen to have ended. */
+    private boolean isNew(long fence) {
+        return fence > mFence && fence > mLastOtherRevision;
+    }
+
     /** Handles a claim that failed or whose outcome is unknown. */
     public void onClaimFailed(long now) {
         mClaiming = false;
--- a/ebonyrun-core/src/test/java/org/ebonyrun/core/duty/DutyRoleTest.java
+++ b/ebonyrun-core/src/test/java/org/ebonyrun/core/duty/DutyRoleTest.java
@@ -10,6 +10,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.EnumSource;
 
 class DutyRoleTest {
     private static final long SECOND = Nanos.PER_SECOND;
@@ -141,6 +142,25 @@
         assertThat(role.fence(), is(8L));
     }
 
+    @ParameterizedTest
+    @EnumSource(
+            value = RoleKey.class,
+            names = {"ABSENT", "OTHER"})
+    void aLateResponseToAClaimThatHasEndedIsIgnored(RoleKey after) {
+        DutyRole role = role(true, false);
+        tick(role, RoleKey.ABSENT, 0);
+        advance(SECOND);
+        tick(role, RoleKey.ABSENT, 0);
+        role.onKeyChanged(RoleKey.OWN, 7, "edge-1/1", mNow);
+        role.onKeyChanged(after, 8, "gone or edge-2/1", mNow);
+        role.onClaimed(7, mNow);
+
+        assertThat(role.isHolding(), is(false));
+        assertThat(mOutputs, is(List.of("claim")));
+        role.onClaimed(9, mNow);
+        assertThat(role.isHolding(), is(true));
+    }
+
     @Test
     void anEarlierProcessOfTheVmIsReplacedAtOnce() {
         DutyRole role = role(false, true);
