End the role with the lease that its key hangs on

A lease that had expired was replaced without a word, so that a role or a permit could outlive it: onLost now runs first, and a claim committed under a lease that was replaced meanwhile counts as failed. Who asked for a lease during a renewal was never answered if the lease had expired by then; it now gets the renewed lease or a new one. Tests: the four cases of EntryLeaseTest failed before. The change in DutyHolder has no test of its own.

--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/DutyHolder.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/DutyHolder.java
@@ -194,11 +194,14 @@
                                 .expect(StoreKeys.PLANNER, replaced.getAsLong())
                                 .write(StoreKeys.PLANNER, value, lease)
                                 .build())
-                .thenAcceptAsync(mContext.callback(this::onClaimed), mContext.executor());
+                .thenAcceptAsync(
+                        mContext.callback(result -> onClaimed(lease, result)), mContext.executor());
     }
 
-    private void onClaimed(Result<CommitResult> result) {
-        long fence = result.fold(this::fence, fault -> 0L);
+    private void onClaimed(long lease, Result<CommitResult> result) {
+        // A key under a lease that was replaced meanwhile goes with it.
+        boolean current = lease == mContext.lease().id();
+        long fence = current ? result.fold(commit -> fence(lease, commit), fault -> 0L) : 0;
         if (fence == 0) {
             mRole.onClaimFailed(System.nanoTime());
         } else {
@@ -206,12 +209,12 @@
         }
     }
 
-    private long fence(CommitResult commit) {
+    private long fence(long lease, CommitResult commit) {
         if (commit.isCommitted()) {
             return commit.revision();
         }
         for (StoreItem item : commit.current()) {
-            if (isOwn(item)) {
+            if (isOwn(item) && item.lease() == lease) {
                 return item.revision();
             }
         }
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/EntryLease.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/EntryLease.java
@@ -140,6 +140,7 @@
         }
         result.fold(
                 lease -> {
+                    loseReplaced();
                     mId = lease.id();
                     mConfirmedAt = sentAt;
                     mExpiresAt = sentAt + Nanos.ofMillis(lease.ttlMillis());
@@ -151,17 +152,50 @@
                     mLog.write(LogLine.of("lease.refused").with("fault", fault.detail()));
                     return null;
                 });
-        List<LongConsumer> waiters = List.copyOf(mWaiters);
-        mWaiters.clear();
-        long id = result.isOk() ? mId : 0;
-        waiters.forEach(waiter -> waiter.accept(id));
+        passToWaiters(result.isOk() ? mId : 0);
+    }
+
+    /** Reports the loss of a lease that expired here, whose keys may still be in the store. */
+    private void loseReplaced() {
+        if (mId == 0) {
+            return;
+        }
+        mLog.write(LogLine.of("lease.replaced").with("lease", mId));
+        mId = 0;
+        // Who acquires a lease now waits for the one that was granted.
+        mCallPending = true;
+        mOnLost.run();
+        mCallPending = false;
     }
 
     private void onRenewed(long id, Result<Boolean> result, long sentAt) {
         mCallPending = false;
-        if (id != mId) {
+        if (id == mId) {
+            applyRenewal(id, result, sentAt);
+        }
+        serveWaiters(System.nanoTime());
+    }
+
+    /** Serves those who have asked for a lease during a renewal. */
+    private void serveWaiters(long now) {
+        if (mWaiters.isEmpty() || mCallPending) {
             return;
         }
+        if (isValid(now)) {
+            passToWaiters(mId);
+        } else {
+            mGrantAttempts = 0;
+            grant(now);
+        }
+    }
+
+    private void passToWaiters(long id) {
+        List<LongConsumer> waiters = List.copyOf(mWaiters);
+        mWaiters.clear();
+        waiters.forEach(waiter -> waiter.accept(id));
+    }
+
+    private void applyRenewal(long id, Result<Boolean> result, long sentAt) {
         result.fold(
                 alive -> {
                     if (alive) {
