--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/CallController.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/CallController.java
@@ -25,6 +25,7 @@
 import org.ebonyrun.core.stream.StreamAdmission;
 import org.ebonyrun.core.stream.StreamId;
 import org.ebonyrun.core.stream.StreamResumption;
+import org.ebonyrun.core.usage.UsageCounter;
 import org.ebonyrun.platform.EndpointProtocol;
 import org.ebonyrun.platform.FrontProtocol;
 import org.ebonyrun.ports.http.AsyncHttpClient;
@@ -73,6 +74,7 @@
     // its response may still be delivered.
     private final Map<Long, Long> mErrorAttempts = new HashMap<>();
     private final Map<Long, Integer> mErrorCounts = new HashMap<>();
+    private UsageCounter mUsage = UsageCounter.NONE;
     private long mLastCallId;
 
     CallController(
@@ -96,6 +98,11 @@
         return ++mLastCallId;
     }
 
+    /** Tells a counter of the attempts of callers' calls that have a workspace. */
+    void countUsageWith(UsageCounter usage) {
+        mUsage = usage;
+    }
+
     /** Starts a call on behalf of a caller. */
     void onCall(CallSpec spec, FrontExchange caller, long now) {
         CallClient client = new CallClient(spec, caller, null, null);
@@ -145,6 +152,7 @@
             noteBrokenStream(call);
             noteUnanswered(call);
             mClients.remove(call);
+            mUsage.onCallEnd(call);
             mMachine.onAbandoned(call, now);
             removeErrors(call);
         }
@@ -253,6 +261,9 @@
                                             .with("after", resumed.lastEvent()));
         }
         mContext.log().write(EndpointExchange.withLimit(line, endpoint));
+        if (client.caller() != null && call.workspace() != null) {
+            mUsage.onSent(call.id(), call.workspace(), attempt, System.currentTimeMillis());
+        }
         mHttpClient.send(request, exchange);
     }
 
@@ -413,6 +424,7 @@
         if (client != null && client.caller() != null) {
             mCallIds.remove(client.caller());
         }
+        mUsage.onCallEnd(call.id());
         removeErrors(call.id());
         return client;
     }
@@ -565,6 +577,9 @@
         }
         mContext.log().write(exchange.withConnection(line));
         mSpecs.remove(exchange.attempt());
+        if (outcome.isNotRun()) {
+            mUsage.onNotRun(call.id(), exchange.attempt());
+        }
         if (outcome == AttemptOutcome.SERVER_ERROR) {
             mErrorCounts.merge(call.id(), 1, Integer::sum);
             Long previous = mErrorAttempts.put(call.id(), exchange.attempt());
