Wire the orders of endpoints into the entry

Only where the settings name the duty scale, and then only for services whose configuration has bounds. HostedScalingTest: two entries against a stand-in order what the bounds ask for, and repeat an order without a reply whole.

--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/DutyHolder.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/DutyHolder.java
@@ -56,6 +56,13 @@
         mDuties.add(duty);
     }
 
+    /** Adds a duty unless it is null. */
+    void addIfPresent(@Nullable Duty duty) {
+        if (duty != null) {
+            add(duty);
+        }
+    }
+
     /** Returns whether this entry has the role. */
     boolean holdsRole() {
         return mRole.isHolding();
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/HostedEntry.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/HostedEntry.java
@@ -95,6 +95,7 @@
     private final DutyHolder mDuties;
     private final PlannerController mPlanner;
     private final PlatformCalls mPlatformCalls;
+    private final EndpointScaling mScaling;
     private final FrontHandler mFront;
     private final TCPNIOTransport mTransport;
     private final FrontServer mFrontServer;
@@ -143,6 +144,8 @@
                         this, client, mStore, stepStore, mFleet, () -> mSettings, mDuties);
         mPlatformCalls =
                 PlatformCalls.create(this, mStore, mDuties, mPlanner, client, mCalls, settings);
+        mScaling = newScaling(settings);
+        mDuties.addIfPresent(mScaling.duty());
         mFront =
                 new FrontHandler(
                         this,
@@ -181,6 +184,11 @@
         return mWatches.get(OPERATOR_WATCH).silenceNanos(now);
     }
 
+    private EndpointScaling newScaling(HostedSettings settings) {
+        return EndpointScaling.create(
+                this, mStore, mFleet, mCalls, settings.vm().value(), mPlatformCalls.scalingApi());
+    }
+
     private void addWatches() {
         StoreWatchFactory watches = new StoreWatchFactory(mStore, executor(), mHealth);
         EndpointRecords endpoints =
@@ -281,6 +289,7 @@
         gauges.put("ebonyrun_entry_store_away", mHealth.isUnavailable() ? 1.0 : 0.0);
         gauges.put("ebonyrun_entry_planner", mDuties.holdsRole() ? 1.0 : 0.0);
         mPlatformCalls.addGauges(gauges);
+        mScaling.addGauges(gauges);
         gauges.put("ebonyrun_entry_log_lines_dropped", (double) mLog.dropped());
         return gauges;
     }
@@ -374,6 +383,7 @@
         mStepOwnership.onTick(mDirectory.ownedOrClaimableBy(mProcessName), now);
         mDuties.onTick(now);
         mPlatformCalls.onTick();
+        mScaling.onTick(now);
         mPermits.machine().onTick(now);
         mCrashes.onTick(mDuties.holdsRole(), now);
         mStreams.onTick(now);
@@ -489,12 +499,14 @@
         mLimits = FrontHandler.limits(routes.limits());
         mPlanner.machine().onRoutes(routes, configured.singleVersion());
         mFront.onConfigurationChanged(System.nanoTime());
+        mScaling.onConfigured(configured.scaling(), System.nanoTime());
         mLog.write(
                 LogLine.of("config.applied")
                         .with("version", routes.version())
                         .with("routes", routes.size())
                         .with("workspaces", routes.workspaces().size())
-                        .with("keys", routes.workspaces().keyCount()));
+                        .with("keys", routes.workspaces().keyCount())
+                        .with("scaled", configured.scaling().size()));
     }
 
     private void onStepSnapshot(List<StoreItem> items) {
@@ -523,6 +535,7 @@
         if (status != null && status.mManifest != null && key.endsWith(StoreKeys.MANIFEST)) {
             StepManifest manifest = status.mManifest;
             mPlanner.machine().onStep(manifest.model(), manifest.number(), manifest.minVersion());
+            mScaling.onStep(manifest, System.nanoTime());
         }
     }
 
@@ -577,6 +590,7 @@
             sleepLatch.await(DRAIN_POLL_MILLIS, TimeUnit.MILLISECONDS);
         }
         mEventLoop.post(mPlatformCalls::flush);
+        mEventLoop.post(() -> mScaling.flush(System.nanoTime()));
         mEventLoop.post(mLease::release);
         sleepLatch.await(DRAIN_POLL_MILLIS, TimeUnit.MILLISECONDS);
         mLog.write(LogLine.of("stopped").with("busy", mFrontServer.busyConnectionCount()));
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/PlatformCalls.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/PlatformCalls.java
@@ -23,14 +23,17 @@
     private static final long MAX_CLAIM_MILLIS = EntryLease.TTL_MILLIS + 2_000;
 
     private final @Nullable DutyApi mApi;
+    private final boolean mScales;
     private final @Nullable UsageRecorder mUsageRecorder;
     private final @Nullable UsageController mUsage;
 
     private PlatformCalls(
             @Nullable DutyApi api,
+            boolean scales,
             @Nullable UsageRecorder usageRecorder,
             @Nullable UsageController usage) {
         mApi = api;
+        mScales = scales;
         mUsageRecorder = usageRecorder;
         mUsage = usage;
     }
@@ -61,7 +64,7 @@
         holder.add(planner);
         DutySettings duties = settings.duties();
         if (duties == null) {
-            return new PlatformCalls(null, null, null);
+            return new PlatformCalls(null, false, null, null);
         }
         DutyApi platform =
                 PlatformDuties.create(
@@ -71,8 +74,9 @@
                         duties.callsPerSecond(),
                         MonotonicClock.system());
         DutyApi api = new DutyCalls(context, holder, platform);
+        boolean scales = duties.has(DutySettings.SCALE);
         if (!duties.has(DutySettings.USAGE)) {
-            return new PlatformCalls(api, null, null);
+            return new PlatformCalls(api, scales, null, null);
         }
         long window = duties.usageWindowMillis();
         long quiet = duties.fenced() ? 0 : duties.leaseMillis();
@@ -82,12 +86,12 @@
         holder.add(usage);
         UsageRecorder recorder = new UsageRecorder(context, sharedStore, window);
         calls.countUsageWith(recorder.counter());
-        return new PlatformCalls(api, recorder, usage);
+        return new PlatformCalls(api, scales, recorder, usage);
     }
 
-    /** Returns the interface through which duties call the platform; null if there is none. */
-    @Nullable DutyApi api() {
-        return mApi;
+    /** Returns the interface through which endpoints are ordered; null if that is no duty. */
+    @Nullable DutyApi scalingApi() {
+        return mScales ? mApi : null;
     }
 
     void onTick() {
