Withdraw the keys of waiting calls all at once

What callers saw: of two calls of one withdrawn key that waited for their next try, the second could still run. Cause: calls were marked one by one, and the end of the first sent the others that had not been marked yet. Now all are marked, then all end, then the others are sent once.

callsThatWaitForTheNextTryAreRefusedTogether fails with the marking one by one (outcomes {1=key refused} instead of both), passes now. The other tests of WithdrawnKeyTest only call the method by its new name.

--- a/ebonyrun-core/src/main/java/org/ebonyrun/core/call/CallMachine.java
+++ b/ebonyrun-core/src/main/java/org/ebonyrun/core/call/CallMachine.java
@@ -1,6 +1,7 @@
 package org.ebonyrun.core.call;
 
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
@@ -128,16 +129,24 @@
     }
 
     /**
-     * Handles that a caller's key was withdrawn: endpoints that run the call finish, and no other
-     * one starts it.
+     * Handles that callers' keys were withdrawn: endpoints that run their calls finish, and no
+     * other one starts them.
      */
-    public void onKeyWithdrawn(long id, long now) {
-        PendingCall call = mCalls.get(id);
-        if (call != null) {
-            call.mKeyWithdrawn = true;
-            advance(call, now);
-            sendWaiting(now);
+    public void onKeysWithdrawn(Collection<Long> ids, long now) {
+        // None of them may be sent in the place that another one leaves.
+        List<PendingCall> withdrawn = new ArrayList<>();
+        for (Long id : ids) {
+            PendingCall call = mCalls.get(id);
+            if (call != null) {
+                call.mKeyWithdrawn = true;
+                withdrawn.add(call);
+            }
+        }
+        if (withdrawn.isEmpty()) {
+            return;
         }
+        withdrawn.forEach(call -> advance(call, now));
+        sendWaiting(now);
     }
 
     /**
--- a/ebonyrun-core/src/test/java/org/ebonyrun/core/call/WithdrawnKeyTest.java
+++ b/ebonyrun-core/src/test/java/org/ebonyrun/core/call/WithdrawnKeyTest.java
@@ -4,6 +4,8 @@
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.nullValue;
 
+import java.util.List;
+import java.util.Map;
 import org.ebonyrun.base.id.FailureDomain;
 import org.ebonyrun.base.id.WorkspaceName;
 import org.ebonyrun.base.time.Nanos;
@@ -56,7 +58,7 @@
         start(1, RouteKind.ONCE, 1);
         start(2, RouteKind.ONCE, 1);
         start(3, RouteKind.ONCE, 1);
-        mMachine.onKeyWithdrawn(2, 0);
+        mMachine.onKeysWithdrawn(List.of(2L), 0);
         mMachine.onAttemptEnd(mOutputs.last().attempt(), AttemptOutcome.ANSWERED, HEDGE_AT);
 
         assertThat(mOutputs.mOutcomes.get(2L), is("key refused"));
@@ -64,6 +66,21 @@
         assertThat(mMachine.callCount(), is(1));
     }
 
+    @Test
+    void callsThatWaitForTheNextTryAreRefusedTogether() {
+        addEndpoints(1, 4);
+        start(1, RouteKind.ONCE, 1);
+        mMachine.onAttemptEnd(1, AttemptOutcome.NOT_RUN, 1);
+        start(2, RouteKind.ONCE, 1);
+        mMachine.onAttemptEnd(2, AttemptOutcome.NOT_RUN, 2);
+        int sent = mOutputs.mSent.size();
+        mMachine.onKeysWithdrawn(List.of(1L, 2L), HEDGE_AT);
+
+        assertThat(mOutputs.mOutcomes, is(Map.of(1L, "key refused", 2L, "key refused")));
+        assertThat(mOutputs.mSent.size(), is(sent));
+        assertThat(mMachine.callCount(), is(0));
+    }
+
     @ParameterizedTest
     @CsvSource({
         "ANSWERED, delivered 1",
@@ -76,7 +93,7 @@
     void callAtAnEndpointFinishesThereAndNowhereElse(AttemptOutcome end, String outcome) {
         addEndpoints(2, 4);
         start(1, RouteKind.IDEMPOTENT, 1);
-        mMachine.onKeyWithdrawn(1, 0);
+        mMachine.onKeysWithdrawn(List.of(1L), 0);
         assertThat(mOutputs.mOutcomes.get(1L), is(nullValue()));
         mMachine.onTick(HEDGE_AT);
         mMachine.onAttemptEnd(1, end, HEDGE_AT);
@@ -93,7 +110,7 @@
         start(1, RouteKind.IDEMPOTENT, 1);
         mMachine.onAttemptEnd(1, AttemptOutcome.LOST, 1);
         int sent = mOutputs.mSent.size();
-        mMachine.onKeyWithdrawn(1, 1);
+        mMachine.onKeysWithdrawn(List.of(1L), 1);
         mMachine.onTick(HEDGE_AT);
 
         assertThat(mOutputs.mOutcomes.get(1L), is("failed"));
@@ -107,11 +124,11 @@
         start(1, RouteKind.RESUMABLE_STREAM, 1);
         mMachine.onStreaming(1, 1);
         if (beforeTheBreak) {
-            mMachine.onKeyWithdrawn(1, 2);
+            mMachine.onKeysWithdrawn(List.of(1L), 2);
             mMachine.onAttemptEnd(1, AttemptOutcome.LOST, 3);
         } else {
             mMachine.onAttemptEnd(1, AttemptOutcome.LOST, 2);
-            mMachine.onKeyWithdrawn(1, 3);
+            mMachine.onKeysWithdrawn(List.of(1L), 3);
         }
         mMachine.onTick(HEDGE_AT);
 
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/CallController.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/CallController.java
@@ -149,7 +149,7 @@
 
     /** Ends the calls whose keys were withdrawn, except where endpoints run them already. */
     void onKeysChanged(CallerKeys keys, long now) {
-        List<CallSpec> withdrawn = new ArrayList<>();
+        List<Long> withdrawn = new ArrayList<>();
         mClients.values()
                 .forEach(
                         client -> {
@@ -162,10 +162,10 @@
                                                     call.workspace(),
                                                     call.route().isPublic());
                             if (refused) {
-                                withdrawn.add(call);
+                                withdrawn.add(call.id());
                             }
                         });
-        withdrawn.forEach(call -> mMachine.onKeyWithdrawn(call.id(), now));
+        mMachine.onKeysWithdrawn(withdrawn, now);
     }
 
     /** Notes that the caller of a call left before the end of its response. */
