Send waiting calls whose workspace changed back with a time to come again

What callers saw: a call that waited while its key moved to another workspace, or while the configuration gained workspaces, got 401 although its key was valid, and clients do not retry a 401. A waiting call of a public route whose key had moved or was withdrawn stayed, and would have run for the former workspace. Cause: CallerKeys only knew one refusal, and left public routes out of the check altogether.

Now a call of which nothing ran gets 503 with Retry-After 0.05 where it would be admitted if it came again, else 401 as before. Only public calls without a workspace are left out of the check.

Without the change 4 cases of CallerKeysTest fail: 401 in place of 503 for a moved key and for added workspaces, and the public call with a moved and with a withdrawn key waits to its deadline (no "key moved" is counted; its own refusal has the same Retry-After, so the test reads the counter).

--- a/ebonyrun-core/src/main/java/org/ebonyrun/core/call/CallOutputs.java
+++ b/ebonyrun-core/src/main/java/org/ebonyrun/core/call/CallOutputs.java
@@ -32,7 +32,7 @@
      */
     void refuse(CallSpec call, long retryAfterMillis, String reason);
 
-    /** Responds to the caller that its key is not valid. The call did not run. */
+    /** Responds to the caller that its key was withdrawn or moved. The call did not run. */
     void refuseKey(CallSpec call);
 
     /**
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/CallController.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/CallController.java
@@ -358,7 +358,7 @@
     public void refuseKey(CallSpec call) {
         CallClient client = finish(call);
         if (client != null && client.caller() != null) {
-            mKeys.refuseKey(client.caller(), call.requestId(), "the key was withdrawn");
+            mKeys.refuseWithdrawn(client.caller(), call.requestId(), call.route().isPublic());
         }
     }
 
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/CallerKeys.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/CallerKeys.java
@@ -26,6 +26,8 @@
     private static final int UNAUTHORIZED = 401;
     private static final int UNAVAILABLE = 503;
     private static final long RETRY_AFTER_MILLIS = 1_000;
+    // The workspace that holds the key now is known already.
+    private static final long MOVED_RETRY_AFTER_MILLIS = 50;
     private static final byte[] EMPTY_BODY = new byte[0];
 
     private final HostedContext mContext;
@@ -61,12 +63,16 @@
         return mPolicy.get().decide(workspaces, isPublic, key, silence);
     }
 
-    /** Returns whether a request that was admitted may still start to run. */
+    /**
+     * Returns whether a request that was admitted may still start to run for its workspace.
+     *
+     * @param workspace the workspace for which it was admitted; null if there is none
+     */
     boolean isStillAdmitted(
             FrontExchange caller, @Nullable WorkspaceName workspace, boolean isPublic) {
         Workspaces workspaces = mContext.workspaces();
         return !workspaces.isEnabled()
-                || isPublic
+                || (isPublic && workspace == null)
                 || FrontProtocol.key(caller.headers())
                         .flatMap(workspaces::find)
                         .map(Workspace::name)
@@ -85,8 +91,24 @@
         }
     }
 
-    /** Responds that a key is not valid and that nothing ran. */
-    void refuseKey(FrontExchange caller, String id, String why) {
+    /**
+     * Responds to a request that may no longer start to run, and of which nothing ran. Its caller
+     * may come again if it is admitted now, as when its key has moved to another workspace.
+     */
+    void refuseWithdrawn(FrontExchange caller, String id, boolean isPublic) {
+        Admission admission = admit(caller, isPublic);
+        if (admission.isAdmitted()) {
+            mContext.metrics().count(EntryMetrics.CALLS, "key moved");
+            HttpHeaders headers = FrontProtocol.retryAfterHeaders(id, MOVED_RETRY_AFTER_MILLIS);
+            respond(caller, id, UNAVAILABLE, headers, "the workspace of the call has changed");
+        } else if (admission.outcome() == Admission.Outcome.OUTDATED) {
+            refuse(caller, id, admission);
+        } else {
+            refuseKey(caller, id, "the key was withdrawn");
+        }
+    }
+
+    private void refuseKey(FrontExchange caller, String id, String why) {
         mContext.metrics().count(EntryMetrics.CALLS, "key refused");
         respond(caller, id, UNAUTHORIZED, FrontProtocol.requestIdHeaders(id), why);
     }
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/FrontHandler.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/FrontHandler.java
@@ -284,7 +284,7 @@
         StepStatus known = mContext.directory().get(spec.id());
         boolean isPublic = submission.route().isPublic();
         if (!mKeys.isStillAdmitted(submission.exchange(), spec.workspace(), isPublic)) {
-            mKeys.refuseKey(submission.exchange(), submission.id(), "the key was withdrawn");
+            mKeys.refuseWithdrawn(submission.exchange(), submission.id(), isPublic);
             return;
         }
         if (known != null && known.mManifest != null) {
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/ResumedCalls.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/ResumedCalls.java
@@ -77,7 +77,7 @@
                     boolean isPublic = call.route().isPublic();
                     if (!keys.isStillAdmitted(caller, call.workspace(), isPublic)) {
                         withdrawn.add(caller);
-                        keys.refuseKey(caller, call.requestId(), "the key was withdrawn");
+                        keys.refuseWithdrawn(caller, call.requestId(), isPublic);
                     }
                 });
         withdrawn.forEach(this::onCallerDisconnected);
--- a/ebonyrun-daemon/src/test/java/org/ebonyrun/daemon/hosted/CallerKeysTest.java
+++ b/ebonyrun-daemon/src/test/java/org/ebonyrun/daemon/hosted/CallerKeysTest.java
@@ -41,6 +41,9 @@
     private static final String OTHER = StandinDeployment.workspace("other", OTHER_KEY) + "]";
     private static final String KEY_WITHDRAWN =
             "[" + StandinDeployment.workspace("one", SECOND_KEY) + "," + OTHER;
+    private static final String KEY_MOVED =
+            KEY_WITHDRAWN.replace(
+                    OTHER, StandinDeployment.workspace("other", OTHER_KEY, KEY) + "]");
     private static final String MODEL_HEADERS =
             "X-Token-Count: 540,400\r\nX-Prefix-Hash: 9c2e41:300,5d07b8:240\r\n";
 
@@ -413,6 +416,77 @@
         assertThat(mDeployment.endpoint().headersRun("c1"), is(nullValue()));
     }
 
+    /** Sends a call that waits because its endpoint rejects everything. */
+    private CompletableFuture<HttpResponse> startWaiting(String path, String id, String key) {
+        mDeployment.endpoint().rejectNext(Integer.MAX_VALUE);
+        CompletableFuture<HttpResponse> call =
+                sendAsync(mFirstFront, "POST", path, id, "", key, SOCKET_TIMEOUT_MILLIS);
+        sendUntil(response -> wasTried(path), mMetricsAddress, "GET", "/metrics", "");
+        return call;
+    }
+
+    private boolean wasTried(String path) {
+        return mDeployment.endpoint().arrivals().stream().anyMatch(a -> a.target().equals(path));
+    }
+
+    private void assertMayComeAgain(CompletableFuture<HttpResponse> call, String path, String id) {
+        HttpResponse response = call.join();
+        assertThat(response.status(), is(503));
+        assertThat(response.headers().first("Retry-After").orElse(""), is("0.05"));
+        assertThat(metric("ebonyrun_entry_calls_total{end=\"key moved\"} 1.0"), is(true));
+        mDeployment.endpoint().rejectNext(0);
+        assertThat(mDeployment.endpoint().headersRun(id), is(nullValue()));
+        assertThat(sendWithKey(mFirstFront, "POST", path, id, "", KEY).status(), is(200));
+    }
+
+    @Test
+    void callThatWaitsWhileItsKeyMovesMayComeAgain() {
+        String path = mDeployment.nonIdempotentCallPath();
+        CompletableFuture<HttpResponse> call = startWaiting(path, "c1", KEY);
+        mDeployment.configure(3, KEY_MOVED);
+
+        assertMayComeAgain(call, path, "c1");
+        assertThat(workspaces(mDeployment.endpoint().headersRun("c1")), contains("other"));
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {KEY, ""})
+    void callThatWaitsWhileWorkspacesAreAddedNeedsAKey(String key) {
+        mDeployment.configure(3);
+        awaitStatus(mFirstFront, "", 200);
+        String path = mDeployment.nonIdempotentCallPath();
+        CompletableFuture<HttpResponse> call = startWaiting(path, "c1", key);
+        mDeployment.configure(4, ONE + OTHER);
+
+        if (key.isEmpty()) {
+            assertThat(call.join().status(), is(401));
+        } else {
+            assertMayComeAgain(call, path, "c1");
+        }
+    }
+
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void publicCallDoesNotRunForTheFormerWorkspaceOfItsKey(boolean moved) {
+        String path = mDeployment.publicCallPath();
+        CompletableFuture<HttpResponse> call = startWaiting(path, "c1", KEY);
+        mDeployment.configure(3, moved ? KEY_MOVED : KEY_WITHDRAWN);
+
+        assertMayComeAgain(call, path, "c1");
+        List<String> seen = workspaces(mDeployment.endpoint().headersRun("c1"));
+        assertThat(seen, is(moved ? List.of("other") : List.of()));
+    }
+
+    @Test
+    void publicCallWithoutAKeyOutlivesAChangeOfWorkspaces() {
+        CompletableFuture<HttpResponse> call = startWaiting(mDeployment.publicCallPath(), "c1", "");
+        mDeployment.configure(3, KEY_WITHDRAWN);
+        awaitStatus(mFirstFront, KEY, 401);
+        mDeployment.endpoint().rejectNext(0);
+
+        assertThat(call.join().status(), is(200));
+    }
+
     @Test
     void submissionHeldWhileItsKeyIsWithdrawnIsNotAccepted() {
         mDeployment.platform().setFailureStatus(request -> 503);
