Let calls go on whose keys are restored

What callers saw: a key withdrawn in one configuration and restored in the next while an endpoint had the call; when that attempt ended without a run, the valid key got 401. Cause: PendingCall kept its mark. Each check of the keys now sets it both ways.

callWhoseKeyIsRestoredWhileAnEndpointHasItGoesOn was 'key refused' before.

--- a/ebonyrun-core/src/main/java/org/ebonyrun/core/call/CallMachine.java
+++ b/ebonyrun-core/src/main/java/org/ebonyrun/core/call/CallMachine.java
@@ -129,16 +129,17 @@
     }
 
     /**
-     * Handles that callers' keys were withdrawn: endpoints that run their calls finish, and no
-     * other one starts them.
+     * Handles a check of the callers' keys: endpoints that run calls whose keys are withdrawn
+     * finish, and no other one starts them.
+     *
+     * @param ids all calls whose keys are withdrawn now; those of earlier checks may have come back
      */
     public void onKeysWithdrawn(Collection<Long> ids, long now) {
         // None of them may be sent in the place that another one leaves.
         List<PendingCall> withdrawn = new ArrayList<>();
-        for (Long id : ids) {
-            PendingCall call = mCalls.get(id);
-            if (call != null) {
-                call.mKeyWithdrawn = true;
+        for (PendingCall call : mCalls.values()) {
+            call.mKeyWithdrawn = ids.contains(call.mSpec.id());
+            if (call.mKeyWithdrawn) {
                 withdrawn.add(call);
             }
         }
--- a/ebonyrun-core/src/main/java/org/ebonyrun/core/call/PendingCall.java
+++ b/ebonyrun-core/src/main/java/org/ebonyrun/core/call/PendingCall.java
@@ -28,7 +28,7 @@
     long mRetryAt;
     long mSentAt;
     boolean mStreaming;
-    // Whether the caller's key was withdrawn, so that no endpoint may run the call any more.
+    // Whether the caller's key is withdrawn, so that no other endpoint may start the call.
     boolean mKeyWithdrawn;
     // Whether the caller has a part of the stream, with which another endpoint has to go on.
     boolean mGoingOn;
--- a/ebonyrun-core/src/test/java/org/ebonyrun/core/call/WithdrawnKeyTest.java
+++ b/ebonyrun-core/src/test/java/org/ebonyrun/core/call/WithdrawnKeyTest.java
@@ -117,6 +117,20 @@
         assertThat(mOutputs.mSent.size(), is(sent));
     }
 
+    @Test
+    void callWhoseKeyIsRestoredWhileAnEndpointHasItGoesOn() {
+        addEndpoints(2, 4);
+        start(1, RouteKind.ONCE, 1);
+        mMachine.onKeysWithdrawn(List.of(1L), 1);
+        mMachine.onKeysWithdrawn(List.of(), 2);
+        mMachine.onAttemptEnd(1, AttemptOutcome.NOT_RUN, 3);
+
+        assertThat(mOutputs.mOutcomes.get(1L), is(nullValue()));
+        assertThat(mOutputs.mSent.size(), is(2));
+        mMachine.onAttemptEnd(2, AttemptOutcome.ANSWERED, 4);
+        assertThat(mOutputs.mOutcomes.get(1L), is("delivered 2"));
+    }
+
     @ParameterizedTest
     @CsvSource({"true", "false"})
     void streamThatBreaksIsNotTakenUpElsewhere(boolean beforeTheBreak) {
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/CallController.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/CallController.java
@@ -1,9 +1,9 @@
 package org.ebonyrun.daemon.hosted;
 
-import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.List;
+import java.util.HashSet;
 import java.util.Map;
+import java.util.Set;
 import org.ebonyrun.base.id.FailureDomain;
 import org.ebonyrun.base.log.LogLine;
 import org.ebonyrun.base.time.Nanos;
@@ -149,7 +149,7 @@
 
     /** Ends the calls whose keys were withdrawn, except where endpoints run them already. */
     void onKeysChanged(CallerKeys keys, long now) {
-        List<Long> withdrawn = new ArrayList<>();
+        Set<Long> withdrawn = new HashSet<>();
         mClients.values()
                 .forEach(
                         client -> {
