--- a/ebonyrun-core/src/main/java/org/ebonyrun/core/call/CallMachine.java
+++ b/ebonyrun-core/src/main/java/org/ebonyrun/core/call/CallMachine.java
@@ -1,6 +1,7 @@
 package org.ebonyrun.core.call;
 
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
@@ -140,16 +141,25 @@
     }
 
     /**
-     * Handles that a caller's key was withdrawn: endpoints that run the call finish, and no other
-     * one starts it.
+     * Handles a check of the callers' keys: endpoints that run calls whose keys are withdrawn
+     * finish, and no other one starts them.
+     *
+     * @param ids all calls whose keys are withdrawn now; those of earlier checks may have come back
      */
-    public void onKeyWithdrawn(long id, long now) {
-        PendingCall call = mCalls.get(id);
-        if (call != null) {
-            call.mKeyWithdrawn = true;
-            advance(call, now);
-            sendWaiting(now);
+    public void onKeysWithdrawn(Collection<Long> ids, long now) {
+        // None of them may be sent in the place that another one leaves.
+        List<PendingCall> withdrawn = new ArrayList<>();
+        for (PendingCall call : mCalls.values()) {
+            call.mKeyWithdrawn = ids.contains(call.mSpec.id());
+            if (call.mKeyWithdrawn) {
+                withdrawn.add(call);
+            }
         }
+        if (withdrawn.isEmpty()) {
+            return;
+        }
+        withdrawn.forEach(call -> advance(call, now));
+        sendWaiting(now);
     }
 
     /**
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/CallController.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/CallController.java
@@ -1,9 +1,9 @@
 package org.ebonyrun.daemon.hosted;
 
-import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.List;
+import java.util.HashSet;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.Consumer;
 import org.ebonyrun.base.id.FailureDomain;
 import org.ebonyrun.base.id.ServiceName;
@@ -160,7 +160,7 @@
 
     /** Ends the calls whose keys were withdrawn, except where endpoints run them already. */
     void onKeysChanged(CallerKeys keys, long now) {
-        List<CallSpec> withdrawn = new ArrayList<>();
+        Set<Long> withdrawn = new HashSet<>();
         mClients.values()
                 .forEach(
                         client -> {
@@ -173,10 +173,10 @@
                                                     call.workspace(),
                                                     call.route().isPublic());
                             if (refused) {
-                                withdrawn.add(call);
+                                withdrawn.add(call.id());
                             }
                         });
-        withdrawn.forEach(call -> mMachine.onKeyWithdrawn(call.id(), now));
+        mMachine.onKeysWithdrawn(withdrawn, now);
     }
 
     /** Notes that the caller of a call left before the end of its response. */
@@ -383,7 +383,7 @@
     public void refuseKey(CallSpec call) {
         CallClient client = finish(call);
         if (client != null && client.caller() != null) {
-            mKeys.refuseKey(client.caller(), call.requestId(), "the key was withdrawn");
+            mKeys.refuseWithdrawn(client.caller(), call.requestId(), call.route().isPublic());
         }
     }
 
