Hedge slow calls within a limit on extra work

Operators asked for fewer slow answers at some extra work, within a limit that they set. Calls were hedged after half of their target latency, as often as that came.

New setting limits.extra_work, a percentage, off by default: without it, calls are hedged as before. With it, a call gets one second attempt at another endpoint once it is slower than the fraction (1 - limit) of the calls of its route. Each entry saves its own share of its own answered calls, so that the sum keeps the limit without messages.

--- a/ebonyrun-core/src/main/java/org/ebonyrun/core/call/CallGuard.java
+++ b/ebonyrun-core/src/main/java/org/ebonyrun/core/call/CallGuard.java
@@ -39,6 +39,13 @@
         return StreamAdmission.ADMITTED;
     }
 
+    /**
+     * Returns whether a call, or one that is equal to it, has broken a connection to an endpoint.
+     */
+    default boolean hasCrashed(CallSpec call) {
+        return false;
+    }
+
     /** Returns when a caller whose call is blocked may come back, in milliseconds. */
     long retryAfterMillis();
 }
--- a/ebonyrun-core/src/main/java/org/ebonyrun/core/call/CallMachine.java
+++ b/ebonyrun-core/src/main/java/org/ebonyrun/core/call/CallMachine.java
@@ -12,6 +12,12 @@
 import org.ebonyrun.core.fleet.Endpoint;
 import org.ebonyrun.core.fleet.Fleet;
 import org.ebonyrun.core.fleet.RequestKind;
+import org.ebonyrun.core.hedge.HedgeDecision;
+import org.ebonyrun.core.hedge.HedgeScope;
+import org.ebonyrun.core.hedge.HedgeVerdict;
+import org.ebonyrun.core.hedge.Hedging;
+import org.ebonyrun.core.hedge.NoHedging;
+import org.ebonyrun.core.hedge.TargetHedging;
 import org.ebonyrun.core.policy.Mechanism;
 import org.ebonyrun.core.policy.Policy;
 import org.ebonyrun.core.stream.StreamAdmission;
@@ -32,8 +38,6 @@
  * <p>Not thread safe; confined to one event loop.
  */
 public final class CallMachine {
-    // Fraction of the route's target latency after which a slow call gets a hedged attempt.
-    private static final double HEDGE_FRACTION = 0.5;
     // Fraction of an endpoint's slots that the background calls of one process may use.
     static final double BACKGROUND_SHARE = 0.7;
     private static final long RETRY_NANOS = Nanos.ofMillis(25);
@@ -47,7 +51,7 @@
     private final Fleet mFleet;
     private final CallOrder mOrder;
     private final CallPlacement mPlacement;
-    private final boolean mHedgingEnabled;
+    private final Hedging mHedging;
     private final CallGuard mGuard;
     private final CallOutputs mOutputs;
     private final Map<Long, PendingCall> mCalls = new LinkedHashMap<>();
@@ -58,13 +62,13 @@
             Fleet fleet,
             CallOrder order,
             CallPlacement placement,
-            boolean hedgingEnabled,
+            Hedging hedging,
             CallGuard guard,
             CallOutputs outputs) {
         mFleet = fleet;
         mOrder = order;
         mPlacement = placement;
-        mHedgingEnabled = hedgingEnabled;
+        mHedging = hedging;
         mGuard = guard;
         mOutputs = outputs;
     }
@@ -82,11 +86,22 @@
             Policy policy,
             CallGuard guard,
             CallOutputs outputs) {
+        return create(fleet, domain, policy, new TargetHedging(), guard, outputs);
+    }
+
+    /** Creates a machine as above with a rule for hedging, if the policy enables hedging. */
+    public static CallMachine create(
+            Fleet fleet,
+            FailureDomain domain,
+            Policy policy,
+            Hedging hedging,
+            CallGuard guard,
+            CallOutputs outputs) {
         return new CallMachine(
                 fleet,
                 new InteractiveFirstCallOrder(),
                 placement(domain, policy),
-                policy.isEnabled(Mechanism.HEDGED_CALLS),
+                policy.isEnabled(Mechanism.HEDGED_CALLS) ? hedging : new NoHedging(),
                 guard,
                 outputs);
     }
@@ -104,7 +119,8 @@
     /** Creates a machine with a given order and placement, and with hedging. */
     public static CallMachine create(
             Fleet fleet, CallOrder order, CallPlacement placement, CallOutputs outputs) {
-        return new CallMachine(fleet, order, placement, true, CallGuard.NONE, outputs);
+        return new CallMachine(
+                fleet, order, placement, new TargetHedging(), CallGuard.NONE, outputs);
     }
 
     /** Returns the number of unfinished calls. */
@@ -167,7 +183,10 @@
         Endpoint endpoint = call.mOpenAttempts.remove(attempt);
         if (endpoint != null) {
             endpoint.onCallEnded();
-            updateHealth(endpoint, outcome, call, now);
+            if (outcome == AttemptOutcome.ANSWERED) {
+                onAnswered(call, attempt, endpoint, now);
+            }
+            updateHealth(endpoint, outcome, call, attempt, now);
         }
         boolean ran = outcome == AttemptOutcome.ANSWERED || outcome == AttemptOutcome.SERVER_ERROR;
         if (!ran && outcome != AttemptOutcome.LOST) {
@@ -190,6 +209,38 @@
         sendWaiting(now);
     }
 
+    private void onAnswered(PendingCall call, long attempt, Endpoint endpoint, long now) {
+        call.mAnsweredBy = attempt;
+        mHedging.onCallAnswered();
+        if (!call.mSpec.route().isStream()) {
+            recordLatency(call, attempt, endpoint, now);
+        }
+        recordOpenAttempts(call, now);
+    }
+
+    /** Records how long the open attempts of a call took at least, unless it is a stream. */
+    private void recordOpenAttempts(PendingCall call, long now) {
+        if (call.mSpec.route().isStream()) {
+            return;
+        }
+        call.mOpenAttempts.forEach(
+                (attempt, endpoint) -> {
+                    recordLatency(call, attempt, endpoint, now);
+                    if (mHedging.timesEachAttempt()) {
+                        endpoint.recordLatency(call.openNanos(attempt, now), now);
+                    }
+                });
+    }
+
+    private void recordLatency(PendingCall call, long attempt, Endpoint endpoint, long now) {
+        mHedging.onLatency(
+                call.mSpec.route().name(),
+                call.mSpec.service(),
+                endpoint,
+                call.openNanos(attempt, now),
+                now);
+    }
+
     /** Lets another endpoint go on with a stream that broke off, or fails the call. */
     private void onStreamBroken(PendingCall call, long now) {
         boolean goesOn =
@@ -207,22 +258,29 @@
     }
 
     private void updateHealth(
-            Endpoint endpoint, AttemptOutcome outcome, PendingCall call, long now) {
+            Endpoint endpoint, AttemptOutcome outcome, PendingCall call, long attempt, long now) {
         switch (outcome) {
             case ANSWERED -> {
                 endpoint.onReachable();
                 // The latency of an endpoint that streams is the time between two events.
                 if (!call.mStreaming) {
-                    endpoint.recordLatency(now - call.mSentAt, now);
+                    boolean byItself = mHedging.timesEachAttempt();
+                    endpoint.recordLatency(
+                            byItself ? call.openNanos(attempt, now) : now - call.mSentAt, now);
                 }
             }
             case SERVER_ERROR -> endpoint.onReachable();
             case NOT_RUN -> {
                 call.mRejectedBy.add(endpoint.id());
+                mHedging.onRejected(call.mSpec.service(), now);
                 endpoint.avoidFor(REJECTION_BACKOFF_NANOS, now);
             }
             case WRONG_INSTANCE -> endpoint.avoidFor(WRONG_INSTANCE_BACKOFF_NANOS, now);
-            case UNREACHABLE, LOST -> endpoint.onFailure(now);
+            case UNREACHABLE -> endpoint.onFailure(now);
+            case LOST -> {
+                call.mLostAttempt = true;
+                endpoint.onFailure(now);
+            }
             default -> throw new IllegalStateException("unexpected attempt outcome: " + outcome);
         }
     }
@@ -233,22 +291,39 @@
         for (PendingCall call : List.copyOf(mCalls.values())) {
             if (now - call.mSpec.deadline() + REFUSAL_MARGIN_NANOS >= 0) {
                 expire(call, now);
-            } else if (isHedgeDue(call, now)) {
-                trySend(call, true, now);
+            } else {
+                tryHedge(call, now);
             }
         }
     }
 
-    private boolean isHedgeDue(PendingCall call, long now) {
-        if (!mHedgingEnabled
-                || call.mOpenAttempts.size() != 1
-                || call.mStreaming
-                || !call.mSpec.route().isIdempotent()
-                || !mayRunAgain(call)) {
-            return false;
+    private void tryHedge(PendingCall call, long now) {
+        if (call.mOpenAttempts.size() != 1 || call.mStreaming || call.mSpec.route().isStream()) {
+            return;
+        }
+        HedgeDecision decision =
+                mHedging.decide(new OpenCallView(call, mGuard, mFleet, mCalls.values()), now);
+        long open = now - call.mSentAt;
+        for (HedgeScope scope : decision.scopes()) {
+            if (trySend(call, scope, now)) {
+                call.mHedgeAttempt = mLastAttempt;
+                mHedging.onHedgeSent();
+                reportHedge(call, decision, open);
+                return;
+            }
+        }
+        reportHedge(
+                call,
+                decision.verdict() == HedgeVerdict.SEND ? decision.withoutEndpoint() : decision,
+                open);
+    }
+
+    /** Reports each verdict on a call once. */
+    private void reportHedge(PendingCall call, HedgeDecision decision, long openNanos) {
+        HedgeVerdict verdict = decision.verdict();
+        if (verdict != HedgeVerdict.NOT_YET && call.mHedgeVerdicts.add(verdict)) {
+            mOutputs.onHedgeDecided(call.mSpec, decision, openNanos);
         }
-        long target = Nanos.ofMillis(call.mSpec.route().call().targetLatencyMillis());
-        return now - call.mSentAt >= (long) (HEDGE_FRACTION * target);
     }
 
     private void sendWaiting(long now) {
@@ -283,7 +358,7 @@
             endWithoutRetry(call);
             return;
         }
-        if (trySend(call, false, now)) {
+        if (trySend(call, null, now)) {
             return;
         }
         call.mRejectedBy.clear();
@@ -294,7 +369,7 @@
     }
 
     private boolean mayRunAgain(PendingCall call) {
-        return call.mayRunAgain() && (call.mPossibleRuns == 0 || mGuard.mayRetry(call.mSpec));
+        return call.mayRunAgain(mGuard);
     }
 
     private void endBlocked(PendingCall call) {
@@ -409,6 +484,7 @@
         if (hasError && call.mOpenAttempts.isEmpty()) {
             mOutputs.deliver(call.mSpec, call.mServerErrorAttempt);
         } else if (call.mPossibleRuns > 0 || !call.mOpenAttempts.isEmpty()) {
+            recordOpenAttempts(call, now);
             mOutputs.fail(call.mSpec, true, "no response before the deadline");
         } else {
             mOutputs.refuse(
@@ -426,8 +502,8 @@
                 .map(millis -> Math.max(MIN_RETRY_AFTER_MILLIS, millis));
     }
 
-    private boolean trySend(PendingCall call, boolean hedge, long now) {
-        Endpoint endpoint = chooseEndpoint(call, hedge, now);
+    private boolean trySend(PendingCall call, @Nullable HedgeScope scope, long now) {
+        Endpoint endpoint = chooseEndpoint(call, scope, now);
         if (endpoint == null) {
             return false;
         }
@@ -436,6 +512,7 @@
         call.mTriedEndpoints.add(endpoint.id());
         call.mPossibleRuns++;
         call.mSentAt = now;
+        call.mSentTimes.put(attempt, now);
         mCallsByAttempt.put(attempt, call);
         endpoint.onCallSent(now);
         mPlacement.onSent(endpoint);
@@ -447,10 +524,10 @@
     /**
      * Returns the endpoint of least cost that may get the call now, or null if there is none.
      *
-     * @param hedge whether the call has another open attempt; such a request is not worth a part of
-     *     an endpoint's limit
+     * @param scope which endpoints may get a hedged attempt; null for any other attempt
      */
-    private @Nullable Endpoint chooseEndpoint(PendingCall call, boolean hedge, long now) {
+    private @Nullable Endpoint chooseEndpoint(
+            PendingCall call, @Nullable HedgeScope scope, long now) {
         Endpoint best = null;
         double bestCost = Double.MAX_VALUE;
         List<Endpoint> notAdmitted = new ArrayList<>();
@@ -464,7 +541,7 @@
             if (endpoint.isAvoided(now) && call.mTriedEndpoints.contains(endpoint.id())) {
                 continue;
             }
-            if (hedge && endpoint.isLimited()) {
+            if (scope != null && !call.isInScope(endpoint, scope, now)) {
                 continue;
             }
             if (!endpoint.admits(RequestKind.WORK, now)) {
@@ -502,6 +579,10 @@
 
     private void end(PendingCall call) {
         mCalls.remove(call.mSpec.id());
+        if (call.mHedgeAttempt != null) {
+            boolean won = call.mHedgeAttempt.equals(call.mAnsweredBy);
+            mOutputs.onHedgeEnded(call.mSpec, won);
+        }
         for (Long attempt : List.copyOf(call.mOpenAttempts.keySet())) {
             close(call, attempt);
         }
--- a/ebonyrun-core/src/main/java/org/ebonyrun/core/call/CallOutputs.java
+++ b/ebonyrun-core/src/main/java/org/ebonyrun/core/call/CallOutputs.java
@@ -1,6 +1,7 @@
 package org.ebonyrun.core.call;
 
 import org.ebonyrun.core.fleet.Endpoint;
+import org.ebonyrun.core.hedge.HedgeDecision;
 
 /** Performs the actions that a {@link CallMachine} decides on. Called on the machine's thread. */
 public interface CallOutputs {
@@ -19,6 +20,20 @@
         return false;
     }
 
+    /**
+     * Reports a decision on a second attempt of a slow call; each verdict at most once for a call.
+     *
+     * @param openNanos how long the first attempt had been open
+     */
+    default void onHedgeDecided(CallSpec call, HedgeDecision decision, long openNanos) {}
+
+    /**
+     * Reports the end of a call that had a hedged attempt.
+     *
+     * @param won whether the hedged attempt answered the call
+     */
+    default void onHedgeEnded(CallSpec call, boolean won) {}
+
     /** Closes the connection of an attempt whose response is no longer needed. */
     void cancel(long attempt);
 
--- a/ebonyrun-core/src/main/java/org/ebonyrun/core/call/CrashRecords.java
+++ b/ebonyrun-core/src/main/java/org/ebonyrun/core/call/CrashRecords.java
@@ -51,6 +51,11 @@
         return record == null || !record.isSuspect();
     }
 
+    /** Returns whether a call has broken a connection to any endpoint. */
+    public boolean contains(CallFingerprint call) {
+        return mRecords.containsKey(call);
+    }
+
     /**
      * Handles a connection that broke while an endpoint ran a call.
      *
--- a/ebonyrun-core/src/main/java/org/ebonyrun/core/call/PendingCall.java
+++ b/ebonyrun-core/src/main/java/org/ebonyrun/core/call/PendingCall.java
@@ -1,10 +1,13 @@
 package org.ebonyrun.core.call;
 
+import java.util.EnumSet;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Map;
 import java.util.Set;
 import org.ebonyrun.core.fleet.Endpoint;
+import org.ebonyrun.core.hedge.HedgeScope;
+import org.ebonyrun.core.hedge.HedgeVerdict;
 import org.ebonyrun.core.stream.StreamOrigin;
 import org.jspecify.annotations.Nullable;
 
@@ -23,6 +26,12 @@
     final Map<Long, Endpoint> mOpenAttempts = new HashMap<>();
     final Set<String> mRejectedBy = new HashSet<>();
     final Set<String> mTriedEndpoints = new HashSet<>();
+    // When each attempt was sent, ended ones included.
+    final Map<Long, Long> mSentTimes = new HashMap<>();
+    final Set<HedgeVerdict> mHedgeVerdicts = EnumSet.noneOf(HedgeVerdict.class);
+    @Nullable Long mHedgeAttempt;
+    @Nullable Long mAnsweredBy;
+    boolean mLostAttempt;
     @Nullable Long mServerErrorAttempt;
     int mPossibleRuns;
     long mRetryAt;
@@ -52,4 +61,31 @@
         }
         return mSpec.route().mayRepeat() && mPossibleRuns < mSpec.route().call().maxAttempts();
     }
+
+    /** Returns whether the route and a guard allow another attempt. */
+    boolean mayRunAgain(CallGuard guard) {
+        return mayRunAgain() && (mPossibleRuns == 0 || guard.mayRetry(mSpec));
+    }
+
+    /** Returns how long ago an attempt was sent. */
+    long openNanos(long attempt, long now) {
+        return Math.max(0, now - mSentTimes.getOrDefault(attempt, now));
+    }
+
+    /** Returns whether an endpoint is among those that may get a hedged attempt. */
+    boolean isInScope(Endpoint endpoint, HedgeScope scope, long now) {
+        // A hedged attempt is not worth a part of an endpoint's limit.
+        if (endpoint.isLimited()) {
+            return false;
+        }
+        if (scope == HedgeScope.ANY) {
+            return true;
+        }
+        boolean untried = !mTriedEndpoints.contains(endpoint.id()) && !endpoint.isAvoided(now);
+        boolean otherDomain =
+                mOpenAttempts.values().stream()
+                        .noneMatch(
+                                open -> open.record().domain().equals(endpoint.record().domain()));
+        return untried && (scope == HedgeScope.UNTRIED || otherDomain);
+    }
 }
--- a/ebonyrun-core/src/main/java/org/ebonyrun/core/settings/ValueParser.java
+++ b/ebonyrun-core/src/main/java/org/ebonyrun/core/settings/ValueParser.java
@@ -10,6 +10,7 @@
     private static final Pattern DURATION = Pattern.compile("(\\d{1,9})\\s*(ms|s|min|h)");
     private static final Pattern VERSIONS = Pattern.compile("(\\d{1,6})\\s*versions?");
     private static final Pattern SIZE = Pattern.compile("(\\d{1,9})\\s*(KB|MB|GB)");
+    private static final Pattern PERCENTAGE = Pattern.compile("(\\d{1,3}(?:\\.\\d{1,4})?)\\s*%");
     private static final Pattern COUNT = Pattern.compile("\\d{1,9}");
 
     private ValueParser() {}
@@ -79,6 +80,20 @@
         return q;
     }
 
+    /**
+     * Parses a percentage such as {@code 5%} and returns a share between zero and one.
+     *
+     * @throws IllegalArgumentException if the text is not a number from 0 to 100 with a percent
+     *     sign
+     */
+    public static double parsePercentage(String text) {
+        Matcher m = PERCENTAGE.matcher(text.strip());
+        checkArgument(m.matches(), "'%s' is not a percentage; write for example 5%%", text);
+        double percent = Double.parseDouble(m.group(1));
+        checkArgument(percent <= 100, "'%s' is more than 100%%", text);
+        return percent / 100;
+    }
+
     /**
      * Parses {@code true} or {@code false}.
      *
--- a/ebonyrun-core/src/test/java/org/ebonyrun/core/call/FakeCallOutputs.java
+++ b/ebonyrun-core/src/test/java/org/ebonyrun/core/call/FakeCallOutputs.java
@@ -5,6 +5,8 @@
 import java.util.List;
 import java.util.Map;
 import org.ebonyrun.core.fleet.Endpoint;
+import org.ebonyrun.core.hedge.HedgeDecision;
+import org.ebonyrun.core.hedge.HedgeVerdict;
 
 /** Records the actions that a {@link CallMachine} decides on. */
 final class FakeCallOutputs implements CallOutputs {
@@ -18,6 +20,10 @@
     final Map<Long, Integer> mOutcomeCounts = new HashMap<>();
     final Map<Long, Long> mRetryAfterMillis = new HashMap<>();
 
+    final List<HedgeVerdict> mHedgeVerdicts = new ArrayList<>();
+    // Whether each hedged attempt answered its call.
+    final List<Boolean> mHedgeEnds = new ArrayList<>();
+
     Sent last() {
         return mSent.get(mSent.size() - 1);
     }
@@ -62,4 +68,14 @@
     public void fail(CallSpec call, boolean timeout, String reason) {
         end(call, timeout ? "timeout" : "failed");
     }
+
+    @Override
+    public void onHedgeDecided(CallSpec call, HedgeDecision decision, long openNanos) {
+        mHedgeVerdicts.add(decision.verdict());
+    }
+
+    @Override
+    public void onHedgeEnded(CallSpec call, boolean won) {
+        mHedgeEnds.add(won);
+    }
 }
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/CallController.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/CallController.java
@@ -16,6 +16,8 @@
 import org.ebonyrun.core.call.CrashRecords;
 import org.ebonyrun.core.fleet.Endpoint;
 import org.ebonyrun.core.fleet.Fleet;
+import org.ebonyrun.core.hedge.HedgeDecision;
+import org.ebonyrun.core.hedge.Hedging;
 import org.ebonyrun.core.route.RouteKind;
 import org.ebonyrun.core.step.ScoreCall;
 import org.ebonyrun.core.step.ScoreOutcome;
@@ -62,6 +64,7 @@
     private final CrashController mCrashes;
     private final StreamController mStreams;
     private final CallMachine mMachine;
+    private final HedgeLog mHedgeLog;
     private final Map<Long, CallClient> mClients = new HashMap<>();
     private final Map<FrontExchange, Long> mCallIds = new HashMap<>();
     private final Map<Long, CallExchange> mAttempts = new HashMap<>();
@@ -79,13 +82,15 @@
             Fleet fleet,
             CrashController crashes,
             StreamController streams,
-            FailureDomain domain) {
+            FailureDomain domain,
+            Hedging hedging) {
         mContext = context;
         mKeys = keys;
         mHttpClient = httpClient;
         mCrashes = crashes;
         mStreams = streams;
-        mMachine = CallMachine.create(fleet, domain, context.policy(), this, this);
+        mHedgeLog = new HedgeLog(context);
+        mMachine = CallMachine.create(fleet, domain, context.policy(), hedging, this, this);
     }
 
     /** Returns an ID for a new call, unique within this process. */
@@ -107,18 +112,28 @@
 
     @Override
     public boolean isBlocked(CallSpec call) {
-        CallClient client = mCrashes.isEmpty() ? null : mClients.get(call.id());
-        CallFingerprint fingerprint = client == null ? null : client.fingerprint();
+        CallFingerprint fingerprint = fingerprintIfAnyCrashed(call);
         return fingerprint != null && mCrashes.isBlocked(fingerprint);
     }
 
     @Override
     public boolean mayRetry(CallSpec call) {
-        CallClient client = mCrashes.isEmpty() ? null : mClients.get(call.id());
-        CallFingerprint fingerprint = client == null ? null : client.fingerprint();
+        CallFingerprint fingerprint = fingerprintIfAnyCrashed(call);
         return fingerprint == null || mCrashes.mayRetry(fingerprint);
     }
 
+    /** Returns the fingerprint of a caller's call; null while no call has crashed an endpoint. */
+    private @Nullable CallFingerprint fingerprintIfAnyCrashed(CallSpec call) {
+        CallClient client = mCrashes.isEmpty() ? null : mClients.get(call.id());
+        return client == null ? null : client.fingerprint();
+    }
+
+    @Override
+    public boolean hasCrashed(CallSpec call) {
+        CallFingerprint fingerprint = fingerprintIfAnyCrashed(call);
+        return fingerprint != null && mCrashes.hasCrashed(fingerprint);
+    }
+
     @Override
     public StreamAdmission admit(CallSpec call, Endpoint endpoint, long now) {
         return mStreams.admit(endpoint, now);
@@ -268,6 +283,16 @@
         return EndpointProtocol.newScoreRequest(endpoint.record(), score, leftMillis);
     }
 
+    @Override
+    public void onHedgeDecided(CallSpec call, HedgeDecision decision, long openNanos) {
+        mHedgeLog.onDecided(call, decision, openNanos);
+    }
+
+    @Override
+    public void onHedgeEnded(CallSpec call, boolean won) {
+        mHedgeLog.onEnded(won);
+    }
+
     @Override
     public void cancel(long attempt) {
         CallExchange exchange = mAttempts.remove(attempt);
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/CrashController.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/CrashController.java
@@ -74,6 +74,11 @@
         return mRecords.mayRetry(call);
     }
 
+    /** Returns whether a call has broken a connection to any endpoint. */
+    boolean hasCrashed(CallFingerprint call) {
+        return mRecords.contains(call);
+    }
+
     /** Handles the arrival of a call. */
     void onArrival(CallFingerprint call) {
         mRecords.onArrival(call, System.currentTimeMillis()).ifPresent(record -> write(call));
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/EntryLimits.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/EntryLimits.java
@@ -2,6 +2,7 @@
 
 import static com.google.common.base.Preconditions.checkArgument;
 
+import java.util.OptionalDouble;
 import java.util.concurrent.TimeUnit;
 import org.ebonyrun.core.settings.SettingsNode;
 import org.ebonyrun.core.settings.ValueParser;
@@ -22,6 +23,7 @@
  *     keysSilenceMillis}
  * @param keysSilenceMillis how long the store may be silent before keys may have been withdrawn
  *     unnoticed
+ * @param extraWork how many hedged attempts may be sent for each answered call; empty for no limit
  */
 public record EntryLimits(
         long orderQuietPeriodMillis,
@@ -32,14 +34,16 @@
         long catchUpMillis,
         double storeWritesPerSecond,
         boolean strictKeys,
-        long keysSilenceMillis) {
+        long keysSilenceMillis,
+        OptionalDouble extraWork) {
+    private static final double MAX_EXTRA_WORK = 0.5;
     private static final long DEFAULT_KEYS_SILENCE_MILLIS = 5_000;
 
     /** The defaults for limits that the settings omit. */
     public static final EntryLimits DEFAULT =
             new EntryLimits(3_000, 8_000, 120_000, 2_000, 2_000, 3_000, 400);
 
-    /** Checks that the limits with which the entry computes are positive. */
+    /** Checks that delays and rates are positive, and that the extra work is a share. */
     public EntryLimits {
         checkArgument(
                 configDelayMillis > 0, "config_within is not positive: %s", configDelayMillis);
@@ -49,9 +53,19 @@
         checkArgument(catchUpMillis > 0, "contact_within is not positive: %s", catchUpMillis);
         checkArgument(
                 storeWritesPerSecond > 0, "store_writes is not positive: %s", storeWritesPerSecond);
+        extraWork.ifPresent(
+                share ->
+                        checkArgument(
+                                share >= 0 && share <= MAX_EXTRA_WORK,
+                                "extra_work is not between 0 and %s: %s",
+                                MAX_EXTRA_WORK,
+                                share));
     }
 
-    /** Creates limits with which keys are accepted however long the store is silent. */
+    /**
+     * Creates limits with which keys are accepted however long the store is silent, and none on
+     * extra work.
+     */
     public EntryLimits(
             long orderQuietPeriodMillis,
             long gracePeriodMillis,
@@ -69,7 +83,8 @@
                 catchUpMillis,
                 storeWritesPerSecond,
                 false,
-                DEFAULT_KEYS_SILENCE_MILLIS);
+                DEFAULT_KEYS_SILENCE_MILLIS,
+                OptionalDouble.empty());
     }
 
     /** Returns how keys are checked. */
@@ -89,7 +104,8 @@
                 positive(node.get("contact_within"), DEFAULT.catchUpMillis),
                 node.get("store_writes").read(EntryLimits::parseRate, DEFAULT.storeWritesPerSecond),
                 node.get("strict_keys").read(HostedSettings::parseBoolean, DEFAULT.strictKeys),
-                positive(node.get("keys_silence"), DEFAULT.keysSilenceMillis));
+                positive(node.get("keys_silence"), DEFAULT.keysSilenceMillis),
+                node.get("extra_work").read(EntryLimits::parseExtraWork, DEFAULT.extraWork));
     }
 
     private static double parseRate(String text) {
@@ -98,6 +114,12 @@
         return rate;
     }
 
+    private static OptionalDouble parseExtraWork(String text) {
+        double share = ValueParser.parsePercentage(text);
+        checkArgument(share <= MAX_EXTRA_WORK, "'%s' is more than 50%%", text);
+        return OptionalDouble.of(share);
+    }
+
     private static long positive(SettingsNode node, long fallback) {
         long millis = node.read(ValueParser::parseMillis, fallback);
         if (millis <= 0) {
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/EntryMetrics.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/EntryMetrics.java
@@ -30,6 +30,9 @@
     /** Attempts of calls, by outcome. */
     static final String ATTEMPTS = "ebonyrun_entry_call_attempts";
 
+    /** Decisions on hedged attempts, by verdict, and their ends: {@code WON} or {@code LOST}. */
+    static final String HEDGES = "ebonyrun_entry_hedges";
+
     /** Runs of samples, by outcome. */
     static final String SAMPLE_RUNS = "ebonyrun_entry_sample_runs";
 
@@ -70,6 +73,17 @@
         mCallSeconds += seconds;
     }
 
+    /** Returns the counter of a metric for an outcome. */
+    long get(String metric, String outcome) {
+        return mCounts.getOrDefault(metric, Map.of()).getOrDefault(outcome, 0L);
+    }
+
+    /** Returns the hedged attempts of calls for each answered call; zero without any. */
+    double extraWorkShare() {
+        long answered = get(CALLS, "answered");
+        return answered == 0 ? 0 : (double) get(HEDGES, "SEND") / answered;
+    }
+
     /**
      * Returns all metrics in the Prometheus text format.
      *
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/HostedSettings.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/HostedSettings.java
@@ -68,7 +68,8 @@
                     "contact_within",
                     "store_writes",
                     "strict_keys",
-                    "keys_silence");
+                    "keys_silence",
+                    "extra_work");
 
     /**
      * The result of parsing settings.
--- a/ebonyrun-daemon/src/test/java/org/ebonyrun/daemon/hosted/HostedSettingsTest.java
+++ b/ebonyrun-daemon/src/test/java/org/ebonyrun/daemon/hosted/HostedSettingsTest.java
@@ -5,6 +5,7 @@
 import static org.hamcrest.Matchers.empty;
 import static org.hamcrest.Matchers.is;
 
+import java.util.OptionalDouble;
 import org.ebonyrun.base.time.Nanos;
 import org.ebonyrun.core.policy.Mechanism;
 import org.ebonyrun.core.policy.Policy;
@@ -54,6 +55,22 @@
                 after.isSameExceptLimits(HostedSettings.parse("f", changed).settings()), is(false));
     }
 
+    @ParameterizedTest
+    @CsvSource({"0%, 0", "5%, 0.05", "0.5%, 0.005", "50%, 0.5"})
+    void extraWorkIsAShareThatAReloadChanges(String text, double share) {
+        HostedSettings before = HostedSettings.parse("f", COMPLETE_SETTINGS).settings();
+        HostedSettings.Parsed parsed =
+                HostedSettings.parse(
+                        "f",
+                        COMPLETE_SETTINGS.replace("grace: 8s", "grace: 8s, extra_work: " + text));
+
+        assertThat(parsed.problems(), is(empty()));
+        assertThat(before.limits().extraWork(), is(OptionalDouble.empty()));
+        assertThat(
+                before.withLimitsOf(parsed.settings()).limits().extraWork(),
+                is(OptionalDouble.of(share)));
+    }
+
     @ParameterizedTest
     @EnumSource(Mechanism.class)
     void mechanismIsEnabledUnlessDisabled(Mechanism mechanism) {
@@ -78,6 +95,9 @@
                 "vm: edge-1 | vm: '' | vm",
                 "grace: 8s | grace: soon | grace",
                 "config_within: 2s | config_within: 0s | config_within",
+                "grace: 8s | extra_work: 0.05 | limits.extra_work: '0.05' is not a percentage",
+                "grace: 8s | extra_work: 51% | limits.extra_work: '51%' is more than 50%",
+                "grace: 8s | extra_work: -1% | limits.extra_work: '-1%' is not a percentage",
                 "10.200.1.7:8142 | nowhere | store",
                 "first_start: true | extra: 1 | extra",
                 "first_start: true | policy: {haste: false} | f:6: policy.haste: unknown key",
