Fit the limit on extra work to workspaces: settings through the context, withdrawn keys in RefusalTest

The gauge of extra work moves to EntryMetrics. Tests that construct EntryLimits or HostedContext get the new argument and method; their checks are unchanged.

--- a/ebonyrun-core/src/test/java/org/ebonyrun/core/call/RefusalTest.java
+++ b/ebonyrun-core/src/test/java/org/ebonyrun/core/call/RefusalTest.java
@@ -35,7 +35,8 @@
  * not be repeated and is refused has no attempt that has run, may be running or may still run.
  *
  * <p>Endpoints run attempts late, answer late or never, lose answers and rejections, break streams,
- * leave and return; callers leave; calls are blocked and released; hedging is switched on and off.
+ * leave and return; callers leave; keys are withdrawn; calls are blocked and released; hedging is
+ * switched on and off.
  */
 class RefusalTest {
     private static final int CALLS = 3_000;
@@ -139,6 +140,9 @@
                             mMachine.onAbandoned(id, later);
                         });
             }
+            if (mRandom.nextInt(10) == 0) {
+                mClock.schedule(now + millis(300), later -> mMachine.onKeyWithdrawn(id, later));
+            }
             mClock.schedule(now + millis(30), this::arrive);
         }
 
@@ -247,8 +251,17 @@
             }
         }
 
+        @Override
+        public void refuseKey(CallSpec call) {
+            onRefused(call);
+        }
+
         @Override
         public void refuse(CallSpec call, long retryAfterMillis, String reason) {
+            onRefused(call);
+        }
+
+        private void onRefused(CallSpec call) {
             onOutcome(call);
             mRefused.add(call.id());
             mRefusedByKind.merge(call.route().kind(), 1, Integer::sum);
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/CallController.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/CallController.java
@@ -16,8 +16,8 @@
 import org.ebonyrun.core.call.CrashRecords;
 import org.ebonyrun.core.fleet.Endpoint;
 import org.ebonyrun.core.fleet.Fleet;
+import org.ebonyrun.core.hedge.ConfiguredHedging;
 import org.ebonyrun.core.hedge.HedgeDecision;
-import org.ebonyrun.core.hedge.Hedging;
 import org.ebonyrun.core.route.RouteKind;
 import org.ebonyrun.core.step.ScoreCall;
 import org.ebonyrun.core.step.ScoreOutcome;
@@ -82,15 +82,21 @@
             Fleet fleet,
             CrashController crashes,
             StreamController streams,
-            FailureDomain domain,
-            Hedging hedging) {
+            FailureDomain domain) {
         mContext = context;
         mKeys = keys;
         mHttpClient = httpClient;
         mCrashes = crashes;
         mStreams = streams;
         mHedgeLog = new HedgeLog(context);
-        mMachine = CallMachine.create(fleet, domain, context.policy(), hedging, this, this);
+        mMachine =
+                CallMachine.create(
+                        fleet,
+                        domain,
+                        context.policy(),
+                        new ConfiguredHedging(() -> context.settings().limits().extraWork()),
+                        this,
+                        this);
     }
 
     /** Returns an ID for a new call, unique within this process. */
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/EntryMetrics.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/EntryMetrics.java
@@ -95,6 +95,7 @@
         mCounts.forEach((name, outcomes) -> snapshots.add(counter(name, "end", outcomes)));
         snapshots.add(counter(STORE_CALLS, "kind", storeCalls));
         gauges.forEach((name, value) -> snapshots.add(gauge(name, value)));
+        snapshots.add(gauge("ebonyrun_entry_extra_work_share", extraWorkShare()));
         snapshots.add(callSeconds());
         ByteArrayOutputStream out = new ByteArrayOutputStream();
         try {
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/HostedContext.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/HostedContext.java
@@ -17,7 +17,7 @@
 /**
  * Gives the components of an entry access to what they share.
  *
- * <p>Must be called on the entry's event loop, except for {@link #executor} and {@link #policy},
+ * <p>Must be called on the entry's event loop, except for {@link #executor} and {@link #settings},
  * which are thread safe.
  */
 interface HostedContext {
@@ -30,7 +30,12 @@
     }
 
     /** Returns which mechanisms are enabled; constant for the life of the process. */
-    Policy policy();
+    default Policy policy() {
+        return settings().policy();
+    }
+
+    /** Returns the settings, whose limits may change; thread safe. */
+    HostedSettings settings();
 
     /** Schedules a task to run on the entry's event loop after a delay. */
     void schedule(long nanos, Runnable task);
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/HostedEntry.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/HostedEntry.java
@@ -25,8 +25,6 @@
 import org.ebonyrun.core.fleet.EndpointRecord;
 import org.ebonyrun.core.fleet.Fleet;
 import org.ebonyrun.core.fleet.LimitNotice;
-import org.ebonyrun.core.hedge.ConfiguredHedging;
-import org.ebonyrun.core.policy.Policy;
 import org.ebonyrun.core.route.CallerLimits;
 import org.ebonyrun.core.route.Route;
 import org.ebonyrun.core.route.RouteKind;
@@ -144,14 +142,7 @@
                         this, mStore, mFleet, settings.limits().storeWritesPerSecond());
         mCalls =
                 new CallController(
-                        this,
-                        mKeys,
-                        client,
-                        mFleet,
-                        mCrashes,
-                        mStreams,
-                        settings.domain(),
-                        new ConfiguredHedging(() -> mSettings.limits().extraWork()));
+                        this, mKeys, client, mFleet, mCrashes, mStreams, settings.domain());
         mSamples =
                 new SampleController(
                         this, client, mFleet, (host, path) -> mRoutes.find(host, path));
@@ -251,8 +242,8 @@
     }
 
     @Override
-    public Policy policy() {
-        return mSettings.policy();
+    public HostedSettings settings() {
+        return mSettings;
     }
 
     @Override
@@ -281,7 +272,6 @@
         gauges.put("ebonyrun_entry_permits", (double) mPermits.machine().permitCount());
         gauges.put("ebonyrun_entry_streams", (double) mStreams.machine().streamCount());
         gauges.put("ebonyrun_entry_streams_recorded", mStreams.machine().isRecording() ? 1.0 : 0.0);
-        gauges.put("ebonyrun_entry_extra_work_share", mMetrics.extraWorkShare());
         gauges.put("ebonyrun_entry_config_version", (double) mRoutes.version());
         gauges.put("ebonyrun_entry_keys_outdated", mKeys.isOutdated() ? 1.0 : 0.0);
         gauges.put("ebonyrun_entry_ready", mReady ? 1.0 : 0.0);
--- a/ebonyrun-daemon/src/test/java/org/ebonyrun/daemon/hosted/HostedSettingsTest.java
+++ b/ebonyrun-daemon/src/test/java/org/ebonyrun/daemon/hosted/HostedSettingsTest.java
@@ -113,7 +113,9 @@
 
     @Test
     void silenceBeyondItsRangeIsLimitedInsteadOfWrapped() {
-        EntryLimits limits = new EntryLimits(1, 1, 1, 1, 1, 1, 1, true, 3_599_999_996_400_000L);
+        EntryLimits limits =
+                new EntryLimits(
+                        1, 1, 1, 1, 1, 1, 1, true, 3_599_999_996_400_000L, OptionalDouble.empty());
 
         assertThat(limits.admission(), is(new AdmissionPolicy(true, Long.MAX_VALUE)));
     }
--- a/ebonyrun-daemon/src/test/java/org/ebonyrun/daemon/hosted/ResultWriterTest.java
+++ b/ebonyrun-daemon/src/test/java/org/ebonyrun/daemon/hosted/ResultWriterTest.java
@@ -67,6 +67,11 @@
             return Runnable::run;
         }
 
+        @Override
+        public HostedSettings settings() {
+            throw new UnsupportedOperationException("settings");
+        }
+
         @Override
         public void schedule(long nanos, Runnable task) {
             throw new UnsupportedOperationException("later");
--- a/ebonyrun-daemon/src/test/java/org/ebonyrun/daemon/hosted/WatchTimingsTest.java
+++ b/ebonyrun-daemon/src/test/java/org/ebonyrun/daemon/hosted/WatchTimingsTest.java
@@ -5,6 +5,7 @@
 import static org.hamcrest.Matchers.lessThan;
 
 import java.util.List;
+import java.util.OptionalDouble;
 import org.ebonyrun.base.time.Nanos;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -88,9 +89,29 @@
     void strictEntryHearsOfTheConfigurationWithinTheSilence(
             long silence, long catchUp, long config) {
         EntryLimits strict =
-                new EntryLimits(3_000, 8_000, 1, config, 1, catchUp, 400, true, silence);
+                new EntryLimits(
+                        3_000,
+                        8_000,
+                        1,
+                        config,
+                        1,
+                        catchUp,
+                        400,
+                        true,
+                        silence,
+                        OptionalDouble.empty());
         EntryLimits lenient =
-                new EntryLimits(3_000, 8_000, 1, config, 1, catchUp, 400, false, silence);
+                new EntryLimits(
+                        3_000,
+                        8_000,
+                        1,
+                        config,
+                        1,
+                        catchUp,
+                        400,
+                        false,
+                        silence,
+                        OptionalDouble.empty());
         for (boolean idle : new boolean[] {true, false}) {
             StoreWatch.Timing timing = WatchTimings.forOperatorKeys(strict, idle);
             StoreWatch.Timing usual = WatchTimings.forOperatorKeys(lenient, idle);
