Take the time of an open attempt as a lower bound, and keep only open attempts' times

Callers saw: nothing yet; found by review of the limit on extra work. Cause: when a call was answered, its other attempt counted as if it had been answered then. A hedge to a new endpoint that lost after 1 ms made 1 ms the endpoint's latency, which drew calls there, and shortened the delay of calls there. The times of ended attempts were also kept until their call ended, one for each rejection, with the setting off too. Evidence: three new cases of HedgedCallTest. The two on latencyNanos() failed on the code before (2 of 31); all three, and CallMachineTest.nothingIsKeptOfAttemptsThatEnded, failed on a trial of the new class with the former rules. Change: AttemptTimes keeps the times of open attempts only. The time of an attempt that is still open is told to the rule for hedging if it is at least the delay of the latest decision on its call, and to the endpoint if it exceeds the endpoint's latency, which must be known.

--- a/ebonyrun-core/src/main/java/org/ebonyrun/core/call/CallMachine.java
+++ b/ebonyrun-core/src/main/java/org/ebonyrun/core/call/CallMachine.java
@@ -52,6 +52,7 @@
     private final CallOrder mOrder;
     private final CallPlacement mPlacement;
     private final Hedging mHedging;
+    private final AttemptTimes mTimes;
     private final CallGuard mGuard;
     private final CallOutputs mOutputs;
     private final Map<Long, PendingCall> mCalls = new LinkedHashMap<>();
@@ -69,6 +70,7 @@
         mOrder = order;
         mPlacement = placement;
         mHedging = hedging;
+        mTimes = new AttemptTimes(hedging);
         mGuard = guard;
         mOutputs = outputs;
     }
@@ -128,6 +130,11 @@
         return mCalls.size();
     }
 
+    /** Returns the number of attempts whose times are kept. */
+    int timedAttemptCount() {
+        return mTimes.count();
+    }
+
     /** Accepts a call, and sends it if an endpoint has a free slot. */
     public void onCall(CallSpec spec, long now) {
         PendingCall call = new PendingCall(spec);
@@ -186,8 +193,9 @@
             if (outcome == AttemptOutcome.ANSWERED) {
                 onAnswered(call, attempt, endpoint, now);
             }
-            updateHealth(endpoint, outcome, call, attempt, now);
+            updateHealth(endpoint, outcome, call, now);
         }
+        mTimes.onEnded(attempt);
         boolean ran = outcome == AttemptOutcome.ANSWERED || outcome == AttemptOutcome.SERVER_ERROR;
         if (!ran && outcome != AttemptOutcome.LOST) {
             call.mPossibleRuns--;
@@ -212,33 +220,7 @@
     private void onAnswered(PendingCall call, long attempt, Endpoint endpoint, long now) {
         call.mAnsweredBy = attempt;
         mHedging.onCallAnswered();
-        if (!call.mSpec.route().isStream()) {
-            recordLatency(call, attempt, endpoint, now);
-        }
-        recordOpenAttempts(call, now);
-    }
-
-    /** Records how long the open attempts of a call took at least, unless it is a stream. */
-    private void recordOpenAttempts(PendingCall call, long now) {
-        if (call.mSpec.route().isStream()) {
-            return;
-        }
-        call.mOpenAttempts.forEach(
-                (attempt, endpoint) -> {
-                    recordLatency(call, attempt, endpoint, now);
-                    if (mHedging.timesEachAttempt()) {
-                        endpoint.recordLatency(call.openNanos(attempt, now), now);
-                    }
-                });
-    }
-
-    private void recordLatency(PendingCall call, long attempt, Endpoint endpoint, long now) {
-        mHedging.onLatency(
-                call.mSpec.route().name(),
-                call.mSpec.service(),
-                endpoint,
-                call.openNanos(attempt, now),
-                now);
+        mTimes.onAnswered(call, attempt, endpoint, now);
     }
 
     /** Lets another endpoint go on with a stream that broke off, or fails the call. */
@@ -258,18 +240,9 @@
     }
 
     private void updateHealth(
-            Endpoint endpoint, AttemptOutcome outcome, PendingCall call, long attempt, long now) {
+            Endpoint endpoint, AttemptOutcome outcome, PendingCall call, long now) {
         switch (outcome) {
-            case ANSWERED -> {
-                endpoint.onReachable();
-                // The latency of an endpoint that streams is the time between two events.
-                if (!call.mStreaming) {
-                    boolean byItself = mHedging.timesEachAttempt();
-                    endpoint.recordLatency(
-                            byItself ? call.openNanos(attempt, now) : now - call.mSentAt, now);
-                }
-            }
-            case SERVER_ERROR -> endpoint.onReachable();
+            case ANSWERED, SERVER_ERROR -> endpoint.onReachable();
             case NOT_RUN -> {
                 call.mRejectedBy.add(endpoint.id());
                 mHedging.onRejected(call.mSpec.service(), now);
@@ -303,6 +276,7 @@
         }
         HedgeDecision decision =
                 mHedging.decide(new OpenCallView(call, mGuard, mFleet, mCalls.values()), now);
+        call.mHedgeDelayNanos = decision.delay().nanos();
         long open = now - call.mSentAt;
         for (HedgeScope scope : decision.scopes()) {
             if (trySend(call, scope, now)) {
@@ -484,7 +458,7 @@
         if (hasError && call.mOpenAttempts.isEmpty()) {
             mOutputs.deliver(call.mSpec, call.mServerErrorAttempt);
         } else if (call.mPossibleRuns > 0 || !call.mOpenAttempts.isEmpty()) {
-            recordOpenAttempts(call, now);
+            mTimes.recordOpen(call, now);
             mOutputs.fail(call.mSpec, true, "no response before the deadline");
         } else {
             mOutputs.refuse(
@@ -512,7 +486,7 @@
         call.mTriedEndpoints.add(endpoint.id());
         call.mPossibleRuns++;
         call.mSentAt = now;
-        call.mSentTimes.put(attempt, now);
+        mTimes.onSent(attempt, now);
         mCallsByAttempt.put(attempt, call);
         endpoint.onCallSent(now);
         mPlacement.onSent(endpoint);
@@ -591,6 +565,7 @@
     private void close(PendingCall call, long attempt) {
         Endpoint endpoint = call.mOpenAttempts.remove(attempt);
         mCallsByAttempt.remove(attempt);
+        mTimes.onEnded(attempt);
         if (endpoint != null) {
             endpoint.onCallEnded();
         }
--- a/ebonyrun-core/src/main/java/org/ebonyrun/core/call/PendingCall.java
+++ b/ebonyrun-core/src/main/java/org/ebonyrun/core/call/PendingCall.java
@@ -26,9 +26,9 @@
     final Map<Long, Endpoint> mOpenAttempts = new HashMap<>();
     final Set<String> mRejectedBy = new HashSet<>();
     final Set<String> mTriedEndpoints = new HashSet<>();
-    // When each attempt was sent, ended ones included.
-    final Map<Long, Long> mSentTimes = new HashMap<>();
     final Set<HedgeVerdict> mHedgeVerdicts = EnumSet.noneOf(HedgeVerdict.class);
+    // The delay of the latest decision on a hedged attempt; no attempt exceeds it before.
+    long mHedgeDelayNanos = Long.MAX_VALUE;
     @Nullable Long mHedgeAttempt;
     @Nullable Long mAnsweredBy;
     boolean mLostAttempt;
@@ -67,11 +67,6 @@
         return mayRunAgain() && (mPossibleRuns == 0 || guard.mayRetry(mSpec));
     }
 
-    /** Returns how long ago an attempt was sent. */
-    long openNanos(long attempt, long now) {
-        return Math.max(0, now - mSentTimes.getOrDefault(attempt, now));
-    }
-
     /** Returns whether an endpoint is among those that may get a hedged attempt. */
     boolean isInScope(Endpoint endpoint, HedgeScope scope, long now) {
         // A hedged attempt is not worth a part of an endpoint's limit.
--- a/ebonyrun-core/src/test/java/org/ebonyrun/core/call/CallMachineTest.java
+++ b/ebonyrun-core/src/test/java/org/ebonyrun/core/call/CallMachineTest.java
@@ -132,6 +132,28 @@
         assertThat(mOutputs.mOutcomes.get(1L), is(outcome));
     }
 
+    @Test
+    void nothingIsKeptOfAttemptsThatEnded() {
+        addEndpoints(2, 4);
+        CallSpec call = call(1, RouteKind.IDEMPOTENT, true, 0);
+        mMachine.onCall(call, 0);
+        long now = 0;
+        int rejected = 0;
+        while (rejected < 10) {
+            int sent = mOutputs.mSent.size();
+            mMachine.onAttemptEnd(mOutputs.last().attempt(), AttemptOutcome.NOT_RUN, now);
+            rejected++;
+            while (mOutputs.mSent.size() == sent && now < DEADLINE) {
+                now += Nanos.ofMillis(5);
+                mMachine.onTick(now);
+            }
+            assertThat(mMachine.timedAttemptCount(), is(1));
+        }
+        mMachine.onAbandoned(1, now);
+
+        assertThat(mMachine.timedAttemptCount(), is(0));
+    }
+
     @Test
     void aBlockedCallIsRefusedAtOnceWithATimeToComeBack() {
         FakeGuard guard = new FakeGuard();
--- a/ebonyrun-core/src/test/java/org/ebonyrun/core/call/HedgedCallTest.java
+++ b/ebonyrun-core/src/test/java/org/ebonyrun/core/call/HedgedCallTest.java
@@ -350,6 +350,52 @@
         assertThat(mFleet.get(loser).latencyNanos(), greaterThan(before));
     }
 
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void aHedgedAttemptThatLosesSoonTellsNoLatency(boolean newEndpoint) {
+        addEndpoint("e1", "a");
+        if (!newEndpoint) {
+            addEndpoint("e2", "a");
+        }
+        earn(1);
+        long first = send(RouteKind.IDEMPOTENT, 2);
+        if (newEndpoint) {
+            addEndpoint("e2", "a");
+        }
+        tickAfter(SLOW_NANOS);
+        String loser = mOutputs.last().endpoint();
+        double before = mFleet.get(loser).latencyNanos();
+        mNow += Nanos.ofMillis(1);
+        answer(first);
+
+        assertThat(mOutputs.mCancelled, contains(first + 1));
+        assertThat(mFleet.get(loser).latencyNanos(), is(before));
+    }
+
+    @Test
+    void hedgedAttemptsThatLoseSoonDoNotShortenTheDelay() {
+        mLimit = OptionalDouble.of(0.25);
+        addEndpoint("e1", "a");
+        earn(1);
+        addEndpoint("e2", "b");
+        for (int i = 0; i < 4; i++) {
+            long first = send(RouteKind.IDEMPOTENT, 2);
+            tickAfter(SLOW_NANOS);
+            assertThat(mOutputs.last().endpoint(), is("e2"));
+            mNow += Nanos.ofMillis(1);
+            answer(first);
+        }
+        mFleet.get("e1").onFailure(mNow);
+        long first = send(RouteKind.IDEMPOTENT, 2);
+        assertThat(endpointOf(first), is("e2"));
+        addEndpoint("e3", "a");
+        tickAfter(ANSWER_NANOS);
+        assertThat(mOutputs.last().attempt(), is(first));
+        tickAfter(SLOW_NANOS);
+
+        assertThat(mOutputs.last().attempt(), is(first + 1));
+    }
+
     @ParameterizedTest
     @CsvSource({"IDEMPOTENT, true", "STREAM, false", "RESUMABLE_STREAM, false"})
     void onlyCallsThatAreNotStreamsTellTheLatencyOfAnEndpointAtTheirDeadline(
