Compute the use of a service once in a tick, and test the cheap conditions first

Callers saw: nothing yet; found by review of the limit on extra work. Cause: with overdue calls, each tick looked at all calls and endpoints once for each of them, also under overload, when no hedged attempt is sent anyway. Evidence: HedgedCallTest.theUseOfAServiceIsComputedOnceInATick and QuantileHedgingTest.theUseOfAnOverloadedServiceIsNotLookedAt failed before. No time was measured. Change: ServiceUses keeps the use of each service for a tick; a hedged attempt discards that of its service. Rejections and slow answers are tested before the use, so a service that is both limited and overloaded is now reported as SERVICE_BUSY. aHedgedAttemptCountsForTheNextCallOfTheSameTick passed before, too; it fails if the use is not discarded.

--- a/ebonyrun-core/src/main/java/org/ebonyrun/core/call/CallMachine.java
+++ b/ebonyrun-core/src/main/java/org/ebonyrun/core/call/CallMachine.java
@@ -261,25 +261,26 @@
     /** Sends waiting calls, hedges slow ones, and ends those whose deadline is near. */
     public void onTick(long now) {
         sendWaiting(now);
+        ServiceUses uses = new ServiceUses(mFleet, mCalls.values());
         for (PendingCall call : List.copyOf(mCalls.values())) {
             if (now - call.mSpec.deadline() + REFUSAL_MARGIN_NANOS >= 0) {
                 expire(call, now);
             } else {
-                tryHedge(call, now);
+                tryHedge(call, uses, now);
             }
         }
     }
 
-    private void tryHedge(PendingCall call, long now) {
+    private void tryHedge(PendingCall call, ServiceUses uses, long now) {
         if (call.mOpenAttempts.size() != 1 || call.mStreaming || call.mSpec.route().isStream()) {
             return;
         }
-        HedgeDecision decision =
-                mHedging.decide(new OpenCallView(call, mGuard, mFleet, mCalls.values()), now);
+        HedgeDecision decision = mHedging.decide(new OpenCallView(call, mGuard, uses), now);
         call.mHedgeDelayNanos = decision.delay().nanos();
         long open = now - call.mSentAt;
         for (HedgeScope scope : decision.scopes()) {
             if (trySend(call, scope, now)) {
+                uses.discard(call.mSpec.service());
                 call.mHedgeAttempt = mLastAttempt;
                 mHedging.onHedgeSent();
                 reportHedge(call, decision, open);
--- a/ebonyrun-core/src/main/java/org/ebonyrun/core/call/OpenCallView.java
+++ b/ebonyrun-core/src/main/java/org/ebonyrun/core/call/OpenCallView.java
@@ -2,11 +2,9 @@
 
 import static com.google.common.base.Preconditions.checkArgument;
 
-import java.util.Collection;
 import org.ebonyrun.base.id.ServiceName;
 import org.ebonyrun.base.time.Nanos;
 import org.ebonyrun.core.fleet.Endpoint;
-import org.ebonyrun.core.fleet.Fleet;
 import org.ebonyrun.core.hedge.OpenCall;
 import org.ebonyrun.core.hedge.ServiceUse;
 
@@ -19,21 +17,14 @@
 final class OpenCallView implements OpenCall {
     private final PendingCall mCall;
     private final CallGuard mGuard;
-    private final Fleet mFleet;
-    private final Collection<PendingCall> mCalls;
+    private final ServiceUses mUses;
 
-    /**
-     * Creates a view.
-     *
-     * @param calls all pending calls of the process
-     */
-    OpenCallView(PendingCall call, CallGuard guard, Fleet fleet, Collection<PendingCall> calls) {
+    OpenCallView(PendingCall call, CallGuard guard, ServiceUses uses) {
         int open = call.mOpenAttempts.size();
         checkArgument(open == 1, "call %s has %s open attempts", call.mSpec.requestId(), open);
         mCall = call;
         mGuard = guard;
-        mFleet = fleet;
-        mCalls = calls;
+        mUses = uses;
     }
 
     @Override
@@ -88,21 +79,6 @@
 
     @Override
     public ServiceUse use() {
-        ServiceName service = service();
-        int waiting = 0;
-        for (PendingCall call : mCalls) {
-            if (call.mOpenAttempts.isEmpty() && call.mSpec.service().equals(service)) {
-                waiting++;
-            }
-        }
-        int active = 0;
-        int slots = 0;
-        boolean limited = false;
-        for (Endpoint endpoint : mFleet.serving(service)) {
-            active += endpoint.activeRequests();
-            slots += endpoint.record().slots();
-            limited |= endpoint.isLimited();
-        }
-        return new ServiceUse(waiting, active, slots, limited);
+        return mUses.of(service());
     }
 }
--- a/ebonyrun-core/src/main/java/org/ebonyrun/core/hedge/OpenCall.java
+++ b/ebonyrun-core/src/main/java/org/ebonyrun/core/hedge/OpenCall.java
@@ -40,6 +40,6 @@
     /** Returns whether the call, or an equal one, has broken a connection to an endpoint. */
     boolean hasCrashed();
 
-    /** Returns what this process uses of the service now. */
+    /** Returns what this process uses of the service; some calls may have ended since. */
     ServiceUse use();
 }
--- a/ebonyrun-core/src/main/java/org/ebonyrun/core/hedge/QuantileHedging.java
+++ b/ebonyrun-core/src/main/java/org/ebonyrun/core/hedge/QuantileHedging.java
@@ -86,7 +86,7 @@
         if (!call.isIdempotent()) {
             return HedgeVerdict.MAY_NOT_REPEAT;
         }
-        if (!call.mayRunAgain() || call.wasHedged()) {
+        if (call.wasHedged() || !call.mayRunAgain()) {
             return HedgeVerdict.ATTEMPTS_USED;
         }
         if (call.hasCrashed()) {
@@ -96,14 +96,14 @@
         if (!hasRun) {
             return HedgeVerdict.EXTRA_WORK_USED;
         }
+        if (isOverloaded(call.service(), now)) {
+            return HedgeVerdict.SERVICE_BUSY;
+        }
         ServiceUse use = call.use();
         if (use.limited()) {
             return HedgeVerdict.LIMITED;
         }
-        if (use.isBusy() || isOverloaded(call.service(), now)) {
-            return HedgeVerdict.SERVICE_BUSY;
-        }
-        return HedgeVerdict.SEND;
+        return use.isBusy() ? HedgeVerdict.SERVICE_BUSY : HedgeVerdict.SEND;
     }
 
     private boolean isOverloaded(ServiceName service, long now) {
--- a/ebonyrun-core/src/test/java/org/ebonyrun/core/call/HedgedCallTest.java
+++ b/ebonyrun-core/src/test/java/org/ebonyrun/core/call/HedgedCallTest.java
@@ -7,15 +7,22 @@
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.not;
 
+import java.util.Collections;
+import java.util.IdentityHashMap;
 import java.util.List;
 import java.util.OptionalDouble;
+import java.util.Set;
 import org.ebonyrun.base.id.FailureDomain;
 import org.ebonyrun.base.time.Nanos;
 import org.ebonyrun.core.fleet.EndpointFixtures;
 import org.ebonyrun.core.fleet.Fleet;
 import org.ebonyrun.core.fleet.LimitNotice;
 import org.ebonyrun.core.hedge.ConfiguredHedging;
+import org.ebonyrun.core.hedge.HedgeDecision;
+import org.ebonyrun.core.hedge.HedgeDelay;
 import org.ebonyrun.core.hedge.HedgeVerdict;
+import org.ebonyrun.core.hedge.Hedging;
+import org.ebonyrun.core.hedge.ServiceUse;
 import org.ebonyrun.core.policy.Mechanism;
 import org.ebonyrun.core.policy.Policy;
 import org.ebonyrun.core.route.CallOptions;
@@ -396,6 +403,50 @@
         assertThat(mOutputs.last().attempt(), is(first + 1));
     }
 
+    @Test
+    void theUseOfAServiceIsComputedOnceInATick() {
+        addEndpoint("e1", "a");
+        addEndpoint("e2", "a");
+        Set<ServiceUse> uses = Collections.newSetFromMap(new IdentityHashMap<>());
+        Hedging hedging =
+                (call, now) -> {
+                    uses.add(call.use());
+                    HedgeDelay delay = new HedgeDelay(0, HedgeDelay.Source.TARGET, 0, 0);
+                    return new HedgeDecision(HedgeVerdict.SERVICE_BUSY, delay, List.of());
+                };
+        mMachine =
+                CallMachine.create(
+                        mFleet,
+                        FailureDomain.of("a"),
+                        Policy.ALL,
+                        hedging,
+                        CallGuard.NONE,
+                        mOutputs);
+        for (int i = 0; i < 10; i++) {
+            send(RouteKind.IDEMPOTENT, 2);
+        }
+        tickAfter(SLOW_NANOS);
+        assertThat(uses.size(), is(1));
+        tickAfter(SLOW_NANOS);
+
+        assertThat(uses.size(), is(2));
+    }
+
+    @Test
+    void aHedgedAttemptCountsForTheNextCallOfTheSameTick() {
+        addEndpoint("e1", "a");
+        addEndpoint("e2", "a");
+        earn(4);
+        // With one more request, three quarters of the 16 slots are in use.
+        for (int i = 0; i < 11; i++) {
+            send(RouteKind.IDEMPOTENT, 2);
+        }
+        int sent = mOutputs.mSent.size();
+        tickAfter(SLOW_NANOS);
+
+        assertThat(mOutputs.mSent.size(), is(sent + 1));
+    }
+
     @ParameterizedTest
     @CsvSource({"IDEMPOTENT, true", "STREAM, false", "RESUMABLE_STREAM, false"})
     void onlyCallsThatAreNotStreamsTellTheLatencyOfAnEndpointAtTheirDeadline(
--- a/ebonyrun-core/src/test/java/org/ebonyrun/core/hedge/FakeOpenCall.java
+++ b/ebonyrun-core/src/test/java/org/ebonyrun/core/hedge/FakeOpenCall.java
@@ -17,6 +17,7 @@
     boolean mMayRunAgain = true;
     boolean mHedged;
     boolean mCrashed;
+    int mUseReads;
     ServiceUse mUse = new ServiceUse(0, 1, 12, false);
 
     FakeOpenCall() {
@@ -76,6 +77,7 @@
 
     @Override
     public ServiceUse use() {
+        mUseReads++;
         return mUse;
     }
 }
--- a/ebonyrun-core/src/test/java/org/ebonyrun/core/hedge/QuantileHedgingTest.java
+++ b/ebonyrun-core/src/test/java/org/ebonyrun/core/hedge/QuantileHedgingTest.java
@@ -138,6 +138,15 @@
         assertThat(mHedging.decide(mCall, Nanos.ofMillis(500)).verdict(), is(verdict));
     }
 
+    @Test
+    void theUseOfAnOverloadedServiceIsNotLookedAt() {
+        earnRuns(1);
+        mHedging.onRejected(EndpointFixtures.SERVICE, 0);
+        mHedging.decide(mCall, HALF_TARGET);
+
+        assertThat(mCall.mUseReads, is(0));
+    }
+
     @ParameterizedTest
     @CsvSource({"1, EXTRA_WORK_USED", "2, EXTRA_WORK_USED", "3, SEND", "4, SEND"})
     void backgroundCallsLeaveSavedRunsToInteractiveOnes(int earned, HedgeVerdict verdict) {
