--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/CallClient.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/CallClient.java
@@ -4,6 +4,8 @@
 import org.ebonyrun.core.call.CallSpec;
 import org.ebonyrun.core.step.ScoreCall;
 import org.ebonyrun.core.stream.EventRelay;
+import org.ebonyrun.core.stream.StreamId;
+import org.ebonyrun.core.stream.StreamResumption;
 import org.ebonyrun.platform.FrontProtocol;
 import org.ebonyrun.ports.http.FrontExchange;
 import org.jspecify.annotations.Nullable;
@@ -51,6 +53,16 @@
         return mScoreListener;
     }
 
+    /** Returns the ID of the stream that a caller's call begins or resumes. */
+    StreamId streamId(FrontExchange caller) {
+        String first =
+                FrontProtocol.resumption(caller.headers())
+                        .map(StreamResumption::firstRequestId)
+                        .filter(id -> !id.isEmpty())
+                        .orElse(mCall.requestId());
+        return StreamId.of(FrontProtocol.host(caller.headers()), first);
+    }
+
     /** Returns the fingerprint of a caller's call; null for a call that scores a sample. */
     @Nullable CallFingerprint fingerprint() {
         if (mFingerprint == null && mCaller != null) {
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/CallController.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/CallController.java
@@ -23,7 +23,6 @@
 import org.ebonyrun.core.step.ScoreOutcome;
 import org.ebonyrun.core.stream.EventRelay;
 import org.ebonyrun.core.stream.StreamAdmission;
-import org.ebonyrun.core.stream.StreamId;
 import org.ebonyrun.core.stream.StreamResumption;
 import org.ebonyrun.platform.EndpointProtocol;
 import org.ebonyrun.platform.FrontProtocol;
@@ -454,7 +453,7 @@
         if (call.route().kind() == RouteKind.RESUMABLE_STREAM) {
             FrontExchange caller = client.caller();
             mStreams.onBegun(
-                    call, streamId(call, caller), exchange.endpoint(), expiresAt(call, caller));
+                    call, client.streamId(caller), exchange.endpoint(), expiresAt(call, caller));
         }
         begin(call, client, exchange, head);
     }
@@ -510,15 +509,6 @@
         return true;
     }
 
-    private static StreamId streamId(CallSpec call, FrontExchange caller) {
-        String first =
-                FrontProtocol.resumption(caller.headers())
-                        .map(StreamResumption::firstRequestId)
-                        .filter(id -> !id.isEmpty())
-                        .orElse(call.requestId());
-        return StreamId.of(FrontProtocol.host(caller.headers()), first);
-    }
-
     @Override
     public void onChunk(CallExchange exchange, byte[] chunk) {
         CallSpec call = mSpecs.get(exchange.attempt());
