Tell whether the holder is the same when the claim is sent

The role noted it at the tick that asked for a claim; the key may change while the lease is being granted. Tests: theKeyThatAClaimReplacesTellsWhetherTheHolderIsTheSame (could not be compiled before: onClaimSent is new).

--- a/ebonyrun-core/src/main/java/org/ebonyrun/core/duty/DutyRole.java
+++ b/ebonyrun-core/src/main/java/org/ebonyrun/core/duty/DutyRole.java
@@ -142,6 +142,15 @@
         }
     }
 
+    /**
+     * Handles that a claim is being sent, which may be a while after the tick that asked for it.
+     *
+     * @param sameHolder whether it replaces the key of an earlier process of the VM
+     */
+    public void onClaimSent(boolean sameHolder) {
+        mSameHolder = sameHolder;
+    }
+
     /** Handles a claim that the store has committed. */
     public void onClaimed(long fence, long now) {
         mClaiming = false;
--- a/ebonyrun-core/src/test/java/org/ebonyrun/core/duty/DutyRoleTest.java
+++ b/ebonyrun-core/src/test/java/org/ebonyrun/core/duty/DutyRoleTest.java
@@ -170,6 +170,19 @@
         assertThat(mOutputs, is(List.of("claim", "acquired 6 true " + 3 * SECOND)));
     }
 
+    @ParameterizedTest
+    @CsvSource({"EARLIER_PROCESS, false", "ABSENT, true"})
+    void theKeyThatAClaimReplacesTellsWhetherTheHolderIsTheSame(RoleKey key, boolean sameHolder) {
+        DutyRole role = role(true, true);
+        tick(role, key, 5);
+        advance(SECOND);
+        tick(role, key, 5);
+        role.onClaimSent(sameHolder);
+        role.onClaimed(6, mNow);
+
+        assertThat(mOutputs, is(List.of("claim", "acquired 6 " + sameHolder + " 0")));
+    }
+
     @Test
     void anotherHolderEndsTheRole() {
         DutyRole role = holding(true, false, 7);
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/DutyHolder.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/DutyHolder.java
@@ -188,6 +188,7 @@
             mRole.onClaimFailed(System.nanoTime());
             return;
         }
+        mRole.onClaimSent(holder != null);
         mSharedStore
                 .commit(
                         Transaction.builder()
