--- a/ebonyrun-core/src/test/java/org/ebonyrun/core/call/RefusalTest.java
+++ b/ebonyrun-core/src/test/java/org/ebonyrun/core/call/RefusalTest.java
@@ -141,7 +141,8 @@
                         });
             }
             if (mRandom.nextInt(10) == 0) {
-                mClock.schedule(now + millis(300), later -> mMachine.onKeyWithdrawn(id, later));
+                mClock.schedule(
+                        now + millis(300), later -> mMachine.onKeysWithdrawn(List.of(id), later));
             }
             mClock.schedule(now + millis(30), this::arrive);
         }
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/CallClient.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/CallClient.java
@@ -2,12 +2,15 @@
 
 import org.ebonyrun.core.call.CallFingerprint;
 import org.ebonyrun.core.call.CallSpec;
+import org.ebonyrun.core.fleet.Endpoint;
 import org.ebonyrun.core.step.ScoreCall;
 import org.ebonyrun.core.stream.EventRelay;
 import org.ebonyrun.core.stream.StreamId;
 import org.ebonyrun.core.stream.StreamResumption;
+import org.ebonyrun.platform.EndpointProtocol;
 import org.ebonyrun.platform.FrontProtocol;
 import org.ebonyrun.ports.http.FrontExchange;
+import org.ebonyrun.ports.http.HttpRequest;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -75,4 +78,29 @@
         }
         return mFingerprint;
     }
+
+    /** Returns the request that sends the call to an endpoint. */
+    HttpRequest newRequest(Endpoint endpoint, long leftMillis) {
+        FrontExchange caller = caller();
+        ScoreCall score = score();
+        if (caller != null) {
+            HttpRequest request =
+                    EndpointProtocol.newCallRequest(
+                            endpoint.record(),
+                            caller.method(),
+                            caller.target(),
+                            caller.headers(),
+                            caller.body(),
+                            mCall.endpointPriority(),
+                            leftMillis);
+            EventRelay relay = mRelay;
+            return relay == null || relay.lastEvent() == 0
+                    ? request
+                    : EndpointProtocol.afterEvent(request, relay.lastEvent());
+        }
+        if (score == null) {
+            throw new IllegalStateException("call has neither a caller nor a sample to score");
+        }
+        return EndpointProtocol.newScoreRequest(endpoint.record(), score, leftMillis);
+    }
 }
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/CallController.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/CallController.java
@@ -256,7 +256,7 @@
         CallExchange exchange = new CallExchange(attempt, streaming, endpoint, mContext, this);
         mAttempts.put(attempt, exchange);
         mSpecs.put(attempt, call);
-        HttpRequest request = newRequest(call, client, endpoint, leftMillis);
+        HttpRequest request = client.newRequest(endpoint, leftMillis);
         if (call.workspace() != null || mContext.workspaces().isEnabled()) {
             request =
                     EndpointProtocol.forWorkspace(request, mContext.workspaces(), call.workspace());
@@ -287,31 +287,6 @@
         mHttpClient.send(request, exchange);
     }
 
-    private static HttpRequest newRequest(
-            CallSpec call, CallClient client, Endpoint endpoint, long leftMillis) {
-        FrontExchange caller = client.caller();
-        ScoreCall score = client.score();
-        if (caller != null) {
-            HttpRequest request =
-                    EndpointProtocol.newCallRequest(
-                            endpoint.record(),
-                            caller.method(),
-                            caller.target(),
-                            caller.headers(),
-                            caller.body(),
-                            call.endpointPriority(),
-                            leftMillis);
-            EventRelay relay = client.mRelay;
-            return relay == null || relay.lastEvent() == 0
-                    ? request
-                    : EndpointProtocol.afterEvent(request, relay.lastEvent());
-        }
-        if (score == null) {
-            throw new IllegalStateException("call has neither a caller nor a sample to score");
-        }
-        return EndpointProtocol.newScoreRequest(endpoint.record(), score, leftMillis);
-    }
-
     @Override
     public void onHedgeDecided(CallSpec call, HedgeDecision decision, long openNanos) {
         mHedgeLog.onDecided(call, decision, openNanos);
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/HostedEntry.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/HostedEntry.java
@@ -28,7 +28,6 @@
 import org.ebonyrun.core.route.RouteKind;
 import org.ebonyrun.core.route.RouteTable;
 import org.ebonyrun.core.step.StepId;
-import org.ebonyrun.core.workspace.AdmissionPolicy;
 import org.ebonyrun.core.workspace.Workspaces;
 import org.ebonyrun.platform.EndpointDecoder;
 import org.ebonyrun.platform.OperatorDecoder;
@@ -83,7 +82,10 @@
     private final EntryLease mLease;
     private final List<StoreWatch> mWatches = new ArrayList<>();
     private final CallerKeys mKeys =
-            new CallerKeys(this, this::admissionPolicy, this::configurationSilenceNanos);
+            new CallerKeys(
+                    this,
+                    () -> settings().limits().admission(),
+                    now -> mWatches.get(OPERATOR_WATCH).silenceNanos(now));
     private final CallController mCalls;
     private final SampleController mSamples;
     private final StepOwnership mStepOwnership;
@@ -175,14 +177,6 @@
                 (what, e) -> mAnomalies.onException(what, e));
     }
 
-    private AdmissionPolicy admissionPolicy() {
-        return mSettings.limits().admission();
-    }
-
-    private long configurationSilenceNanos(long now) {
-        return mWatches.get(OPERATOR_WATCH).silenceNanos(now);
-    }
-
     private EndpointScaling newScaling(HostedSettings settings) {
         return EndpointScaling.create(
                 this, mStore, mFleet, mCalls, settings.vm().value(), mPlatformCalls.scalingApi());
--- a/ebonyrun-daemon/src/test/java/org/ebonyrun/daemon/hosted/StubContext.java
+++ b/ebonyrun-daemon/src/test/java/org/ebonyrun/daemon/hosted/StubContext.java
@@ -99,6 +99,11 @@
         throw new UnsupportedOperationException("hasConfiguration");
     }
 
+    @Override
+    public HostedSettings settings() {
+        throw new UnsupportedOperationException("settings");
+    }
+
     @Override
     public Workspaces workspaces() {
         throw new UnsupportedOperationException("workspaces");
