--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/StreamCodec.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/StreamCodec.java
@@ -38,10 +38,7 @@
         if (!json.path("versions").isArray()) {
             throw new IllegalArgumentException("no array of versions");
         }
-        Set<String> announced = texts(json.path("versions"));
-        Set<String> absent = texts(json.path("absent"));
-        absent.retainAll(announced);
-        return new SoftwareVersions(announced, absent);
+        return new SoftwareVersions(texts(json.path("versions")), texts(json.path("absent")));
     }
 
     private static Set<String> texts(JsonNode array) {
