--- a/ebonyrun-core/src/test/java/org/ebonyrun/core/stream/ResumedStreamsSimulation.java
+++ b/ebonyrun-core/src/test/java/org/ebonyrun/core/stream/ResumedStreamsSimulation.java
@@ -2,7 +2,6 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
@@ -15,17 +14,21 @@
 import org.ebonyrun.core.fleet.EndpointFixtures;
 import org.ebonyrun.core.fleet.EndpointRecord;
 import org.ebonyrun.core.fleet.Fleet;
+import org.ebonyrun.core.stream.SimulatedStreamStore.Table;
 import org.jspecify.annotations.Nullable;
 
 /**
- * Simulates entries that carry streams of one service during releases of its software, in virtual
- * time: endpoints that are replaced, entries that learn of it at different times, are killed or cut
- * off from the store, and a store with latency, outages, lost responses and late writes. Callers
- * resume broken streams at any entry.
+ * Simulates entries that carry streams of a service during releases of its software, in virtual
+ * time: endpoints that are replaced, entries that learn of it at different times, are killed alone
+ * or all at once, or cut off from the store, and a store with latency, outages, lost responses,
+ * late writes, leases that end and a history that is discarded. Some routes name a second service.
+ * Callers resume broken streams at any entry; some don't name their first request.
  */
 final class ResumedStreamsSimulation {
     private static final ServiceName SERVICE = EndpointFixtures.SERVICE;
+    private static final ServiceName OTHER_SERVICE = ServiceName.of("other");
     private static final Set<ServiceName> SERVICES = Set.of(SERVICE);
+    private static final Set<ServiceName> BOTH_SERVICES = Set.of(SERVICE, OTHER_SERVICE);
     private static final int ENDPOINTS = 6;
     private static final int MAX_TRIES = 4;
     private static final long TICK_NANOS = Nanos.ofMillis(20);
@@ -33,23 +36,8 @@
     private static final long TIMEOUT_NANOS = Nanos.ofMillis(500);
     private static final long LATE_WRITE_NANOS = Nanos.ofMillis(5_000);
     private static final long MAX_VIEW_LAG_NANOS = Nanos.ofMillis(4_000);
-    private static final long CALLER_WAITS_NANOS = Nanos.ofMillis(12_000);
     private static final long RETRY_AFTER_NANOS = Nanos.ofMillis(300);
-
-    /** A stream of a caller. */
-    private static final class Stream {
-        final StreamId mId;
-        final long mExpiresAt;
-        @Nullable StreamOrigin mOrigin;
-        boolean mKilled;
-        boolean mDisturbed;
-        int mTries;
-
-        Stream(StreamId id, long expiresAt) {
-            mId = id;
-            mExpiresAt = expiresAt;
-        }
-    }
+    private static final long LEASE_NANOS = Nanos.ofMillis(60_000);
 
     /** One process of an entry. A killed entry gets another one. */
     private final class Entry implements StreamOriginOutputs {
@@ -57,11 +45,12 @@
         final int mLife;
         final Fleet mFleet = Fleet.create();
         final StreamOriginMachine mMachine = StreamOriginMachine.create(mFleet, 400, this);
-        final List<Stream> mCarried = new ArrayList<>();
-        final Map<Long, Stream> mLookups = new HashMap<>();
+        final List<SimulatedStream> mCarried = new ArrayList<>();
+        final Map<Long, SimulatedStream> mLookups = new HashMap<>();
         boolean mCutOff;
         boolean mDead;
         long mLastLookup;
+        long mReadAgainAt = -1;
 
         Entry(int number, int life) {
             mNumber = number;
@@ -73,9 +62,12 @@
         }
 
         /** Returns an endpoint at which a stream may begin or go on. */
-        private @Nullable Endpoint choose(@Nullable StreamOrigin origin, long now) {
+        private @Nullable Endpoint choose(
+                Set<ServiceName> services, @Nullable StreamOrigin origin, long now) {
+            List<Endpoint> serving = new ArrayList<>();
+            services.stream().sorted().forEach(name -> serving.addAll(mFleet.serving(name)));
             List<Endpoint> allowed = new ArrayList<>();
-            for (Endpoint endpoint : mFleet.serving(SERVICE)) {
+            for (Endpoint endpoint : serving) {
                 boolean fits =
                         origin == null
                                 ? mMachine.admit(endpoint.record(), now) == StreamAdmission.ADMITTED
@@ -88,19 +80,25 @@
         }
 
         void begin(long now) {
+            if (mDead) {
+                return;
+            }
             mAsked++;
-            Endpoint endpoint = choose(null, now);
+            Set<ServiceName> services =
+                    mCallers.nextDouble() < mSplitShare ? BOTH_SERVICES : SERVICES;
+            Endpoint endpoint = choose(services, null, now);
             if (endpoint == null) {
                 return;
             }
             mBegun++;
             StreamId id = StreamId.of("x", "r" + mBegun);
-            Stream stream = new Stream(id, now + CALLER_WAITS_NANOS);
+            SimulatedStream stream =
+                    new SimulatedStream(id, services, mCallers.nextDouble() >= mUnnamedShare, now);
             stream.mDisturbed = mCutOff || mStoreDown;
             run(stream, endpoint, now);
         }
 
-        private void run(Stream stream, Endpoint endpoint, long now) {
+        private void run(SimulatedStream stream, Endpoint endpoint, long now) {
             StreamOrigin origin = StreamOrigin.of(endpoint.record());
             if (stream.mOrigin == null) {
                 stream.mOrigin = origin;
@@ -108,42 +106,69 @@
                 mMixed.add(stream.mOrigin + " then " + origin + " at " + now);
             }
             mCarried.add(stream);
-            mMachine.onBegun(stream.mId, origin, SERVICES, stream.mExpiresAt, now);
-            mClock.schedule(now + mRandom.nextInt(800) * Nanos.PER_MILLI, at -> end(stream, at));
+            stream.mSurvived = true;
+            mMachine.onBegun(stream.mId, origin, stream.mServices, stream.mExpiresAt, now);
+            long runs = mRandom.nextInt(mMaxRunMillis) * Nanos.PER_MILLI;
+            mClock.schedule(now + runs, at -> end(stream, at));
         }
 
-        private void end(Stream stream, long now) {
+        private void end(SimulatedStream stream, long now) {
             if (mDead || !mCarried.remove(stream)) {
                 return;
             }
             if (mRandom.nextDouble() < mBreaks) {
                 stream.mDisturbed |= mCutOff || mStoreDown;
-                mMachine.onBroken(SERVICE, now);
+                mMachine.onBroken(stream.mOrigin.service(), now);
                 comeAgain(stream, now + mRandom.nextInt(5) * Nanos.PER_MILLI);
             }
         }
 
-        void resume(Stream stream, long now) {
+        void resume(SimulatedStream stream, long now) {
+            if (mDead) {
+                // A connection that is refused is no try.
+                stream.mTries--;
+                comeAgain(stream, now + RETRY_AFTER_NANOS);
+                return;
+            }
             long lookup = ++mLastLookup;
             mLookups.put(lookup, stream);
             stream.mDisturbed |= mCutOff || mStoreDown;
-            mMachine.resolve(lookup, stream.mId, SERVICES);
+            mMachine.resolve(lookup, stream.mIsNamed ? stream.mId : null, stream.mServices);
         }
 
         void kill(long now) {
             mDead = true;
-            for (Stream stream : mCarried) {
+            for (SimulatedStream stream : mCarried) {
                 stream.mKilled = true;
+                stream.mSurvived = false;
+                stream.mAgeAtKill = now - stream.mBegunAt;
+                mKilledStreams.add(stream);
                 comeAgain(stream, now + mRandom.nextInt(50) * Nanos.PER_MILLI);
             }
             mLookups.values().forEach(stream -> comeAgain(stream, now + RETRY_AFTER_NANOS));
             mCarried.clear();
             mLookups.clear();
+            mClock.schedule(now + LEASE_NANOS, later -> mStore.endLease(process()));
+        }
+
+        private String process() {
+            return mNumber + "/" + mLife;
+        }
+
+        /** Reads all endpoints again, in place of the changes that are still to be told. */
+        void readAgain(long now) {
+            mReadAgainAt = now;
+            List<String> known =
+                    mFleet.all().stream().map(endpoint -> endpoint.record().id()).toList();
+            known.stream()
+                    .filter(id -> !mEndpoints.containsKey(id))
+                    .forEach(id -> mFleet.onRemoved(id, now));
+            mEndpoints.values().forEach(mFleet::onRecord);
         }
 
         @Override
         public void onResolved(long lookup, @Nullable StreamOrigin origin, String reason) {
-            Stream stream = mLookups.remove(lookup);
+            SimulatedStream stream = mLookups.remove(lookup);
             if (stream == null) {
                 return;
             }
@@ -151,8 +176,9 @@
             if (origin != null && !origin.equals(stream.mOrigin)) {
                 mMixed.add(stream.mOrigin + " taken for " + origin + ": " + reason);
             }
-            Endpoint endpoint = origin == null ? null : choose(origin, now);
-            boolean counts = !stream.mDisturbed && servingCount(stream.mOrigin) >= 2;
+            Endpoint endpoint = origin == null ? null : choose(stream.mServices, origin, now);
+            boolean counts =
+                    !stream.mDisturbed && stream.mIsNamed && servingCount(stream.mOrigin) >= 2;
             if (endpoint != null) {
                 mWentOn += counts ? 1 : 0;
                 run(stream, endpoint, now);
@@ -196,31 +222,24 @@
             call(
                     false,
                     () -> {
-                        Set<String> versions = mTable;
-                        long revision = mTableRevision;
-                        respond(() -> mMachine.onTable(service, versions, revision, mClock.now()));
+                        Table table = mStore.table(service);
+                        respond(() -> onTable(service, table));
                     },
                     () -> mMachine.onTableFailed(service, mClock.now()));
         }
 
         @Override
-        public void writeTable(ServiceName service, Set<String> versions, long revision) {
+        public void writeTable(ServiceName service, SoftwareVersions versions, long revision) {
             boolean[] ended = {false};
             call(
                     true,
                     () -> {
-                        if (mTableRevision == revision) {
-                            mTable = versions;
-                            mTableRevision++;
-                            mTableWrites++;
-                        }
-                        Set<String> now = mTable;
-                        long newRevision = mTableRevision;
+                        Table now = mStore.write(service, versions, revision, mClock.now());
                         respond(
                                 () -> {
                                     if (!ended[0]) {
                                         ended[0] = true;
-                                        mMachine.onTable(service, now, newRevision, mClock.now());
+                                        onTable(service, now);
                                     }
                                 });
                     },
@@ -230,17 +249,24 @@
                     });
         }
 
+        private void onTable(ServiceName service, Table table) {
+            mMachine.onTable(service, table.versions(), table.revision(), mClock.now());
+        }
+
         @Override
         public void readTableFor(long lookup, ServiceName service) {
             call(
                     false,
                     () -> {
-                        Set<String> versions = mTable;
-                        long revision = mTableRevision;
+                        Table table = mStore.table(service);
                         respond(
                                 () ->
                                         mMachine.onLookupTable(
-                                                lookup, service, versions, revision, mClock.now()));
+                                                lookup,
+                                                service,
+                                                table.versions(),
+                                                table.revision(),
+                                                mClock.now()));
                     },
                     () -> mMachine.onLookupFailed(lookup, "lost", mClock.now()));
         }
@@ -250,14 +276,7 @@
             call(
                     false,
                     () -> {
-                        Set<StreamOrigin> origins = new HashSet<>();
-                        Map<String, Map<StreamId, StreamOrigin>> bucket =
-                                mRecords.getOrDefault(stream.bucket(), Map.of());
-                        for (Map<StreamId, StreamOrigin> records : bucket.values()) {
-                            if (records.containsKey(stream)) {
-                                origins.add(records.get(stream));
-                            }
-                        }
+                        Set<StreamOrigin> origins = mStore.origins(stream);
                         respond(() -> mMachine.onRecords(lookup, origins, mClock.now()));
                     },
                     () -> mMachine.onLookupFailed(lookup, "lost", mClock.now()));
@@ -265,7 +284,7 @@
 
         @Override
         public void countEntries() {
-            int entries = mRecords.getOrDefault(0, Map.of()).size();
+            int entries = mStore.processCount();
             respond(() -> mMachine.onEntries(entries));
         }
 
@@ -276,10 +295,7 @@
             call(
                     true,
                     () -> {
-                        buckets.forEach(
-                                (bucket, records) ->
-                                        mRecords.computeIfAbsent(bucket, b -> new TreeMap<>())
-                                                .put(mNumber + "/" + mLife, records));
+                        mStore.writeRecords(process(), buckets);
                         respond(
                                 () -> {
                                     if (!ended[0]) {
@@ -299,18 +315,21 @@
         }
 
         @Override
-        public void onTableChanged(ServiceName service, Set<String> versions) {}
+        public void onTableChanged(ServiceName service, SoftwareVersions versions) {}
     }
 
     private final VirtualClock mClock = new VirtualClock();
     private final Random mRandom;
+    private final Random mCallers;
     private final double mBreaks;
     private final double mLosses;
     private final Entry[] mEntries;
     private final Map<String, EndpointRecord> mEndpoints = new TreeMap<>();
-    private final Map<Integer, Map<String, Map<StreamId, StreamOrigin>>> mRecords = new HashMap<>();
-    private Set<String> mTable = Set.of();
-    private long mTableRevision;
+    private final SimulatedStreamStore mStore = new SimulatedStreamStore();
+    private final List<SimulatedStream> mKilledStreams = new ArrayList<>();
+    private double mSplitShare;
+    private double mUnnamedShare;
+    private int mMaxRunMillis = 800;
     private boolean mStoreDown;
     private int mLives;
     private int mAsked;
@@ -319,7 +338,6 @@
     private int mRefused;
     private int mRefusedAlive;
     private final List<Long> mRecordWrites = new ArrayList<>();
-    private int mTableWrites;
     private final List<String> mMixed = new ArrayList<>();
 
     /**
@@ -330,6 +348,7 @@
      */
     ResumedStreamsSimulation(long seed, int entries, double breaks, double losses) {
         mRandom = new Random(seed);
+        mCallers = new Random(seed);
         mBreaks = breaks;
         mLosses = losses;
         mEntries = new Entry[entries];
@@ -372,7 +391,20 @@
     }
 
     int tableWrites() {
-        return mTableWrites;
+        return mStore.tableWrites().size();
+    }
+
+    /** Returns when the announced versions were last written, in milliseconds. */
+    long lastTableWriteMillis() {
+        return Nanos.toMillis(mStore.tableWrites().get(tableWrites() - 1));
+    }
+
+    /** Returns the streams whose entry was killed and whose version two endpoints serve now. */
+    List<SimulatedStream.Killed> killedStreams() {
+        return mKilledStreams.stream()
+                .filter(stream -> stream.mIsNamed && servingCount(stream.mOrigin) >= 2)
+                .map(stream -> new SimulatedStream.Killed(stream.mAgeAtKill, stream.mSurvived))
+                .toList();
     }
 
     private int servingCount(@Nullable StreamOrigin origin) {
@@ -383,8 +415,11 @@
     }
 
     private void register(String id, String software, boolean atOnce) {
-        EndpointRecord record = EndpointFixtures.recordWithSoftware(id, 8, 1, software);
-        mEndpoints.put(id, record);
+        register(EndpointFixtures.recordWithSoftware(id, 8, 1, software), atOnce);
+    }
+
+    private void register(EndpointRecord record, boolean atOnce) {
+        mEndpoints.put(record.id(), record);
         for (Entry entry : mEntries) {
             if (entry != null && !atOnce) {
                 seeLater(entry, () -> entry.mFleet.onRecord(record));
@@ -394,10 +429,14 @@
 
     /** Applies a change at an entry when its watch delivers it. */
     private void seeLater(Entry entry, Runnable change) {
-        long at = mClock.now() + (long) (mRandom.nextDouble() * MAX_VIEW_LAG_NANOS);
+        long happenedAt = mClock.now();
+        long at = happenedAt + (long) (mRandom.nextDouble() * MAX_VIEW_LAG_NANOS);
         mClock.schedule(
                 at,
                 now -> {
+                    if (entry.mReadAgainAt >= happenedAt) {
+                        return;
+                    }
                     if (entry.reachesStore()) {
                         change.run();
                     } else {
@@ -412,7 +451,7 @@
         mEntries[number] = entry;
     }
 
-    private void comeAgain(Stream stream, long at) {
+    private void comeAgain(SimulatedStream stream, long at) {
         if (++stream.mTries > MAX_TRIES || at > stream.mExpiresAt) {
             return;
         }
@@ -429,7 +468,8 @@
                         List<String> old = new ArrayList<>();
                         mEndpoints.forEach(
                                 (id, e) -> {
-                                    if (!e.software().equals(software)) {
+                                    if (e.service().equals(SERVICE)
+                                            && !e.software().equals(software)) {
                                         old.add(id);
                                     }
                                 });
@@ -451,11 +491,79 @@
                 Nanos.ofMillis(millis),
                 now -> {
                     int number = mRandom.nextInt(mEntries.length);
-                    mEntries[number].kill(now);
-                    restart(number);
+                    if (!mEntries[number].mDead) {
+                        mEntries[number].kill(now);
+                        restart(number);
+                    }
+                });
+    }
+
+    /** Kills all entries at once, and starts them with nothing in memory after a while. */
+    void losePower(long atMillis, long forMillis) {
+        mClock.schedule(
+                Nanos.ofMillis(atMillis),
+                now -> {
+                    for (Entry entry : mEntries) {
+                        entry.kill(now);
+                    }
+                });
+        mClock.schedule(
+                Nanos.ofMillis(atMillis + forMillis),
+                now -> {
+                    for (int i = 0; i < mEntries.length; i++) {
+                        restart(i);
+                    }
+                });
+    }
+
+    /** Ends all leases at once, so that the store has no records of streams. */
+    void endLeases(long atMillis) {
+        mClock.schedule(
+                Nanos.ofMillis(atMillis),
+                now -> {
+                    mStore.endLeases();
+                    for (Entry entry : mEntries) {
+                        entry.ifAlive(entry.mMachine::onRecordsLost);
+                    }
+                });
+    }
+
+    /** Discards the store's history, so that entries read all endpoints again. */
+    void discardHistory(long atMillis) {
+        mClock.schedule(
+                Nanos.ofMillis(atMillis),
+                now -> {
+                    for (Entry entry : mEntries) {
+                        if (!entry.mDead && entry.reachesStore()) {
+                            entry.readAgain(now);
+                        }
+                    }
                 });
     }
 
+    /** Lets a share of the streams run on routes that name a second service too. */
+    void splitRoutes(double share) {
+        mSplitShare = share;
+        for (int i = 0; i < ENDPOINTS; i++) {
+            EndpointRecord record =
+                    EndpointFixtures.record(OTHER_SERVICE, "other-" + i, i % 2 == 0 ? "v1" : "v2");
+            register(record, true);
+            for (Entry entry : mEntries) {
+                entry.mFleet.onRecord(record);
+            }
+        }
+    }
+
+    /** Lets a share of the callers not name the first request of a stream. */
+    void withoutNames(double share) {
+        mUnnamedShare = share;
+    }
+
+    /** Sets how long a part of a stream runs at most. */
+    void setMaxRun(int millis) {
+        mMaxRunMillis = millis;
+    }
+
     /** Cuts random entries off from the store for a while, from time to time. */
     void cutOffEvery(long millis, long forMillis) {
         mClock.scheduleEvery(
@@ -483,7 +591,7 @@
                 TICK_NANOS,
                 now -> {
                     for (Entry entry : mEntries) {
-                        entry.mMachine.onTick(now);
+                        entry.ifAlive(() -> entry.mMachine.onTick(now));
                     }
                 });
         mClock.runUntil(Nanos.ofMillis(untilMillis));
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/CallController.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/CallController.java
@@ -1,10 +1,12 @@
 package org.ebonyrun.daemon.hosted;
 
-import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.List;
+import java.util.HashSet;
 import java.util.Map;
+import java.util.Set;
+import java.util.function.Consumer;
 import org.ebonyrun.base.id.FailureDomain;
+import org.ebonyrun.base.id.ServiceName;
 import org.ebonyrun.base.log.LogLine;
 import org.ebonyrun.base.time.Nanos;
 import org.ebonyrun.core.call.AttemptOutcome;
@@ -16,13 +18,15 @@
 import org.ebonyrun.core.call.CrashRecords;
 import org.ebonyrun.core.fleet.Endpoint;
 import org.ebonyrun.core.fleet.Fleet;
+import org.ebonyrun.core.hedge.ConfiguredHedging;
+import org.ebonyrun.core.hedge.HedgeDecision;
 import org.ebonyrun.core.route.RouteKind;
 import org.ebonyrun.core.step.ScoreCall;
 import org.ebonyrun.core.step.ScoreOutcome;
 import org.ebonyrun.core.stream.EventRelay;
 import org.ebonyrun.core.stream.StreamAdmission;
-import org.ebonyrun.core.stream.StreamId;
 import org.ebonyrun.core.stream.StreamResumption;
+import org.ebonyrun.core.usage.UsageCounter;
 import org.ebonyrun.platform.EndpointProtocol;
 import org.ebonyrun.platform.FrontProtocol;
 import org.ebonyrun.ports.http.AsyncHttpClient;
@@ -62,6 +66,8 @@
     private final CrashController mCrashes;
     private final StreamController mStreams;
     private final CallMachine mMachine;
+    private Consumer<ServiceName> mRefusalListener = service -> {};
+    private final HedgeLog mHedgeLog;
     private final Map<Long, CallClient> mClients = new HashMap<>();
     private final Map<FrontExchange, Long> mCallIds = new HashMap<>();
     private final Map<Long, CallExchange> mAttempts = new HashMap<>();
@@ -70,6 +76,7 @@
     // its response may still be delivered.
     private final Map<Long, Long> mErrorAttempts = new HashMap<>();
     private final Map<Long, Integer> mErrorCounts = new HashMap<>();
+    private UsageCounter mUsage = UsageCounter.NONE;
     private long mLastCallId;
 
     CallController(
@@ -85,7 +92,15 @@
         mHttpClient = httpClient;
         mCrashes = crashes;
         mStreams = streams;
-        mMachine = CallMachine.create(fleet, domain, context.policy(), this, this);
+        mHedgeLog = new HedgeLog(context);
+        mMachine =
+                CallMachine.create(
+                        fleet,
+                        domain,
+                        context.policy(),
+                        new ConfiguredHedging(() -> context.settings().limits().extraWork()),
+                        this,
+                        this);
     }
 
     /** Returns an ID for a new call, unique within this process. */
@@ -93,6 +108,11 @@
         return ++mLastCallId;
     }
 
+    /** Tells a counter of the attempts of callers' calls that have a workspace. */
+    void countUsageWith(UsageCounter usage) {
+        mUsage = usage;
+    }
+
     /** Starts a call on behalf of a caller. */
     void onCall(CallSpec spec, FrontExchange caller, long now) {
         CallClient client = new CallClient(spec, caller, null, null);
@@ -107,18 +127,28 @@
 
     @Override
     public boolean isBlocked(CallSpec call) {
-        CallClient client = mCrashes.isEmpty() ? null : mClients.get(call.id());
-        CallFingerprint fingerprint = client == null ? null : client.fingerprint();
+        CallFingerprint fingerprint = fingerprintIfAnyCrashed(call);
         return fingerprint != null && mCrashes.isBlocked(fingerprint);
     }
 
     @Override
     public boolean mayRetry(CallSpec call) {
-        CallClient client = mCrashes.isEmpty() ? null : mClients.get(call.id());
-        CallFingerprint fingerprint = client == null ? null : client.fingerprint();
+        CallFingerprint fingerprint = fingerprintIfAnyCrashed(call);
         return fingerprint == null || mCrashes.mayRetry(fingerprint);
     }
 
+    /** Returns the fingerprint of a caller's call; null while no call has crashed an endpoint. */
+    private @Nullable CallFingerprint fingerprintIfAnyCrashed(CallSpec call) {
+        CallClient client = mCrashes.isEmpty() ? null : mClients.get(call.id());
+        return client == null ? null : client.fingerprint();
+    }
+
+    @Override
+    public boolean hasCrashed(CallSpec call) {
+        CallFingerprint fingerprint = fingerprintIfAnyCrashed(call);
+        return fingerprint != null && mCrashes.hasCrashed(fingerprint);
+    }
+
     @Override
     public StreamAdmission admit(CallSpec call, Endpoint endpoint, long now) {
         return mStreams.admit(endpoint, now);
@@ -142,6 +172,7 @@
             noteBrokenStream(call);
             noteUnanswered(call);
             mClients.remove(call);
+            mUsage.onCallEnd(call);
             mMachine.onAbandoned(call, now);
             removeErrors(call);
         }
@@ -149,7 +180,7 @@
 
     /** Ends the calls whose keys were withdrawn, except where endpoints run them already. */
     void onKeysChanged(CallerKeys keys, long now) {
-        List<CallSpec> withdrawn = new ArrayList<>();
+        Set<Long> withdrawn = new HashSet<>();
         mClients.values()
                 .forEach(
                         client -> {
@@ -162,10 +193,10 @@
                                                     call.workspace(),
                                                     call.route().isPublic());
                             if (refused) {
-                                withdrawn.add(call);
+                                withdrawn.add(call.id());
                             }
                         });
-        withdrawn.forEach(call -> mMachine.onKeyWithdrawn(call.id(), now));
+        mMachine.onKeysWithdrawn(withdrawn, now);
     }
 
     /** Notes that the caller of a call left before the end of its response. */
@@ -192,7 +223,7 @@
                     CallFingerprint fingerprint =
                             open && client != null ? client.fingerprint() : null;
                     if (fingerprint != null) {
-                        mCrashes.onUnanswered(fingerprint, spec.requestId(), exchange.endpointId());
+                        mCrashes.onUnanswered(fingerprint, spec.requestId(), exchange.lifeName());
                     }
                 });
     }
@@ -201,6 +232,16 @@
         return mMachine.callCount();
     }
 
+    /** Sets what is told of the service of each call that is refused. */
+    void setRefusalListener(Consumer<ServiceName> listener) {
+        mRefusalListener = listener;
+    }
+
+    /** Returns the number of open calls of a service. */
+    int openCalls(ServiceName service) {
+        return mMachine.callCount(service);
+    }
+
     void onTick(long now) {
         mMachine.onTick(now);
     }
@@ -215,7 +256,7 @@
         CallExchange exchange = new CallExchange(attempt, streaming, endpoint, mContext, this);
         mAttempts.put(attempt, exchange);
         mSpecs.put(attempt, call);
-        HttpRequest request = newRequest(call, client, endpoint, leftMillis);
+        HttpRequest request = client.newRequest(endpoint, leftMillis);
         if (call.workspace() != null || mContext.workspaces().isEnabled()) {
             request =
                     EndpointProtocol.forWorkspace(request, mContext.workspaces(), call.workspace());
@@ -240,32 +281,20 @@
                                             .with("after", resumed.lastEvent()));
         }
         mContext.log().write(EndpointExchange.withLimit(line, endpoint));
+        if (client.caller() != null && call.workspace() != null) {
+            mUsage.onSent(call.id(), call.workspace(), attempt, System.currentTimeMillis());
+        }
         mHttpClient.send(request, exchange);
     }
 
-    private static HttpRequest newRequest(
-            CallSpec call, CallClient client, Endpoint endpoint, long leftMillis) {
-        FrontExchange caller = client.caller();
-        ScoreCall score = client.score();
-        if (caller != null) {
-            HttpRequest request =
-                    EndpointProtocol.newCallRequest(
-                            endpoint.record(),
-                            caller.method(),
-                            caller.target(),
-                            caller.headers(),
-                            caller.body(),
-                            call.endpointPriority(),
-                            leftMillis);
-            EventRelay relay = client.mRelay;
-            return relay == null || relay.lastEvent() == 0
-                    ? request
-                    : EndpointProtocol.afterEvent(request, relay.lastEvent());
-        }
-        if (score == null) {
-            throw new IllegalStateException("call has neither a caller nor a sample to score");
-        }
-        return EndpointProtocol.newScoreRequest(endpoint.record(), score, leftMillis);
+    @Override
+    public void onHedgeDecided(CallSpec call, HedgeDecision decision, long openNanos) {
+        mHedgeLog.onDecided(call, decision, openNanos);
+    }
+
+    @Override
+    public void onHedgeEnded(CallSpec call, boolean won) {
+        mHedgeLog.onEnded(won);
     }
 
     @Override
@@ -327,6 +356,7 @@
     @Override
     public void refuse(CallSpec call, long retryAfterMillis, String reason) {
         mContext.metrics().count(EntryMetrics.CALLS, "refused");
+        mRefusalListener.accept(call.service());
         mContext.log()
                 .write(
                         LogLine.of("call.refused")
@@ -358,7 +388,7 @@
     public void refuseKey(CallSpec call) {
         CallClient client = finish(call);
         if (client != null && client.caller() != null) {
-            mKeys.refuseKey(client.caller(), call.requestId(), "the key was withdrawn");
+            mKeys.refuseWithdrawn(client.caller(), call.requestId(), call.route().isPublic());
         }
     }
 
@@ -399,6 +429,7 @@
         if (client != null && client.caller() != null) {
             mCallIds.remove(client.caller());
         }
+        mUsage.onCallEnd(call.id());
         removeErrors(call.id());
         return client;
     }
@@ -423,7 +454,7 @@
         if (call.route().kind() == RouteKind.RESUMABLE_STREAM) {
             FrontExchange caller = client.caller();
             mStreams.onBegun(
-                    call, streamId(call, caller), exchange.endpoint(), expiresAt(call, caller));
+                    call, client.streamId(caller), exchange.endpoint(), expiresAt(call, caller));
         }
         begin(call, client, exchange, head);
     }
@@ -479,15 +510,6 @@
         return true;
     }
 
-    private static StreamId streamId(CallSpec call, FrontExchange caller) {
-        String first =
-                FrontProtocol.resumption(caller.headers())
-                        .map(StreamResumption::firstRequestId)
-                        .filter(id -> !id.isEmpty())
-                        .orElse(call.requestId());
-        return StreamId.of(FrontProtocol.host(caller.headers()), first);
-    }
-
     @Override
     public void onChunk(CallExchange exchange, byte[] chunk) {
         CallSpec call = mSpecs.get(exchange.attempt());
@@ -544,13 +566,16 @@
                 exchange.isBroken() && client != null ? client.fingerprint() : null;
         if (fingerprint != null) {
             line.with("endpoint", exchange.endpointId()).with("fingerprint", fingerprint);
-            mCrashes.onCrash(fingerprint, call.requestId(), exchange.endpointId());
+            mCrashes.onCrash(fingerprint, call.requestId(), exchange.lifeName());
         }
         if (outcome == AttemptOutcome.UNREACHABLE || exchange.isBroken()) {
-            mCrashes.onEndpointCrashed(exchange.endpointId());
+            mCrashes.onEndpointCrashed(exchange.lifeName());
         }
         mContext.log().write(exchange.withConnection(line));
         mSpecs.remove(exchange.attempt());
+        if (outcome.isNotRun()) {
+            mUsage.onNotRun(call.id(), exchange.attempt());
+        }
         if (outcome == AttemptOutcome.SERVER_ERROR) {
             mErrorCounts.merge(call.id(), 1, Integer::sum);
             Long previous = mErrorAttempts.put(call.id(), exchange.attempt());
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/EntryMetrics.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/EntryMetrics.java
@@ -30,12 +30,18 @@
     /** Attempts of calls, by outcome. */
     static final String ATTEMPTS = "ebonyrun_entry_call_attempts";
 
+    /** Decisions on hedged attempts, by verdict, and their ends: {@code WON} or {@code LOST}. */
+    static final String HEDGES = "ebonyrun_entry_hedges";
+
     /** Runs of samples, by outcome. */
     static final String SAMPLE_RUNS = "ebonyrun_entry_sample_runs";
 
     /** Events of steps, by kind. */
     static final String STEPS = "ebonyrun_entry_steps";
 
+    /** Orders of endpoints, by reason and reply. */
+    static final String SCALING_ORDERS = "ebonyrun_entry_scaling_orders";
+
     /** Unsolicited and late responses that were dropped, by reason. */
     static final String DROPPED_RESPONSES = "ebonyrun_entry_dropped_answers";
 
@@ -45,6 +51,12 @@
     /** Weight orders to endpoints, by reply. */
     static final String ORDERS = "ebonyrun_entry_orders";
 
+    /** Calls of the holder of the duties to the platform, by duty and reply. */
+    static final String DUTY_CALLS = "ebonyrun_entry_duty_calls";
+
+    /** Windows of usage, by what became of them. */
+    static final String USAGE_WINDOWS = "ebonyrun_entry_usage_windows";
+
     private static final String STORE_CALLS = "ebonyrun_entry_store_calls";
     private static final String CALL_SECONDS = "ebonyrun_entry_call_seconds";
     private static final double[] BUCKET_BOUNDS = {
@@ -70,6 +82,17 @@
         mCallSeconds += seconds;
     }
 
+    /** Returns the counter of a metric for an outcome. */
+    long get(String metric, String outcome) {
+        return mCounts.getOrDefault(metric, Map.of()).getOrDefault(outcome, 0L);
+    }
+
+    /** Returns the hedged attempts of calls for each answered call; zero without any. */
+    double extraWorkShare() {
+        long answered = get(CALLS, "answered");
+        return answered == 0 ? 0 : (double) get(HEDGES, "SEND") / answered;
+    }
+
     /**
      * Returns all metrics in the Prometheus text format.
      *
@@ -81,6 +104,7 @@
         mCounts.forEach((name, outcomes) -> snapshots.add(counter(name, "end", outcomes)));
         snapshots.add(counter(STORE_CALLS, "kind", storeCalls));
         gauges.forEach((name, value) -> snapshots.add(gauge(name, value)));
+        snapshots.add(gauge("ebonyrun_entry_extra_work_share", extraWorkShare()));
         snapshots.add(callSeconds());
         ByteArrayOutputStream out = new ByteArrayOutputStream();
         try {
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/FrontHandler.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/FrontHandler.java
@@ -13,6 +13,7 @@
 import org.ebonyrun.base.result.Result;
 import org.ebonyrun.base.time.Nanos;
 import org.ebonyrun.core.call.CallSpec;
+import org.ebonyrun.core.route.CallerLimits;
 import org.ebonyrun.core.route.Route;
 import org.ebonyrun.core.route.RouteKind;
 import org.ebonyrun.core.route.RouteTable;
@@ -28,6 +29,7 @@
 import org.ebonyrun.platform.ResultsEncoder;
 import org.ebonyrun.platform.StepDecoder;
 import org.ebonyrun.ports.http.FrontExchange;
+import org.ebonyrun.ports.http.FrontLimits;
 import org.ebonyrun.ports.http.FrontListener;
 import org.ebonyrun.ports.http.HttpHeaders;
 import org.ebonyrun.ports.store.CommitResult;
@@ -284,7 +286,7 @@
         StepStatus known = mContext.directory().get(spec.id());
         boolean isPublic = submission.route().isPublic();
         if (!mKeys.isStillAdmitted(submission.exchange(), spec.workspace(), isPublic)) {
-            mKeys.refuseKey(submission.exchange(), submission.id(), "the key was withdrawn");
+            mKeys.refuseWithdrawn(submission.exchange(), submission.id(), isPublic);
             return;
         }
         if (known != null && known.mManifest != null) {
@@ -441,4 +443,13 @@
         to.respond(
                 UNAVAILABLE, FrontProtocol.retryAfterHeaders("", RETRY_AFTER_MILLIS), EMPTY_BODY);
     }
+
+    /** Returns the limits of the front's connections under the configured limits for callers. */
+    static FrontLimits limits(CallerLimits limits) {
+        return new FrontLimits(
+                limits.maxHeaderBytes(),
+                limits.maxBodyBytes(),
+                limits.headerTimeoutMillis(),
+                limits.idleTimeoutMillis());
+    }
 }
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/HostedEntry.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/HostedEntry.java
@@ -6,7 +6,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.PriorityQueue;
 import java.util.Random;
 import java.util.TreeMap;
 import java.util.concurrent.CountDownLatch;
@@ -25,13 +24,10 @@
 import org.ebonyrun.core.fleet.EndpointRecord;
 import org.ebonyrun.core.fleet.Fleet;
 import org.ebonyrun.core.fleet.LimitNotice;
-import org.ebonyrun.core.policy.Policy;
-import org.ebonyrun.core.route.CallerLimits;
 import org.ebonyrun.core.route.Route;
 import org.ebonyrun.core.route.RouteKind;
 import org.ebonyrun.core.route.RouteTable;
 import org.ebonyrun.core.step.StepId;
-import org.ebonyrun.core.workspace.AdmissionPolicy;
 import org.ebonyrun.core.workspace.Workspaces;
 import org.ebonyrun.platform.EndpointDecoder;
 import org.ebonyrun.platform.OperatorDecoder;
@@ -74,15 +70,11 @@
     // The index of the watch that reads the configuration.
     private static final int OPERATOR_WATCH = 0;
 
-    /** A task that is due at a time of the monotonic clock. */
-    private record ScheduledTask(long at, Runnable task) {}
-
     private volatile HostedSettings mSettings;
     private final EventLog mLog;
     private final EventLoop<Runnable> mEventLoop;
     private final ProcessName mProcessName;
-    private final PriorityQueue<ScheduledTask> mScheduledTasks =
-            new PriorityQueue<>((a, b) -> Long.signum(a.at() - b.at()));
+    private final ScheduledTasks mScheduledTasks = new ScheduledTasks();
     private final EntryMetrics mMetrics = new EntryMetrics();
     private final AnomalyLog mAnomalies;
     private final Fleet mFleet = Fleet.create();
@@ -90,7 +82,10 @@
     private final EntryLease mLease;
     private final List<StoreWatch> mWatches = new ArrayList<>();
     private final CallerKeys mKeys =
-            new CallerKeys(this, this::admissionPolicy, this::configurationSilenceNanos);
+            new CallerKeys(
+                    this,
+                    () -> settings().limits().admission(),
+                    now -> mWatches.get(OPERATOR_WATCH).silenceNanos(now));
     private final CallController mCalls;
     private final SampleController mSamples;
     private final StepOwnership mStepOwnership;
@@ -98,7 +93,10 @@
     private final PermitController mPermits;
     private final CrashController mCrashes;
     private final StreamController mStreams;
+    private final DutyHolder mDuties;
     private final PlannerController mPlanner;
+    private final PlatformCalls mPlatformCalls;
+    private final EndpointScaling mScaling;
     private final FrontHandler mFront;
     private final TCPNIOTransport mTransport;
     private final FrontServer mFrontServer;
@@ -117,14 +115,7 @@
         mLog = log;
         mAnomalies = new AnomalyLog(log, mMetrics, task -> executor().execute(task));
         mProcessName = new ProcessName(settings.vm(), new Random().nextLong());
-        mEventLoop =
-                EventLoop.create(
-                        "entry",
-                        RING_CAPACITY,
-                        this,
-                        MonotonicClock.system(),
-                        TICK_NANOS,
-                        (what, e) -> mAnomalies.onException(what, e));
+        mEventLoop = newEventLoop();
         mTransport = IoTransports.create("io");
         AsyncHttpClient client =
                 AsyncHttpClient.usingTransport(mTransport, mAnomalies::onDroppedResponse);
@@ -148,16 +139,20 @@
                 new SampleController(
                         this, client, mFleet, (host, path) -> mRoutes.find(host, path));
         mStepOwnership = new StepOwnership(this, stepStore, mSamples.machine(), random);
+        mDuties = PlatformCalls.newHolder(settings, this, mStore, random);
         mPlanner =
                 new PlannerController(
-                        this, client, mStore, stepStore, mFleet, () -> mSettings, random);
-        ResumedCalls resumed = new ResumedCalls(this, mCalls, mStreams);
+                        this, client, mStore, stepStore, mFleet, () -> mSettings, mDuties);
+        mPlatformCalls =
+                PlatformCalls.create(this, mStore, mDuties, mPlanner, client, mCalls, settings);
+        mScaling = newScaling(settings);
+        mDuties.addIfPresent(mScaling.duty());
         mFront =
                 new FrontHandler(
                         this,
                         mKeys,
                         mCalls,
-                        resumed,
+                        new ResumedCalls(this, mCalls, mStreams),
                         mStepOwnership,
                         stepStore,
                         () -> mRoutes,
@@ -166,24 +161,31 @@
         mFront.setReader(mStepReader);
         mSamples.bind(mCalls, mStepOwnership, mStepReader);
         addWatches();
-        mTransport.start();
-        bindOperatorServers(settings);
+        startTransport(settings);
         mFrontServer =
                 FrontServer.bind(
                         mTransport, settings.front(), mFront.listener(executor()), () -> mLimits);
     }
 
-    private AdmissionPolicy admissionPolicy() {
-        return mSettings.limits().admission();
+    private EventLoop<Runnable> newEventLoop() {
+        return EventLoop.create(
+                "entry",
+                RING_CAPACITY,
+                this,
+                MonotonicClock.system(),
+                TICK_NANOS,
+                (what, e) -> mAnomalies.onException(what, e));
     }
 
-    private long configurationSilenceNanos(long now) {
-        return mWatches.get(OPERATOR_WATCH).silenceNanos(now);
+    private EndpointScaling newScaling(HostedSettings settings) {
+        return EndpointScaling.create(
+                this, mStore, mFleet, mCalls, settings.vm().value(), mPlatformCalls.scalingApi());
     }
 
     private void addWatches() {
         StoreWatchFactory watches = new StoreWatchFactory(mStore, executor(), mHealth);
-        EndpointRecords endpoints = new EndpointRecords(this, mFleet, mCrashes);
+        EndpointRecords endpoints =
+                new EndpointRecords(this, mFleet, mCrashes, MonotonicClock.system());
         mWatches.add(
                 watches.create(
                         OperatorDecoder.PREFIX,
@@ -210,7 +212,8 @@
                         mCrashes::onChange));
     }
 
-    private void bindOperatorServers(HostedSettings settings) throws IOException {
+    private void startTransport(HostedSettings settings) throws IOException {
+        mTransport.start();
         FrontServer.bind(
                 mTransport, settings.ready(), new ReadinessHandler(this::isReady), () -> mLimits);
         FrontServer.bind(
@@ -243,13 +246,13 @@
     }
 
     @Override
-    public Policy policy() {
-        return mSettings.policy();
+    public HostedSettings settings() {
+        return mSettings;
     }
 
     @Override
     public void schedule(long nanos, Runnable task) {
-        mScheduledTasks.add(new ScheduledTask(System.nanoTime() + nanos, task));
+        mScheduledTasks.add(System.nanoTime() + nanos, task);
     }
 
     @Override
@@ -277,7 +280,9 @@
         gauges.put("ebonyrun_entry_keys_outdated", mKeys.isOutdated() ? 1.0 : 0.0);
         gauges.put("ebonyrun_entry_ready", mReady ? 1.0 : 0.0);
         gauges.put("ebonyrun_entry_store_away", mHealth.isUnavailable() ? 1.0 : 0.0);
-        gauges.put("ebonyrun_entry_planner", mPlanner.holdsRole() ? 1.0 : 0.0);
+        gauges.put("ebonyrun_entry_planner", mDuties.holdsRole() ? 1.0 : 0.0);
+        mPlatformCalls.addGauges(gauges);
+        mScaling.addGauges(gauges);
         gauges.put("ebonyrun_entry_log_lines_dropped", (double) mLog.dropped());
         return gauges;
     }
@@ -364,16 +369,16 @@
 
     @Override
     public void onTick(long now) {
-        while (!mScheduledTasks.isEmpty() && now - mScheduledTasks.peek().at() >= 0) {
-            mScheduledTasks.poll().task().run();
-        }
+        mScheduledTasks.onTick(now);
         mHealth.onTick(now);
         mWatches.forEach(watch -> watch.onTick(now));
         mLease.onTick(needsLease(), now);
         mStepOwnership.onTick(mDirectory.ownedOrClaimableBy(mProcessName), now);
-        mPlanner.onTick(now);
+        mDuties.onTick(now);
+        mPlatformCalls.onTick();
+        mScaling.onTick(now);
         mPermits.machine().onTick(now);
-        mCrashes.onTick(mPlanner.holdsRole(), now);
+        mCrashes.onTick(mDuties.holdsRole(), now);
         mStreams.onTick(now);
         mSamples.machine().onTick(now);
         mCalls.onTick(now);
@@ -413,12 +418,12 @@
     }
 
     private void onLeaseLost() {
-        mPlanner.onLeaseLost();
+        mDuties.onLeaseLost();
         mPermits.machine().onLeaseLost();
     }
 
     private boolean isIdle() {
-        return !mStepOwnership.needsLease() && !mPlanner.holdsRole();
+        return !mStepOwnership.needsLease() && !mDuties.holdsRole();
     }
 
     private StoreHealth.Listener healthListener() {
@@ -484,21 +489,17 @@
             return;
         }
         mRoutes = routes;
-        CallerLimits limits = routes.limits();
-        mLimits =
-                new FrontLimits(
-                        limits.maxHeaderBytes(),
-                        limits.maxBodyBytes(),
-                        limits.headerTimeoutMillis(),
-                        limits.idleTimeoutMillis());
+        mLimits = FrontHandler.limits(routes.limits());
         mPlanner.machine().onRoutes(routes, configured.singleVersion());
         mFront.onConfigurationChanged(System.nanoTime());
+        mScaling.onConfigured(configured.scaling(), System.nanoTime());
         mLog.write(
                 LogLine.of("config.applied")
                         .with("version", routes.version())
                         .with("routes", routes.size())
                         .with("workspaces", routes.workspaces().size())
-                        .with("keys", routes.workspaces().keyCount()));
+                        .with("keys", routes.workspaces().keyCount())
+                        .with("scaled", configured.scaling().size()));
     }
 
     private void onStepSnapshot(List<StoreItem> items) {
@@ -515,7 +516,7 @@
     private void onKeyChange(StoreChange change) {
         String key = change.key();
         if (key.equals(StoreKeys.PLANNER)) {
-            mPlanner.onPlannerKeyChanged(change.item(), change.revision());
+            mDuties.onKeyChanged(change.item(), change.revision());
             return;
         }
         if (!StoreKeys.isLiveStepKey(key)) {
@@ -527,6 +528,7 @@
         if (status != null && status.mManifest != null && key.endsWith(StoreKeys.MANIFEST)) {
             StepManifest manifest = status.mManifest;
             mPlanner.machine().onStep(manifest.model(), manifest.number(), manifest.minVersion());
+            mScaling.onStep(manifest, System.nanoTime());
         }
     }
 
@@ -558,7 +560,7 @@
                 () -> {
                     mFront.onDrain();
                     mStepOwnership.onDrain();
-                    mPlanner.onDrain();
+                    mDuties.onDrain();
                 });
         long finishNanos =
                 (long) (FINISH_FRACTION * Nanos.ofMillis(mSettings.limits().gracePeriodMillis()));
@@ -580,6 +582,8 @@
         while (mFrontServer.busyConnectionCount() > 0 && System.nanoTime() - deadline < 0) {
             sleepLatch.await(DRAIN_POLL_MILLIS, TimeUnit.MILLISECONDS);
         }
+        mEventLoop.post(mPlatformCalls::flush);
+        mEventLoop.post(() -> mScaling.flush(System.nanoTime()));
         mEventLoop.post(mLease::release);
         sleepLatch.await(DRAIN_POLL_MILLIS, TimeUnit.MILLISECONDS);
         mLog.write(LogLine.of("stopped").with("busy", mFrontServer.busyConnectionCount()));
--- a/ebonyrun-daemon/src/test/java/org/ebonyrun/daemon/hosted/HostedSettingsTest.java
+++ b/ebonyrun-daemon/src/test/java/org/ebonyrun/daemon/hosted/HostedSettingsTest.java
@@ -4,7 +4,9 @@
 import static org.hamcrest.Matchers.containsString;
 import static org.hamcrest.Matchers.empty;
 import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.nullValue;
 
+import java.util.OptionalDouble;
 import org.ebonyrun.base.time.Nanos;
 import org.ebonyrun.core.policy.Mechanism;
 import org.ebonyrun.core.policy.Policy;
@@ -28,6 +30,10 @@
                     "limits: {order_quiet: 500ms, grace: 8s, keep_results: 120s, config_within: 2s,"
                             + " leaving_within: 2s, contact_within: 3s}");
 
+    private static final String DUTIES =
+            "duties: {address: \"10.200.0.163:8346\", names: \"usage,scale\", calls: 50.0,"
+                    + " lease: 3000ms, fenced: true, usage_window: 5s, usage_late: 7.5s}";
+
     @Test
     void parsesCompleteSettings() {
         HostedSettings.Parsed parsed = HostedSettings.parse("f", COMPLETE_SETTINGS);
@@ -54,6 +60,22 @@
                 after.isSameExceptLimits(HostedSettings.parse("f", changed).settings()), is(false));
     }
 
+    @ParameterizedTest
+    @CsvSource({"0%, 0", "5%, 0.05", "0.5%, 0.005", "50%, 0.5"})
+    void extraWorkIsAShareThatAReloadChanges(String text, double share) {
+        HostedSettings before = HostedSettings.parse("f", COMPLETE_SETTINGS).settings();
+        HostedSettings.Parsed parsed =
+                HostedSettings.parse(
+                        "f",
+                        COMPLETE_SETTINGS.replace("grace: 8s", "grace: 8s, extra_work: " + text));
+
+        assertThat(parsed.problems(), is(empty()));
+        assertThat(before.limits().extraWork(), is(OptionalDouble.empty()));
+        assertThat(
+                before.withLimitsOf(parsed.settings()).limits().extraWork(),
+                is(OptionalDouble.of(share)));
+    }
+
     @ParameterizedTest
     @EnumSource(Mechanism.class)
     void mechanismIsEnabledUnlessDisabled(Mechanism mechanism) {
@@ -78,6 +100,9 @@
                 "vm: edge-1 | vm: '' | vm",
                 "grace: 8s | grace: soon | grace",
                 "config_within: 2s | config_within: 0s | config_within",
+                "grace: 8s | extra_work: 0.05 | limits.extra_work: '0.05' is not a percentage",
+                "grace: 8s | extra_work: 51% | limits.extra_work: '51%' is more than 50%",
+                "grace: 8s | extra_work: -1% | limits.extra_work: '-1%' is not a percentage",
                 "10.200.1.7:8142 | nowhere | store",
                 "first_start: true | extra: 1 | extra",
                 "first_start: true | policy: {haste: false} | f:6: policy.haste: unknown key",
@@ -93,7 +118,9 @@
 
     @Test
     void silenceBeyondItsRangeIsLimitedInsteadOfWrapped() {
-        EntryLimits limits = new EntryLimits(1, 1, 1, 1, 1, 1, 1, true, 3_599_999_996_400_000L);
+        EntryLimits limits =
+                new EntryLimits(
+                        1, 1, 1, 1, 1, 1, 1, true, 3_599_999_996_400_000L, OptionalDouble.empty());
 
         assertThat(limits.admission(), is(new AdmissionPolicy(true, Long.MAX_VALUE)));
     }
@@ -115,4 +142,48 @@
         assertThat(parsed.problems().size(), is(problems));
         assertThat(policy, is(new AdmissionPolicy(strict, Nanos.ofMillis(silenceMillis))));
     }
+
+    @Test
+    void noSectionOrNoNameMeansNoDuties() {
+        String empty = COMPLETE_SETTINGS + "\nduties: {address: \"10.0.0.1:80\", names: \"\"}";
+
+        assertThat(HostedSettings.parse("f", COMPLETE_SETTINGS).settings().duties(), nullValue());
+        assertThat(HostedSettings.parse("f", empty).problems(), is(empty()));
+        assertThat(HostedSettings.parse("f", empty).settings().duties(), nullValue());
+    }
+
+    @Test
+    void parsesDuties() {
+        HostedSettings.Parsed parsed = HostedSettings.parse("f", COMPLETE_SETTINGS + "\n" + DUTIES);
+        DutySettings duties = parsed.settings().duties();
+
+        assertThat(parsed.problems(), is(empty()));
+        assertThat(duties.address().getPort(), is(8346));
+        assertThat(duties.has(DutySettings.USAGE), is(true));
+        assertThat(duties.has(DutySettings.SCALE), is(true));
+        assertThat(duties.has("other"), is(false));
+        assertThat(duties.callsPerSecond(), is(50.0));
+        assertThat(duties.leaseMillis(), is(3_000L));
+        assertThat(duties.fenced(), is(true));
+        assertThat(duties.usageWindowMillis(), is(5_000L));
+        assertThat(duties.usageLateMillis(), is(7_500L));
+    }
+
+    @ParameterizedTest
+    @CsvSource(
+            delimiter = '|',
+            value = {
+                "10.200.0.163:8346 | nowhere | duties.address",
+                "calls: 50.0 | calls: -1 | duties.calls: not a rate above zero: '-1'",
+                "fenced: true | fenced: maybe | duties.fenced: not true or false: 'maybe'",
+                "usage_window: 5s | usage_window: 0s | duties.usage_window: is not above zero",
+                "usage_window: 5s, | '' | duties.usage_window: is missing",
+                "usage_late: 7.5s | usage_late: later | duties.usage_late",
+                "lease: 3000ms | leese: 3000ms | duties.leese: unknown key"
+            })
+    void reportsTheProblemsOfDuties(String part, String replacement, String problem) {
+        String text = COMPLETE_SETTINGS + "\n" + DUTIES.replace(part, replacement);
+
+        assertThat(HostedSettings.parse("f", text).problems().toString(), containsString(problem));
+    }
 }
