--- a/review/harness/Entry.java
+++ b/review/harness/Entry.java
@@ -5,7 +5,10 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Random;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -15,6 +18,9 @@
  * half a second, as the platform does.
  */
 final class Entry {
+    private static final Random RANDOM = new Random();
+    private static final Set<Integer> USED = new HashSet<>();
+
     final String mName;
     final int mFront;
     final int mReady;
@@ -50,13 +56,24 @@
                         + "limits: {order_quiet: 500ms, grace: 8s, keep_results: 120s, "
                         + "config_within: 2000ms, leaving_within: 2000ms, contact_within: 3000ms, "
                         + "store_writes: 400}\n");
+        Runtime.getRuntime().addShutdownHook(new Thread(this::stop));
         start();
     }
 
-    private static int freePort() throws IOException {
-        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            return socket.getLocalPort();
+    /** Returns a free port below those that the system gives to outgoing connections. */
+    private static synchronized int freePort() throws IOException {
+        for (int i = 0; i < 1_000; i++) {
+            int port = 15_000 + RANDOM.nextInt(15_000);
+            try (ServerSocket socket =
+                    new ServerSocket(port, 1, InetAddress.getLoopbackAddress())) {
+                if (USED.add(port)) {
+                    return socket.getLocalPort();
+                }
+            } catch (IOException ignored) {
+                // The port is taken.
+            }
         }
+        throw new IOException("no free port");
     }
 
     private static List<String> command() throws IOException {
@@ -76,7 +93,7 @@
         command.set(command.size() - 1, mSettings.toString());
         ProcessBuilder builder = new ProcessBuilder(command);
         builder.environment().keySet().retainAll(
-                java.util.Set.of("PATH", "HOME", "JAVA_HOME", "LANG"));
+                Set.of("PATH", "HOME", "JAVA_HOME", "LANG"));
         builder.redirectErrorStream(true);
         builder.redirectOutput(ProcessBuilder.Redirect.appendTo(mLog.toFile()));
         builder.directory(new File("."));
--- a/review/harness/LargeJob.java
+++ b/review/harness/LargeJob.java
@@ -44,8 +44,7 @@
             }
             for (Entry entry : entries) {
                 if (!entry.awaitReady(30)) {
-                    record.line("could not run: " + entry.mName + " is not ready");
-                    System.exit(2);
+                    throw new IOException(entry.mName + " is not ready");
                 }
             }
             Thread.sleep(4_000);
--- a/review/harness/StaleRoute.java
+++ b/review/harness/StaleRoute.java
@@ -41,8 +41,7 @@
             entries.add(new Entry(folder, record, "edge-2", "hall-a", store.openPort()));
             for (Entry entry : entries) {
                 if (!entry.awaitReady(30)) {
-                    record.line("could not run: " + entry.mName + " is not ready");
-                    System.exit(2);
+                    throw new IOException(entry.mName + " is not ready");
                 }
             }
             Thread.sleep(4_000);
