--- a/review/harness/LargeJob.java
+++ b/review/harness/LargeJob.java
@@ -6,7 +6,6 @@
 import java.util.Base64;
 import java.util.List;
 import java.util.Random;
-import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicInteger;
 
 /**
