Test clients outside the limits against an entry's process

The tests check that the process lives, its memory (256 MB) and descriptors (seven eighths), and that an ordinary call is answered beside the crowd and after it.

--- a/ebonyrun-daemon/src/test/java/org/ebonyrun/daemon/hosted/EntryProcess.java
+++ b/ebonyrun-daemon/src/test/java/org/ebonyrun/daemon/hosted/EntryProcess.java
@@ -11,9 +11,12 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import java.util.stream.Stream;
 
 /** An entry in a process of its own, which can be killed. */
 final class EntryProcess {
+    private static final long BYTES_PER_KIB = 1_024;
+
     private final Process mProcess;
     private final String mFront;
     private final String mMetrics;
@@ -44,6 +47,28 @@
      */
     static EntryProcess start(Path folder, String vm, InetSocketAddress store, List<String> options)
             throws IOException {
+        return start(folder, vm, store, options, List.of());
+    }
+
+    /**
+     * Starts an entry which may open a limited number of descriptors.
+     *
+     * @param folder where its settings are written
+     */
+    static EntryProcess startWithDescriptors(
+            Path folder, String vm, InetSocketAddress store, List<String> options, int descriptors)
+            throws IOException {
+        String limited = "ulimit -n " + descriptors + " && exec \"$@\"";
+        return start(folder, vm, store, options, List.of("/bin/sh", "-c", limited, "sh"));
+    }
+
+    private static EntryProcess start(
+            Path folder,
+            String vm,
+            InetSocketAddress store,
+            List<String> options,
+            List<String> launcher)
+            throws IOException {
         String front = HostedFixture.formatAddress(HostedFixture.freeAddress());
         String metrics = freeAddress();
         String settings =
@@ -54,7 +79,7 @@
                         .replace("10.1.0.35:9464", metrics)
                         .replace("10.200.1.7:8142", HostedFixture.formatAddress(store));
         Path file = Files.writeString(folder.resolve(vm + ".yaml"), settings);
-        List<String> command = new ArrayList<>();
+        List<String> command = new ArrayList<>(launcher);
         command.add(ProcessHandle.current().info().command().orElse("java"));
         command.addAll(options);
         command.add("-cp");
@@ -85,6 +110,11 @@
         return mProcess.isAlive();
     }
 
+    /** Returns {@code running}, or how the process ended. */
+    String state() {
+        return isAlive() ? "running" : "ended with status " + mProcess.exitValue();
+    }
+
     private static String freeAddress() throws IOException {
         return HostedFixture.formatAddress(HostedFixture.freeAddress());
     }
@@ -117,6 +147,27 @@
         mReady.join();
     }
 
+    /** Returns the largest resident set of the process so far, in bytes. */
+    long peakMemoryBytes() throws IOException {
+        for (String line : Files.readAllLines(processFile("status"))) {
+            if (line.startsWith("VmHWM:")) {
+                return Long.parseLong(line.replaceAll("\\D", "")) * BYTES_PER_KIB;
+            }
+        }
+        throw new IOException("the process has no resident set");
+    }
+
+    /** Returns the number of descriptors that the process has open. */
+    long openDescriptors() throws IOException {
+        try (Stream<Path> descriptors = Files.list(processFile("fd"))) {
+            return descriptors.count();
+        }
+    }
+
+    private Path processFile(String name) {
+        return Path.of("/proc", Long.toString(mProcess.pid()), name);
+    }
+
     /** Kills the process by SIGKILL; does not wait for its end. */
     void kill() {
         mProcess.destroyForcibly();
