Keep the state of a caller's connection as long as the connection

Callers saw requests run whose connection had been closed: a caller that sends many requests ahead is answered and disconnected after 17 of them, but the rest of what had been read with them, about 700 requests in a read, was run as if each had arrived on a connection of its own.

Cause: the state was looked up by connection and created when there was none. The lookup happened for each request, also after the end of the connection had removed the state.

The state is created when the connection is accepted and stored with it, so a request that is parsed after the end meets a closed state and is dropped. A connection that never sends a byte has a state too, and idles out.

--- a/ebonyrun-ports/src/main/java/org/ebonyrun/ports/http/FrontServer.java
+++ b/ebonyrun-ports/src/main/java/org/ebonyrun/ports/http/FrontServer.java
@@ -1,12 +1,16 @@
 package org.ebonyrun.ports.http;
 
+import static com.google.common.base.Preconditions.checkNotNull;
+
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.Supplier;
 import org.ebonyrun.base.time.Nanos;
 import org.glassfish.grizzly.Connection;
+import org.glassfish.grizzly.Grizzly;
+import org.glassfish.grizzly.attributes.Attribute;
 import org.glassfish.grizzly.filterchain.BaseFilter;
 import org.glassfish.grizzly.filterchain.FilterChainBuilder;
 import org.glassfish.grizzly.filterchain.FilterChainContext;
@@ -35,7 +39,12 @@
     private final Supplier<FrontLimits> mLimits;
     private final FrontMemory mMemory;
     private final MemoryQueue mMemoryQueue = new MemoryQueue();
-    private final Map<Connection<?>, FrontConnection> mConnections = new ConcurrentHashMap<>();
+    // Stays with a connection after its end, so that what was read before is not taken for requests
+    // of a new one.
+    private static final Attribute<FrontConnection> STATE =
+            Grizzly.DEFAULT_ATTRIBUTE_BUILDER.createAttribute(FrontServer.class.getName());
+
+    private final Set<FrontConnection> mConnections = ConcurrentHashMap.newKeySet();
     private @Nullable Connection<?> mServerConnection;
     private volatile boolean mDraining;
     private volatile boolean mStopped;
@@ -107,7 +116,7 @@
         FrontLimits limits = mLimits.get();
         long idle = Nanos.ofMillis(limits.idleTimeoutMillis());
         long header = Nanos.ofMillis(limits.headerTimeoutMillis());
-        mConnections.values().forEach(connection -> connection.closeIfExpired(now, idle, header));
+        mConnections.forEach(connection -> connection.closeIfExpired(now, idle, header));
     }
 
     /**
@@ -116,7 +125,7 @@
      */
     public void drain(long now, long idleNanos) {
         mDraining = true;
-        mConnections.values().forEach(connection -> connection.drain(now, idleNanos));
+        mConnections.forEach(connection -> connection.drain(now, idleNanos));
     }
 
     /**
@@ -134,40 +143,42 @@
 
     /** Returns the number of connections with a request that is being read or answered. */
     public int busyConnectionCount() {
-        return (int) mConnections.values().stream().filter(FrontConnection::isBusy).count();
+        return (int) mConnections.stream().filter(FrontConnection::isBusy).count();
     }
 
-    /** Returns whether the first bytes on a connection arrive after the server has stopped. */
-    private boolean isOpenedAfterStop(Connection<?> connection) {
-        return mStopped && !mConnections.containsKey(connection);
+    private void onAccepted(Connection<?> connection) {
+        FrontConnection accepted =
+                new FrontConnection(connection, mListener, mDraining, System.nanoTime());
+        accepted.setReader(new RequestReader(accepted, mMemory, mLimits, mMemoryQueue));
+        STATE.set(connection, accepted);
+        mConnections.add(accepted);
+        if (mStopped || !connection.isOpen()) {
+            connection.closeSilently();
+            onClosed(connection);
+        }
     }
 
     private void onClosed(Connection<?> connection) {
-        FrontConnection closed = mConnections.remove(connection);
-        if (closed != null) {
+        FrontConnection closed = STATE.get(connection);
+        if (closed != null && mConnections.remove(closed)) {
             closed.onClosed();
         }
     }
 
-    private FrontConnection of(Connection<?> connection) {
-        return mConnections.computeIfAbsent(
-                connection,
-                key -> {
-                    FrontConnection opened =
-                            new FrontConnection(key, mListener, mDraining, System.nanoTime());
-                    opened.setReader(new RequestReader(opened, mMemory, mLimits, mMemoryQueue));
-                    return opened;
-                });
+    private static FrontConnection of(Connection<?> connection) {
+        return checkNotNull(STATE.get(connection), "the connection was not accepted");
     }
 
-    /** Records the arrival of bytes and the end of connections. */
+    /** Follows connections from their start to their end, and the arrival of bytes. */
     private final class ActivityFilter extends BaseFilter {
+        @Override
+        public NextAction handleAccept(FilterChainContext ctx) throws IOException {
+            onAccepted(ctx.getConnection());
+            return ctx.getInvokeAction();
+        }
+
         @Override
         public NextAction handleRead(FilterChainContext ctx) throws IOException {
-            if (isOpenedAfterStop(ctx.getConnection())) {
-                ctx.getConnection().closeSilently();
-                return ctx.getStopAction();
-            }
             of(ctx.getConnection()).onBytesReceived(System.nanoTime());
             return ctx.getInvokeAction();
         }
@@ -229,10 +240,6 @@
                                 content.getContent(),
                                 content.isLast());
             }
-            if (!ctx.getConnection().isOpen()) {
-                // It was closed by another thread while this one was still reading.
-                onClosed(ctx.getConnection());
-            }
             return ctx.getStopAction();
         }
     }
--- a/ebonyrun-ports/src/test/java/org/ebonyrun/ports/http/FrontServerFixture.java
+++ b/ebonyrun-ports/src/test/java/org/ebonyrun/ports/http/FrontServerFixture.java
@@ -55,7 +55,7 @@
                 new FrontListener() {
                     @Override
                     public void onRequest(FrontExchange exchange) {
-                        mRequests.add(exchange);
+                        FrontServerFixture.this.onRequest(exchange);
                     }
 
                     @Override
@@ -66,6 +66,11 @@
         mServer = FrontServer.bind(mTransport, mAddress, listener, () -> mLimits, mMemory);
     }
 
+    /** Handles a request; called on the I/O thread. */
+    void onRequest(FrontExchange exchange) {
+        mRequests.add(exchange);
+    }
+
     @AfterEach
     void stop() throws IOException {
         mTransport.shutdownNow();
