Account for all that a parsed request holds

An entry ended with status 3 when 32 callers sent calls of 60,000 bytes ahead, and once requests of closed connections no longer ran, also when they sent small reads ahead (heap of 24 MB, HostileClientsTest#requestsSentAheadAreBounded, kinds 3 and 4).

Cause, from heap dumps: (1) The codec's request refers to the buffer it was read into, a part of a pool of 64 KiB that a request holds until it is answered; claims covered the text of the head only. 172 bodies held 10.3 MB as claimed, and 150 such pools 9.8 MB beside them. (2) The objects of a parsed request take about 8 KB (24 MB of 3,017 requests), claimed were 2 KiB. (3) A connection whose request waited for memory kept all requests that had been read with it in parsed form, about 200 each.

What is read is copied to an array of its size, callers are read in pieces of 16 KiB, the claim of a request includes the read that it holds and 8 KiB for its objects, names and values no longer refer to the read once the request is complete, and behind a request that waits at most 17 others are kept; those after them were never answered before either.

--- a/ebonyrun-ports/src/main/java/org/ebonyrun/ports/http/FrontConnection.java
+++ b/ebonyrun-ports/src/main/java/org/ebonyrun/ports/http/FrontConnection.java
@@ -25,7 +25,9 @@
  * request is ignored; the connection closes once the refusal and all earlier responses are sent.
  */
 final class FrontConnection {
-    private static final int MAX_WAITING = 16;
+    /** The number of requests that may wait for the response to an earlier one. */
+    static final int MAX_WAITING = 16;
+
     // The slowest rate at which a caller may send the body of a request.
     private static final long MIN_BODY_BYTES_PER_SECOND = 1_024;
 
@@ -35,6 +37,7 @@
     private @Nullable FrontExchange mCurrent;
     private @Nullable RequestReader mReader;
     private @Nullable BodyBuffer mPendingBody;
+    private int mLastReadBytes;
     private long mUnwrittenBytes;
     private long mLastActiveAt;
     private long mHeaderStartedAt;
@@ -124,6 +127,18 @@
         return last;
     }
 
+    /** Ignores further input, and closes the connection after all pending responses. */
+    void ignoreInput() {
+        boolean idle;
+        synchronized (this) {
+            mIgnoresInput = true;
+            idle = mCurrent == null;
+        }
+        if (idle) {
+            mConnection.closeSilently();
+        }
+    }
+
     /** Returns whether further input is ignored. */
     synchronized boolean ignoresInput() {
         return mIgnoresInput;
@@ -135,7 +150,8 @@
     }
 
     /** Records that bytes arrived. */
-    synchronized void onBytesReceived(long now) {
+    synchronized void onBytesReceived(int bytes, long now) {
+        mLastReadBytes = bytes;
         mLastActiveAt = now;
         if (mPendingBody == null && mCurrent == null && mHeaderStartedAt == 0) {
             mHeaderStartedAt = now;
@@ -156,6 +172,11 @@
         mLastActiveAt = now;
     }
 
+    /** Returns the size of the last read, which a request that is parsed from it holds. */
+    synchronized int lastReadBytes() {
+        return mLastReadBytes;
+    }
+
     synchronized @Nullable BodyBuffer pendingBody() {
         return mPendingBody;
     }
--- a/ebonyrun-ports/src/main/java/org/ebonyrun/ports/http/FrontServer.java
+++ b/ebonyrun-ports/src/main/java/org/ebonyrun/ports/http/FrontServer.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.Supplier;
 import org.ebonyrun.base.time.Nanos;
+import org.glassfish.grizzly.Buffer;
 import org.glassfish.grizzly.Connection;
 import org.glassfish.grizzly.Grizzly;
 import org.glassfish.grizzly.attributes.Attribute;
@@ -20,6 +21,8 @@
 import org.glassfish.grizzly.http.HttpHeader;
 import org.glassfish.grizzly.http.HttpRequestPacket;
 import org.glassfish.grizzly.http.HttpServerFilter;
+import org.glassfish.grizzly.memory.Buffers;
+import org.glassfish.grizzly.memory.MemoryManager;
 import org.glassfish.grizzly.nio.transport.TCPNIOBindingHandler;
 import org.glassfish.grizzly.nio.transport.TCPNIOTransport;
 import org.jspecify.annotations.Nullable;
@@ -32,6 +35,7 @@
  */
 public final class FrontServer {
     private static final int CODEC_HEADER_BYTES = 128 * 1024;
+    private static final int READ_BYTES = 16 * 1024;
     private static final int BACKLOG = 1_024;
     private static final int BAD_REQUEST = 400;
 
@@ -173,16 +177,31 @@
     private final class ActivityFilter extends BaseFilter {
         @Override
         public NextAction handleAccept(FilterChainContext ctx) throws IOException {
+            ctx.getConnection().setReadBufferSize(READ_BYTES);
             onAccepted(ctx.getConnection());
             return ctx.getInvokeAction();
         }
 
         @Override
         public NextAction handleRead(FilterChainContext ctx) throws IOException {
-            of(ctx.getConnection()).onBytesReceived(System.nanoTime());
+            byte[] bytes = takeRead(ctx);
+            of(ctx.getConnection()).onBytesReceived(bytes.length, System.nanoTime());
+            ctx.setMessage(Buffers.wrap(MemoryManager.DEFAULT_MEMORY_MANAGER, bytes));
             return ctx.getInvokeAction();
         }
 
+        /**
+         * Returns what was read, in an array of that size. The codec's requests keep the buffer
+         * they were parsed from; that of the transport is a part of a larger one.
+         */
+        private byte[] takeRead(FilterChainContext ctx) {
+            Buffer read = ctx.getMessage();
+            byte[] bytes = new byte[read.remaining()];
+            read.get(bytes);
+            read.tryDispose();
+            return bytes;
+        }
+
         @Override
         public NextAction handleClose(FilterChainContext ctx) throws IOException {
             onClosed(ctx.getConnection());
--- a/ebonyrun-ports/src/main/java/org/ebonyrun/ports/http/RequestReader.java
+++ b/ebonyrun-ports/src/main/java/org/ebonyrun/ports/http/RequestReader.java
@@ -28,7 +28,7 @@
  */
 final class RequestReader {
     // The objects that represent a request, beside the bytes of its head and its body.
-    private static final int REQUEST_OVERHEAD_BYTES = 2 * 1024;
+    private static final int REQUEST_OVERHEAD_BYTES = 8 * 1024;
     private static final int BAD_REQUEST = 400;
     private static final int TOO_LARGE = 413;
     private static final int HEADERS_TOO_LARGE = 431;
@@ -50,13 +50,21 @@
         final HttpHeaders mHeaders;
         final MemoryClaim mClaim;
         final BodyBuffer mBody;
+        // The size of the read from which the head was parsed, which the packet keeps.
+        final int mReadBytes;
         boolean mAdmitted;
 
-        Pending(HttpRequestPacket packet, HttpHeaders headers, MemoryClaim claim, BodyBuffer body) {
+        Pending(
+                HttpRequestPacket packet,
+                HttpHeaders headers,
+                MemoryClaim claim,
+                BodyBuffer body,
+                int readBytes) {
             mPacket = packet;
             mHeaders = headers;
             mClaim = claim;
             mBody = body;
+            mReadBytes = readBytes;
         }
     }
 
@@ -71,6 +79,10 @@
     private @Nullable Pending mPending;
     // The refused request whose body is still being read.
     private @Nullable HttpRequestPacket mRefused;
+    // The number of requests whose ends are among what is unprocessed.
+    private int mUnprocessedEnds;
+    // Whether requests were dropped, so that no later one may be processed.
+    private boolean mIsCut;
     private long mWaitingSince;
     private boolean mIsWaiting;
     private boolean mClosed;
@@ -92,9 +104,9 @@
             return;
         }
         if (mIsWaiting) {
-            mUnprocessed.add(new Piece(packet, copy(buffer), last));
+            keep(packet, buffer, last);
         } else if (!process(packet, buffer, last, true)) {
-            mUnprocessed.add(new Piece(packet, copy(buffer), last));
+            keep(packet, buffer, last);
             mIsWaiting = true;
             mWaitingSince = System.nanoTime();
             mConnection.setReading(false);
@@ -102,6 +114,19 @@
         }
     }
 
+    /**
+     * Keeps what was read already, unless it belongs to a request so far behind that its connection
+     * ends before it. A parsed request takes a hundred times the memory of its text.
+     */
+    private void keep(HttpRequestPacket packet, @Nullable Buffer buffer, boolean last) {
+        if (mUnprocessedEnds > FrontConnection.MAX_WAITING) {
+            mIsCut = true;
+        } else {
+            mUnprocessedEnds += last ? 1 : 0;
+            mUnprocessed.add(new Piece(packet, copy(buffer), last));
+        }
+    }
+
     private static byte[] copy(@Nullable Buffer buffer) {
         if (buffer == null) {
             return EMPTY;
@@ -133,7 +158,12 @@
             }
         }
         mIsWaiting = false;
-        mConnection.setReading(true);
+        mUnprocessedEnds = 0;
+        if (mIsCut) {
+            mConnection.ignoreInput();
+        } else {
+            mConnection.setReading(true);
+        }
         return true;
     }
 
@@ -218,8 +248,8 @@
             return null;
         }
         MemoryClaim claim = mMemory.account().open(MemoryClass.REQUEST);
-        Pending pending =
-                new Pending(packet, headers, claim, new BodyBuffer(limits.maxBodyBytes(), claim));
+        BodyBuffer body = new BodyBuffer(limits.maxBodyBytes(), claim);
+        Pending pending = new Pending(packet, headers, claim, body, mConnection.lastReadBytes());
         mPending = pending;
         mConnection.setPendingBody(pending.mBody, System.nanoTime());
         return pending;
@@ -228,7 +258,10 @@
     /** Decides whether the head of a request and its body, if its length is known, are held. */
     private BodyAdmission.Decision admit(Pending pending, boolean isNext) {
         int length = (int) Math.max(0, pending.mPacket.getContentLength());
-        long head = headerBytes(pending.mPacket, pending.mHeaders) + REQUEST_OVERHEAD_BYTES;
+        long head =
+                headerBytes(pending.mPacket, pending.mHeaders)
+                        + pending.mReadBytes
+                        + REQUEST_OVERHEAD_BYTES;
         BodyAdmission.Decision decision = decide(pending, head + length, isNext);
         if (decision == BodyAdmission.Decision.READ) {
             pending.mAdmitted = true;
@@ -270,6 +303,7 @@
 
     private void submit(Pending pending) {
         mPending = null;
+        ParsedRequests.detach(pending.mPacket);
         mConnection.setPendingBody(null, System.nanoTime());
         mConnection.submit(
                 new FrontExchange(
--- a/ebonyrun-ports/src/test/java/org/ebonyrun/ports/http/FrontMemoryTest.java
+++ b/ebonyrun-ports/src/test/java/org/ebonyrun/ports/http/FrontMemoryTest.java
@@ -10,6 +10,8 @@
 import java.util.ArrayList;
 import java.util.List;
 import org.ebonyrun.base.memory.BodyAdmission;
+import org.ebonyrun.base.memory.MemoryClaim;
+import org.ebonyrun.base.memory.MemoryClass;
 import org.ebonyrun.base.time.Nanos;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -76,6 +78,33 @@
                 mServer::resumeWaiting);
     }
 
+    @Test
+    void requestsFarBehindOneThatWaitsAreDroppedAndTheConnectionEnds() throws Exception {
+        MemoryClaim others = mMemory.account().open(MemoryClass.STEP);
+        others.grow(LIMIT);
+        int served = FrontConnection.MAX_WAITING + 1;
+        try (Socket socket = send("GET /ahead HTTP/1.1\r\nHost: h\r\n\r\n".repeat(10 * served))) {
+            while (mServer.waitingCount() == 0) {
+                Thread.onSpinWait();
+            }
+            others.release();
+            int[] answered = {0};
+            awaitTrue(
+                    () -> answered[0] == served,
+                    () -> {
+                        mServer.resumeWaiting();
+                        answered[0] += mLarge.size();
+                        mLarge.forEach(
+                                exchange ->
+                                        exchange.respond(200, HttpHeaders.empty(), bytes("done")));
+                        mLarge.clear();
+                    });
+
+            assertThat(readAll(socket).split("HTTP/1.1 200", -1).length - 1, is(served));
+        }
+        awaitNothingHeld();
+    }
+
     @Test
     void aBodyThatFitsAtNoTimeIsRefusedForGoodAtItsHead() throws Exception {
         String head = "POST /large HTTP/1.1\r\nHost: h\r\nContent-Length: 2000000\r\n\r\n";
--- a/ebonyrun-ports/src/test/java/org/ebonyrun/ports/http/SlowBodyTest.java
+++ b/ebonyrun-ports/src/test/java/org/ebonyrun/ports/http/SlowBodyTest.java
@@ -36,12 +36,12 @@
                 new FrontConnection(null, new IgnoringListener(), false, START);
         MemoryClaim claim = MemoryAccount.unlimited().open(MemoryClass.REQUEST);
         BodyBuffer body = new BodyBuffer(MAX_BODY_BYTES, claim);
-        connection.onBytesReceived(START);
+        connection.onBytesReceived(1, START);
         connection.setPendingBody(body, START);
         boolean expired = false;
         for (int i = 1; i <= seconds && !expired; i++) {
             long now = START + i * Nanos.PER_SECOND;
-            connection.onBytesReceived(now);
+            connection.onBytesReceived(1, now);
             byte[] piece = new byte[bytesPerSecond];
             claim.grow(body.missing(bytesPerSecond));
             body.add(Buffers.wrap(MemoryManager.DEFAULT_MEMORY_MANAGER, piece));
