Enter input that is no request yet in the account of memory

An entry ended with status 3 when 220 callers each held a head of 130,000 bytes, as many empty lines, or such a head behind a request that waits (HostileClientsTest#headsWithoutEndAreBounded, heap of 24 MB; a deployed entry has 4,100 descriptors for 160 MB).

Cause: the codec keeps up to 128 KiB of a head that has not ended, for each connection, and no account knew of it. While a response was pending, the time for a head did not run either.

What the codec keeps is now claimed (class input) with the whole read in which it begins; a head may grow to twice max_header_bytes and 1 KiB, which the limit on headers leaves room for; without memory the connection is closed before a request was read from it. The same holds for what is read within a chunked body until a part of it is parsed, where a refusal is a 503.

The exchange no longer keeps the codec's request, which refers to the read that it was parsed from, but its first line; responses are built from that. This replaces the detaching of single values, which missed the buffer of the head. Input of a connection that ignores it is dropped unparsed.

--- a/ebonyrun-daemon/src/test/java/org/ebonyrun/daemon/hosted/HostileClientsTest.java
+++ b/ebonyrun-daemon/src/test/java/org/ebonyrun/daemon/hosted/HostileClientsTest.java
@@ -161,6 +161,19 @@
         assertServesBesideAndAfter(kind);
     }
 
+    private static Stream<Kind> linesOfChunks() {
+        String line = "a".repeat(LONG);
+        return Stream.of(
+                Kind.holding("extensions", HOLDERS, CHUNKED + "1;" + line),
+                Kind.holding("trailers", HOLDERS, CHUNKED + "0\r\nX: " + line));
+    }
+
+    @ParameterizedTest
+    @MethodSource("linesOfChunks")
+    void linesOfChunksThatAreHeldAreBounded(Kind kind) throws Exception {
+        assertServesBesideAndAfter(kind);
+    }
+
     private static Stream<Kind> connections() {
         return Stream.of(
                 Kind.holding("without a request", MANY, ""),
--- a/ebonyrun-ports/src/main/java/org/ebonyrun/ports/http/FrontConnection.java
+++ b/ebonyrun-ports/src/main/java/org/ebonyrun/ports/http/FrontConnection.java
@@ -33,11 +33,11 @@
 
     private final Connection<?> mConnection;
     private final FrontListener mListener;
+    private final UnparsedInput mInput;
     private final Deque<FrontExchange> mWaiting = new ArrayDeque<>();
     private @Nullable FrontExchange mCurrent;
     private @Nullable RequestReader mReader;
     private @Nullable BodyBuffer mPendingBody;
-    private int mLastReadBytes;
     private long mUnwrittenBytes;
     private long mLastActiveAt;
     private long mHeaderStartedAt;
@@ -51,11 +51,18 @@
     /**
      * Creates the state of a connection.
      *
+     * @param input what was read and not parsed
      * @param draining whether the connection closes after the requests that are read together
      */
-    FrontConnection(Connection<?> connection, FrontListener listener, boolean draining, long now) {
+    FrontConnection(
+            Connection<?> connection,
+            FrontListener listener,
+            UnparsedInput input,
+            boolean draining,
+            long now) {
         mConnection = connection;
         mListener = listener;
+        mInput = input;
         mClosing = draining;
         mLastActiveAt = now;
     }
@@ -73,6 +80,11 @@
         return checkNotNull(mReader, "the connection has no reader");
     }
 
+    /** Returns the account of what was read and not parsed. */
+    UnparsedInput input() {
+        return mInput;
+    }
+
     /** Starts or stops reading from the connection; closes it if that is impossible. */
     void setReading(boolean reading) {
         ConnectionReading.set(mConnection, reading);
@@ -144,14 +156,18 @@
         return mIgnoresInput;
     }
 
+    /** Returns whether further input need not even be parsed. */
+    synchronized boolean dropsInput() {
+        return mIgnoresInput && !mExpectsInputEnd;
+    }
+
     /** Returns whether the response to a complete request is pending. */
     synchronized boolean hasPendingResponse() {
         return mCurrent != null;
     }
 
     /** Records that bytes arrived. */
-    synchronized void onBytesReceived(int bytes, long now) {
-        mLastReadBytes = bytes;
+    synchronized void onBytesReceived(long now) {
         mLastActiveAt = now;
         if (mPendingBody == null && mCurrent == null && mHeaderStartedAt == 0) {
             mHeaderStartedAt = now;
@@ -172,11 +188,6 @@
         mLastActiveAt = now;
     }
 
-    /** Returns the size of the last read, which a request that is parsed from it holds. */
-    synchronized int lastReadBytes() {
-        return mLastReadBytes;
-    }
-
     synchronized @Nullable BodyBuffer pendingBody() {
         return mPendingBody;
     }
@@ -271,6 +282,7 @@
             reader = mReader;
         }
         dropped.forEach(FrontExchange::releaseMemory);
+        mInput.release();
         if (reader != null) {
             reader.onClosed();
         }
--- a/ebonyrun-ports/src/main/java/org/ebonyrun/ports/http/FrontExchange.java
+++ b/ebonyrun-ports/src/main/java/org/ebonyrun/ports/http/FrontExchange.java
@@ -48,7 +48,9 @@
     private static final long BUFFERED_COST = 3;
     private static final IntConsumer IGNORE = bytes -> {};
 
-    private final HttpRequestPacket mPacket;
+    // The codec's request is not kept: it holds the read that it was parsed from, and 8 KB of
+    // objects.
+    private final RequestLine mLine;
     private final HttpHeaders mHeaders;
     private final byte[] mBody;
     private final FrontConnection mConnection;
@@ -68,7 +70,7 @@
     private volatile boolean mLast;
 
     private FrontExchange(
-            HttpRequestPacket packet,
+            RequestLine line,
             HttpHeaders headers,
             byte[] body,
             FrontConnection connection,
@@ -76,7 +78,7 @@
             MemoryClaim memory,
             int refusalStatus,
             HttpHeaders refusalHeaders) {
-        mPacket = packet;
+        mLine = line;
         mHeaders = headers;
         mBody = body;
         mConnection = connection;
@@ -93,21 +95,27 @@
      * @param memory the claim of the request, which the exchange holds from now on
      */
     FrontExchange(
-            HttpRequestPacket packet,
+            RequestLine line,
             HttpHeaders headers,
             byte[] body,
             FrontConnection connection,
             boolean keepAlive,
             MemoryClaim memory) {
-        this(packet, headers, body, connection, keepAlive, memory, 0, HttpHeaders.empty());
+        this(line, headers, body, connection, keepAlive, memory, 0, HttpHeaders.empty());
     }
 
     /** Creates an exchange whose request the server refuses, and whose connection it closes. */
-    static FrontExchange refusal(
-            HttpRequestPacket packet, FrontConnection connection, int status, HttpHeaders headers) {
+    static FrontExchange refusal(FrontConnection connection, int status, HttpHeaders headers) {
         MemoryClaim none = MemoryAccount.unlimited().open(MemoryClass.REQUEST);
         return new FrontExchange(
-                packet, HttpHeaders.empty(), EMPTY, connection, false, none, status, headers);
+                RequestLine.UNREADABLE,
+                HttpHeaders.empty(),
+                EMPTY,
+                connection,
+                false,
+                none,
+                status,
+                headers);
     }
 
     /**
@@ -149,13 +157,12 @@
 
     /** Returns the method. */
     public String method() {
-        return mPacket.getMethod().getMethodString();
+        return mLine.method();
     }
 
     /** Returns the path and query as they were sent. */
     public String target() {
-        String query = mPacket.getQueryString();
-        return query == null ? mPacket.getRequestURI() : mPacket.getRequestURI() + "?" + query;
+        return mLine.target();
     }
 
     /** Returns the headers. */
@@ -303,8 +310,21 @@
         return incomplete;
     }
 
+    /** Creates a response from what the codec needs to know of its request. */
+    private HttpResponsePacket newResponse() {
+        HttpRequestPacket request =
+                HttpRequestPacket.builder()
+                        .method(mLine.method())
+                        .uri("/")
+                        .protocol(mLine.protocol())
+                        .host("")
+                        .build();
+        request.setConnection(mConnection.connection());
+        return HttpResponsePacket.builder(request).protocol(Protocol.HTTP_1_1).build();
+    }
+
     private HttpResponsePacket head(int status, HttpHeaders headers) {
-        HttpResponsePacket response = mPacket.getResponse();
+        HttpResponsePacket response = newResponse();
         response.setStatus(status);
         headers.endToEnd().forEach(response::addHeader);
         mLast = mConnection.closeAfterResponse(mCloseAfterResponse || !mKeepAlive);
@@ -319,7 +339,7 @@
     }
 
     private boolean canBeChunked(int status) {
-        return mPacket.getProtocol() == Protocol.HTTP_1_1
+        return mLine.protocol() == Protocol.HTTP_1_1
                 && !method().equals("HEAD")
                 && status != NO_CONTENT
                 && status != RESET_CONTENT
--- a/ebonyrun-ports/src/main/java/org/ebonyrun/ports/http/FrontServer.java
+++ b/ebonyrun-ports/src/main/java/org/ebonyrun/ports/http/FrontServer.java
@@ -1,5 +1,6 @@
 package org.ebonyrun.ports.http;
 
+import static com.google.common.base.Preconditions.checkArgument;
 import static com.google.common.base.Preconditions.checkNotNull;
 
 import java.io.IOException;
@@ -7,6 +8,7 @@
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.Supplier;
+import org.ebonyrun.base.memory.MemoryClass;
 import org.ebonyrun.base.time.Nanos;
 import org.glassfish.grizzly.Buffer;
 import org.glassfish.grizzly.Connection;
@@ -19,6 +21,7 @@
 import org.glassfish.grizzly.filterchain.TransportFilter;
 import org.glassfish.grizzly.http.HttpContent;
 import org.glassfish.grizzly.http.HttpHeader;
+import org.glassfish.grizzly.http.HttpPacketParsing;
 import org.glassfish.grizzly.http.HttpRequestPacket;
 import org.glassfish.grizzly.http.HttpServerFilter;
 import org.glassfish.grizzly.memory.Buffers;
@@ -35,7 +38,8 @@
  */
 public final class FrontServer {
     private static final int CODEC_HEADER_BYTES = 128 * 1024;
-    private static final int READ_BYTES = 16 * 1024;
+
+    private static final int SEPARATOR_BYTES = 1_024;
     private static final int BACKLOG = 1_024;
     private static final int BAD_REQUEST = 400;
 
@@ -150,9 +154,30 @@
         return (int) mConnections.stream().filter(FrontConnection::isBusy).count();
     }
 
+    /**
+     * Returns how much of a head, or of lines between the parts of a body, may be read without its
+     * end: more than the limit on headers, which does not count what separates them.
+     */
+    private int maxUnparsedBytes() {
+        return 2 * mLimits.get().maxHeaderBytes() + SEPARATOR_BYTES;
+    }
+
+    /**
+     * Closes a connection for whose input there is no memory, before a request was read from it.
+     */
+    private void closeForMemory(FrontConnection connection) {
+        mMemory.account().countRefused(MemoryClass.INPUT);
+        connection.connection().terminateSilently();
+    }
+
     private void onAccepted(Connection<?> connection) {
         FrontConnection accepted =
-                new FrontConnection(connection, mListener, mDraining, System.nanoTime());
+                new FrontConnection(
+                        connection,
+                        mListener,
+                        new UnparsedInput(mMemory.account().open(MemoryClass.INPUT)),
+                        mDraining,
+                        System.nanoTime());
         accepted.setReader(new RequestReader(accepted, mMemory, mLimits, mMemoryQueue));
         STATE.set(connection, accepted);
         mConnections.add(accepted);
@@ -177,29 +202,37 @@
     private final class ActivityFilter extends BaseFilter {
         @Override
         public NextAction handleAccept(FilterChainContext ctx) throws IOException {
-            ctx.getConnection().setReadBufferSize(READ_BYTES);
             onAccepted(ctx.getConnection());
             return ctx.getInvokeAction();
         }
 
         @Override
         public NextAction handleRead(FilterChainContext ctx) throws IOException {
-            byte[] bytes = takeRead(ctx);
-            of(ctx.getConnection()).onBytesReceived(bytes.length, System.nanoTime());
-            ctx.setMessage(Buffers.wrap(MemoryManager.DEFAULT_MEMORY_MANAGER, bytes));
-            return ctx.getInvokeAction();
-        }
-
-        /**
-         * Returns what was read, in an array of that size. The codec's requests keep the buffer
-         * they were parsed from; that of the transport is a part of a larger one.
-         */
-        private byte[] takeRead(FilterChainContext ctx) {
             Buffer read = ctx.getMessage();
+            FrontConnection connection = of(ctx.getConnection());
+            if (connection.dropsInput()) {
+                read.tryDispose();
+                return ctx.getStopAction();
+            }
             byte[] bytes = new byte[read.remaining()];
             read.get(bytes);
             read.tryDispose();
-            return bytes;
+            connection.onBytesReceived(System.nanoTime());
+            if (connection.input().keptBytes() > maxUnparsedBytes()) {
+                connection.reader().refuseLongLines();
+            }
+            if (connection.reader().isReadingChunks()) {
+                if (!connection.input().addOfChunks(bytes.length)) {
+                    connection.reader().refuseForMemory();
+                }
+            } else if (!connection.input().add(bytes.length)) {
+                closeForMemory(connection);
+                return ctx.getStopAction();
+            }
+            // A copy, because the codec's requests keep the buffer that they were parsed from, and
+            // that of the transport is a part of a larger one.
+            ctx.setMessage(Buffers.wrap(MemoryManager.DEFAULT_MEMORY_MANAGER, bytes));
+            return ctx.getInvokeAction();
         }
 
         @Override
@@ -238,11 +271,23 @@
             refuse((HttpRequestPacket) header, ctx);
         }
 
+        @Override
+        protected boolean decodeHttpPacket(
+                FilterChainContext ctx, HttpPacketParsing packet, Buffer input) {
+            boolean complete = super.decodeHttpPacket(ctx, packet, input);
+            if (!complete) {
+                checkArgument(input.remaining() <= maxUnparsedBytes(), "the head is too long");
+                if (!of(ctx.getConnection()).input().onHeadIncomplete(input.remaining())) {
+                    closeForMemory(of(ctx.getConnection()));
+                }
+            }
+            return complete;
+        }
+
         private void refuse(HttpRequestPacket packet, FilterChainContext ctx) {
             int status = Math.max(packet.getResponse().getStatus(), BAD_REQUEST);
             FrontConnection connection = of(ctx.getConnection());
-            connection.submit(
-                    FrontExchange.refusal(packet, connection, status, HttpHeaders.empty()));
+            connection.submit(FrontExchange.refusal(connection, status, HttpHeaders.empty()));
         }
     }
 
@@ -251,13 +296,16 @@
         @Override
         public NextAction handleRead(FilterChainContext ctx) throws IOException {
             HttpContent content = ctx.getMessage();
+            HttpRequestPacket packet = (HttpRequestPacket) content.getHttpHeader();
+            FrontConnection connection = of(ctx.getConnection());
+            // The codec reports empty content while it reads trailers.
+            if (content.isLast()
+                    || content.getContent().hasRemaining()
+                    || !connection.reader().isReading(packet)) {
+                connection.input().onParsed();
+            }
             if (!HttpContent.isBroken(content)) {
-                of(ctx.getConnection())
-                        .reader()
-                        .onContent(
-                                (HttpRequestPacket) content.getHttpHeader(),
-                                content.getContent(),
-                                content.isLast());
+                connection.reader().onContent(packet, content.getContent(), content.isLast());
             }
             return ctx.getStopAction();
         }
--- a/ebonyrun-ports/src/main/java/org/ebonyrun/ports/http/RequestReader.java
+++ b/ebonyrun-ports/src/main/java/org/ebonyrun/ports/http/RequestReader.java
@@ -28,7 +28,7 @@
  */
 final class RequestReader {
     // The objects that represent a request, beside the bytes of its head and its body.
-    private static final int REQUEST_OVERHEAD_BYTES = 8 * 1024;
+    private static final int REQUEST_OVERHEAD_BYTES = 2 * 1024;
     private static final int BAD_REQUEST = 400;
     private static final int TOO_LARGE = 413;
     private static final int HEADERS_TOO_LARGE = 431;
@@ -50,7 +50,8 @@
         final HttpHeaders mHeaders;
         final MemoryClaim mClaim;
         final BodyBuffer mBody;
-        // The size of the read from which the head was parsed, which the packet keeps.
+        // The size of the read in which the head ended, which is held until the request is
+        // complete.
         final int mReadBytes;
         boolean mAdmitted;
 
@@ -98,6 +99,35 @@
         mWaiting = waiting;
     }
 
+    /** Returns whether a chunked body is being read. */
+    synchronized boolean isReadingChunks() {
+        return mPending != null && mPending.mPacket.isChunked();
+    }
+
+    /** Refuses the request whose body is being read, for want of memory. */
+    synchronized void refuseForMemory() {
+        Pending pending = mPending;
+        if (pending != null && !mClosed && !mIsWaiting) {
+            refuseForMemory(pending, false, BodyAdmission.Decision.REFUSE);
+        }
+    }
+
+    /** Returns whether the head of a request was read, and its end was not. */
+    synchronized boolean isReading(HttpRequestPacket packet) {
+        return mPending != null && mPending.mPacket == packet;
+    }
+
+    /**
+     * Refuses the request whose body is being read, if lines that are no part of its content have
+     * become too long.
+     */
+    synchronized void refuseLongLines() {
+        Pending pending = mPending;
+        if (pending != null && !mClosed && !mIsWaiting) {
+            refuse(pending.mPacket, true, BAD_REQUEST);
+        }
+    }
+
     /** Handles a part of a request, in the order in which they were read. */
     synchronized void onContent(HttpRequestPacket packet, @Nullable Buffer buffer, boolean last) {
         if (mClosed) {
@@ -249,7 +279,8 @@
         }
         MemoryClaim claim = mMemory.account().open(MemoryClass.REQUEST);
         BodyBuffer body = new BodyBuffer(limits.maxBodyBytes(), claim);
-        Pending pending = new Pending(packet, headers, claim, body, mConnection.lastReadBytes());
+        Pending pending =
+                new Pending(packet, headers, claim, body, mConnection.input().lastReadBytes());
         mPending = pending;
         mConnection.setPendingBody(pending.mBody, System.nanoTime());
         return pending;
@@ -298,16 +329,16 @@
         }
         HttpHeaders headers =
                 status == UNAVAILABLE ? mMemory.refusalHeaders() : HttpHeaders.empty();
-        mConnection.submit(FrontExchange.refusal(packet, mConnection, status, headers));
+        mConnection.submit(FrontExchange.refusal(mConnection, status, headers));
     }
 
     private void submit(Pending pending) {
         mPending = null;
-        ParsedRequests.detach(pending.mPacket);
+        pending.mClaim.shrink(pending.mReadBytes);
         mConnection.setPendingBody(null, System.nanoTime());
         mConnection.submit(
                 new FrontExchange(
-                        pending.mPacket,
+                        RequestLine.of(pending.mPacket),
                         pending.mHeaders,
                         pending.mBody.bytes(),
                         mConnection,
--- a/ebonyrun-ports/src/test/java/org/ebonyrun/ports/http/ListenerErrorTest.java
+++ b/ebonyrun-ports/src/test/java/org/ebonyrun/ports/http/ListenerErrorTest.java
@@ -108,10 +108,23 @@
                     @Override
                     public void onAbandoned(FrontExchange exchange) {}
                 };
-        FrontConnection connection = new FrontConnection(null, failing, false, 0);
+        FrontConnection connection =
+                new FrontConnection(
+                        null,
+                        failing,
+                        new UnparsedInput(MemoryAccount.unlimited().open(MemoryClass.INPUT)),
+                        false,
+                        0);
         try {
             MemoryClaim claim = MemoryAccount.unlimited().open(MemoryClass.REQUEST);
-            connection.submit(new FrontExchange(null, null, new byte[0], connection, true, claim));
+            connection.submit(
+                    new FrontExchange(
+                            RequestLine.UNREADABLE,
+                            HttpHeaders.empty(),
+                            new byte[0],
+                            connection,
+                            true,
+                            claim));
         } catch (AssertionError expected) {
             // Reported before it is rethrown.
         }
--- a/ebonyrun-ports/src/test/java/org/ebonyrun/ports/http/SlowBodyTest.java
+++ b/ebonyrun-ports/src/test/java/org/ebonyrun/ports/http/SlowBodyTest.java
@@ -33,15 +33,20 @@
     void aBodyEndsItsConnectionUnlessItComesFastEnough(
             int bytesPerSecond, int seconds, boolean expected) {
         FrontConnection connection =
-                new FrontConnection(null, new IgnoringListener(), false, START);
+                new FrontConnection(
+                        null,
+                        new IgnoringListener(),
+                        new UnparsedInput(MemoryAccount.unlimited().open(MemoryClass.INPUT)),
+                        false,
+                        START);
         MemoryClaim claim = MemoryAccount.unlimited().open(MemoryClass.REQUEST);
         BodyBuffer body = new BodyBuffer(MAX_BODY_BYTES, claim);
-        connection.onBytesReceived(1, START);
+        connection.onBytesReceived(START);
         connection.setPendingBody(body, START);
         boolean expired = false;
         for (int i = 1; i <= seconds && !expired; i++) {
             long now = START + i * Nanos.PER_SECOND;
-            connection.onBytesReceived(1, now);
+            connection.onBytesReceived(now);
             byte[] piece = new byte[bytesPerSecond];
             claim.grow(body.missing(bytesPerSecond));
             body.add(Buffers.wrap(MemoryManager.DEFAULT_MEMORY_MANAGER, piece));
