Leave a quarter of the descriptors to the store and to endpoints

An entry ended with status 71 when callers opened as many connections as it may have descriptors: 600 before 512, with or without the start of a head (HostileClientsTest#connectionsAreBounded, three of three runs). The line names a class that could not be loaded; with the descriptors gone, neither classes nor the store nor endpoints can be reached.

Callers now hold three quarters of the descriptors at most. At that limit, connections without a request end, first those that never carried one, then those that were idle longest, a sixty-fourth of the limit at a time; one on which a request is read or answered never ends for others, and if all are busy, the new one is closed unread, after which callers may repeat any request.

--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/EntryLimits.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/EntryLimits.java
@@ -7,6 +7,7 @@
 import org.ebonyrun.core.settings.SettingsNode;
 import org.ebonyrun.core.settings.ValueParser;
 import org.ebonyrun.core.workspace.AdmissionPolicy;
+import org.ebonyrun.ports.http.ConnectionLimit;
 
 /**
  * Limits of a deployment; all times are in milliseconds.
@@ -24,6 +25,7 @@
  * @param keysSilenceMillis how long the store may be silent before keys may have been withdrawn
  *     unnoticed
  * @param extraWork how many hedged attempts may be sent for each answered call; empty for no limit
+ * @param descriptors how many descriptors the process may open
  */
 public record EntryLimits(
         long orderQuietPeriodMillis,
@@ -35,9 +37,12 @@
         double storeWritesPerSecond,
         boolean strictKeys,
         long keysSilenceMillis,
-        OptionalDouble extraWork) {
+        OptionalDouble extraWork,
+        int descriptors) {
     private static final double MAX_EXTRA_WORK = 0.5;
     private static final long DEFAULT_KEYS_SILENCE_MILLIS = 5_000;
+    // Used where the operating system does not tell its limit.
+    private static final int DEFAULT_DESCRIPTORS = 4_096;
 
     /** The defaults for limits that the settings omit. */
     public static final EntryLimits DEFAULT =
@@ -53,6 +58,7 @@
         checkArgument(catchUpMillis > 0, "contact_within is not positive: %s", catchUpMillis);
         checkArgument(
                 storeWritesPerSecond > 0, "store_writes is not positive: %s", storeWritesPerSecond);
+        checkArgument(descriptors > 0, "descriptors is not positive: %s", descriptors);
         extraWork.ifPresent(
                 share ->
                         checkArgument(
@@ -84,7 +90,8 @@
                 storeWritesPerSecond,
                 false,
                 DEFAULT_KEYS_SILENCE_MILLIS,
-                OptionalDouble.empty());
+                OptionalDouble.empty(),
+                DEFAULT_DESCRIPTORS);
     }
 
     /** Returns how keys are checked. */
@@ -92,6 +99,11 @@
         return new AdmissionPolicy(strictKeys, TimeUnit.MILLISECONDS.toNanos(keysSilenceMillis));
     }
 
+    /** Returns how many connections callers may hold. */
+    ConnectionLimit connections() {
+        return ConnectionLimit.ofDescriptors(descriptors);
+    }
+
     /** Reads limits; a limit that is missing or unreadable has its default value. */
     static EntryLimits read(SettingsNode node) {
         return new EntryLimits(
@@ -105,7 +117,21 @@
                 node.get("store_writes").read(EntryLimits::parseRate, DEFAULT.storeWritesPerSecond),
                 node.get("strict_keys").read(HostedSettings::parseBoolean, DEFAULT.strictKeys),
                 positive(node.get("keys_silence"), DEFAULT.keysSilenceMillis),
-                node.get("extra_work").read(EntryLimits::parseExtraWork, DEFAULT.extraWork));
+                node.get("extra_work").read(EntryLimits::parseExtraWork, DEFAULT.extraWork),
+                readDescriptors(node.get("descriptors")));
+    }
+
+    /** Returns the limit of the settings or of the operating system, whichever is lower. */
+    private static int readDescriptors(SettingsNode node) {
+        int configured = node.read(EntryLimits::parseCount, Integer.MAX_VALUE);
+        int allowed = DescriptorLimit.read(DEFAULT_DESCRIPTORS);
+        return node.isPresent() ? Math.min(configured, allowed) : allowed;
+    }
+
+    private static int parseCount(String text) {
+        int count = Integer.parseInt(text);
+        checkArgument(count > 0, "not a number above zero: '%s'", text);
+        return count;
     }
 
     private static double parseRate(String text) {
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/HostedEntry.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/HostedEntry.java
@@ -165,7 +165,8 @@
                         settings.front(),
                         mFront.listener(executor()),
                         () -> mLimits,
-                        mMemory.front());
+                        mMemory.front(),
+                        () -> mSettings.limits().connections());
     }
 
     private EventLoop<Runnable> newEventLoop() {
@@ -300,6 +301,9 @@
         mPlatformCalls.addGauges(gauges);
         mScaling.addGauges(gauges);
         mMemory.addGauges(gauges);
+        gauges.put("ebonyrun_entry_connections", (double) mFrontServer.connectionCount());
+        gauges.put(
+                "ebonyrun_entry_connections_ended", (double) mFrontServer.endedConnectionCount());
         gauges.put("ebonyrun_entry_memory_waiting_requests", (double) mFrontServer.waitingCount());
         gauges.put("ebonyrun_entry_log_lines_dropped", (double) mLog.dropped());
         return gauges;
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/HostedSettings.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/HostedSettings.java
@@ -74,7 +74,8 @@
                     "store_writes",
                     "strict_keys",
                     "keys_silence",
-                    "extra_work");
+                    "extra_work",
+                    "descriptors");
 
     /**
      * The result of parsing settings.
--- a/ebonyrun-daemon/src/test/java/org/ebonyrun/daemon/hosted/HostedSettingsTest.java
+++ b/ebonyrun-daemon/src/test/java/org/ebonyrun/daemon/hosted/HostedSettingsTest.java
@@ -120,7 +120,17 @@
     void silenceBeyondItsRangeIsLimitedInsteadOfWrapped() {
         EntryLimits limits =
                 new EntryLimits(
-                        1, 1, 1, 1, 1, 1, 1, true, 3_599_999_996_400_000L, OptionalDouble.empty());
+                        1,
+                        1,
+                        1,
+                        1,
+                        1,
+                        1,
+                        1,
+                        true,
+                        3_599_999_996_400_000L,
+                        OptionalDouble.empty(),
+                        100);
 
         assertThat(limits.admission(), is(new AdmissionPolicy(true, Long.MAX_VALUE)));
     }
--- a/ebonyrun-daemon/src/test/java/org/ebonyrun/daemon/hosted/WatchTimingsTest.java
+++ b/ebonyrun-daemon/src/test/java/org/ebonyrun/daemon/hosted/WatchTimingsTest.java
@@ -99,7 +99,8 @@
                         400,
                         true,
                         silence,
-                        OptionalDouble.empty());
+                        OptionalDouble.empty(),
+                        100);
         EntryLimits lenient =
                 new EntryLimits(
                         3_000,
@@ -111,7 +112,8 @@
                         400,
                         false,
                         silence,
-                        OptionalDouble.empty());
+                        OptionalDouble.empty(),
+                        100);
         for (boolean idle : new boolean[] {true, false}) {
             StoreWatch.Timing timing = WatchTimings.forOperatorKeys(strict, idle);
             StoreWatch.Timing usual = WatchTimings.forOperatorKeys(lenient, idle);
--- a/ebonyrun-ports/src/main/java/org/ebonyrun/ports/http/FrontConnection.java
+++ b/ebonyrun-ports/src/main/java/org/ebonyrun/ports/http/FrontConnection.java
@@ -24,7 +24,7 @@
  * refusals, because responses must be sent in the order of the requests. Input after a refused
  * request is ignored; the connection closes once the refusal and all earlier responses are sent.
  */
-final class FrontConnection {
+final class FrontConnection implements ConnectionLimit.Candidate {
     /** The number of requests that may wait for the response to an earlier one. */
     static final int MAX_WAITING = 16;
 
@@ -47,6 +47,7 @@
     private boolean mClosed;
     private boolean mExpectsInputEnd;
     private boolean mResponsesSent;
+    private boolean mHasServed;
 
     /**
      * Creates the state of a connection.
@@ -243,6 +244,7 @@
         boolean shutDown;
         synchronized (this) {
             mLastActiveAt = System.nanoTime();
+            mHasServed = true;
             sent = mCurrent;
             mCurrent = null;
             if (last) {
@@ -302,7 +304,7 @@
     void closeIfExpired(long now, long idleNanos, long headerNanos) {
         if (isExpired(now, idleNanos, headerNanos)) {
             // Closing would wait until the caller has read what is still to be written.
-            mConnection.terminateSilently();
+            terminate();
         }
     }
 
@@ -338,10 +340,26 @@
         }
     }
 
-    synchronized boolean isBusy() {
+    @Override
+    public synchronized boolean isBusy() {
         return mCurrent != null || mPendingBody != null;
     }
 
+    /** Closes the connection without waiting until the caller has read what is still written. */
+    void terminate() {
+        mConnection.terminateSilently();
+    }
+
+    @Override
+    public synchronized boolean hasServed() {
+        return mHasServed;
+    }
+
+    @Override
+    public synchronized long lastActiveAt() {
+        return mLastActiveAt;
+    }
+
     void close() {
         mConnection.closeSilently();
     }
--- a/ebonyrun-ports/src/main/java/org/ebonyrun/ports/http/FrontServer.java
+++ b/ebonyrun-ports/src/main/java/org/ebonyrun/ports/http/FrontServer.java
@@ -5,8 +5,10 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.util.List;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Supplier;
 import org.ebonyrun.base.memory.MemoryClass;
 import org.ebonyrun.base.time.Nanos;
@@ -46,6 +48,8 @@
     private final FrontListener mListener;
     private final Supplier<FrontLimits> mLimits;
     private final FrontMemory mMemory;
+    private final Supplier<ConnectionLimit> mConnectionLimit;
+    private final AtomicLong mEndedConnections = new AtomicLong();
     private final MemoryQueue mMemoryQueue = new MemoryQueue();
     // Stays with a connection after its end, so that what was read before is not taken for requests
     // of a new one.
@@ -57,14 +61,20 @@
     private volatile boolean mDraining;
     private volatile boolean mStopped;
 
-    private FrontServer(FrontListener listener, Supplier<FrontLimits> limits, FrontMemory memory) {
+    private FrontServer(
+            FrontListener listener,
+            Supplier<FrontLimits> limits,
+            FrontMemory memory,
+            Supplier<ConnectionLimit> connectionLimit) {
         mListener = listener;
         mLimits = limits;
         mMemory = memory;
+        mConnectionLimit = connectionLimit;
     }
 
     /**
-     * Listens on an address, on the I/O thread of a transport, without a limit on memory.
+     * Listens on an address, on the I/O thread of a transport, without a limit on memory or
+     * connections.
      *
      * @throws IOException if the address can't be bound
      */
@@ -74,7 +84,13 @@
             FrontListener listener,
             Supplier<FrontLimits> limits)
             throws IOException {
-        return bind(transport, address, listener, limits, FrontMemory.unlimited());
+        return bind(
+                transport,
+                address,
+                listener,
+                limits,
+                FrontMemory.unlimited(),
+                ConnectionLimit::none);
     }
 
     /**
@@ -87,9 +103,10 @@
             InetSocketAddress address,
             FrontListener listener,
             Supplier<FrontLimits> limits,
-            FrontMemory memory)
+            FrontMemory memory,
+            Supplier<ConnectionLimit> connectionLimit)
             throws IOException {
-        FrontServer server = new FrontServer(listener, limits, memory);
+        FrontServer server = new FrontServer(listener, limits, memory, connectionLimit);
         HttpServerFilter codec = server.new Codec();
         codec.setAllowPayloadForUndefinedHttpMethods(true);
         server.mServerConnection =
@@ -167,10 +184,33 @@
      */
     private void closeForMemory(FrontConnection connection) {
         mMemory.account().countRefused(MemoryClass.INPUT);
-        connection.connection().terminateSilently();
+        connection.terminate();
+    }
+
+    /** Returns the number of open connections. */
+    public int connectionCount() {
+        return mConnections.size();
+    }
+
+    /** Returns how many connections were ended because there were too many. */
+    public long endedConnectionCount() {
+        return mEndedConnections.get();
+    }
+
+    /** Ends connections if another one is one too many; returns whether there is room for it. */
+    private boolean makeRoom() {
+        ConnectionLimit limit = mConnectionLimit.get();
+        if (!limit.isReached(mConnections.size())) {
+            return true;
+        }
+        List<FrontConnection> ended = limit.chooseEnded(mConnections);
+        ended.forEach(FrontConnection::terminate);
+        mEndedConnections.addAndGet(Math.max(1, ended.size()));
+        return !ended.isEmpty();
     }
 
     private void onAccepted(Connection<?> connection) {
+        boolean hasRoom = makeRoom();
         FrontConnection accepted =
                 new FrontConnection(
                         connection,
@@ -181,7 +221,7 @@
         accepted.setReader(new RequestReader(accepted, mMemory, mLimits, mMemoryQueue));
         STATE.set(connection, accepted);
         mConnections.add(accepted);
-        if (mStopped || !connection.isOpen()) {
+        if (!hasRoom || mStopped || !connection.isOpen()) {
             connection.closeSilently();
             onClosed(connection);
         }
--- a/ebonyrun-ports/src/test/java/org/ebonyrun/ports/http/FrontServerFixture.java
+++ b/ebonyrun-ports/src/test/java/org/ebonyrun/ports/http/FrontServerFixture.java
@@ -63,7 +63,19 @@
                         mAbandoned.countDown();
                     }
                 };
-        mServer = FrontServer.bind(mTransport, mAddress, listener, () -> mLimits, mMemory);
+        mServer =
+                FrontServer.bind(
+                        mTransport,
+                        mAddress,
+                        listener,
+                        () -> mLimits,
+                        mMemory,
+                        this::connectionLimit);
+    }
+
+    /** Returns how many connections the server accepts. */
+    ConnectionLimit connectionLimit() {
+        return ConnectionLimit.none();
     }
 
     /** Handles a request; called on the I/O thread. */
