Disconnect callers that read nothing, however much they send

A caller that reads none of a response is disconnected after idle_timeout_ms, but each byte that it sent started that time anew, so it could hold the response, up to 17 requests and its connection for as long as it liked. And input that is ignored, behind the seventeenth request or a refusal, was read and dropped without end.

While a response is to be written, only its progress counts, and a connection whose input is ignored is not read.

UnreadResponseTest: one of three cases failed before (a byte sent each second, a byte read each 20 s, idle_timeout_ms 15 s), all hold now.

--- a/ebonyrun-ports/src/main/java/org/ebonyrun/ports/http/FrontConnection.java
+++ b/ebonyrun-ports/src/main/java/org/ebonyrun/ports/http/FrontConnection.java
@@ -169,7 +169,10 @@
 
     /** Records that bytes arrived. */
     synchronized void onBytesReceived(long now) {
-        mLastActiveAt = now;
+        // While a response is to be written, only its progress shows that the caller reads.
+        if (mUnwrittenBytes == 0) {
+            mLastActiveAt = now;
+        }
         if (mPendingBody == null && mCurrent == null && mHeaderStartedAt == 0) {
             mHeaderStartedAt = now;
         }
--- a/ebonyrun-ports/src/main/java/org/ebonyrun/ports/http/FrontServer.java
+++ b/ebonyrun-ports/src/main/java/org/ebonyrun/ports/http/FrontServer.java
@@ -251,6 +251,8 @@
             Buffer read = ctx.getMessage();
             FrontConnection connection = of(ctx.getConnection());
             if (connection.dropsInput()) {
+                // The caller is slowed down instead of read for nothing.
+                connection.setReading(false);
                 read.tryDispose();
                 return ctx.getStopAction();
             }
