--- a/ebonyrun-ports/src/main/java/org/ebonyrun/ports/http/ConnectionLimit.java
+++ b/ebonyrun-ports/src/main/java/org/ebonyrun/ports/http/ConnectionLimit.java
@@ -20,7 +20,10 @@
 public record ConnectionLimit(int maxConnections) {
     private static final int SHARE_ENDED = 64;
 
-    /** What is known of a connection at one moment. */
+    /** A candidate as it was at one moment; other threads change it while candidates are sorted. */
+    private record Snapshot<T>(T candidate, boolean hasServed, long lastActiveAt) {}
+
+    /** What is known of a connection. */
     interface Candidate {
         /** Returns whether a request is being read or answered. */
         boolean isBusy();
@@ -58,10 +61,12 @@
     <T extends Candidate> List<T> chooseEnded(Collection<T> connections) {
         return connections.stream()
                 .filter(candidate -> !candidate.isBusy())
+                .map(one -> new Snapshot<>(one, one.hasServed(), one.lastActiveAt()))
                 .sorted(
-                        Comparator.comparing(Candidate::hasServed)
-                                .thenComparing(Candidate::lastActiveAt))
+                        Comparator.comparing(Snapshot<T>::hasServed)
+                                .thenComparing(Snapshot::lastActiveAt))
                 .limit(Math.max(1, maxConnections / SHARE_ENDED))
+                .map(Snapshot::candidate)
                 .toList();
     }
 }
--- a/ebonyrun-ports/src/main/java/org/ebonyrun/ports/http/FrontServer.java
+++ b/ebonyrun-ports/src/main/java/org/ebonyrun/ports/http/FrontServer.java
@@ -40,10 +40,13 @@
  */
 public final class FrontServer {
     private static final int CODEC_HEADER_BYTES = 128 * 1024;
-
     private static final int SEPARATOR_BYTES = 1_024;
     private static final int BACKLOG = 1_024;
     private static final int BAD_REQUEST = 400;
+    // Stays with a connection after its end, so that what was read before is not taken for requests
+    // of a new one.
+    private static final Attribute<FrontConnection> STATE =
+            Grizzly.DEFAULT_ATTRIBUTE_BUILDER.createAttribute(FrontServer.class.getName());
 
     private final FrontListener mListener;
     private final Supplier<FrontLimits> mLimits;
@@ -51,11 +54,6 @@
     private final Supplier<ConnectionLimit> mConnectionLimit;
     private final AtomicLong mEndedConnections = new AtomicLong();
     private final MemoryQueue mMemoryQueue = new MemoryQueue();
-    // Stays with a connection after its end, so that what was read before is not taken for requests
-    // of a new one.
-    private static final Attribute<FrontConnection> STATE =
-            Grizzly.DEFAULT_ATTRIBUTE_BUILDER.createAttribute(FrontServer.class.getName());
-
     private final Set<FrontConnection> mConnections = ConcurrentHashMap.newKeySet();
     private @Nullable Connection<?> mServerConnection;
     private volatile boolean mDraining;
