Bound what a connection holds before it is read, and while it waits

Cause, from a heap dump: a read takes all that has arrived on a connection, here up to 200,117 bytes, as the kernel grows its receive buffer. What was read of a request that waits for memory is in no account, and up to 64 may wait, whatever the heap. What has arrived and is not read counts towards the memory of the machine as well.

The receive buffer of callers' connections is 64 KiB, and as many requests may wait as hold a twentieth of the heap: 64 with the deployed heap, as before.

--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/EntryMemory.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/EntryMemory.java
@@ -11,26 +11,35 @@
 
 /** The memory of an entry that is held for callers and trainers. Thread safe. */
 final class EntryMemory {
-    // Callers give up on a request that is not read for a second; what was read of a waiting one is
-    // held.
-    private static final BodyAdmission ADMISSION = new BodyAdmission(Nanos.ofMillis(700), 64);
+    // Callers give up on a request that is not read for a second.
+    private static final long MAX_WAIT_NANOS = Nanos.ofMillis(700);
+    private static final int MAX_WAITING = 64;
+    // What was read of a waiting request is in no account: a read, and a copy of its parts.
+    private static final long WAITING_BYTES = 2 * 64 * 1024;
+    private static final int WAITING_HEAP_DIVISOR = 20;
     private static final long RETRY_AFTER_MILLIS = 500;
 
     private final MemoryAccount mAccount;
     private final FrontMemory mFront;
 
-    private EntryMemory(MemoryAccount account) {
+    private EntryMemory(MemoryAccount account, int maxWaiting) {
         mAccount = account;
         mFront =
                 new FrontMemory(
                         account,
-                        ADMISSION,
+                        new BodyAdmission(MAX_WAIT_NANOS, maxWaiting),
                         FrontProtocol.retryAfterHeaders("", RETRY_AFTER_MILLIS));
     }
 
     /** Creates the account of this process, whose limit follows from its heap. */
     static EntryMemory ofHeap() {
-        return new EntryMemory(MemoryAccount.ofHeap(Runtime.getRuntime().maxMemory()));
+        long heap = Runtime.getRuntime().maxMemory();
+        return new EntryMemory(MemoryAccount.ofHeap(heap), maxWaiting(heap));
+    }
+
+    /** Returns how many requests may wait, so that they hold a twentieth of the heap at most. */
+    static int maxWaiting(long heapBytes) {
+        return (int) Math.min(MAX_WAITING, heapBytes / WAITING_HEAP_DIVISOR / WAITING_BYTES);
     }
 
     MemoryAccount account() {
--- a/ebonyrun-daemon/src/test/java/org/ebonyrun/daemon/hosted/HostileClientsTest.java
+++ b/ebonyrun-daemon/src/test/java/org/ebonyrun/daemon/hosted/HostileClientsTest.java
@@ -161,6 +161,22 @@
         assertServesBesideAndAfter(kind);
     }
 
+    private static Stream<Kind> bodiesAhead() {
+        String body = "Content-Length: 200000\r\n\r\n" + "a".repeat(200_000);
+        return Stream.of(
+                Kind.fast("large bodies", HOLDERS, "", CALL + body, BYTES),
+                Kind.holding(
+                        "announced bodies",
+                        HOLDERS,
+                        CALL + "Content-Length: 900000\r\nExpect: 100-continue\r\n\r\n"));
+    }
+
+    @ParameterizedTest
+    @MethodSource("bodiesAhead")
+    void bodiesOfManyCallersAreBounded(Kind kind) throws Exception {
+        assertServesBesideAndAfter(kind);
+    }
+
     private static Stream<Kind> linesOfChunks() {
         String line = "a".repeat(LONG);
         return Stream.of(
--- a/ebonyrun-ports/src/main/java/org/ebonyrun/ports/http/FrontServer.java
+++ b/ebonyrun-ports/src/main/java/org/ebonyrun/ports/http/FrontServer.java
@@ -5,6 +5,8 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.net.StandardSocketOptions;
+import java.nio.channels.SocketChannel;
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
@@ -28,6 +30,7 @@
 import org.glassfish.grizzly.http.HttpServerFilter;
 import org.glassfish.grizzly.memory.Buffers;
 import org.glassfish.grizzly.memory.MemoryManager;
+import org.glassfish.grizzly.nio.NIOConnection;
 import org.glassfish.grizzly.nio.transport.TCPNIOBindingHandler;
 import org.glassfish.grizzly.nio.transport.TCPNIOTransport;
 import org.jspecify.annotations.Nullable;
@@ -41,6 +44,8 @@
 public final class FrontServer {
     private static final int CODEC_HEADER_BYTES = 128 * 1024;
     private static final int SEPARATOR_BYTES = 1_024;
+    // Bounds what has arrived on a connection and is not read, and with it the size of a read.
+    private static final int RECEIVE_BUFFER_BYTES = 64 * 1024;
     private static final int BACKLOG = 1_024;
     private static final int BAD_REQUEST = 400;
     // Stays with a connection after its end, so that what was read before is not taken for requests
@@ -240,10 +245,20 @@
     private final class ActivityFilter extends BaseFilter {
         @Override
         public NextAction handleAccept(FilterChainContext ctx) throws IOException {
+            limitReceiveBuffer((NIOConnection) ctx.getConnection());
             onAccepted(ctx.getConnection());
             return ctx.getInvokeAction();
         }
 
+        private void limitReceiveBuffer(NIOConnection connection) {
+            try {
+                ((SocketChannel) connection.getChannel())
+                        .setOption(StandardSocketOptions.SO_RCVBUF, RECEIVE_BUFFER_BYTES);
+            } catch (IOException ignored) {
+                // The connection has ended already.
+            }
+        }
+
         @Override
         public NextAction handleRead(FilterChainContext ctx) throws IOException {
             Buffer read = ctx.getMessage();
