Read few refused requests to their end at the same time

Of those, 37 had been refused for want of memory (heap dump): a refused request is read to its end so that its refusal is not lost in a reset, and as long as that lasts the codec keeps the read of 64 KiB in which it began, in no account.

As many refused requests are read on as may wait for memory. Beyond that, a connection ends with its refusal, which its caller may lose; it then knows as much as after any closed connection.

--- a/ebonyrun-ports/src/main/java/org/ebonyrun/ports/http/FrontMemory.java
+++ b/ebonyrun-ports/src/main/java/org/ebonyrun/ports/http/FrontMemory.java
@@ -15,6 +15,8 @@
     /** Returns memory without a limit. */
     static FrontMemory unlimited() {
         return new FrontMemory(
-                MemoryAccount.unlimited(), new BodyAdmission(0, 0), HttpHeaders.empty());
+                MemoryAccount.unlimited(),
+                new BodyAdmission(0, Integer.MAX_VALUE),
+                HttpHeaders.empty());
     }
 }
--- a/ebonyrun-ports/src/main/java/org/ebonyrun/ports/http/FrontServer.java
+++ b/ebonyrun-ports/src/main/java/org/ebonyrun/ports/http/FrontServer.java
@@ -58,7 +58,7 @@
     private final FrontMemory mMemory;
     private final Supplier<ConnectionLimit> mConnectionLimit;
     private final AtomicLong mEndedConnections = new AtomicLong();
-    private final MemoryQueue mMemoryQueue = new MemoryQueue();
+    private final MemoryQueue mMemoryQueue;
     private final Set<FrontConnection> mConnections = ConcurrentHashMap.newKeySet();
     private @Nullable Connection<?> mServerConnection;
     private volatile boolean mDraining;
@@ -72,6 +72,7 @@
         mListener = listener;
         mLimits = limits;
         mMemory = memory;
+        mMemoryQueue = new MemoryQueue(memory.admission().maxWaiting());
         mConnectionLimit = connectionLimit;
     }
 
--- a/ebonyrun-ports/src/main/java/org/ebonyrun/ports/http/RequestReader.java
+++ b/ebonyrun-ports/src/main/java/org/ebonyrun/ports/http/RequestReader.java
@@ -35,13 +35,22 @@
     private static final int UNAVAILABLE = 503;
     private static final byte[] EMPTY = new byte[0];
 
-    /** The number of requests that wait for memory, over all connections of a server. */
+    /** The requests that wait for memory or linger, over all connections of a server. */
     interface Waiting {
         /** Returns the number of waiting requests. */
         int count();
 
         /** Adds a connection, whose request waits until {@link #resume}. */
         void add(RequestReader reader);
+
+        /**
+         * Begins to read a refused request to its end, which holds what was read of it, if few
+         * others are; each time until {@link #stopLingering}.
+         */
+        boolean tryLinger();
+
+        /** Ends the reading of a refused request. */
+        void stopLingering();
     }
 
     /** A request whose end has not been read yet. */
@@ -86,6 +95,8 @@
     private boolean mIsCut;
     private long mWaitingSince;
     private boolean mIsWaiting;
+    // Whether a refused request is read to its end.
+    private boolean mLingers;
     private boolean mClosed;
 
     RequestReader(
@@ -201,9 +212,17 @@
     synchronized void onClosed() {
         mClosed = true;
         mUnprocessed.clear();
+        stopLingering();
         endPending();
     }
 
+    private void stopLingering() {
+        if (mLingers) {
+            mLingers = false;
+            mWaiting.stopLingering();
+        }
+    }
+
     private void endPending() {
         if (mPending != null) {
             mPending.mClaim.release();
@@ -215,6 +234,7 @@
     private boolean process(
             HttpRequestPacket packet, @Nullable Buffer buffer, boolean last, boolean isNext) {
         if (packet == mRefused && last) {
+            stopLingering();
             mConnection.onInputEnd();
         }
         if (mConnection.ignoresInput()) {
@@ -324,7 +344,8 @@
         endPending();
         mConnection.setPendingBody(null, System.nanoTime());
         mRefused = packet;
-        if (!last) {
+        if (!last && !mLingers && mWaiting.tryLinger()) {
+            mLingers = true;
             mConnection.expectInputEnd();
         }
         HttpHeaders headers =
