--- a/ebonyrun-ports/src/main/java/org/ebonyrun/ports/http/UnparsedInput.java
+++ b/ebonyrun-ports/src/main/java/org/ebonyrun/ports/http/UnparsedInput.java
@@ -46,6 +46,7 @@
      * a line without end; returns whether there is memory for them.
      */
     synchronized boolean addOfChunks(int bytes) {
+        // The empty addition makes these bytes earlier ones, which the claim covers.
         return add(bytes) && add(0);
     }
 
