--- a/review/standin-2/Kit.java
+++ b/review/standin-2/Kit.java
@@ -44,6 +44,10 @@
     private static final List<Process> PROCESSES = new CopyOnWriteArrayList<>();
     private static PrintWriter sRecord;
 
+    static {
+        Runtime.getRuntime().addShutdownHook(new Thread(Kit::endAll));
+    }
+
     private Kit() {}
 
     static long now() {
