--- a/review/10/Case10.java
+++ b/review/10/Case10.java
@@ -175,10 +175,8 @@
             } else if (status == 504) {
                 ANSWERS_504.computeIfAbsent(id, i -> new AtomicInteger()).incrementAndGet();
             }
-            if (status != 200) {
-                Kit.log(id + " at " + sampler + " -> " + status + " after " + (Kit.now() - receivedAt)
-                        + " ms of " + deadline);
-            }
+            Kit.log(id + " at " + sampler + " -> " + status + " after " + (Kit.now() - receivedAt)
+                    + " ms of " + deadline);
             exchange.respond(
                     status,
                     Map.of(
--- a/review/standin-2/Kit.java
+++ b/review/standin-2/Kit.java
@@ -569,6 +569,20 @@
         default void onVersion(String sampler, int version) {}
     }
 
+    /** Writes the runs to the record. */
+    static final Watcher RECORDER =
+            new Watcher() {
+                @Override
+                public void onRun(String sampler, String id, int after, int version) {
+                    log("run " + id + " at " + sampler + " after event " + after);
+                }
+
+                @Override
+                public void onRunEnd(String sampler, String id, boolean complete) {
+                    log("run of " + id + " at " + sampler + (complete ? " is complete" : " broke off"));
+                }
+            };
+
     /** A model sampler. It loads a version after its runs have finished, which is the mode wait. */
     static final class Engine {
         private static final int SLOTS = 8;
@@ -589,7 +603,7 @@
 
         Engine(Store store, String id, String service, String model, Plan plan)
                 throws IOException {
-            this(store, id, service, model, plan, new Watcher() {});
+            this(store, id, service, model, plan, RECORDER);
         }
 
         Engine(Store store, String id, String service, String model, Plan plan, Watcher watcher)
