Let samples begin again once no endpoint has their weight version

Cause: a sample whose text no endpoint can go on with discards it if some endpoint would run it from the beginning. That endpoint had to have the version of the text that was to be discarded, so there was none. The weight version belonged to the conditions of an endpoint, not to those of the text.

Evidence: the new line sample.restarted.

SampleProgress.canGoOnAt now covers software and, on such routes, the weight version, for placement, migration and the wait for a full endpoint. What has not changed: at most a second of waiting for an endpoint that can go on, and probes of outdated endpoints.

--- a/ebonyrun-core/src/main/java/org/ebonyrun/core/step/SampleProgress.java
+++ b/ebonyrun-core/src/main/java/org/ebonyrun/core/step/SampleProgress.java
@@ -98,12 +98,35 @@
         return new SampleCheckpoint(mSpec.id(), mEvents, mVersions, mOrigin, mTextComplete);
     }
 
-    /** Returns whether a run at an endpoint can go on with the text generated so far. */
+    /**
+     * Returns whether a run at an endpoint can go on with the text generated so far: the endpoint
+     * has the same software and, if the route requires a single weight version, the same weights.
+     */
     boolean canGoOnAt(Endpoint endpoint) {
+        return hasOriginOf(endpoint) && (mVersions.isEmpty() || allowsVersionOf(endpoint));
+    }
+
+    /** Returns whether the software of an endpoint can go on with the text generated so far. */
+    boolean hasOriginOf(Endpoint endpoint) {
         return mEvents.isEmpty() || (mOrigin != null && mOrigin.includes(endpoint.record()));
     }
 
-    List<Integer> distinctVersions() {
-        return List.copyOf(new TreeSet<>(mVersions));
+    private boolean allowsVersionOf(Endpoint endpoint) {
+        return !mStep.mRoute.step().singleVersion()
+                || mVersions.get(0) == endpoint.version(mStep.mSpec.model());
+    }
+
+    /** Returns the result of a sample whose text is complete. */
+    SampleResult completeResult(String score) {
+        List<Integer> versions = List.copyOf(new TreeSet<>(mVersions));
+        return new SampleResult(mSpec.id(), true, String.join("\n", mEvents), versions, score);
+    }
+
+    /** Handles the end of a run: the sample has no endpoint any more. */
+    void releaseEndpoint() {
+        if (mEndpoint != null) {
+            mEndpoint.onEnded();
+            mEndpoint = null;
+        }
     }
 }
--- a/ebonyrun-core/src/main/java/org/ebonyrun/core/step/SampleScheduler.java
+++ b/ebonyrun-core/src/main/java/org/ebonyrun/core/step/SampleScheduler.java
@@ -109,17 +109,23 @@
     }
 
     /**
-     * Returns whether a sample that found no endpoint should discard its text and begin again:
-     * another endpoint would take it, while those that could go on with it have left, or have had
-     * no room for too long.
+     * Returns why a sample that found no endpoint should discard its text and begin again: another
+     * endpoint would take it, while none can go on with it, or those that can have had no room for
+     * too long. Empty if it should wait.
      */
-    boolean shouldBeginAgain(SampleProgress sample, long now) {
+    String restartReason(SampleProgress sample, long now) {
         if (sample.mEvents.isEmpty()) {
-            return false;
+            return "";
         }
         boolean serves = pool(sample, now).endpoints().stream().anyMatch(sample::canGoOnAt);
-        boolean waits = serves && now - sample.mNotBefore < MAX_WAIT_TO_GO_ON_NANOS;
-        return !waits && choose(sample, endpoint -> true, now).isPresent();
+        long waited = now - sample.mNotBefore;
+        boolean waits = serves && waited < MAX_WAIT_TO_GO_ON_NANOS;
+        if (waits || choose(sample, endpoint -> true, now).isEmpty()) {
+            return "";
+        }
+        return serves
+                ? "no endpoint that can go on had room for " + Nanos.toMillis(waited) + " ms"
+                : "no endpoint has the software and the weight version of the text";
     }
 
     private Optional<Endpoint> choose(SampleProgress sample, Predicate<Endpoint> filter, long now) {
@@ -168,7 +174,7 @@
             if (outdated
                     && hasFreeSlot
                     && !sample.isRejectedBy(endpoint)
-                    && sample.canGoOnAt(endpoint)
+                    && sample.hasOriginOf(endpoint)
                     && !endpoint.isLimited()
                     && !endpoint.isAvoided(now)
                     && endpoint.startProbeIfDue(now)) {
@@ -210,15 +216,12 @@
                 && endpoint.admits(RequestKind.WORK, now);
     }
 
+    /** Returns whether an endpoint may run a sample, apart from the text that the sample has. */
     private static boolean isSuitable(Endpoint endpoint, SampleProgress sample, long now) {
         StepSpec step = sample.mStep.mSpec;
         boolean recent =
                 step.model().isEmpty() || endpoint.version(step.model()) >= step.minVersion();
-        boolean sameVersion =
-                !sample.mStep.mRoute.step().singleVersion()
-                        || sample.mVersions.isEmpty()
-                        || endpoint.version(step.model()) == sample.mVersions.get(0);
-        return recent && sameVersion && !endpoint.isAvoided(now) && !endpoint.isLoading();
+        return recent && !endpoint.isAvoided(now) && !endpoint.isLoading();
     }
 
     private static double bestLatency(List<Endpoint> endpoints, long now) {
--- a/ebonyrun-core/src/main/java/org/ebonyrun/core/step/StepMachine.java
+++ b/ebonyrun-core/src/main/java/org/ebonyrun/core/step/StepMachine.java
@@ -192,7 +192,7 @@
         for (SampleProgress sample : step.mSamples.values()) {
             if (sample.mState == State.RUNNING) {
                 mOutputs.cancelRun(sample.mRunId, reason);
-                releaseEndpoint(sample);
+                sample.releaseEndpoint();
             }
             mRuns.remove(sample.mRunId);
             sample.mState = State.FINISHED;
@@ -257,8 +257,9 @@
                         && !sample.mVersions.isEmpty()
                         && sample.mVersions.get(0) != version;
         if (mixesVersions) {
-            mOutputs.cancelRun(sample.mRunId, "the weight version changed");
-            sample.discardText();
+            String reason = "the weight version changed";
+            mOutputs.cancelRun(sample.mRunId, reason);
+            discardText(sample, reason);
             requeue(sample, now, 0);
             return false;
         }
@@ -356,13 +357,13 @@
             requeue(sample, now, RETRY_BACKOFF_NANOS);
             return;
         }
-        releaseEndpoint(sample);
+        sample.releaseEndpoint();
         mRuns.remove(sample.mRunId);
         finish(sample, SampleResult.abandoned(sample.mSpec.id()), now);
     }
 
     private void onTextComplete(SampleProgress sample, long now) {
-        releaseEndpoint(sample);
+        sample.releaseEndpoint();
         sample.mTextComplete = true;
         mScheduler.onTextComplete(sample);
         scoreOrFinish(sample, now);
@@ -372,7 +373,7 @@
     private void scoreOrFinish(SampleProgress sample, long now) {
         if (sample.mSpec.score() == null) {
             mRuns.remove(sample.mRunId);
-            finish(sample, completeResult(sample, ""), now);
+            finish(sample, sample.completeResult(""), now);
         } else {
             startScoring(sample);
         }
@@ -400,7 +401,7 @@
             return;
         }
         if (outcome == ScoreOutcome.SCORED) {
-            finish(sample, completeResult(sample, score), now);
+            finish(sample, sample.completeResult(score), now);
             return;
         }
         sample.mScoreErrors += errors;
@@ -412,11 +413,6 @@
         sample.mNotBefore = now + SCORE_RETRY_BACKOFF_NANOS;
     }
 
-    private static SampleResult completeResult(SampleProgress sample, String score) {
-        String text = String.join("\n", sample.mEvents);
-        return new SampleResult(sample.mSpec.id(), true, text, sample.distinctVersions(), score);
-    }
-
     private void finish(SampleProgress sample, SampleResult result, long now) {
         StepProgress step = sample.mStep;
         boolean neededMoreGroups = step.needsMoreGroups();
@@ -491,7 +487,7 @@
         for (SampleProgress sample : step.mSamples.values()) {
             if (sample.mState == State.RUNNING) {
                 mOutputs.cancelRun(sample.mRunId, "the sample is abandoned");
-                releaseEndpoint(sample);
+                sample.releaseEndpoint();
             }
             if (sample.mState != State.FINISHED) {
                 mRuns.remove(sample.mRunId);
@@ -504,19 +500,12 @@
         if (sample.mEndpoint != null) {
             sample.mLastEndpointId = sample.mEndpoint.id();
         }
-        releaseEndpoint(sample);
+        sample.releaseEndpoint();
         mRuns.remove(sample.mRunId);
         sample.mState = State.WAITING;
         sample.mNotBefore = now + delayNanos;
     }
 
-    private static void releaseEndpoint(SampleProgress sample) {
-        if (sample.mEndpoint != null) {
-            sample.mEndpoint.onEnded();
-            sample.mEndpoint = null;
-        }
-    }
-
     private void dispatch(long now) {
         mScheduler.beginRound();
         Set<SampleScheduler.PlacementKey> unplaceable = new HashSet<>();
@@ -538,9 +527,12 @@
     /** Starts a run of a sample if an endpoint is available; returns whether it did. */
     private boolean tryPlace(SampleProgress sample, long now) {
         Optional<Endpoint> endpoint = mScheduler.choose(sample, now);
-        if (endpoint.isEmpty() && mScheduler.shouldBeginAgain(sample, now)) {
-            sample.discardText();
-            endpoint = mScheduler.choose(sample, now);
+        if (endpoint.isEmpty()) {
+            String reason = mScheduler.restartReason(sample, now);
+            if (!reason.isEmpty()) {
+                discardText(sample, reason);
+                endpoint = mScheduler.choose(sample, now);
+            }
         }
         if (endpoint.isPresent()) {
             start(sample, endpoint.get(), 0, now);
@@ -549,6 +541,11 @@
         return probeOutdated(sample, now);
     }
 
+    private void discardText(SampleProgress sample, String reason) {
+        mOutputs.onTextDiscarded(sample.mStep.mSpec.id(), sample.checkpoint(), reason);
+        sample.discardText();
+    }
+
     private List<SampleProgress> waitingSamples(long now) {
         List<SampleProgress> waiting = new ArrayList<>();
         for (StepProgress step : mSteps.values()) {
--- a/ebonyrun-core/src/main/java/org/ebonyrun/core/step/StepOutputs.java
+++ b/ebonyrun-core/src/main/java/org/ebonyrun/core/step/StepOutputs.java
@@ -36,6 +36,9 @@
      */
     void storeResults(StepId step, int position, List<SampleResult> results, boolean last);
 
+    /** Called when the text of a sample is discarded, so that the sample begins again. */
+    void onTextDiscarded(StepId step, SampleCheckpoint text, String reason);
+
     /** Called after results of a step have been listed. */
     void onResultsListed(StepId step);
 }
--- a/ebonyrun-core/src/test/java/org/ebonyrun/core/step/FakeStepOutputs.java
+++ b/ebonyrun-core/src/test/java/org/ebonyrun/core/step/FakeStepOutputs.java
@@ -19,6 +19,7 @@
     final Map<Long, String> mScores = new LinkedHashMap<>();
     final List<Store> mStores = new ArrayList<>();
     final List<String> mCancelReasons = new ArrayList<>();
+    final List<SampleCheckpoint> mDiscarded = new ArrayList<>();
 
     Run lastRun() {
         return mRuns.get(mRuns.size() - 1);
@@ -53,6 +54,11 @@
         mStores.add(new Store(step, position, results, last));
     }
 
+    @Override
+    public void onTextDiscarded(StepId step, SampleCheckpoint text, String reason) {
+        mDiscarded.add(text);
+    }
+
     @Override
     public void onResultsListed(StepId step) {
         // Tests read the listed results from the state machine.
--- a/ebonyrun-core/src/test/java/org/ebonyrun/core/step/TrainerLoadSimulation.java
+++ b/ebonyrun-core/src/test/java/org/ebonyrun/core/step/TrainerLoadSimulation.java
@@ -213,6 +213,11 @@
                 });
     }
 
+    @Override
+    public void onTextDiscarded(StepId step, SampleCheckpoint text, String reason) {
+        // Only the runs that follow matter.
+    }
+
     @Override
     public void onResultsListed(StepId step) {
         // The results are read when the store acknowledges them.
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/SampleController.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/SampleController.java
@@ -15,6 +15,7 @@
 import org.ebonyrun.core.route.Route;
 import org.ebonyrun.core.step.RunOptions;
 import org.ebonyrun.core.step.RunOutcome;
+import org.ebonyrun.core.step.SampleCheckpoint;
 import org.ebonyrun.core.step.SampleResult;
 import org.ebonyrun.core.step.SampleSpec;
 import org.ebonyrun.core.step.ScoreCall;
@@ -212,6 +213,21 @@
         mOwnership.append(step, position, results, last);
     }
 
+    @Override
+    public void onTextDiscarded(StepId step, SampleCheckpoint text, String reason) {
+        mContext.metrics().count(EntryMetrics.SAMPLE_RUNS, "DISCARDED");
+        mContext.log()
+                .write(
+                        LogLine.of("sample.restarted")
+                                .with("request", text.id())
+                                .with("step", step)
+                                .with("events", text.events().size())
+                                .with(
+                                        "version",
+                                        text.versions().isEmpty() ? 0 : text.versions().get(0))
+                                .with("why", reason));
+    }
+
     @Override
     public void onResultsListed(StepId step) {
         List<SampleResult> listed = mMachine.listedResults(step);
--- a/ebonyrun-daemon/src/test/java/org/ebonyrun/daemon/hosted/ResultWriterTest.java
+++ b/ebonyrun-daemon/src/test/java/org/ebonyrun/daemon/hosted/ResultWriterTest.java
@@ -30,6 +30,7 @@
 import org.ebonyrun.core.route.StepOptions;
 import org.ebonyrun.core.route.WeightedService;
 import org.ebonyrun.core.step.RunOptions;
+import org.ebonyrun.core.step.SampleCheckpoint;
 import org.ebonyrun.core.step.SampleResult;
 import org.ebonyrun.core.step.SampleSpec;
 import org.ebonyrun.core.step.StepId;
@@ -175,6 +176,11 @@
         public void storeResults(
                 StepId step, int position, List<SampleResult> results, boolean last) {}
 
+        @Override
+        public void onTextDiscarded(StepId step, SampleCheckpoint text, String reason) {
+            // Only the runs that follow matter.
+        }
+
         @Override
         public void onResultsListed(StepId step) {}
     }
