Count only failed runs of a reward call towards giving a sample up

Cause: an attempt had one outcome for all server errors, which calls treat alike, and the count of answers after which a sample may be given up took that outcome.

Why a sample was given up is now logged (sample.abandoned).

An attempt that failed (500) ends with FAILED, another server error with SERVER_ERROR. Both are retried and delivered as before, and only the former counts, as it does for runs of samples.

--- a/ebonyrun-core/src/main/java/org/ebonyrun/core/call/AttemptOutcome.java
+++ b/ebonyrun-core/src/main/java/org/ebonyrun/core/call/AttemptOutcome.java
@@ -4,7 +4,9 @@
 public enum AttemptOutcome {
     /** The endpoint answered, with success or with an error that a retry would not change. */
     ANSWERED,
-    /** The endpoint ran the call and reported a server error. */
+    /** The endpoint ran the call, which failed. */
+    FAILED,
+    /** The endpoint reported another server error, for example a missed deadline. */
     SERVER_ERROR,
     /** The endpoint rejected the call without running it, or nothing was sent. */
     NOT_RUN,
@@ -25,8 +27,13 @@
     /** Returns whether the call may have run. */
     boolean mayHaveRun() {
         return switch (this) {
-            case ANSWERED, SERVER_ERROR, LOST, UNUSABLE -> true;
+            case ANSWERED, FAILED, SERVER_ERROR, LOST, UNUSABLE -> true;
             case NOT_RUN, WRONG_INSTANCE, UNREACHABLE -> false;
         };
     }
+
+    /** Returns whether the endpoint reported an error that another attempt may not meet. */
+    public boolean isServerError() {
+        return this == FAILED || this == SERVER_ERROR;
+    }
 }
--- a/ebonyrun-core/src/main/java/org/ebonyrun/core/call/CallMachine.java
+++ b/ebonyrun-core/src/main/java/org/ebonyrun/core/call/CallMachine.java
@@ -231,7 +231,7 @@
             onStreamBroken(call, now);
             return;
         }
-        if (outcome == AttemptOutcome.SERVER_ERROR) {
+        if (outcome.isServerError()) {
             call.mServerErrorAttempt = attempt;
         }
         advance(call, now);
@@ -263,7 +263,7 @@
     private void updateHealth(
             Endpoint endpoint, AttemptOutcome outcome, PendingCall call, long now) {
         switch (outcome) {
-            case ANSWERED, SERVER_ERROR, UNUSABLE -> endpoint.onReachable();
+            case ANSWERED, FAILED, SERVER_ERROR, UNUSABLE -> endpoint.onReachable();
             case NOT_RUN -> {
                 call.mRejectedBy.add(endpoint.id());
                 mHedging.onRejected(call.mSpec.service(), now);
--- a/ebonyrun-core/src/main/java/org/ebonyrun/core/step/SampleProgress.java
+++ b/ebonyrun-core/src/main/java/org/ebonyrun/core/step/SampleProgress.java
@@ -47,7 +47,7 @@
     int mRunVersion;
     int mRunEvents;
     int mFailures;
-    int mScoreErrors;
+    int mScoreFailures;
     long mNotBefore;
 
     SampleProgress(StepProgress step, SampleSpec spec, int rank) {
--- a/ebonyrun-core/src/main/java/org/ebonyrun/core/step/StepMachine.java
+++ b/ebonyrun-core/src/main/java/org/ebonyrun/core/step/StepMachine.java
@@ -34,7 +34,6 @@
 public final class StepMachine {
     // Results are written to the store in batches; a result waits at most this long for others.
     private static final long MAX_BATCH_AGE_NANOS = Nanos.ofMillis(600);
-    private static final int FULL_BATCH_CHARS = 256 * 1024;
     private static final long REJECTED_BACKOFF_NANOS = Nanos.ofMillis(60);
     private static final long RETRY_BACKOFF_NANOS = Nanos.ofMillis(30);
     private static final long SCORE_RETRY_BACKOFF_NANOS = Nanos.ofMillis(100);
@@ -359,6 +358,11 @@
         }
         sample.releaseEndpoint();
         mRuns.remove(sample.mRunId);
+        abandon(sample, "it failed " + sample.mFailures + " times", now);
+    }
+
+    private void abandon(SampleProgress sample, String reason, long now) {
+        mOutputs.onAbandoned(sample.mStep.mSpec.id(), sample.mSpec.id(), reason);
         finish(sample, SampleResult.abandoned(sample.mSpec.id()), now);
     }
 
@@ -391,11 +395,11 @@
      * Handles the end of a call that scores a sample.
      *
      * @param score the score that the service returned; empty unless it scored the sample
-     * @param errors how many times the service answered the call with a server error
-     * @param maxErrors the number of such errors after which the sample is abandoned
+     * @param failures how many times the service ran the call and failed
+     * @param maxFailures the number of such failures after which the sample is abandoned
      */
     public void onScoreEnd(
-            long run, ScoreOutcome outcome, String score, int errors, int maxErrors, long now) {
+            long run, ScoreOutcome outcome, String score, int failures, int maxFailures, long now) {
         SampleProgress sample = mRuns.remove(run);
         if (sample == null || sample.mState != State.SCORING) {
             return;
@@ -404,9 +408,9 @@
             finish(sample, sample.completeResult(score), now);
             return;
         }
-        sample.mScoreErrors += errors;
-        if (sample.mScoreErrors >= maxErrors) {
-            finish(sample, SampleResult.abandoned(sample.mSpec.id()), now);
+        sample.mScoreFailures += failures;
+        if (sample.mScoreFailures >= maxFailures) {
+            abandon(sample, "its score failed " + sample.mScoreFailures + " times", now);
             return;
         }
         sample.mState = State.WAITING;
@@ -421,24 +425,10 @@
         storeIfDue(step, now, hasEnoughGroups || step.areAllFinished());
     }
 
-    /**
-     * Stores the finished results of a step, unless the step has ended or another batch of it is
-     * being stored. Without {@code immediately}, they wait until the batch is full or old enough or
-     * all samples of the step are finished.
-     */
     private void storeIfDue(StepProgress step, long now, boolean immediately) {
-        if (step.mEnded || !step.mStoring.isEmpty() || step.mFinished.isEmpty()) {
-            return;
-        }
-        boolean isOld = now - step.mFinishedSince >= mMaxBatchAgeNanos;
-        if (!immediately
-                && !isOld
-                && !step.areAllFinished()
-                && step.finishedChars() < FULL_BATCH_CHARS) {
+        if (!step.beginStoring(immediately, mMaxBatchAgeNanos, now)) {
             return;
         }
-        step.mStoring = List.copyOf(step.mFinished);
-        step.mFinished.clear();
         boolean last = step.areAllFinished();
         mOutputs.storeResults(step.mSpec.id(), step.mListed.size(), step.mStoring, last);
     }
@@ -491,7 +481,7 @@
             }
             if (sample.mState != State.FINISHED) {
                 mRuns.remove(sample.mRunId);
-                finish(sample, SampleResult.abandoned(sample.mSpec.id()), now);
+                abandon(sample, "it is overdue", now);
             }
         }
     }
--- a/ebonyrun-core/src/main/java/org/ebonyrun/core/step/StepOutputs.java
+++ b/ebonyrun-core/src/main/java/org/ebonyrun/core/step/StepOutputs.java
@@ -39,6 +39,9 @@
     /** Called when the text of a sample is discarded, so that the sample begins again. */
     void onTextDiscarded(StepId step, SampleCheckpoint text, String reason);
 
+    /** Called when a sample is abandoned, before its result is stored. */
+    void onAbandoned(StepId step, String sample, String reason);
+
     /** Called after results of a step have been listed. */
     void onResultsListed(StepId step);
 }
--- a/ebonyrun-core/src/main/java/org/ebonyrun/core/step/StepProgress.java
+++ b/ebonyrun-core/src/main/java/org/ebonyrun/core/step/StepProgress.java
@@ -22,6 +22,7 @@
 final class StepProgress {
     // Added to the route's abandonMillis, because the clocks of two owners may differ by this much.
     private static final long ABANDON_SLACK_NANOS = Nanos.ofMillis(5_000);
+    private static final int FULL_BATCH_CHARS = 256 * 1024;
 
     final StepSpec mSpec;
     Route mRoute;
@@ -113,8 +114,29 @@
         return countFinished(sample.mSpec.group());
     }
 
+    /**
+     * Begins to store the finished results, unless the step has ended or others are being stored.
+     * Without {@code immediately}, they wait until the batch is full or old enough or all samples
+     * are finished.
+     *
+     * @return whether results are to be stored, which then are {@code mStoring}
+     */
+    boolean beginStoring(boolean immediately, long maxBatchAgeNanos, long now) {
+        if (mEnded || !mStoring.isEmpty() || mFinished.isEmpty()) {
+            return false;
+        }
+        boolean isOld = now - mFinishedSince >= maxBatchAgeNanos;
+        boolean isFull = finishedChars() >= FULL_BATCH_CHARS;
+        if (!immediately && !isOld && !isFull && !areAllFinished()) {
+            return false;
+        }
+        mStoring = List.copyOf(mFinished);
+        mFinished.clear();
+        return true;
+    }
+
     /** Returns the length of the finished texts that are not being stored. */
-    int finishedChars() {
+    private int finishedChars() {
         return mFinished.stream().mapToInt(result -> result.text().length()).sum();
     }
 
--- a/ebonyrun-core/src/test/java/org/ebonyrun/core/call/StreamCallTest.java
+++ b/ebonyrun-core/src/test/java/org/ebonyrun/core/call/StreamCallTest.java
@@ -148,6 +148,7 @@
                 "NOT_RUN",
                 "UNREACHABLE",
                 "WRONG_INSTANCE",
+                "FAILED",
                 "SERVER_ERROR",
                 "LOST",
                 "UNUSABLE"
--- a/ebonyrun-core/src/test/java/org/ebonyrun/core/call/WithdrawnKeyTest.java
+++ b/ebonyrun-core/src/test/java/org/ebonyrun/core/call/WithdrawnKeyTest.java
@@ -84,6 +84,7 @@
     @ParameterizedTest
     @CsvSource({
         "ANSWERED, delivered 1",
+        "FAILED, delivered 1",
         "SERVER_ERROR, delivered 1",
         "LOST, failed",
         "NOT_RUN, key refused",
--- a/ebonyrun-core/src/test/java/org/ebonyrun/core/step/FakeStepOutputs.java
+++ b/ebonyrun-core/src/test/java/org/ebonyrun/core/step/FakeStepOutputs.java
@@ -19,6 +19,7 @@
     final Map<Long, String> mScores = new LinkedHashMap<>();
     final List<Store> mStores = new ArrayList<>();
     final List<String> mCancelReasons = new ArrayList<>();
+    final List<String> mAbandonReasons = new ArrayList<>();
     final List<SampleCheckpoint> mDiscarded = new ArrayList<>();
 
     Run lastRun() {
@@ -59,6 +60,11 @@
         mDiscarded.add(text);
     }
 
+    @Override
+    public void onAbandoned(StepId step, String sample, String reason) {
+        mAbandonReasons.add(reason);
+    }
+
     @Override
     public void onResultsListed(StepId step) {
         // Tests read the listed results from the state machine.
--- a/ebonyrun-core/src/test/java/org/ebonyrun/core/step/TrainerLoadSimulation.java
+++ b/ebonyrun-core/src/test/java/org/ebonyrun/core/step/TrainerLoadSimulation.java
@@ -218,6 +218,11 @@
         // Only the runs that follow matter.
     }
 
+    @Override
+    public void onAbandoned(StepId step, String sample, String reason) {
+        // The result that follows tells.
+    }
+
     @Override
     public void onResultsListed(StepId step) {
         // The results are read when the store acknowledges them.
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/CallController.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/CallController.java
@@ -55,9 +55,9 @@
          * Called once, when the call has ended.
          *
          * @param score the score that the service returned; empty unless it scored the sample
-         * @param errors the number of attempts to which the service responded with a server error
+         * @param failures the number of attempts that the service ran and that failed
          */
-        void onEnd(ScoreOutcome outcome, String score, int errors);
+        void onEnd(ScoreOutcome outcome, String score, int failures);
     }
 
     private final HostedContext mContext;
@@ -75,7 +75,8 @@
     // By call, the latest attempt that got a server error. Its exchange stays in mAttempts, since
     // its response may still be delivered.
     private final Map<Long, Long> mErrorAttempts = new HashMap<>();
-    private final Map<Long, Integer> mErrorCounts = new HashMap<>();
+    // By call, the number of attempts that an endpoint ran and that failed.
+    private final Map<Long, Integer> mFailureCounts = new HashMap<>();
     private UsageCounter mUsage = UsageCounter.NONE;
     private long mLastCallId;
 
@@ -317,7 +318,7 @@
     public void deliver(CallSpec call, long attempt) {
         mContext.metrics().count(EntryMetrics.CALLS, "answered");
         CallExchange exchange = mAttempts.remove(attempt);
-        int errors = mErrorCounts.getOrDefault(call.id(), 0);
+        int failures = mFailureCounts.getOrDefault(call.id(), 0);
         CallClient client = finish(call);
         HttpResponseHead head = exchange == null ? null : exchange.head();
         if (client == null || head == null) {
@@ -329,7 +330,7 @@
         }
         FrontExchange caller = client.caller();
         if (caller == null) {
-            endScore(client, head, errors);
+            endScore(client, head, failures);
         } else if (caller.isBegun()) {
             EventRelay relay = client.mRelay;
             if (relay != null) {
@@ -341,15 +342,15 @@
         }
     }
 
-    private static void endScore(CallClient client, HttpResponseHead head, int errors) {
+    private static void endScore(CallClient client, HttpResponseHead head, int failures) {
         ScoreListener listener = client.scoreListener();
         if (listener == null) {
             return;
         }
         if (head.isSuccess()) {
-            listener.onEnd(ScoreOutcome.SCORED, EndpointProtocol.serverStamp(head), errors);
+            listener.onEnd(ScoreOutcome.SCORED, EndpointProtocol.serverStamp(head), failures);
         } else {
-            listener.onEnd(ScoreOutcome.FAILED, "", errors);
+            listener.onEnd(ScoreOutcome.FAILED, "", failures);
         }
     }
 
@@ -365,13 +366,13 @@
                                 .with("retry_after_ms", retryAfterMillis)
                                 .with("open_calls", mMachine.callCount())
                                 .with("why", reason));
-        int errors = mErrorCounts.getOrDefault(call.id(), 0);
+        int failures = mFailureCounts.getOrDefault(call.id(), 0);
         CallClient client = finish(call);
         if (client == null) {
             return;
         }
         if (client.scoreListener() != null) {
-            client.scoreListener().onEnd(ScoreOutcome.UNKNOWN, "", errors);
+            client.scoreListener().onEnd(ScoreOutcome.UNKNOWN, "", failures);
         } else if (client.caller() != null && client.caller().isBegun()) {
             noteBroken(call);
             client.caller().abort();
@@ -402,7 +403,7 @@
                                 .with("service", call.service())
                                 .with("timeout", timeout)
                                 .with("why", reason));
-        int errors = mErrorCounts.getOrDefault(call.id(), 0);
+        int failures = mFailureCounts.getOrDefault(call.id(), 0);
         noteUnanswered(call.id());
         CallClient client = finish(call);
         if (client == null) {
@@ -410,7 +411,7 @@
         }
         FrontExchange caller = client.caller();
         if (client.scoreListener() != null) {
-            client.scoreListener().onEnd(ScoreOutcome.UNKNOWN, "", errors);
+            client.scoreListener().onEnd(ScoreOutcome.UNKNOWN, "", failures);
         } else if (caller != null && caller.isBegun()) {
             noteBroken(call);
             caller.abort();
@@ -435,7 +436,7 @@
     }
 
     private void removeErrors(long call) {
-        mErrorCounts.remove(call);
+        mFailureCounts.remove(call);
         Long error = mErrorAttempts.remove(call);
         if (error != null) {
             mAttempts.remove(error);
@@ -539,7 +540,7 @@
         boolean goingOn = client != null && client.mRelay != null;
         HttpResponseHead head = exchange.head();
         boolean failed = head != null && !head.isSuccess();
-        boolean ran = outcome == AttemptOutcome.ANSWERED || outcome == AttemptOutcome.SERVER_ERROR;
+        boolean ran = outcome == AttemptOutcome.ANSWERED || outcome.isServerError();
         boolean cut = goingOn && head != null && !head.framed() && client.mRelay.isInsideEvent();
         return goingOn && ran && (failed || cut) ? AttemptOutcome.LOST : outcome;
     }
@@ -576,15 +577,17 @@
         if (outcome.isNotRun()) {
             mUsage.onNotRun(call.id(), exchange.attempt());
         }
-        if (outcome == AttemptOutcome.SERVER_ERROR) {
-            mErrorCounts.merge(call.id(), 1, Integer::sum);
+        if (outcome == AttemptOutcome.FAILED) {
+            mFailureCounts.merge(call.id(), 1, Integer::sum);
+        }
+        if (outcome.isServerError()) {
             Long previous = mErrorAttempts.put(call.id(), exchange.attempt());
             if (previous != null) {
                 mAttempts.remove(previous);
             }
         }
         mMachine.onAttemptEnd(exchange.attempt(), outcome, System.nanoTime());
-        if (outcome != AttemptOutcome.SERVER_ERROR) {
+        if (!outcome.isServerError()) {
             mAttempts.remove(exchange.attempt());
         }
     }
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/SampleController.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/SampleController.java
@@ -202,9 +202,9 @@
         mCalls.onScoreCall(
                 call,
                 score,
-                (outcome, scoreText, errors) ->
+                (outcome, scoreText, failures) ->
                         mMachine.onScoreEnd(
-                                run, outcome, scoreText, errors, maxAttempts, System.nanoTime()),
+                                run, outcome, scoreText, failures, maxAttempts, System.nanoTime()),
                 now);
     }
 
@@ -228,6 +228,16 @@
                                 .with("why", reason));
     }
 
+    @Override
+    public void onAbandoned(StepId step, String sample, String reason) {
+        mContext.log()
+                .write(
+                        LogLine.of("sample.abandoned")
+                                .with("request", sample)
+                                .with("step", step)
+                                .with("why", reason));
+    }
+
     @Override
     public void onResultsListed(StepId step) {
         List<SampleResult> listed = mMachine.listedResults(step);
--- a/ebonyrun-daemon/src/test/java/org/ebonyrun/daemon/hosted/ResultWriterTest.java
+++ b/ebonyrun-daemon/src/test/java/org/ebonyrun/daemon/hosted/ResultWriterTest.java
@@ -181,6 +181,11 @@
             // Only the runs that follow matter.
         }
 
+        @Override
+        public void onAbandoned(StepId step, String sample, String reason) {
+            // The result that follows tells.
+        }
+
         @Override
         public void onResultsListed(StepId step) {}
     }
