Take only a final status of HTTP for a response

Reported of other systems (MIXED): a client got an answer with status 000. Here callers got a 502 of the entry, but a call that may be repeated was not tried at the other endpoint, since the response counted as its answer. A status line 'HTTP/1.1 2000' was read as 200, and its body delivered.

Cause: the codec takes any three digits for a status and any character for the space after them, and what is no success, rejection or error was an answer.

ExchangeFilter fails an exchange whose response has a status outside 200 to 599 or of more than three digits, as it does for malformed headers.

--- a/ebonyrun-ports/src/main/java/org/ebonyrun/ports/http/ExchangeFilter.java
+++ b/ebonyrun-ports/src/main/java/org/ebonyrun/ports/http/ExchangeFilter.java
@@ -2,6 +2,7 @@
 
 import java.io.EOFException;
 import java.io.IOException;
+import java.util.function.IntFunction;
 import java.util.regex.Pattern;
 import org.ebonyrun.ports.http.DroppedResponse.Reason;
 import org.glassfish.grizzly.Buffer;
@@ -12,6 +13,8 @@
 import org.glassfish.grizzly.filterchain.NextAction;
 import org.glassfish.grizzly.http.HttpContent;
 import org.glassfish.grizzly.http.HttpResponsePacket;
+import org.glassfish.grizzly.http.util.BufferChunk;
+import org.glassfish.grizzly.http.util.ByteChunk;
 import org.glassfish.grizzly.http.util.DataChunk;
 import org.glassfish.grizzly.http.util.MimeHeaders;
 
@@ -25,6 +28,10 @@
     private static final Pattern STATUS_LINE =
             Pattern.compile("ttp/1\\.[01] +[1-5][0-9]{2}", Pattern.CASE_INSENSITIVE);
 
+    private static final int LOWEST_FINAL_STATUS = 200;
+    private static final int HIGHEST_STATUS = 599;
+    private static final int STATUS_DIGITS = 3;
+
     private final DroppedResponseListener mListener;
 
     ExchangeFilter(DroppedResponseListener listener) {
@@ -44,6 +51,8 @@
         if (state.markHeadSeen()) {
             if (!state.isUnambiguous() && containsNextHead(head)) {
                 exchange.fail("protocol: a response head contains the head of another response");
+            } else if (!hasFinalStatus(head)) {
+                exchange.fail("protocol: a response has no final status of HTTP");
             } else if (!isWellFormed(head)) {
                 exchange.fail("protocol: a response head contains a malformed header");
             } else {
@@ -81,6 +90,46 @@
         return found;
     }
 
+    /**
+     * Returns whether a head has the status of a final response. Requests expect no interim
+     * response, and a status outside HTTP's range comes from a server in trouble.
+     */
+    private static boolean hasFinalStatus(HttpResponsePacket packet) {
+        int status = packet.getStatus();
+        boolean inRange = status >= LOWEST_FINAL_STATUS && status <= HIGHEST_STATUS;
+        return inRange && statusDigits(packet.getReasonPhraseRawDC()) == STATUS_DIGITS;
+    }
+
+    /**
+     * Returns the length of the status before a reason phrase. The parser reads three digits and
+     * takes the next character for a space, whatever it is.
+     */
+    private static int statusDigits(DataChunk reason) {
+        return switch (reason.getType()) {
+            case Buffer -> {
+                BufferChunk chunk = reason.getBufferChunk();
+                yield lastWordLength(chunk.getBuffer()::get, chunk.getStart());
+            }
+            case Bytes -> {
+                ByteChunk chunk = reason.getByteChunk();
+                yield lastWordLength(index -> chunk.getBuffer()[index], chunk.getStart());
+            }
+            default -> STATUS_DIGITS;
+        };
+    }
+
+    private static int lastWordLength(IntFunction<Byte> text, int end) {
+        int wordEnd = end;
+        while (wordEnd > 0 && text.apply(wordEnd - 1) <= ' ') {
+            wordEnd--;
+        }
+        int begin = wordEnd;
+        while (begin > 0 && text.apply(begin - 1) > ' ') {
+            begin--;
+        }
+        return wordEnd - begin;
+    }
+
     /** Returns whether the headers can be passed on to a caller. */
     private static boolean isWellFormed(HttpResponsePacket packet) {
         MimeHeaders headers = packet.getHeaders();
--- a/ebonyrun-ports/src/test/java/org/ebonyrun/ports/http/AsyncHttpClientTest.java
+++ b/ebonyrun-ports/src/test/java/org/ebonyrun/ports/http/AsyncHttpClientTest.java
@@ -89,6 +89,34 @@
         assertThat(response.get(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS), startsWith(LOST));
     }
 
+    // A server in trouble sent status 000, which counted as an answer.
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "000", "007", "099", "100", "103", "199", "600", "999", "0", "20", "2000", "-20",
+                "2x0", ""
+            })
+    void aResponseWithoutAStatusOfHttpIsNoResponse(String status) throws Exception {
+        CompletableFuture<String> response = send(Correlation.byHeader("X-Id", "1"));
+        String head = "HTTP/1.1 " + status + " X\r\nX-Id: 1\r\nContent-Length: 2\r\n\r\n";
+        mServer.next().connection().write(head + "ok");
+
+        String text = response.get(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+        assertThat(text, startsWith(LOST));
+        assertThat(text, not(containsString("timeout")));
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"200 X", "200 ", "200", "200  X Y", "200 0", "599 X"})
+    void anyReasonPhraseOrNoneMayFollowAStatus(String status) throws Exception {
+        CompletableFuture<String> response = send(Correlation.byHeader("X-Id", "1"));
+        String head = "HTTP/1.1 " + status + "\r\nX-Id: 1\r\nContent-Length: 2\r\n\r\n";
+        mServer.next().connection().write(head + "ok");
+
+        String expected = status.substring(0, 3) + " ok";
+        assertThat(response.get(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS), is(expected));
+    }
+
     /** Bytes that a server in trouble sends until its client closes the connection. */
     enum EndlessResponse {
         STATUS_LINE("HTTP/1.1 200 ", "x"),
