End reward calls with their step

Cause: the end of a step cancelled the runs of its samples and left their reward calls open, which wait until their own deadline, four times the target latency of their route. The same held for steps that are lost or handed over and for samples that are abandoned because they are overdue.

StepMachine.cancelExchange ends whatever is open for a sample, whichever way its step or it ends. A waiting call is never sent, and one at an endpoint is closed.

--- a/ebonyrun-core/src/main/java/org/ebonyrun/core/step/StepMachine.java
+++ b/ebonyrun-core/src/main/java/org/ebonyrun/core/step/StepMachine.java
@@ -189,15 +189,22 @@
     private void stop(StepProgress step, String reason) {
         step.mEnded = true;
         for (SampleProgress sample : step.mSamples.values()) {
-            if (sample.mState == State.RUNNING) {
-                mOutputs.cancelRun(sample.mRunId, reason);
-                sample.releaseEndpoint();
-            }
-            mRuns.remove(sample.mRunId);
+            cancelExchange(sample, reason);
             sample.mState = State.FINISHED;
         }
     }
 
+    /** Ends the run or the scoring call of a sample, if one is open. */
+    private void cancelExchange(SampleProgress sample, String reason) {
+        if (sample.mState == State.RUNNING) {
+            mOutputs.cancelRun(sample.mRunId, reason);
+            sample.releaseEndpoint();
+        } else if (sample.mState == State.SCORING) {
+            mOutputs.cancelScoring(sample.mRunId, reason);
+        }
+        mRuns.remove(sample.mRunId);
+    }
+
     /**
      * Returns checkpoints from which another process can continue a step if this one fails: of its
      * unfinished samples, then of finished ones whose results are not on their way to the store.
@@ -475,12 +482,8 @@
             return;
         }
         for (SampleProgress sample : step.mSamples.values()) {
-            if (sample.mState == State.RUNNING) {
-                mOutputs.cancelRun(sample.mRunId, "the sample is abandoned");
-                sample.releaseEndpoint();
-            }
             if (sample.mState != State.FINISHED) {
-                mRuns.remove(sample.mRunId);
+                cancelExchange(sample, "the sample is abandoned");
                 abandon(sample, "it is overdue", now);
             }
         }
--- a/ebonyrun-core/src/main/java/org/ebonyrun/core/step/StepOutputs.java
+++ b/ebonyrun-core/src/main/java/org/ebonyrun/core/step/StepOutputs.java
@@ -27,6 +27,9 @@
     /** Sends the call that scores a sample; it ends with {@link StepMachine#onScoreEnd}. */
     void startScoring(long run, StepSpec step, SampleSpec sample);
 
+    /** Ends a scoring call that is no longer needed, whether it waits or an endpoint runs it. */
+    void cancelScoring(long run, String reason);
+
     /**
      * Stores results in a step's result list, starting at a position. At most one such write per
      * step is in progress; it ends with {@link StepMachine#onResultsStored} or {@link
--- a/ebonyrun-core/src/test/java/org/ebonyrun/core/step/FakeStepOutputs.java
+++ b/ebonyrun-core/src/test/java/org/ebonyrun/core/step/FakeStepOutputs.java
@@ -50,6 +50,12 @@
         mScores.put(run, sample.id());
     }
 
+    @Override
+    public void cancelScoring(long run, String reason) {
+        mScores.remove(run);
+        mCancelReasons.add(reason);
+    }
+
     @Override
     public void storeResults(StepId step, int position, List<SampleResult> results, boolean last) {
         mStores.add(new Store(step, position, results, last));
--- a/ebonyrun-core/src/test/java/org/ebonyrun/core/step/TrainerLoadSimulation.java
+++ b/ebonyrun-core/src/test/java/org/ebonyrun/core/step/TrainerLoadSimulation.java
@@ -223,6 +223,11 @@
         // The result that follows tells.
     }
 
+    @Override
+    public void cancelScoring(long run, String reason) {
+        // Samples are not scored here.
+    }
+
     @Override
     public void onResultsListed(StepId step) {
         // The results are read when the store acknowledges them.
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/CallController.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/CallController.java
@@ -70,13 +70,10 @@
     private final HedgeLog mHedgeLog;
     private final Map<Long, CallClient> mClients = new HashMap<>();
     private final Map<FrontExchange, Long> mCallIds = new HashMap<>();
+    // The latest attempt of a call that got a server error stays here until the call ends.
     private final Map<Long, CallExchange> mAttempts = new HashMap<>();
     private final Map<Long, CallSpec> mSpecs = new HashMap<>();
-    // By call, the latest attempt that got a server error. Its exchange stays in mAttempts, since
-    // its response may still be delivered.
-    private final Map<Long, Long> mErrorAttempts = new HashMap<>();
-    // By call, the number of attempts that an endpoint ran and that failed.
-    private final Map<Long, Integer> mFailureCounts = new HashMap<>();
+    private final CallErrors mErrors = new CallErrors();
     private UsageCounter mUsage = UsageCounter.NONE;
     private long mLastCallId;
 
@@ -166,19 +163,28 @@
         mMachine.onCall(spec, now);
     }
 
+    /** Cancels a call that scores a sample; its listener is not notified. */
+    void onScoreCancelled(CallSpec call, long now) {
+        abandon(call.id(), now);
+    }
+
     /** Cancels the call of a caller that has disconnected. */
     void onCallerDisconnected(FrontExchange caller, long now) {
         Long call = mCallIds.remove(caller);
         if (call != null) {
             noteBrokenStream(call);
             noteUnanswered(call);
-            mClients.remove(call);
-            mUsage.onCallEnd(call);
-            mMachine.onAbandoned(call, now);
-            removeErrors(call);
+            abandon(call, now);
         }
     }
 
+    private void abandon(long call, long now) {
+        mClients.remove(call);
+        mUsage.onCallEnd(call);
+        mMachine.onAbandoned(call, now);
+        removeErrors(call);
+    }
+
     /** Ends the calls whose keys were withdrawn, except where endpoints run them already. */
     void onKeysChanged(CallerKeys keys, long now) {
         Set<Long> withdrawn = new HashSet<>();
@@ -318,7 +324,7 @@
     public void deliver(CallSpec call, long attempt) {
         mContext.metrics().count(EntryMetrics.CALLS, "answered");
         CallExchange exchange = mAttempts.remove(attempt);
-        int failures = mFailureCounts.getOrDefault(call.id(), 0);
+        int failures = mErrors.failures(call.id());
         CallClient client = finish(call);
         HttpResponseHead head = exchange == null ? null : exchange.head();
         if (client == null || head == null) {
@@ -366,7 +372,7 @@
                                 .with("retry_after_ms", retryAfterMillis)
                                 .with("open_calls", mMachine.callCount())
                                 .with("why", reason));
-        int failures = mFailureCounts.getOrDefault(call.id(), 0);
+        int failures = mErrors.failures(call.id());
         CallClient client = finish(call);
         if (client == null) {
             return;
@@ -403,7 +409,7 @@
                                 .with("service", call.service())
                                 .with("timeout", timeout)
                                 .with("why", reason));
-        int failures = mFailureCounts.getOrDefault(call.id(), 0);
+        int failures = mErrors.failures(call.id());
         noteUnanswered(call.id());
         CallClient client = finish(call);
         if (client == null) {
@@ -436,8 +442,7 @@
     }
 
     private void removeErrors(long call) {
-        mFailureCounts.remove(call);
-        Long error = mErrorAttempts.remove(call);
+        Long error = mErrors.remove(call);
         if (error != null) {
             mAttempts.remove(error);
         }
@@ -577,11 +582,8 @@
         if (outcome.isNotRun()) {
             mUsage.onNotRun(call.id(), exchange.attempt());
         }
-        if (outcome == AttemptOutcome.FAILED) {
-            mFailureCounts.merge(call.id(), 1, Integer::sum);
-        }
         if (outcome.isServerError()) {
-            Long previous = mErrorAttempts.put(call.id(), exchange.attempt());
+            Long previous = mErrors.onError(call.id(), exchange.attempt(), outcome);
             if (previous != null) {
                 mAttempts.remove(previous);
             }
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/SampleController.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/SampleController.java
@@ -44,6 +44,8 @@
     private final AsyncHttpClient mHttpClient;
     private final StepMachine mMachine;
     private final Map<Long, SampleExchange> mRuns = new HashMap<>();
+    // By run, the call that scores its sample.
+    private final Map<Long, CallSpec> mScoreCalls = new HashMap<>();
     private final RouteFinder mRoutes;
     private CallController mCalls;
     private StepOwnership mOwnership;
@@ -199,15 +201,31 @@
                         null,
                         workspace);
         int maxAttempts = route.get().call().maxAttempts();
+        mScoreCalls.put(run, call);
         mCalls.onScoreCall(
                 call,
                 score,
-                (outcome, scoreText, failures) ->
-                        mMachine.onScoreEnd(
-                                run, outcome, scoreText, failures, maxAttempts, System.nanoTime()),
+                (outcome, scoreText, failures) -> {
+                    mScoreCalls.remove(run);
+                    mMachine.onScoreEnd(
+                            run, outcome, scoreText, failures, maxAttempts, System.nanoTime());
+                },
                 now);
     }
 
+    @Override
+    public void cancelScoring(long run, String reason) {
+        CallSpec call = mScoreCalls.remove(run);
+        if (call != null) {
+            mContext.log()
+                    .write(
+                            LogLine.of("score.stopped")
+                                    .with("request", call.requestId())
+                                    .with("why", reason));
+            mCalls.onScoreCancelled(call, System.nanoTime());
+        }
+    }
+
     @Override
     public void storeResults(StepId step, int position, List<SampleResult> results, boolean last) {
         mOwnership.append(step, position, results, last);
--- a/ebonyrun-daemon/src/test/java/org/ebonyrun/daemon/hosted/ResultWriterTest.java
+++ b/ebonyrun-daemon/src/test/java/org/ebonyrun/daemon/hosted/ResultWriterTest.java
@@ -186,6 +186,11 @@
             // The result that follows tells.
         }
 
+        @Override
+        public void cancelScoring(long run, String reason) {
+            // Samples are not scored here.
+        }
+
         @Override
         public void onResultsListed(StepId step) {}
     }
