Give a sample up only for a failure of its reward call

StepMachine gives a sample up for its reward call only if that call failed. StepMachineTest#aScoringCallThatDidNotFailAbandonsNoSample failed before.

--- a/ebonyrun-core/src/main/java/org/ebonyrun/core/step/StepMachine.java
+++ b/ebonyrun-core/src/main/java/org/ebonyrun/core/step/StepMachine.java
@@ -403,7 +403,8 @@
      *
      * @param score the score that the service returned; empty unless it scored the sample
      * @param failures how many times the service ran the call and failed
-     * @param maxFailures the number of such failures after which the sample is abandoned
+     * @param maxFailures the number of such failures after which the sample is abandoned; without a
+     *     failure it is not, whatever this number
      */
     public void onScoreEnd(
             long run, ScoreOutcome outcome, String score, int failures, int maxFailures, long now) {
@@ -416,7 +417,7 @@
             return;
         }
         sample.mScoreFailures += failures;
-        if (sample.mScoreFailures >= maxFailures) {
+        if (failures > 0 && sample.mScoreFailures >= maxFailures) {
             abandon(sample, "its score failed " + sample.mScoreFailures + " times", now);
             return;
         }
--- a/ebonyrun-core/src/test/java/org/ebonyrun/core/step/StepMachineTest.java
+++ b/ebonyrun-core/src/test/java/org/ebonyrun/core/step/StepMachineTest.java
@@ -114,6 +114,23 @@
         assertThat(mOutputs.mScores.size(), is(calls == 0 ? 6 : calls));
     }
 
+    // The route of a reward call may be missing for a while, or get a lower limit.
+    @Test
+    void aScoringCallThatDidNotFailAbandonsNoSample() {
+        addEndpoint("e", 2);
+        acquireStep(step(1, sample("a", "g", 1, true)), false);
+        mMachine.onStreamStart(1, 2, 0);
+        generateEvents(1, 1, EVENTS, 0);
+        mMachine.onRunEnd(1, RunOutcome.COMPLETE, 0);
+        mMachine.onScoreEnd(2, ScoreOutcome.FAILED, "", 2, 3, 0);
+        mMachine.onTick(150 * MILLI);
+        mMachine.onScoreEnd(3, ScoreOutcome.UNKNOWN, "", 0, 1, 150 * MILLI);
+        mMachine.onTick(1_000 * MILLI);
+
+        assertThat(mOutputs.mStores, is(empty()));
+        assertThat(mOutputs.mScores.size(), is(3));
+    }
+
     @ParameterizedTest
     @EnumSource(
             value = RunOutcome.class,
