--- a/ebonyrun-core/src/main/java/org/ebonyrun/core/step/StepProgress.java
+++ b/ebonyrun-core/src/main/java/org/ebonyrun/core/step/StepProgress.java
@@ -126,8 +126,7 @@
             return false;
         }
         boolean isOld = now - mFinishedSince >= maxBatchAgeNanos;
-        boolean isFull = finishedChars() >= FULL_BATCH_CHARS;
-        if (!immediately && !isOld && !isFull && !areAllFinished()) {
+        if (!immediately && !isOld && !areAllFinished() && finishedChars() < FULL_BATCH_CHARS) {
             return false;
         }
         mStoring = List.copyOf(mFinished);
