--- a/ebonyrun-core/src/test/java/org/ebonyrun/core/step/SingleVersionSampleTest.java
+++ b/ebonyrun-core/src/test/java/org/ebonyrun/core/step/SingleVersionSampleTest.java
@@ -94,6 +94,7 @@
         addEndpoint("e1", 8, 3);
         mMachine.onRunEnd(1, RunOutcome.UNFRAMED, 0);
 
+        assertThat(mOutputs.mDiscarded, is(List.of(text(2))));
         assertThat(mOutputs.mRuns, hasSize(2));
         assertThat(mOutputs.lastRun().lastEvent(), is(0));
     }
--- a/ebonyrun-core/src/test/java/org/ebonyrun/core/step/StepMachineTest.java
+++ b/ebonyrun-core/src/test/java/org/ebonyrun/core/step/StepMachineTest.java
@@ -340,6 +340,7 @@
 
         assertThat(mOutputs.mRuns.size(), is(3));
         assertThat(mOutputs.mStores.get(0).results().get(0).done(), is(false));
+        assertThat(mOutputs.mAbandonReasons, contains("it failed 3 times"));
     }
 
     @Test
--- a/ebonyrun-daemon/src/test/java/org/ebonyrun/daemon/hosted/ResultWriterTest.java
+++ b/ebonyrun-daemon/src/test/java/org/ebonyrun/daemon/hosted/ResultWriterTest.java
@@ -178,17 +178,17 @@
 
         @Override
         public void onTextDiscarded(StepId step, SampleCheckpoint text, String reason) {
-            // Only the runs that follow matter.
+            // No sample runs here.
         }
 
         @Override
         public void onAbandoned(StepId step, String sample, String reason) {
-            // The result that follows tells.
+            // No sample runs here.
         }
 
         @Override
         public void cancelScoring(long run, String reason) {
-            // Samples are not scored here.
+            // No sample runs here.
         }
 
         @Override
