--- a/review/standin-3/Sampler.java
+++ b/review/standin-3/Sampler.java
@@ -26,6 +26,8 @@
     private final String mService;
     private final int mSlots;
     private final long mWorkMillis;
+    private final int mEvents;
+    private final long mEventMillis;
     private final Store mStore;
     private final RunRecord mRecord;
     private final HttpServer mServer;
@@ -33,6 +35,8 @@
     private long mBeats;
     private long mOrders;
     private long mBusyUntil;
+    private int mRunning;
+    private final List<String> mOpen = new ArrayList<>();
     private String mState = "ready";
     private volatile boolean mBeating = true;
     private volatile boolean mExited;
@@ -46,6 +50,26 @@
             Store store,
             RunRecord record)
             throws IOException {
+        this(id, service, slots, workMillis, 0, 0, models, store, record);
+    }
+
+    /**
+     * @param events the number of events of a stream; zero for a plain service
+     * @param eventMillis the time between two events
+     */
+    Sampler(
+            String id,
+            String service,
+            int slots,
+            long workMillis,
+            int events,
+            long eventMillis,
+            List<String> models,
+            Store store,
+            RunRecord record)
+            throws IOException {
+        mEvents = events;
+        mEventMillis = eventMillis;
         this.id = id;
         mService = service;
         mSlots = slots;
@@ -141,11 +165,65 @@
             report(exchange);
         } else if (path.equals("/order")) {
             order(exchange, body, millis);
+        } else if (mEvents > 0) {
+            stream(exchange, millis);
         } else {
             run(exchange, millis);
         }
     }
 
+    /** The runs that are open now. */
+    synchronized int running() {
+        return mRunning;
+    }
+
+    /** The open runs of the items of a job. */
+    synchronized long running(String job) {
+        return mOpen.stream().filter(item -> item.startsWith(job + "-")).count();
+    }
+
+    private void stream(HttpExchange exchange, long millis) throws IOException {
+        String request = exchange.getRequestHeaders().getFirst("X-Request-Id");
+        String last = exchange.getRequestHeaders().getFirst("Last-Event-Id");
+        synchronized (this) {
+            arrivals.add(new Arrival(millis, request, "", 0, "run"));
+            mRunning++;
+            mOpen.add(request);
+        }
+        mRecord.add("sampler %s: runs item %s after event %s", id, request, last);
+        int next = last == null ? 1 : Integer.parseInt(last) + 1;
+        try {
+            exchange.getResponseHeaders().set("X-Request-Id", request);
+            exchange.getResponseHeaders().set("X-Server-Stamp", id + "." + request);
+            exchange.getResponseHeaders().set("Content-Type", "text/event-stream");
+            if (!mVersions.isEmpty()) {
+                exchange.getResponseHeaders()
+                        .set(
+                                "X-Weight-Versions",
+                                "" + mVersions.get(exchange.getRequestHeaders().getFirst("X-Model")));
+            }
+            exchange.sendResponseHeaders(200, 0);
+            for (int event = next; event <= mEvents; event++) {
+                Thread.sleep(mEventMillis);
+                exchange.getResponseBody()
+                        .write(
+                                ("id: " + event + "\ndata: " + request + "-" + event + "\n\n")
+                                        .getBytes(StandardCharsets.UTF_8));
+                exchange.getResponseBody().flush();
+            }
+            exchange.close();
+            mRecord.add("sampler %s: has finished item %s", id, request);
+        } catch (IOException | InterruptedException e) {
+            mRecord.add("sampler %s: drops item %s, its connection has ended", id, request);
+            exchange.close();
+        } finally {
+            synchronized (this) {
+                mRunning--;
+                mOpen.remove(request);
+            }
+        }
+    }
+
     private void report(HttpExchange exchange) throws IOException {
         String text;
         synchronized (this) {
