--- a/review/standin-3/Store.java
+++ b/review/standin-3/Store.java
@@ -46,6 +46,7 @@
     private final HttpServer mServer;
     private long mRevision = 1;
     private long mLastLease = 100;
+    private long mDiscarded;
 
     private Store(HttpServer server) {
         mServer = server;
@@ -107,6 +108,12 @@
         return cut.size();
     }
 
+    /** Discards the history: watches from an earlier revision are answered 410. */
+    synchronized void discardHistory() {
+        mHistory.clear();
+        mDiscarded = mRevision;
+    }
+
     private void write(String key, byte[] value, long rev, long lease) {
         Item before = mItems.get(key);
         Item item = new Item(key, value, rev, before == null ? rev : before.created(), lease);
@@ -261,19 +268,23 @@
         long until = System.nanoTime() + Long.parseLong(query.get("wait_ms")) * 1_000_000;
         Waiting waiting = new Waiting(exchange, prefix);
         String answer;
+        boolean gone;
         synchronized (this) {
             mWaiting.add(waiting);
             List<String> events = events(prefix, after);
-            while (events.isEmpty() && !waiting.cut && until - System.nanoTime() > 0) {
+            while (events.isEmpty() && after >= mDiscarded && !waiting.cut && until - System.nanoTime() > 0) {
                 wait(Math.max(1, (until - System.nanoTime()) / 1_000_000));
                 events = events(prefix, after);
             }
             mWaiting.remove(waiting);
+            gone = after < mDiscarded;
             answer =
                     "{\"events\":[" + String.join(",", events) + "],\"as_of\":" + mRevision + "}";
         }
         if (waiting.cut) {
             exchange.close();
+        } else if (gone) {
+            send(exchange, 410, "{}");
         } else {
             send(exchange, 200, answer);
         }
