--- a/review/12/Case12.java
+++ b/review/12/Case12.java
@@ -11,8 +11,11 @@
  * items of the step to samplers although the trainer has ended it.
  */
 public final class Case12 {
-    private static final int ITEMS = 24;
+    // 20 groups of two items, of which the trainer waits for 18; the last four items are short.
+    private static final int ITEMS = 40;
+    private static final int WANTED = 36;
     private static final long CUT_MILLIS = 12_000;
+    private static final long DISCARD_MILLIS = 9_000;
     private static final long CONTACT_MILLIS = 3_000;
     private static final long CANCEL_MILLIS = 3_000;
     // As deploy/entry.yaml renders the bounds of coral-reach-sitters.
@@ -25,6 +28,10 @@
                     + "\"prefix\":\"/rolls/\",\"type\":\"rollout\",\"timeout_ms\":10000,"
                     + "\"latency_goal_ms\":400,\"priority\":1,\"service\":\"match-models\","
                     + "\"max_attempts\":3,\"due_ms\":7500,\"max_wait_s\":40},"
+                    + "{\"name\":\"r3\",\"host\":\"rolls.example\","
+                    + "\"prefix\":\"/replies/\",\"type\":\"rollout\",\"timeout_ms\":10000,"
+                    + "\"latency_goal_ms\":400,\"priority\":1,\"service\":\"reply-models\","
+                    + "\"max_attempts\":3,\"due_ms\":7500,\"max_wait_s\":40},"
                     + "{\"name\":\"r2\",\"host\":\"rolls.example\",\"prefix\":\"/score/\","
                     + "\"type\":\"safe\",\"timeout_ms\":2000,\"latency_goal_ms\":500,"
                     + "\"priority\":2,\"service\":\"family-app\",\"max_attempts\":4}],"
@@ -32,6 +39,9 @@
                     + "{\"name\":\"match-models\",\"health_path\":\"/healthz\",\"max_conns\":170,"
                     + "\"protocol\":\"h1\",\"tls\":false,\"engine\":{\"slots\":6,"
                     + "\"kv_capacity\":42438,\"models\":[{\"name\":\"m0\"}]}},"
+                    + "{\"name\":\"reply-models\",\"health_path\":\"/healthz\",\"max_conns\":170,"
+                    + "\"protocol\":\"h1\",\"tls\":false,\"engine\":{\"slots\":6,"
+                    + "\"kv_capacity\":42438,\"models\":[{\"name\":\"m1\"}]}},"
                     + "{\"name\":\"family-app\",\"health_path\":\"/healthz\",\"max_conns\":100,"
                     + "\"protocol\":\"h1\",\"tls\":false}],"
                     + "\"limits\":{\"max_header_bytes\":16384,\"max_body_bytes\":33554432,"
@@ -65,18 +75,23 @@
         System.exit(status);
     }
 
+    private static String prefix(String job) {
+        return job.startsWith("mid") ? "/replies/" : "/rolls/";
+    }
+
     private static byte[] submission(String job, int items) {
+        String model = job.startsWith("mid") ? "m1" : "m0";
         StringBuilder json = new StringBuilder();
-        json.append("{\"step\":0,\"model\":\"m0\",\"min_version\":1,\"group_count\":"
-                        + Math.max(1, items / 4 * 9 / 10)
+        json.append("{\"step\":0,\"model\":\"" + model + "\",\"min_version\":1,\"group_count\":"
+                        + Math.max(1, items / 2 * 9 / 10)
                         + ",\"items\":[");
         for (int i = 0; i < items; i++) {
-            String id = job + "-" + i;
+            String id = job + (i < WANTED ? "-" : "-short") + i;
             json.append(i == 0 ? "" : ",")
-                    .append("{\"id\":\"" + id + "\",\"path\":\"/rolls/x/" + id + "\",")
-                    .append("\"headers\":{\"X-Model\":\"m0\",\"X-Token-Count\":\"540,400\"},")
+                    .append("{\"id\":\"" + id + "\",\"path\":\"" + prefix(job) + "x/" + id + "\",")
+                    .append("\"headers\":{\"X-Model\":\"" + model + "\",\"X-Token-Count\":\"540,400\"},")
                     .append("\"body\":\"q83vEjRWeJA=\",\"tokens\":940,")
-                    .append("\"group\":\"" + job + "-g" + i / 4 + "\",")
+                    .append("\"group\":\"" + job + "-g" + i / 2 + "\",")
                     .append("\"scorer\":{\"id\":\"s-" + id + "\",\"host\":\"rolls.example\",")
                     .append("\"path\":\"/score/" + id + "\",\"body\":\"3q2+7w==\"}}");
         }
@@ -88,7 +103,7 @@
                 Caller.call(
                         entry.front,
                         "POST",
-                        "/rolls/" + job,
+                        prefix(job) + job,
                         "rolls.example",
                         Map.of("X-Request-Id", job, "Content-Type", "application/json"),
                         submission(job, items),
@@ -156,12 +171,23 @@
                             "match-models",
                             6,
                             20,
-                            34,
+                            32,
                             100,
                             List.of("m0"),
                             mStore,
                             mRecord));
         }
+        mSamplers.add(
+                new Sampler(
+                        "r-1",
+                        "reply-models",
+                        6,
+                        20,
+                        32,
+                        100,
+                        List.of("m1"),
+                        mStore,
+                        mRecord));
         for (int i = 1; i <= 3; i++) {
             new Sampler("p-" + i, "family-app", 6, 20, List.of(), mStore, mRecord);
         }
@@ -226,8 +252,14 @@
         Thread.sleep(300);
         end(earlier, second);
         int next = 0;
+        boolean discarded = false;
         while (mRecord.millis() - cutAt < CUT_MILLIS) {
             Thread.sleep(Math.min(500, Math.max(1, cutAt + CUT_MILLIS - mRecord.millis())));
+            if (trouble && !discarded && mRecord.millis() - cutAt >= DISCARD_MILLIS) {
+                discarded = true;
+                mStore.discardHistory();
+                mRecord.add("store: discards its history");
+            }
             if (next < ITEMS) {
                 next += Math.max(0, read(job, next, second));
                 if (next == ITEMS) {
@@ -243,8 +275,6 @@
             return -1;
         }
         if (trouble) {
-            mStore.discardHistory();
-            mRecord.add("store: discards its history");
             relay.heal();
         }
         long healedAt = mRecord.millis();
@@ -254,11 +284,6 @@
                 text("ebonyrun/live/step/" + job + "/owner"),
                 text("ebonyrun/live/step/" + job + "/done"),
                 text("ebonyrun/live/step/" + job + "/end"));
-        // The platform asks each second whether an entry is ready.
-        while (!first.isReady() && mRecord.millis() - healedAt < 3_000) {
-            Thread.sleep(20);
-        }
-        submit("next" + round, 20, first);
         Thread.sleep(Math.max(0, healedAt + 9_000 - mRecord.millis()));
         int broken = 0;
         for (Sampler sampler : mSamplers) {
--- a/review/13/Case13.java
+++ b/review/13/Case13.java
@@ -13,6 +13,7 @@
 public final class Case13 {
     private static final int ITEMS = 24;
     private static final long CUT_MILLIS = 12_000;
+    private static final long DISCARD_MILLIS = 9_000;
     private static final long CONTACT_MILLIS = 3_000;
     private static final long SETTLE_MILLIS = 1_000;
     // As deploy/entry.yaml renders the bounds of coral-reach-sitters.
@@ -215,8 +216,14 @@
         end(earlier, second);
         long readAt = 0;
         int next = 0;
+        boolean discarded = false;
         while (mRecord.millis() - cutAt < CUT_MILLIS) {
             Thread.sleep(Math.min(500, Math.max(1, cutAt + CUT_MILLIS - mRecord.millis())));
+            if (trouble && !discarded && mRecord.millis() - cutAt >= DISCARD_MILLIS) {
+                discarded = true;
+                mStore.discardHistory();
+                mRecord.add("store: discards its history");
+            }
             if (next < ITEMS) {
                 next += Math.max(0, read(job, next, second));
                 readAt = mRecord.millis();
@@ -227,8 +234,6 @@
             return -1;
         }
         if (trouble) {
-            mStore.discardHistory();
-            mRecord.add("store: discards its history");
             relay.heal();
         }
         long healedAt = mRecord.millis();
--- a/review/standin-3/Sampler.java
+++ b/review/standin-3/Sampler.java
@@ -196,7 +196,9 @@
         int events =
                 request.startsWith("long")
                         ? 6 * mEvents
-                        : request.startsWith("mid") ? mEvents * 3 / 2 : mEvents;
+                        : request.startsWith("mid")
+                                ? mEvents * 3 / 2
+                                : request.contains("-short") ? 5 : mEvents;
         try {
             exchange.getResponseHeaders().set("X-Request-Id", request);
             exchange.getResponseHeaders().set("X-Server-Stamp", id + "." + request);
