--- a/review/standin-3/Entry.java
+++ b/review/standin-3/Entry.java
@@ -2,6 +2,7 @@
 import java.io.IOException;
 import java.net.HttpURLConnection;
 import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.URI;
 import java.nio.file.Files;
@@ -9,6 +10,7 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 
 /** An entry of the project as a separate process, started with the command of the deploy file. */
@@ -21,13 +23,17 @@
     }
 
     final String name;
-    final int front = freePort();
-    final int ready = freePort();
-    final int metrics = freePort();
+    private static final int MAX_STARTS = 4;
+
+    int front = freePort();
+    int ready = freePort();
+    int metrics = freePort();
     private final Path mFolder;
     private final int mStorePort;
     private final String mLimits;
     private Process mProcess;
+    private boolean mWasReady;
+    private int mStarts;
 
     /**
      * @param limits the limits, as deploy/entry.yaml renders them from the bounds of a deployment
@@ -39,12 +45,20 @@
         mLimits = limits;
     }
 
+    /** Returns a free port outside the range from which outgoing connections take theirs. */
     static int freePort() {
-        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            return socket.getLocalPort();
-        } catch (IOException e) {
-            throw new IllegalStateException(e);
+        for (int tries = 0; tries < 200; tries++) {
+            int port = ThreadLocalRandom.current().nextInt(16_000, 32_000);
+            try (ServerSocket socket = new ServerSocket()) {
+                // Without this, a port with a connection in TIME_WAIT looks free.
+                socket.setReuseAddress(false);
+                socket.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), port));
+                return port;
+            } catch (IOException e) {
+                // Another process has it.
+            }
         }
+        throw new IllegalStateException("no free port");
     }
 
     private static List<String> command(String settings) throws IOException {
@@ -86,6 +100,7 @@
         File log = mFolder.resolve(name + ".log").toFile();
         builder.redirectOutput(ProcessBuilder.Redirect.appendTo(log));
         builder.environment().put("EBONYRUN_BOOT", settings.toString());
+        mStarts++;
         mProcess = builder.start();
         synchronized (STARTED) {
             STARTED.add(this);
@@ -132,8 +147,20 @@
             if (System.nanoTime() - until > 0) {
                 return false;
             }
+            if (!mWasReady && !mProcess.isAlive() && mStarts < MAX_STARTS) {
+                // Another process has taken one of its ports meanwhile.
+                front = freePort();
+                ready = freePort();
+                metrics = freePort();
+                try {
+                    start(true);
+                } catch (IOException e) {
+                    return false;
+                }
+            }
             Thread.sleep(20);
         }
+        mWasReady = true;
         return true;
     }
 
