--- a/review/11/Case11.java
+++ b/review/11/Case11.java
@@ -190,6 +190,7 @@
         }
         for (Entry entry : mEntries) {
             if (!entry.awaitReady(20_000)) {
+                mRecord.add("%s is not ready", entry.name);
                 return 2;
             }
         }
@@ -233,6 +234,7 @@
             first.start(false);
             mRecord.add("%s is started again", first.name);
             if (!first.awaitReady(10_000)) {
+                mRecord.add("%s is not ready", first.name);
                 return 2;
             }
             backAt = mRecord.millis();
