--- a/review/12/Case12.java
+++ b/review/12/Case12.java
@@ -201,6 +201,7 @@
         }
         for (Entry entry : mEntries) {
             if (!entry.awaitReady(20_000)) {
+                mRecord.add("%s is not ready", entry.name);
                 return 2;
             }
         }
