--- a/review/13/Case13.java
+++ b/review/13/Case13.java
@@ -164,6 +164,7 @@
         }
         for (Entry entry : mEntries) {
             if (!entry.awaitReady(20_000)) {
+                mRecord.add("%s is not ready", entry.name);
                 return 2;
             }
         }
