--- a/review/14/Case14.java
+++ b/review/14/Case14.java
@@ -117,6 +117,7 @@
             Thread.sleep(400);
         }
         if (!entry.awaitReady(20_000)) {
+            mRecord.add("%s is not ready", entry.name);
             return 2;
         }
         Thread.sleep(4_000);
