Stop the samples of a step that another entry has finished

Cause: an entry gave a step up only if it was ended or its owner key named another process.

StepStatus.isTakenFrom decides when a process must give a step up: it was ended, it is done, or another process has written the owner key since. Kin: a step is claimed again by a former owner only if no result stands after the last one that it knows (StepStore.reclaim), and a step that was taken over while it was being loaded is not run.

--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/OwnedStep.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/OwnedStep.java
@@ -37,6 +37,11 @@
         mMemory = memory;
     }
 
+    /** Returns whether the results that are being stored are the last ones. */
+    boolean storesLastResults() {
+        return mPending != null && mPending.mLast;
+    }
+
     /** Gives the memory of the samples back; called once, when the step is owned no longer. */
     void releaseMemory() {
         if (mMemory != null) {
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/StepOwnership.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/StepOwnership.java
@@ -25,7 +25,6 @@
 import org.ebonyrun.core.step.StepSpec;
 import org.ebonyrun.ports.store.CommitOutcome;
 import org.ebonyrun.ports.store.CommitResult;
-import org.ebonyrun.ports.store.Transaction;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -327,13 +326,12 @@
                                     .with("unlisted", texts.size()));
             return;
         }
-        boolean ownedByOther =
-                owned != null
-                        && status.mOwner != null
-                        && !status.mOwner.equals(mContext.self().format())
-                        && status.mOwnerRevision > owned.mOwnerRevision;
-        if (ownedByOther) {
-            onOwnershipLost(id, "owned by " + status.mOwner);
+        if (owned == null || owned.storesLastResults()) {
+            // The response to the last results tells who has finished the step.
+            return;
+        }
+        if (status.isTakenFrom(mContext.self(), owned.mOwnerRevision)) {
+            onOwnershipLost(id, status.mDone ? "it is done" : "owned by " + status.mOwner);
         }
     }
 
@@ -362,9 +360,11 @@
     private void ensureOwned(StepId id, StepStatus status, long now) {
         boolean ownerHere = mContext.self().format().equals(status.mOwner);
         boolean busy = mClaiming.contains(id) || mAccepting.contains(id) || mDone.contains(id);
-        if (mOwned.containsKey(id)) {
-            if (status.mOwner == null) {
-                reclaim(id);
+        OwnedStep owned = mOwned.get(id);
+        if (owned != null) {
+            // Results on their way are stored with a claim of their own.
+            if (status.mOwner == null && owned.mPending == null) {
+                reclaim(id, owned);
             }
         } else if (ownerHere && !busy) {
             // The response to this process's claim was lost, but the claim took effect.
@@ -375,11 +375,15 @@
         }
     }
 
-    /** Claims an owned step again after its owner key has expired with the lease. */
-    private void reclaim(StepId id) {
+    /**
+     * Claims an owned step again after its owner key has expired with the lease, unless another
+     * process has listed results of it since.
+     */
+    private void reclaim(StepId id, OwnedStep owned) {
         if (!mClaiming.add(id)) {
             return;
         }
+        int listed = listedResults(id).size();
         mContext.lease()
                 .acquire(
                         lease -> {
@@ -387,18 +391,19 @@
                                 mClaiming.remove(id);
                                 return;
                             }
-                            mStore.claim(id, Transaction.ABSENT, mContext.self().format(), lease)
+                            mStore.reclaim(id, listed, mContext.self().format(), lease)
                                     .thenAcceptAsync(
-                                            mContext.callback(result -> onReclaimed(id, result)),
+                                            mContext.callback(
+                                                    result ->
+                                                            onReclaimed(id, owned, listed, result)),
                                             mContext.executor());
                         },
                         System.nanoTime());
     }
 
-    private void onReclaimed(StepId id, Result<CommitResult> result) {
+    private void onReclaimed(StepId id, OwnedStep owned, int listed, Result<CommitResult> result) {
         mClaiming.remove(id);
-        OwnedStep owned = mOwned.get(id);
-        if (owned == null) {
+        if (!isCurrent(id, owned)) {
             return;
         }
         result.map(
@@ -407,7 +412,13 @@
                             commit.isCommitted()
                                     ? commit.revision()
                                     : mContext.ownRevision(commit, id);
-                    if (revision != 0) {
+                    boolean outdated =
+                            owned.mPending == null
+                                    && listedResults(id).size() == listed
+                                    && StepStore.hasResultsAt(commit, id, listed);
+                    if (outdated) {
+                        onOwnershipLost(id, "another process has listed results");
+                    } else if (revision != 0) {
                         owned.mOwnerRevision = Math.max(owned.mOwnerRevision, revision);
                     }
                     return commit;
@@ -481,9 +492,11 @@
         }
     }
 
+    /** Loads a claimed step, unless it was ended or taken over since. */
     private void load(StepId id, long revision) {
-        StepManifest manifest = manifestOf(id);
-        if (manifest == null) {
+        StepStatus status = mContext.directory().get(id);
+        StepManifest manifest = status == null ? null : status.mManifest;
+        if (manifest == null || status.isTakenFrom(mContext.self(), revision)) {
             mClaiming.remove(id);
             return;
         }
@@ -555,7 +568,8 @@
         StepSpec spec = loaded.spec();
         // If every sample is listed already, the watch has not shown the done marker yet.
         boolean listed = loaded.results().size() >= spec.samples().size();
-        if (manifest == null || status.mEnded || mDraining || listed) {
+        boolean taken = status == null || status.isTakenFrom(mContext.self(), revision);
+        if (manifest == null || taken || mDraining || listed) {
             loaded.memory().release();
             return;
         }
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/StepStatus.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/StepStatus.java
@@ -15,6 +15,18 @@
     boolean mEnded;
     boolean mDone;
 
+    /**
+     * Returns whether a process that wrote the owner key at a revision must give the step up: it
+     * was ended, it is done, or another process has written the key since.
+     */
+    boolean isTakenFrom(ProcessName process, long ownerRevision) {
+        boolean replaced =
+                mOwner != null
+                        && !mOwner.equals(process.format())
+                        && mOwnerRevision > ownerRevision;
+        return mEnded || mDone || replaced;
+    }
+
     /** Returns whether the store has no live key of the step. */
     boolean hasNoKeys() {
         return mManifest == null && mOwner == null && !mEnded && !mDone;
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/StepStore.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/StepStore.java
@@ -135,16 +135,41 @@
      */
     CompletableFuture<Result<CommitResult>> claim(
             StepId id, long ownerRevision, String owner, long lease) {
+        return mStore.commit(newClaim(id, ownerRevision, owner, lease).build());
+    }
+
+    private static Transaction.Builder newClaim(
+            StepId id, long ownerRevision, String owner, long lease) {
         String key = StoreKeys.liveKey(id, StoreKeys.OWNER);
+        return Transaction.builder()
+                .expect(key, ownerRevision)
+                .expect(StoreKeys.liveKey(id, StoreKeys.END), Transaction.ABSENT)
+                .expect(StoreKeys.liveKey(id, StoreKeys.DONE), Transaction.ABSENT)
+                .write(key, owner.getBytes(StandardCharsets.UTF_8), lease);
+    }
+
+    /**
+     * Claims a step that has no owner, as a process that has owned it before, unless the step was
+     * ended, is done or has more results than that process knows.
+     *
+     * @param listed the number of results that the process knows
+     * @param owner the name of the process
+     * @param lease the lease to which the owner key is attached
+     */
+    CompletableFuture<Result<CommitResult>> reclaim(
+            StepId id, int listed, String owner, long lease) {
         return mStore.commit(
-                Transaction.builder()
-                        .expect(key, ownerRevision)
-                        .expect(StoreKeys.liveKey(id, StoreKeys.END), Transaction.ABSENT)
-                        .expect(StoreKeys.liveKey(id, StoreKeys.DONE), Transaction.ABSENT)
-                        .write(key, owner.getBytes(StandardCharsets.UTF_8), lease)
+                newClaim(id, Transaction.ABSENT, owner, lease)
+                        .expect(StoreKeys.resultKey(id, listed), Transaction.ABSENT)
                         .build());
     }
 
+    /** Returns whether a conflict shows that results are stored at a position. */
+    static boolean hasResultsAt(CommitResult conflict, StepId id, int position) {
+        String key = StoreKeys.resultKey(id, position);
+        return conflict.current().stream().anyMatch(item -> item.key().equals(key));
+    }
+
     /**
      * Stores results from a position on, if the owner key has the given revision and the position
      * has no results yet.
