Let an owner's list count only under the lease of its owner key

Cause: an owner answers out of its own list while the entry's lease is valid. The owner key was attached to a lease that had ended; the valid one had been granted later, for another step. Another entry had owned the step in between.

Where the case holds, only an entry that owns the step at the time answers as its owner.

OwnerKey holds revision and lease of an owner key as this process wrote it; the list counts while that lease is the entry's present one. Other reads go to the store.

--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/HostedContext.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/HostedContext.java
@@ -14,6 +14,7 @@
 import org.ebonyrun.core.workspace.Workspaces;
 import org.ebonyrun.ports.store.CommitResult;
 import org.ebonyrun.ports.store.StoreItem;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Gives the components of an entry access to what they share.
@@ -63,18 +64,23 @@
     ProcessName self();
 
     /**
-     * Returns the revision of a step's owner key if this process wrote the key; zero otherwise.
+     * Returns a step's owner key after a claim of this process: the one that the claim wrote, or
+     * that an earlier claim of this process wrote; null if this process has none.
      *
-     * @param commit a commit whose current items are searched for the key
+     * @param claim the outcome of the claim
+     * @param lease the lease to which the claim attached the key
      */
-    default long ownRevision(CommitResult commit, StepId id) {
+    default @Nullable OwnerKey ownKey(CommitResult claim, StepId id, long lease) {
+        if (claim.isCommitted()) {
+            return new OwnerKey(claim.revision(), lease);
+        }
         String key = StoreKeys.liveKey(id, StoreKeys.OWNER);
-        for (StoreItem item : commit.current()) {
+        for (StoreItem item : claim.current()) {
             if (item.key().equals(key) && item.text().equals(self().format())) {
-                return item.revision();
+                return OwnerKey.of(item);
             }
         }
-        return 0;
+        return null;
     }
 
     /** Handles an endpoint's announcement that it is leaving: it gets no new work. */
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/OwnedStep.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/OwnedStep.java
@@ -9,8 +9,8 @@
  * <p>Not thread safe; confined to the entry's event loop.
  */
 final class OwnedStep {
-    /** The revision at which this entry last wrote the step's owner key. */
-    long mOwnerRevision;
+    /** The step's owner key as this entry last wrote it. */
+    OwnerKey mOwnerKey;
 
     /** Whether its samples run. A new step may first wait for texts of its predecessor. */
     boolean mRunning;
@@ -23,8 +23,8 @@
 
     private final @Nullable MemoryClaim mMemory;
 
-    OwnedStep(long revision) {
-        this(revision, null);
+    OwnedStep(OwnerKey ownerKey) {
+        this(ownerKey, null);
     }
 
     /**
@@ -32,8 +32,8 @@
      *
      * @param memory the claim of the samples' memory, which this object holds from now on
      */
-    OwnedStep(long revision, @Nullable MemoryClaim memory) {
-        mOwnerRevision = revision;
+    OwnedStep(OwnerKey ownerKey, @Nullable MemoryClaim memory) {
+        mOwnerKey = ownerKey;
         mMemory = memory;
     }
 
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/ResultWriter.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/ResultWriter.java
@@ -124,7 +124,7 @@
         if (checkpoint.length == 0) {
             return;
         }
-        mStore.storeCheckpoint(id, owned.mOwnerRevision, checkpoint)
+        mStore.storeCheckpoint(id, owned.mOwnerKey.revision(), checkpoint)
                 .thenAcceptAsync(
                         mContext.callback(
                                 result ->
@@ -153,7 +153,7 @@
         }
         mStore.appendResults(
                         id,
-                        owned.mOwnerRevision,
+                        owned.mOwnerKey.revision(),
                         pending.mPosition,
                         pending.mValue,
                         pending.mCheckpoint,
@@ -222,7 +222,7 @@
                 StoreKeys.resultKey(id, owned.mPending == null ? 0 : owned.mPending.mPosition);
         for (StoreItem item : commit.current()) {
             boolean ownerReplaced =
-                    item.key().equals(key) && item.revision() != owned.mOwnerRevision;
+                    item.key().equals(key) && item.revision() != owned.mOwnerKey.revision();
             if (ownerReplaced || item.key().equals(resultKey)) {
                 return true;
             }
@@ -245,26 +245,28 @@
                                             mContext.callback(
                                                     result ->
                                                             onReclaimed(
-                                                                    id, owned, pending, result)),
+                                                                    id, owned, pending, lease,
+                                                                    result)),
                                             mContext.executor());
                         },
                         System.nanoTime());
     }
 
     private void onReclaimed(
-            StepId id, OwnedStep owned, PendingResults pending, Result<CommitResult> result) {
+            StepId id,
+            OwnedStep owned,
+            PendingResults pending,
+            long lease,
+            Result<CommitResult> result) {
         pending.mInFlight = false;
         if (!mOwnership.isCurrent(id, owned)) {
             return;
         }
         result.fold(
                 commit -> {
-                    if (commit.isCommitted()) {
-                        owned.mOwnerRevision = commit.revision();
-                        pending.mNeedsClaim = false;
-                        send(id, owned);
-                    } else if (mContext.ownRevision(commit, id) != 0) {
-                        owned.mOwnerRevision = mContext.ownRevision(commit, id);
+                    OwnerKey ownKey = mContext.ownKey(commit, id, lease);
+                    if (ownKey != null) {
+                        owned.mOwnerKey = ownKey;
                         pending.mNeedsClaim = false;
                         send(id, owned);
                     } else if (commit.outcome() == CommitOutcome.LEASE_ENDED) {
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/StepDirectory.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/StepDirectory.java
@@ -128,10 +128,7 @@
         switch (StoreKeys.part(key)) {
             case StoreKeys.MANIFEST ->
                     step.mManifest = item == null ? null : StepCodec.manifest(item.value());
-            case StoreKeys.OWNER -> {
-                step.mOwner = item == null ? null : item.text();
-                step.mOwnerRevision = item == null ? 0 : item.revision();
-            }
+            case StoreKeys.OWNER -> step.setOwner(item);
             case StoreKeys.END -> step.mEnded = item != null;
             case StoreKeys.DONE -> step.mDone = item != null;
             default -> mLog.write(LogLine.of("store.foreign").with("key", key));
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/StepOwnership.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/StepOwnership.java
@@ -90,8 +90,11 @@
     @Override
     public boolean isAuthoritative(StepId id) {
         OwnedStep owned = mOwned.get(id);
-        boolean stored = owned != null && owned.mPending == null;
-        return stored && mContext.lease().isValid(System.nanoTime());
+        // Under a later lease, another process may have owned the step in between.
+        return owned != null
+                && owned.mPending == null
+                && owned.mOwnerKey.lease() == mContext.lease().id()
+                && mContext.lease().isValid(System.nanoTime());
     }
 
     int size() {
@@ -171,7 +174,9 @@
         mStore.accept(spec.id(), manifest, submission, mContext.self().format(), lease)
                 .thenAcceptAsync(
                         mContext.callback(
-                                result -> onAccepted(spec, manifest, memory, result, callback)),
+                                result ->
+                                        onAccepted(
+                                                spec, manifest, memory, lease, result, callback)),
                         mContext.executor());
     }
 
@@ -179,6 +184,7 @@
             StepSpec spec,
             StepManifest manifest,
             MemoryClaim memory,
+            long lease,
             Result<CommitResult> result,
             Consumer<Result<Boolean>> callback) {
         mAccepting.remove(spec.id());
@@ -194,7 +200,8 @@
                                 return Result.err(noLease());
                             }
                             if (commit.isCommitted()) {
-                                OwnedStep owned = new OwnedStep(commit.revision(), memory.retain());
+                                OwnerKey key = new OwnerKey(commit.revision(), lease);
+                                OwnedStep owned = new OwnedStep(key, memory.retain());
                                 begin(spec, manifest, owned);
                                 return Result.ok(true);
                             }
@@ -239,7 +246,7 @@
                         .with("model", spec.model())
                         .with("bound", spec.minVersion())
                         .with("number", spec.number())
-                        .with("fence", owned.mOwnerRevision);
+                        .with("fence", owned.mOwnerKey.revision());
         if (spec.workspace() != null) {
             line.with("workspace", spec.workspace());
         }
@@ -330,7 +337,7 @@
             // The response to the last results tells who has finished the step.
             return;
         }
-        if (status.isTakenFrom(mContext.self(), owned.mOwnerRevision)) {
+        if (status.isTakenFrom(mContext.self(), owned.mOwnerKey)) {
             onOwnershipLost(id, status.mDone ? "it is done" : "owned by " + status.mOwner);
         }
     }
@@ -369,7 +376,7 @@
         } else if (ownerHere && !busy) {
             // The response to this process's claim was lost, but the claim took effect.
             mClaiming.add(id);
-            load(id, status.mOwnerRevision);
+            load(id, status.mOwnerKey);
         } else if (!busy) {
             claimWhenDue(id, now);
         }
@@ -395,31 +402,31 @@
                                     .thenAcceptAsync(
                                             mContext.callback(
                                                     result ->
-                                                            onReclaimed(id, owned, listed, result)),
+                                                            onReclaimed(
+                                                                    id, owned, listed, lease,
+                                                                    result)),
                                             mContext.executor());
                         },
                         System.nanoTime());
     }
 
-    private void onReclaimed(StepId id, OwnedStep owned, int listed, Result<CommitResult> result) {
+    private void onReclaimed(
+            StepId id, OwnedStep owned, int listed, long lease, Result<CommitResult> result) {
         mClaiming.remove(id);
         if (!isCurrent(id, owned)) {
             return;
         }
         result.map(
                 commit -> {
-                    long revision =
-                            commit.isCommitted()
-                                    ? commit.revision()
-                                    : mContext.ownRevision(commit, id);
+                    OwnerKey key = mContext.ownKey(commit, id, lease);
                     boolean outdated =
                             owned.mPending == null
                                     && listedResults(id).size() == listed
                                     && StepStore.hasResultsAt(commit, id, listed);
                     if (outdated) {
                         onOwnershipLost(id, "another process has listed results");
-                    } else if (revision != 0) {
-                        owned.mOwnerRevision = Math.max(owned.mOwnerRevision, revision);
+                    } else if (key != null) {
+                        owned.mOwnerKey = owned.mOwnerKey.newer(key);
                     }
                     return commit;
                 });
@@ -467,36 +474,32 @@
         OptionalLong replacedRevision =
                 status == null
                         ? OptionalLong.empty()
-                        : mContext.self().expectedRevision(status.mOwner, status.mOwnerRevision);
+                        : mContext.self()
+                                .expectedRevision(status.mOwner, status.mOwnerKey.revision());
         if (replacedRevision.isEmpty()) {
             mClaiming.remove(id);
             return;
         }
         mStore.claim(id, replacedRevision.getAsLong(), mContext.self().format(), lease)
                 .thenAcceptAsync(
-                        mContext.callback(result -> onClaimed(id, result)), mContext.executor());
-    }
-
-    private void onClaimed(StepId id, Result<CommitResult> result) {
-        long revision =
-                result.fold(
-                        commit ->
-                                commit.isCommitted()
-                                        ? commit.revision()
-                                        : mContext.ownRevision(commit, id),
-                        fault -> 0L);
-        if (revision == 0) {
+                        mContext.callback(result -> onClaimed(id, lease, result)),
+                        mContext.executor());
+    }
+
+    private void onClaimed(StepId id, long lease, Result<CommitResult> result) {
+        OwnerKey key = result.fold(commit -> mContext.ownKey(commit, id, lease), fault -> null);
+        if (key == null) {
             mClaiming.remove(id);
         } else {
-            load(id, revision);
+            load(id, key);
         }
     }
 
     /** Loads a claimed step, unless it was ended or taken over since. */
-    private void load(StepId id, long revision) {
+    private void load(StepId id, OwnerKey key) {
         StepStatus status = mContext.directory().get(id);
         StepManifest manifest = status == null ? null : status.mManifest;
-        if (manifest == null || status.isTakenFrom(mContext.self(), revision)) {
+        if (manifest == null || status.isTakenFrom(mContext.self(), key)) {
             mClaiming.remove(id);
             return;
         }
@@ -506,11 +509,11 @@
                 result ->
                         result.fold(
                                 loaded -> {
-                                    onLoaded(id, loaded, revision);
+                                    onLoaded(id, loaded, key);
                                     return true;
                                 },
                                 fault -> {
-                                    onNotLoaded(id, revision, fault);
+                                    onNotLoaded(id, key, fault);
                                     return false;
                                 }));
     }
@@ -520,7 +523,7 @@
         return status == null ? null : status.mManifest;
     }
 
-    private void onNotLoaded(StepId id, long revision, Fault fault) {
+    private void onNotLoaded(StepId id, OwnerKey key, Fault fault) {
         if (fault.code() == FaultCode.BAD_REQUEST) {
             mContext.log()
                     .write(
@@ -529,46 +532,46 @@
                                     .with("why", fault.detail()));
             mClaiming.remove(id);
         } else {
-            retryLoad(id, revision, fault.detail());
+            retryLoad(id, key, fault.detail());
         }
     }
 
-    private void retryLoad(StepId id, long revision, String why) {
+    private void retryLoad(StepId id, OwnerKey key, String why) {
         mContext.log().write(LogLine.of("step.unloaded").with("step", id).with("why", why));
-        mContext.schedule(RETRY_NANOS, () -> load(id, revision));
+        mContext.schedule(RETRY_NANOS, () -> load(id, key));
     }
 
     /**
      * Adopts a loaded step. If its route is not known, refreshes the routes first: a route that is
      * still missing then was removed.
      */
-    private void onLoaded(StepId id, LoadedStep loaded, long revision) {
+    private void onLoaded(StepId id, LoadedStep loaded, OwnerKey key) {
         StepManifest manifest = manifestOf(id);
         if (manifest == null || mContext.routeOf(manifest).isPresent()) {
-            adopt(id, loaded, revision);
+            adopt(id, loaded, key);
             mClaiming.remove(id);
             return;
         }
         mContext.refreshRoutes(
                 refreshed -> {
                     if (refreshed) {
-                        adopt(id, loaded, revision);
+                        adopt(id, loaded, key);
                         mClaiming.remove(id);
                     } else {
                         loaded.memory().release();
-                        retryLoad(id, revision, "the configuration could not be read");
+                        retryLoad(id, key, "the configuration could not be read");
                     }
                 });
     }
 
     /** Begins to own a claimed step, with the results and checkpoint that the store has. */
-    private void adopt(StepId id, LoadedStep loaded, long revision) {
+    private void adopt(StepId id, LoadedStep loaded, OwnerKey key) {
         StepStatus status = mContext.directory().get(id);
         StepManifest manifest = status == null ? null : status.mManifest;
         StepSpec spec = loaded.spec();
         // If every sample is listed already, the watch has not shown the done marker yet.
         boolean listed = loaded.results().size() >= spec.samples().size();
-        boolean taken = status == null || status.isTakenFrom(mContext.self(), revision);
+        boolean taken = status == null || status.isTakenFrom(mContext.self(), key);
         if (manifest == null || taken || mDraining || listed) {
             loaded.memory().release();
             return;
@@ -576,7 +579,7 @@
         Route route = currentRoute(manifest);
         mRoutes.onBegun(id, manifest, route);
         long age = System.currentTimeMillis() - manifest.acceptedAt();
-        OwnedStep owned = new OwnedStep(revision, loaded.memory());
+        OwnedStep owned = new OwnedStep(key, loaded.memory());
         owned.mRunning = true;
         remove(id);
         mOwned.put(id, owned);
@@ -588,7 +591,7 @@
                                 .with("listed", loaded.results().size())
                                 .with("partial", loaded.checkpoints().size())
                                 .with("age_ms", age)
-                                .with("fence", revision));
+                                .with("fence", key.revision()));
         mMachine.onStepAcquired(
                 spec, route, loaded.results(), loaded.checkpoints(), age, System.nanoTime());
     }
@@ -607,7 +610,7 @@
             }
             remove(id);
             mContext.log().write(LogLine.of("step.handover").with("step", id));
-            mStore.release(id, owned.mOwnerRevision, mMachine.handOver(id));
+            mStore.release(id, owned.mOwnerKey.revision(), mMachine.handOver(id));
         }
     }
 }
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/StepStatus.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/StepStatus.java
@@ -1,5 +1,7 @@
 package org.ebonyrun.daemon.hosted;
 
+import org.ebonyrun.ports.store.StoreItem;
+import org.ebonyrun.ports.store.Transaction;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -9,24 +11,34 @@
  * <p>Not thread safe; confined to the entry's event loop.
  */
 final class StepStatus {
+    private static final OwnerKey ABSENT = new OwnerKey(Transaction.ABSENT, 0);
+
     @Nullable StepManifest mManifest;
     @Nullable String mOwner;
-    long mOwnerRevision;
+    OwnerKey mOwnerKey = ABSENT;
     boolean mEnded;
     boolean mDone;
 
     /**
-     * Returns whether a process that wrote the owner key at a revision must give the step up: it
-     * was ended, it is done, or another process has written the key since.
+     * Returns whether a process must give the step up: it was ended, it is done, or another process
+     * has written the owner key since.
+     *
+     * @param written the owner key as the process wrote it
      */
-    boolean isTakenFrom(ProcessName process, long ownerRevision) {
+    boolean isTakenFrom(ProcessName process, OwnerKey written) {
         boolean replaced =
                 mOwner != null
                         && !mOwner.equals(process.format())
-                        && mOwnerRevision > ownerRevision;
+                        && mOwnerKey.revision() > written.revision();
         return mEnded || mDone || replaced;
     }
 
+    /** Sets the owner key; null if it is absent. */
+    void setOwner(@Nullable StoreItem item) {
+        mOwner = item == null ? null : item.text();
+        mOwnerKey = item == null ? ABSENT : OwnerKey.of(item);
+    }
+
     /** Returns whether the store has no live key of the step. */
     boolean hasNoKeys() {
         return mManifest == null && mOwner == null && !mEnded && !mDone;
--- a/ebonyrun-daemon/src/test/java/org/ebonyrun/daemon/hosted/ResultWriterTest.java
+++ b/ebonyrun-daemon/src/test/java/org/ebonyrun/daemon/hosted/ResultWriterTest.java
@@ -210,7 +210,7 @@
     }
 
     private final FakeStore mStore = new FakeStore();
-    private final OwnedStep mOwned = new OwnedStep(REVISION);
+    private final OwnedStep mOwned = new OwnedStep(new OwnerKey(REVISION, 0));
 
     /** Returns a writer of a step whose only sample has generated a number of events. */
     private ResultWriter writer(Policy policy, int events) {
--- a/ebonyrun-daemon/src/test/java/org/ebonyrun/daemon/hosted/StepOwnershipTest.java
+++ b/ebonyrun-daemon/src/test/java/org/ebonyrun/daemon/hosted/StepOwnershipTest.java
@@ -81,4 +81,21 @@
         assertThat(mSecond.ownership().owns(STEP), is(false));
         assertThat(mSecond.runCount(), is(0));
     }
+
+    // Review case 13.
+    @Test
+    void anOwnerWithALaterLeaseReadsResultsThatAnotherProcessHasListed() {
+        mStore.setTtl(0);
+        assertThat(mFirst.accept(STEP, StepProcess.submission(SAMPLES, 8)), is(true));
+        mStore.endLeases();
+        mStore.setTtl(60_000);
+        mSecond.readSnapshot();
+        mSecond.passSecond();
+        mSecond.passSecond();
+        mSecond.completeRuns(SAMPLES);
+        assertThat(mFirst.accept(StepId.of("later"), StepProcess.submission(1, 8)), is(true));
+
+        assertThat(mFirst.ownership().owns(STEP), is(true));
+        assertThat(mFirst.read(STEP, SAMPLES), is(SAMPLES));
+    }
 }
--- a/ebonyrun-daemon/src/test/java/org/ebonyrun/daemon/hosted/StepProcess.java
+++ b/ebonyrun-daemon/src/test/java/org/ebonyrun/daemon/hosted/StepProcess.java
@@ -17,6 +17,7 @@
 import org.ebonyrun.base.memory.MemoryAccount;
 import org.ebonyrun.base.memory.MemoryClaim;
 import org.ebonyrun.base.memory.MemoryClass;
+import org.ebonyrun.base.result.Fault;
 import org.ebonyrun.base.time.Nanos;
 import org.ebonyrun.core.fleet.Endpoint;
 import org.ebonyrun.core.fleet.EndpointRecord;
@@ -179,9 +180,29 @@
         return mOwnership;
     }
 
-    /** Returns a reader of results at this process. */
-    ResultReader newReader() {
-        return new ResultReader(mStore, mOwnership, executor(), System::nanoTime, log());
+    /** Reads a step from its first result on, without waiting; returns the number of results. */
+    int read(StepId id, int samples) {
+        List<SampleResult> read = new ArrayList<>();
+        ResultReader reader = new ResultReader(mStore, mOwnership, executor(), () -> mNow, log());
+        reader.read(
+                id,
+                samples,
+                0,
+                0,
+                new ResultReader.Callback() {
+                    @Override
+                    public void onResults(List<SampleResult> results) {
+                        read.addAll(results);
+                    }
+
+                    @Override
+                    public void onFault(Fault fault) {
+                        throw new AssertionError(fault.detail());
+                    }
+                });
+        reader.onTick(mNow);
+        runTasks();
+        return read.size();
     }
 
     @Override
