Give a claimed step back that has no memory here

Cause: whether a step may be claimed was asked of the whole account, whether it can be loaded of what large claims may take, beside submissions that were kept for reads. A claim that could not be used was tried again for good.

A claimed step that can't run here is given back: its owner key is removed, and this entry leaves it to others for 2 s. Kept submissions give way to a step that is to be loaded. Kin: a step whose submission is malformed, and one that is being loaded when a graceful stop begins, are given back too.

--- a/ebonyrun-base/src/main/java/org/ebonyrun/base/memory/MemoryAccount.java
+++ b/ebonyrun-base/src/main/java/org/ebonyrun/base/memory/MemoryAccount.java
@@ -96,6 +96,11 @@
         return mLimit;
     }
 
+    /** Returns how many bytes a claim of the given size may still take. */
+    public synchronized long available(long claimBytes) {
+        return limitOf(claimBytes) - mTotal;
+    }
+
     /** Returns the number of bytes that are held. */
     public synchronized long held() {
         return mTotal;
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/StepLoader.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/StepLoader.java
@@ -19,20 +19,36 @@
  */
 final class StepLoader {
     private static final String STEP = "step.load";
+    // More than a sample of usual headers takes beside its body.
+    private static final long AMPLE_SAMPLE_BYTES = 4_096;
 
     private final HostedContext mContext;
     private final StepStore mStore;
+    private final SubmissionCache mCache;
 
-    StepLoader(HostedContext context, StepStore store) {
+    /**
+     * Creates an instance.
+     *
+     * @param cache gives way to the steps that are loaded
+     */
+    StepLoader(HostedContext context, StepStore store, SubmissionCache cache) {
         mContext = context;
         mStore = store;
+        mCache = cache;
     }
 
-    /** Returns whether there is memory for a step now. */
-    boolean mayFit(StepManifest manifest) {
+    /**
+     * Makes room for a step; returns whether there may be enough. Only {@link #load} shows it,
+     * since small samples take a multiple of their text.
+     */
+    boolean makeRoom(StepManifest manifest) {
         MemoryAccount account = mContext.memory();
-        // The text of the submission, and what is decoded out of it.
-        return 2L * manifest.submissionBytes() < account.limit() - account.held();
+        long text = manifest.submissionBytes();
+        mCache.makeRoom(2 * text + AMPLE_SAMPLE_BYTES * manifest.samples());
+        // The text, and the bodies that are decoded out of it from base64.
+        long both = text + text * 3 / 4;
+        long least = account.canEverHold(both) ? both : text;
+        return least <= account.available(least);
     }
 
     /**
@@ -43,6 +59,7 @@
      *     FaultCode#OVERLOADED} if there is no memory for it
      */
     void load(StepId id, StepManifest manifest, Consumer<Result<LoadedStep>> callback) {
+        makeRoom(manifest);
         MemoryClaim text = mContext.memory().open(MemoryClass.STEP);
         mStore.load(id, manifest.submissionBytes(), text)
                 .thenAcceptAsync(
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/StepOwnership.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/StepOwnership.java
@@ -40,8 +40,11 @@
  *
  * <p>Not thread safe; confined to the entry's event loop.
  */
-final class StepOwnership implements ResultWriter.Ownership, ResultReader.Ownership {
+final class StepOwnership
+        implements ResultWriter.Ownership, ResultReader.Ownership, ClaimedSteps.Listener {
     private static final long RETRY_NANOS = Nanos.ofMillis(150);
+    // How long a step that could not be loaded is left to other entries.
+    private static final long RELEASED_NANOS = Nanos.ofMillis(2_000);
     // How long a new step waits for the texts of its predecessor to be loaded.
     private static final long CARRY_WAIT_NANOS = Nanos.ofMillis(150);
 
@@ -55,13 +58,18 @@
     // Steps that are being claimed or loaded.
     private final Set<StepId> mClaiming = new HashSet<>();
     private final Set<StepId> mAccepting = new HashSet<>();
+    // Owner keys that this process has removed, until the watch shows it.
+    private final Map<StepId, OwnerKey> mReleased = new HashMap<>();
     // Steps whose last results are stored, until the watch shows that they are done.
     private final Set<StepId> mDone = new HashSet<>();
     private final ResultWriter mWriter;
+    private final SubmissionCache mSubmissions;
     private final StepLoader mLoader;
+    private final ClaimedSteps mClaims;
     private final PredecessorTexts mPredecessors;
     private final ProvisionalRoutes mRoutes;
     private final boolean mCarriesTexts;
+    private long mTickedAt;
     private boolean mDraining;
 
     StepOwnership(
@@ -71,7 +79,9 @@
         mMachine = machine;
         mRandom = random;
         mCarriesTexts = context.policy().isEnabled(Mechanism.CARRIED_TEXTS);
-        mLoader = new StepLoader(context, store);
+        mSubmissions = new SubmissionCache(context.memory());
+        mLoader = new StepLoader(context, store, mSubmissions);
+        mClaims = new ClaimedSteps(context, store, mLoader, this);
         mPredecessors = new PredecessorTexts(context, store);
         mRoutes = new ProvisionalRoutes(context, machine::onRouteChanged);
         mWriter = new ResultWriter(context, store, machine, this);
@@ -97,6 +107,11 @@
                 && mContext.lease().isValid(System.nanoTime());
     }
 
+    /** Returns the submissions that are kept for reads. */
+    SubmissionCache submissions() {
+        return mSubmissions;
+    }
+
     int size() {
         return mOwned.size();
     }
@@ -348,6 +363,7 @@
      * @param ownedOrClaimable the open steps that this process owns or may claim
      */
     void onTick(List<StepId> ownedOrClaimable, long now) {
+        mTickedAt = now;
         mOwned.forEach((id, owned) -> mWriter.onTick(id, owned, now));
         mRoutes.onTick(now);
         if (mDraining) {
@@ -356,6 +372,7 @@
         Set<StepId> open = new HashSet<>(ownedOrClaimable);
         mClaimAt.keySet().retainAll(open);
         mDone.retainAll(open);
+        mReleased.keySet().retainAll(open);
         for (StepId id : ownedOrClaimable) {
             StepStatus status = mContext.directory().get(id);
             if (status != null) {
@@ -373,15 +390,23 @@
             if (status.mOwner == null && owned.mPending == null) {
                 reclaim(id, owned);
             }
+        } else if (ownerHere && isReleased(id, status.mOwnerKey)) {
+            // The watch has not shown yet that the key is gone.
+            return;
         } else if (ownerHere && !busy) {
             // The response to this process's claim was lost, but the claim took effect.
             mClaiming.add(id);
-            load(id, status.mOwnerKey);
+            mClaims.load(id, status.mOwnerKey);
         } else if (!busy) {
             claimWhenDue(id, now);
         }
     }
 
+    private boolean isReleased(StepId id, OwnerKey key) {
+        OwnerKey released = mReleased.get(id);
+        return released != null && key.revision() <= released.revision();
+    }
+
     /**
      * Claims an owned step again after its owner key has expired with the lease, unless another
      * process has listed results of it since.
@@ -453,7 +478,7 @@
             return;
         }
         mClaimAt.put(id, now + RETRY_NANOS * 2);
-        if (status != null && status.mManifest != null && !mLoader.mayFit(status.mManifest)) {
+        if (status != null && status.mManifest != null && !mLoader.makeRoom(status.mManifest)) {
             return;
         }
         mClaiming.add(id);
@@ -491,77 +516,31 @@
         if (key == null) {
             mClaiming.remove(id);
         } else {
-            load(id, key);
+            mClaims.load(id, key);
         }
     }
 
-    /** Loads a claimed step, unless it was ended or taken over since. */
-    private void load(StepId id, OwnerKey key) {
-        StepStatus status = mContext.directory().get(id);
-        StepManifest manifest = status == null ? null : status.mManifest;
-        if (manifest == null || status.isTakenFrom(mContext.self(), key)) {
-            mClaiming.remove(id);
-            return;
-        }
-        mLoader.load(
-                id,
-                manifest,
-                result ->
-                        result.fold(
-                                loaded -> {
-                                    onLoaded(id, loaded, key);
-                                    return true;
-                                },
-                                fault -> {
-                                    onNotLoaded(id, key, fault);
-                                    return false;
-                                }));
-    }
-
-    private @Nullable StepManifest manifestOf(StepId id) {
-        StepStatus status = mContext.directory().get(id);
-        return status == null ? null : status.mManifest;
+    @Override
+    public boolean isStopping() {
+        return mDraining;
     }
 
-    private void onNotLoaded(StepId id, OwnerKey key, Fault fault) {
-        if (fault.code() == FaultCode.BAD_REQUEST) {
-            mContext.log()
-                    .write(
-                            LogLine.of("step.unreadable")
-                                    .with("step", id)
-                                    .with("why", fault.detail()));
-            mClaiming.remove(id);
-        } else {
-            retryLoad(id, key, fault.detail());
-        }
+    @Override
+    public void onLoaded(StepId id, LoadedStep loaded, OwnerKey key) {
+        mClaiming.remove(id);
+        adopt(id, loaded, key);
     }
 
-    private void retryLoad(StepId id, OwnerKey key, String why) {
-        mContext.log().write(LogLine.of("step.unloaded").with("step", id).with("why", why));
-        mContext.schedule(RETRY_NANOS, () -> load(id, key));
+    @Override
+    public void onTaken(StepId id) {
+        mClaiming.remove(id);
     }
 
-    /**
-     * Adopts a loaded step. If its route is not known, refreshes the routes first: a route that is
-     * still missing then was removed.
-     */
-    private void onLoaded(StepId id, LoadedStep loaded, OwnerKey key) {
-        StepManifest manifest = manifestOf(id);
-        if (manifest == null || mContext.routeOf(manifest).isPresent()) {
-            adopt(id, loaded, key);
-            mClaiming.remove(id);
-            return;
-        }
-        mContext.refreshRoutes(
-                refreshed -> {
-                    if (refreshed) {
-                        adopt(id, loaded, key);
-                        mClaiming.remove(id);
-                    } else {
-                        loaded.memory().release();
-                        retryLoad(id, key, "the configuration could not be read");
-                    }
-                });
+    @Override
+    public void onReleased(StepId id, OwnerKey key) {
+        mClaiming.remove(id);
+        mReleased.put(id, key);
+        mClaimAt.put(id, mTickedAt + RELEASED_NANOS);
     }
 
     /** Begins to own a claimed step, with the results and checkpoint that the store has. */
@@ -574,6 +553,9 @@
         boolean taken = status == null || status.isTakenFrom(mContext.self(), key);
         if (manifest == null || taken || mDraining || listed) {
             loaded.memory().release();
+            if (mDraining) {
+                mClaims.release(id, key, "the entry stops");
+            }
             return;
         }
         Route route = currentRoute(manifest);
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/StepReader.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/StepReader.java
@@ -72,8 +72,8 @@
         mContext = context;
         mSharedStore = shared;
         mOwnership = ownership;
-        mLoader = new StepLoader(context, store);
-        mCache = new SubmissionCache(context.memory());
+        mCache = ownership.submissions();
+        mLoader = new StepLoader(context, store, mCache);
         mResponder = responder;
         mResults =
                 new ResultReader(
--- a/ebonyrun-daemon/src/test/java/org/ebonyrun/daemon/hosted/InMemoryStore.java
+++ b/ebonyrun-daemon/src/test/java/org/ebonyrun/daemon/hosted/InMemoryStore.java
@@ -50,6 +50,11 @@
         mRevision++;
     }
 
+    /** Writes a key that does not expire. */
+    void put(String key, byte[] value) {
+        mItems.put(key, new StoreItem(key, value, ++mRevision, 0));
+    }
+
     /** Returns the items whose keys begin with a prefix, in the order of their keys. */
     List<StoreItem> items(String prefix) {
         return mItems.values().stream().filter(item -> item.key().startsWith(prefix)).toList();
--- a/ebonyrun-daemon/src/test/java/org/ebonyrun/daemon/hosted/StepProcess.java
+++ b/ebonyrun-daemon/src/test/java/org/ebonyrun/daemon/hosted/StepProcess.java
@@ -126,6 +126,14 @@
         return accepted.equals(List.of(true));
     }
 
+    /** Submits a step that this process leaves to others at once. */
+    boolean acceptAndHandOver(StepId id, byte[] submission) {
+        boolean accepted = accept(id, submission);
+        mOwnership.handOver();
+        runTasks();
+        return accepted;
+    }
+
     /** Runs what the event loop has to do. */
     void runTasks() {
         for (Runnable task = mTasks.poll(); task != null; task = mTasks.poll()) {
