Keep an endpoint without a record only if the record may have expired

Cause: the fault of one watch counts as an outage of the store, which the next response ends some milliseconds later. Within 2 s of the end of an outage, an endpoint whose record is missing was kept, as records expire in outages.

RecordExpiry: a record expires after three missed heartbeats, so no outage of less than two makes one expire. The silence is counted from the store's last response to any call. The heartbeat is a setting, rendered from the platform's.

--- a/ebonyrun-core/src/main/java/org/ebonyrun/core/fleet/Fleet.java
+++ b/ebonyrun-core/src/main/java/org/ebonyrun/core/fleet/Fleet.java
@@ -17,8 +17,9 @@
  * The endpoints of all services, as described by their records in the shared store.
  *
  * <p>The fleet distinguishes a lost endpoint from an outage of the store: if a record disappears
- * while the store is available, the endpoint is removed at once; if a record expired during an
- * outage, its endpoint stays until it has had time to write the record again.
+ * while the store is available, the endpoint is removed at once; if a record may have expired
+ * during an outage, its endpoint stays until it has had time to write the record again. An outage
+ * in which no record can have expired changes nothing.
  *
  * <p>Invariants: the fleet holds at most one incarnation of an endpoint, the newest that was seen;
  * a record of an older incarnation changes nothing; an incarnation that has announced that it is
@@ -39,8 +40,9 @@
     // Endpoints without a record whose limits hold if the record is written again.
     private final Map<String, Endpoint> mRemovedLimited = new LinkedHashMap<>();
     private boolean mStoreUnavailable;
-    private long mStoreAvailableAt;
-    private boolean mHadOutage;
+    // When the last outage ended in which records may have expired.
+    private long mRecordsExpiredAt;
+    private boolean mRecordsExpired;
 
     private Fleet() {}
 
@@ -115,8 +117,7 @@
         if (!mEndpoints.containsKey(id)) {
             return;
         }
-        boolean withinGrace = mHadOutage && now - mStoreAvailableAt < EXPIRED_GRACE_NANOS;
-        if (mStoreUnavailable || withinGrace) {
+        if (mStoreUnavailable || isWithinGrace(now)) {
             mExpired.put(id, now);
         } else {
             removeEndpoint(id);
@@ -137,25 +138,31 @@
         }
     }
 
+    private boolean isWithinGrace(long now) {
+        return mRecordsExpired && now - mRecordsExpiredAt < EXPIRED_GRACE_NANOS;
+    }
+
     /** Handles the start of a store outage. */
     public void onStoreUnavailable() {
         mStoreUnavailable = true;
-        mHadOutage = true;
     }
 
-    /** Handles the end of a store outage. */
-    public void onStoreAvailable(long now) {
-        if (mStoreUnavailable) {
-            mStoreUnavailable = false;
-            mStoreAvailableAt = now;
+    /**
+     * Handles the end of a store outage.
+     *
+     * @param mayHaveExpired whether records may have expired in it
+     */
+    public void onStoreAvailable(boolean mayHaveExpired, long now) {
+        if (mStoreUnavailable && mayHaveExpired) {
+            mRecordsExpired = true;
+            mRecordsExpiredAt = now;
         }
+        mStoreUnavailable = false;
     }
 
     /** Removes the endpoints whose expired records did not reappear within the grace period. */
     public void onTick(long now) {
-        if (mStoreUnavailable
-                || mExpired.isEmpty()
-                || now - mStoreAvailableAt < EXPIRED_GRACE_NANOS) {
+        if (mStoreUnavailable || mExpired.isEmpty() || isWithinGrace(now)) {
             return;
         }
         List.copyOf(mExpired.keySet()).forEach(this::removeEndpoint);
--- a/ebonyrun-core/src/test/java/org/ebonyrun/core/fleet/FleetTest.java
+++ b/ebonyrun-core/src/test/java/org/ebonyrun/core/fleet/FleetTest.java
@@ -36,7 +36,7 @@
     void anEndpointWhoseRecordExpiredInAnOutageIsKeptForTheGracePeriod() {
         mFleet.onRecord(EndpointFixtures.record("e", 4, 1));
         mFleet.onStoreUnavailable();
-        mFleet.onStoreAvailable(10 * SECOND);
+        mFleet.onStoreAvailable(true, 10 * SECOND);
         mFleet.onRemoved("e", 10 * SECOND);
         mFleet.onTick(11 * SECOND);
         assertThat(servingCount(), is(1));
@@ -45,11 +45,47 @@
         assertThat(servingCount(), is(0));
     }
 
+    // Review case 14.
+    @Test
+    void anEndpointWhoseRecordIsMissingAfterAnOutageWithoutExpiryIsRemovedAtOnce() {
+        mFleet.onRecord(EndpointFixtures.record("e", 4, 1));
+        mFleet.onStoreUnavailable();
+        mFleet.onStoreAvailable(false, 10 * SECOND);
+        mFleet.onRemoved("e", 10 * SECOND);
+
+        assertThat(servingCount(), is(0));
+    }
+
+    @Test
+    void anOutageWithoutExpiryNeitherEndsNorExtendsTheGracePeriodOfAnEarlierOne() {
+        mFleet.onRecord(EndpointFixtures.record("e", 4, 1));
+        mFleet.onRecord(EndpointFixtures.record("f", 4, 1));
+        mFleet.onStoreUnavailable();
+        mFleet.onStoreAvailable(true, 10 * SECOND);
+        mFleet.onRemoved("e", 10 * SECOND);
+        mFleet.onStoreUnavailable();
+        mFleet.onStoreAvailable(false, 11 * SECOND);
+        mFleet.onRemoved("f", 11 * SECOND);
+        mFleet.onTick(11 * SECOND);
+        assertThat(servingCount(), is(2));
+        mFleet.onTick(12 * SECOND);
+
+        assertThat(servingCount(), is(0));
+    }
+
+    @ParameterizedTest
+    @CsvSource({"3, false", "2399, false", "2400, true", "60000, true"})
+    void recordsExpireOnlyInOutagesOfTwoHeartbeatsAndMore(long silenceMillis, boolean expected) {
+        long silence = Nanos.ofMillis(silenceMillis);
+
+        assertThat(RecordExpiry.mayHaveExpired(silence, Nanos.ofMillis(1_200)), is(expected));
+    }
+
     @Test
     void anEndpointWhoseRecordReappearsWithinTheGracePeriodStays() {
         mFleet.onRecord(EndpointFixtures.record("e", 4, 1));
         mFleet.onStoreUnavailable();
-        mFleet.onStoreAvailable(10 * SECOND);
+        mFleet.onStoreAvailable(true, 10 * SECOND);
         mFleet.onSnapshot(List.of(), 10 * SECOND);
         mFleet.onRecord(EndpointFixtures.record("e", 4, 1));
         mFleet.onTick(20 * SECOND);
@@ -129,7 +165,7 @@
                     }
                 }
                 case 2 -> mFleet.onStoreUnavailable();
-                case 3 -> mFleet.onStoreAvailable(now);
+                case 3 -> mFleet.onStoreAvailable(random.nextBoolean(), now);
                 case 4 -> mFleet.onTick(now);
                 default -> mFleet.onRecord(record);
             }
@@ -219,7 +255,7 @@
     void aRecordOfAnEarlierLifeDoesNotKeepAnExpiredEndpoint() {
         mFleet.onRecord(EndpointFixtures.record("e", 200, 4, 1, false));
         mFleet.onStoreUnavailable();
-        mFleet.onStoreAvailable(10 * SECOND);
+        mFleet.onStoreAvailable(true, 10 * SECOND);
         mFleet.onRemoved("e", 10 * SECOND);
         mFleet.onRecord(EndpointFixtures.record("e", 100, 4, 1, false));
         mFleet.onTick(13 * SECOND);
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/EntryLimits.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/EntryLimits.java
@@ -26,6 +26,7 @@
  *     unnoticed
  * @param extraWork how many hedged attempts may be sent for each answered call; empty for no limit
  * @param descriptors how many descriptors the process may open
+ * @param heartbeatMillis the interval at which endpoints renew their records in the shared store
  */
 public record EntryLimits(
         long orderQuietPeriodMillis,
@@ -38,11 +39,13 @@
         boolean strictKeys,
         long keysSilenceMillis,
         OptionalDouble extraWork,
-        int descriptors) {
+        int descriptors,
+        long heartbeatMillis) {
     private static final double MAX_EXTRA_WORK = 0.5;
     private static final long DEFAULT_KEYS_SILENCE_MILLIS = 5_000;
     // Used where the operating system does not tell its limit.
     private static final int DEFAULT_DESCRIPTORS = 4_096;
+    private static final long DEFAULT_HEARTBEAT_MILLIS = 1_200;
 
     /** The defaults for limits that the settings omit. */
     public static final EntryLimits DEFAULT =
@@ -59,6 +62,7 @@
         checkArgument(
                 storeWritesPerSecond > 0, "store_writes is not positive: %s", storeWritesPerSecond);
         checkArgument(descriptors > 0, "descriptors is not positive: %s", descriptors);
+        checkArgument(heartbeatMillis > 0, "heartbeat is not positive: %s", heartbeatMillis);
         extraWork.ifPresent(
                 share ->
                         checkArgument(
@@ -91,7 +95,8 @@
                 false,
                 DEFAULT_KEYS_SILENCE_MILLIS,
                 OptionalDouble.empty(),
-                DEFAULT_DESCRIPTORS);
+                DEFAULT_DESCRIPTORS,
+                DEFAULT_HEARTBEAT_MILLIS);
     }
 
     /** Returns how keys are checked. */
@@ -118,7 +123,8 @@
                 node.get("strict_keys").read(HostedSettings::parseBoolean, DEFAULT.strictKeys),
                 positive(node.get("keys_silence"), DEFAULT.keysSilenceMillis),
                 node.get("extra_work").read(EntryLimits::parseExtraWork, DEFAULT.extraWork),
-                readDescriptors(node.get("descriptors")));
+                readDescriptors(node.get("descriptors")),
+                positive(node.get("heartbeat"), DEFAULT.heartbeatMillis));
     }
 
     /** Returns the limit of the settings or of the operating system, whichever is lower. */
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/InstrumentedStore.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/InstrumentedStore.java
@@ -9,6 +9,7 @@
 import java.util.function.Consumer;
 import org.ebonyrun.base.result.Fault;
 import org.ebonyrun.base.result.Result;
+import org.ebonyrun.base.time.MonotonicClock;
 import org.ebonyrun.ports.store.CommitResult;
 import org.ebonyrun.ports.store.SharedStore;
 import org.ebonyrun.ports.store.StoreChanges;
@@ -18,7 +19,8 @@
 import org.ebonyrun.ports.store.Transaction;
 
 /**
- * Decorates a store: counts the calls by their kind and reports the calls that failed.
+ * Decorates a store: counts the calls by their kind, reports the calls that failed, and tells when
+ * the store last responded.
  *
  * <p>Watches are counted but their faults are not reported: a watch may wait for long before it
  * fails, and {@link StoreWatch} reports its faults itself. Thread safe if the decorated store is.
@@ -26,7 +28,9 @@
 final class InstrumentedStore implements SharedStore {
     private final SharedStore mDelegate;
     private final Consumer<Fault> mOnFault;
+    private final MonotonicClock mClock;
     private final Map<String, LongAdder> mCounts = new ConcurrentHashMap<>();
+    private volatile long mRespondedAt;
 
     /**
      * Decorates a store.
@@ -34,8 +38,23 @@
      * @param onFault receives the fault of each failed call except watches, on any thread
      */
     InstrumentedStore(SharedStore store, Consumer<Fault> onFault) {
+        this(store, onFault, MonotonicClock.system());
+    }
+
+    /** Decorates a store, and measures time by a clock. */
+    InstrumentedStore(SharedStore store, Consumer<Fault> onFault, MonotonicClock clock) {
         mDelegate = store;
         mOnFault = onFault;
+        mClock = clock;
+        mRespondedAt = clock.nanoTime();
+    }
+
+    /**
+     * Returns when the store last responded to a call, by the clock; the time of creation if it has
+     * not yet. Reads that may be stale do not count, since they may be answered in an outage.
+     */
+    long respondedAt() {
+        return mRespondedAt;
     }
 
     /** Returns the number of calls made, by kind. */
@@ -53,13 +72,18 @@
         return call.thenApply(
                 result ->
                         result.fold(
-                                value -> result,
+                                value -> noteResponse(result),
                                 fault -> {
                                     mOnFault.accept(fault);
                                     return result;
                                 }));
     }
 
+    private <T> Result<T> noteResponse(Result<T> result) {
+        mRespondedAt = mClock.nanoTime();
+        return result;
+    }
+
     @Override
     public CompletableFuture<Result<Optional<StoreItem>>> get(String key) {
         count("get");
@@ -76,7 +100,9 @@
     public CompletableFuture<Result<StoreChanges>> watch(
             String prefix, long afterRevision, long waitMillis, boolean mayBeStale) {
         count(mayBeStale ? "watch_stale" : "watch");
-        return mDelegate.watch(prefix, afterRevision, waitMillis, mayBeStale);
+        return mDelegate
+                .watch(prefix, afterRevision, waitMillis, mayBeStale)
+                .thenApply(result -> result.isOk() && !mayBeStale ? noteResponse(result) : result);
     }
 
     @Override
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/StoreOutageHandler.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/StoreOutageHandler.java
@@ -5,8 +5,10 @@
 import org.ebonyrun.base.log.LogLine;
 import org.ebonyrun.base.result.Fault;
 import org.ebonyrun.base.result.Result;
+import org.ebonyrun.base.time.MonotonicClock;
+import org.ebonyrun.base.time.Nanos;
 import org.ebonyrun.core.fleet.Fleet;
-import org.ebonyrun.ports.store.SharedStore;
+import org.ebonyrun.core.fleet.RecordExpiry;
 import org.ebonyrun.ports.store.StoreItem;
 
 /**
@@ -17,16 +19,29 @@
  */
 final class StoreOutageHandler implements StoreHealth.Listener {
     private final HostedContext mContext;
-    private final SharedStore mStore;
+    private final InstrumentedStore mStore;
     private final Fleet mFleet;
     private final List<StoreWatch> mWatches;
+    private final MonotonicClock mClock;
+    // When the store responded for the last time before the outage.
+    private long mSilentSince;
 
     StoreOutageHandler(
-            HostedContext context, SharedStore store, Fleet fleet, List<StoreWatch> watches) {
+            HostedContext context, InstrumentedStore store, Fleet fleet, List<StoreWatch> watches) {
+        this(context, store, fleet, watches, MonotonicClock.system());
+    }
+
+    StoreOutageHandler(
+            HostedContext context,
+            InstrumentedStore store,
+            Fleet fleet,
+            List<StoreWatch> watches,
+            MonotonicClock clock) {
         mContext = context;
         mStore = store;
         mFleet = fleet;
         mWatches = watches;
+        mClock = clock;
     }
 
     @Override
@@ -44,14 +59,23 @@
 
     @Override
     public void onUnavailable(String why) {
+        mSilentSince = mStore.respondedAt();
         mFleet.onStoreUnavailable();
         mContext.log().write(LogLine.of("store.away").with("why", why));
     }
 
     @Override
     public void onAvailable() {
-        mFleet.onStoreAvailable(System.nanoTime());
+        long now = mClock.nanoTime();
+        long silence = now - mSilentSince;
+        long heartbeat = Nanos.ofMillis(mContext.settings().limits().heartbeatMillis());
+        boolean mayHaveExpired = RecordExpiry.mayHaveExpired(silence, heartbeat);
+        mFleet.onStoreAvailable(mayHaveExpired, now);
         mWatches.forEach(StoreWatch::onStoreAvailable);
-        mContext.log().write(LogLine.of("store.back"));
+        mContext.log()
+                .write(
+                        LogLine.of("store.back")
+                                .with("silent_ms", Nanos.toMillis(silence))
+                                .with("expired", mayHaveExpired));
     }
 }
--- a/ebonyrun-daemon/src/test/java/org/ebonyrun/daemon/hosted/HostedSettingsTest.java
+++ b/ebonyrun-daemon/src/test/java/org/ebonyrun/daemon/hosted/HostedSettingsTest.java
@@ -100,6 +100,7 @@
                 "vm: edge-1 | vm: '' | vm",
                 "grace: 8s | grace: soon | grace",
                 "config_within: 2s | config_within: 0s | config_within",
+                "grace: 8s | heartbeat: 0ms | limits.heartbeat: is not above zero",
                 "grace: 8s | extra_work: 0.05 | limits.extra_work: '0.05' is not a percentage",
                 "grace: 8s | extra_work: 51% | limits.extra_work: '51%' is more than 50%",
                 "grace: 8s | extra_work: -1% | limits.extra_work: '-1%' is not a percentage",
@@ -130,7 +131,8 @@
                         true,
                         3_599_999_996_400_000L,
                         OptionalDouble.empty(),
-                        100);
+                        100,
+                        1_200);
 
         assertThat(limits.admission(), is(new AdmissionPolicy(true, Long.MAX_VALUE)));
     }
--- a/ebonyrun-daemon/src/test/java/org/ebonyrun/daemon/hosted/WatchTimingsTest.java
+++ b/ebonyrun-daemon/src/test/java/org/ebonyrun/daemon/hosted/WatchTimingsTest.java
@@ -100,7 +100,8 @@
                         true,
                         silence,
                         OptionalDouble.empty(),
-                        100);
+                        100,
+                        1_200);
         EntryLimits lenient =
                 new EntryLimits(
                         3_000,
@@ -113,7 +114,8 @@
                         false,
                         silence,
                         OptionalDouble.empty(),
-                        100);
+                        100,
+                        1_200);
         for (boolean idle : new boolean[] {true, false}) {
             StoreWatch.Timing timing = WatchTimings.forOperatorKeys(strict, idle);
             StoreWatch.Timing usual = WatchTimings.forOperatorKeys(lenient, idle);
