Settings: know the limit that the deployed template sets

Test: knowsEveryKeyOfTheDeployedTemplate parses deploy/entry.yaml; it failed before with 'limits.heartbeat: unknown key'.

--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/HostedSettings.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/HostedSettings.java
@@ -71,6 +71,7 @@
                     "config_within",
                     "leaving_within",
                     "contact_within",
+                    "heartbeat",
                     "store_writes",
                     "strict_keys",
                     "keys_silence",
--- a/ebonyrun-daemon/src/test/java/org/ebonyrun/daemon/hosted/HostedSettingsTest.java
+++ b/ebonyrun-daemon/src/test/java/org/ebonyrun/daemon/hosted/HostedSettingsTest.java
@@ -4,8 +4,12 @@
 import static org.hamcrest.Matchers.containsString;
 import static org.hamcrest.Matchers.empty;
 import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.not;
 import static org.hamcrest.Matchers.nullValue;
 
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.util.OptionalDouble;
 import org.ebonyrun.base.time.Nanos;
 import org.ebonyrun.core.policy.Mechanism;
@@ -117,6 +121,17 @@
         assertThat(parsed.problems().toString(), containsString(field));
     }
 
+    // The users' bench started no process when the template had a limit that the settings lacked.
+    @Test
+    void knowsEveryKeyOfTheDeployedTemplate() throws IOException {
+        String template = Files.readString(Path.of("..", "deploy", "entry.yaml"));
+        String rendered =
+                template.replaceAll("\\{\\{[#^/][^}]*}}", "").replaceAll("\\{\\{[^}]*}}", "1");
+        HostedSettings.Parsed parsed = HostedSettings.parse("f", rendered);
+
+        assertThat(parsed.problems().toString(), not(containsString("unknown key")));
+    }
+
     @Test
     void silenceBeyondItsRangeIsLimitedInsteadOfWrapped() {
         EntryLimits limits =
