--- a/ebonyrun-daemon/src/test/java/org/ebonyrun/daemon/hosted/EntryProcess.java
+++ b/ebonyrun-daemon/src/test/java/org/ebonyrun/daemon/hosted/EntryProcess.java
@@ -168,6 +168,10 @@
         return Path.of("/proc", Long.toString(mProcess.pid()), name);
     }
 
+    long pid() {
+        return mProcess.pid();
+    }
+
     /** Kills the process by SIGKILL; does not wait for its end. */
     void kill() {
         mProcess.destroyForcibly();
