Take a reset of connections for no crash, and try blocked calls again

Cause: a connection that breaks under a call counted as a crash of its endpoint for good. Three of them blocked the call until it had not come for an hour, and each refused call prolonged that; only an answer ends a record, which a blocked call can't get.

Change: an endpoint that answers a call sent 3 s or more later, in the same life, is taken off the record at all entries. A blocked call is tried after 5 s, then after pauses that double up to 30 minutes, by one entry at a time, which claims the trial by a compare-and-set of the record; the call waits for the claim (CallAdmission.PENDING). Retry-After is the time to the next trial. An answer below 500 ends a record; it had to be a success. The guard of calls moves out of CallController (CrashGuard).

--- a/ebonyrun-core/src/main/java/org/ebonyrun/core/call/CallGuard.java
+++ b/ebonyrun-core/src/main/java/org/ebonyrun/core/call/CallGuard.java
@@ -13,8 +13,8 @@
     CallGuard NONE =
             new CallGuard() {
                 @Override
-                public boolean isBlocked(CallSpec call) {
-                    return false;
+                public CallAdmission admission(CallSpec call) {
+                    return CallAdmission.ADMITTED;
                 }
 
                 @Override
@@ -23,13 +23,13 @@
                 }
 
                 @Override
-                public long retryAfterMillis() {
+                public long retryAfterMillis(CallSpec call) {
                     return 0;
                 }
             };
 
-    /** Returns whether a call may not be sent, not even once more. */
-    boolean isBlocked(CallSpec call);
+    /** Returns whether a call may be sent to an endpoint. */
+    CallAdmission admission(CallSpec call);
 
     /** Returns whether a call that an endpoint may have run may be sent to another one. */
     boolean mayRetry(CallSpec call);
@@ -46,6 +46,6 @@
         return false;
     }
 
-    /** Returns when a caller whose call is blocked may come back, in milliseconds. */
-    long retryAfterMillis();
+    /** Returns when the caller of a blocked call may come back, in milliseconds. */
+    long retryAfterMillis(CallSpec call);
 }
--- a/ebonyrun-core/src/main/java/org/ebonyrun/core/call/CallMachine.java
+++ b/ebonyrun-core/src/main/java/org/ebonyrun/core/call/CallMachine.java
@@ -345,15 +345,18 @@
             end(call);
             return;
         }
-        if (mGuard.isBlocked(call.mSpec)) {
-            endBlocked(call);
-            return;
-        }
         boolean tooLate = call.mGoingOn && now - call.mGoOnBy >= 0;
         if (tooLate || !mayRunAgain(call)) {
             endWithoutRetry(call);
             return;
         }
+        CallAdmission admission = mGuard.admission(call.mSpec);
+        if (admission == CallAdmission.BLOCKED) {
+            endBlocked(call);
+        }
+        if (admission != CallAdmission.ADMITTED) {
+            return;
+        }
         if (trySend(call, null, now)) {
             return;
         }
@@ -373,8 +376,8 @@
             endWithoutRetry(call);
             return;
         }
-        mOutputs.refuse(
-                call.mSpec, mGuard.retryAfterMillis(), "the call has crashed too many endpoints");
+        long retryAfter = mGuard.retryAfterMillis(call.mSpec);
+        mOutputs.refuse(call.mSpec, retryAfter, "the call has crashed too many endpoints");
         end(call);
     }
 
--- a/ebonyrun-core/src/main/java/org/ebonyrun/core/call/CrashWrites.java
+++ b/ebonyrun-core/src/main/java/org/ebonyrun/core/call/CrashWrites.java
@@ -47,6 +47,11 @@
         return mAnswered.contains(call);
     }
 
+    /** Returns whether a write of a call waits or is open. */
+    public boolean contains(CallFingerprint call) {
+        return mWaiting.containsKey(call) || mOpen.contains(call);
+    }
+
     /** Returns a call that may be written now, if any; it is open until it ends. */
     public Optional<CallFingerprint> startNext(long now) {
         if (mOpen.size() >= MAX_OPEN) {
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/CallController.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/CallController.java
@@ -11,11 +11,9 @@
 import org.ebonyrun.base.time.Nanos;
 import org.ebonyrun.core.call.AttemptOutcome;
 import org.ebonyrun.core.call.CallFingerprint;
-import org.ebonyrun.core.call.CallGuard;
 import org.ebonyrun.core.call.CallMachine;
 import org.ebonyrun.core.call.CallOutputs;
 import org.ebonyrun.core.call.CallSpec;
-import org.ebonyrun.core.call.CrashRecords;
 import org.ebonyrun.core.fleet.Endpoint;
 import org.ebonyrun.core.fleet.Fleet;
 import org.ebonyrun.core.hedge.ConfiguredHedging;
@@ -24,7 +22,6 @@
 import org.ebonyrun.core.step.ScoreCall;
 import org.ebonyrun.core.step.ScoreOutcome;
 import org.ebonyrun.core.stream.EventRelay;
-import org.ebonyrun.core.stream.StreamAdmission;
 import org.ebonyrun.core.stream.StreamResumption;
 import org.ebonyrun.core.usage.UsageCounter;
 import org.ebonyrun.platform.EndpointProtocol;
@@ -42,10 +39,11 @@
  *
  * <p>Not thread safe; confined to the entry's event loop.
  */
-final class CallController implements CallOutputs, CallGuard, CallExchange.Listener {
+final class CallController implements CallOutputs, CallExchange.Listener {
     private static final int UNAVAILABLE = 503;
     private static final int GATEWAY_TIMEOUT = 504;
     private static final int BAD_GATEWAY = 502;
+    private static final int SERVER_ERROR = 500;
     // For callers that say that they wait longer, or for ever.
     private static final long MAX_CALLER_MILLIS = 3_600_000;
 
@@ -97,7 +95,7 @@
                         domain,
                         context.policy(),
                         new ConfiguredHedging(() -> context.settings().limits().extraWork()),
-                        this,
+                        new CrashGuard(crashes, streams, this::fingerprintIfAnyCrashed),
                         this);
     }
 
@@ -116,47 +114,15 @@
         CallClient client = new CallClient(spec, caller, null, null);
         mClients.put(spec.id(), client);
         mCallIds.put(caller, spec.id());
-        CallFingerprint fingerprint = mCrashes.isEmpty() ? null : client.fingerprint();
-        if (fingerprint != null) {
-            mCrashes.onArrival(fingerprint);
-        }
         mMachine.onCall(spec, now);
     }
 
-    @Override
-    public boolean isBlocked(CallSpec call) {
-        CallFingerprint fingerprint = fingerprintIfAnyCrashed(call);
-        return fingerprint != null && mCrashes.isBlocked(fingerprint);
-    }
-
-    @Override
-    public boolean mayRetry(CallSpec call) {
-        CallFingerprint fingerprint = fingerprintIfAnyCrashed(call);
-        return fingerprint == null || mCrashes.mayRetry(fingerprint);
-    }
-
     /** Returns the fingerprint of a caller's call; null while no call has crashed an endpoint. */
     private @Nullable CallFingerprint fingerprintIfAnyCrashed(CallSpec call) {
         CallClient client = mCrashes.isEmpty() ? null : mClients.get(call.id());
         return client == null ? null : client.fingerprint();
     }
 
-    @Override
-    public boolean hasCrashed(CallSpec call) {
-        CallFingerprint fingerprint = fingerprintIfAnyCrashed(call);
-        return fingerprint != null && mCrashes.hasCrashed(fingerprint);
-    }
-
-    @Override
-    public StreamAdmission admit(CallSpec call, Endpoint endpoint, long now) {
-        return mStreams.admit(endpoint, now);
-    }
-
-    @Override
-    public long retryAfterMillis() {
-        return CrashRecords.RETENTION_MILLIS;
-    }
-
     /** Starts a call that scores a sample. */
     void onScoreCall(CallSpec spec, ScoreCall score, ScoreListener listener, long now) {
         mClients.put(spec.id(), new CallClient(spec, null, score, listener));
@@ -331,7 +297,7 @@
             return;
         }
         CallFingerprint fingerprint = mCrashes.isEmpty() ? null : client.fingerprint();
-        if (fingerprint != null && head.isSuccess()) {
+        if (fingerprint != null && head.status() < SERVER_ERROR) {
             mCrashes.onAnswered(fingerprint);
         }
         FrontExchange caller = client.caller();
@@ -576,6 +542,8 @@
         }
         if (outcome == AttemptOutcome.UNREACHABLE || exchange.isBroken()) {
             mCrashes.onEndpointCrashed(exchange.lifeName());
+        } else if (outcome == AttemptOutcome.ANSWERED) {
+            mCrashes.onEndpointAnswered(exchange.lifeName(), exchange.createdAt());
         }
         mContext.log().write(exchange.withConnection(line));
         mSpecs.remove(exchange.attempt());
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/CrashCodec.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/CrashCodec.java
@@ -14,6 +14,7 @@
 
     static byte[] encode(CrashRecord record) {
         ObjectNode json = JsonTrees.object().put("at", record.atMillis());
+        json.put("trial_until", record.trialUntilMillis());
         ArrayNode endpoints = json.putArray("endpoints");
         record.endpoints().forEach(endpoints::add);
         return JsonTrees.write(json);
@@ -28,6 +29,7 @@
         JsonNode json = JsonTrees.read(value);
         Set<String> endpoints = new LinkedHashSet<>();
         json.path("endpoints").forEach(endpoint -> endpoints.add(endpoint.asText()));
-        return new CrashRecord(endpoints, json.path("at").asLong());
+        long trialUntil = json.path("trial_until").asLong();
+        return new CrashRecord(endpoints, json.path("at").asLong(), trialUntil);
     }
 }
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/CrashController.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/CrashController.java
@@ -9,6 +9,7 @@
 import org.ebonyrun.base.log.LogLine;
 import org.ebonyrun.base.result.Result;
 import org.ebonyrun.base.time.Nanos;
+import org.ebonyrun.core.call.CallAdmission;
 import org.ebonyrun.core.call.CallFingerprint;
 import org.ebonyrun.core.call.CrashRecord;
 import org.ebonyrun.core.call.CrashRecords;
@@ -27,13 +28,16 @@
  *
  * <p>Invariants: what this entry observed is written until the store has it; while the store is
  * unavailable it waits, and only this entry acts on it. A call that was answered here is not
- * blocked by what was stored before the answer. One write is open for a call, and few at a time in
- * all, so that connections that break for other reasons don't load the store.
+ * blocked by what was stored before the answer. A blocked call is tried by the entry that has
+ * claimed the trial in the store, once, and by none while the store is unavailable. One write is
+ * open for a call, and few at a time in all, so that connections that break for other reasons don't
+ * load the store.
  *
  * <p>Not thread safe; confined to the entry's event loop.
  */
 final class CrashController implements CrashSweep.Outputs {
     private static final int MAX_STORED = 8_192;
+    private static final int MAX_TRIALS = 1_024;
     private static final long RETRY_NANOS = Nanos.ofMillis(500);
     // A call whose retry is answered within this time needs no record.
     private static final long FIRST_WRITE_NANOS = Nanos.ofMillis(300);
@@ -46,11 +50,20 @@
      */
     private record Stored(long revision, boolean present) {}
 
+    /**
+     * A trial of a blocked call.
+     *
+     * @param callId the call that is sent
+     * @param granted whether the store has the claim
+     */
+    private record Trial(long callId, boolean granted) {}
+
     private final HostedContext mContext;
     private final SharedStore mStore;
     private final CrashRecords mRecords = new CrashRecords();
     private final UnansweredCalls mUnanswered = new UnansweredCalls();
     private final Map<CallFingerprint, Stored> mStored = new LinkedHashMap<>();
+    private final Map<CallFingerprint, Trial> mTrials = new LinkedHashMap<>();
     private final CrashWrites mWrites = new CrashWrites();
     private final CrashSweep mSweep = new CrashSweep(this);
 
@@ -64,9 +77,95 @@
         return mRecords.isEmpty();
     }
 
-    /** Returns whether a call may not be sent to endpoints again. */
-    boolean isBlocked(CallFingerprint call) {
-        return mRecords.isBlocked(call);
+    /**
+     * Returns whether a call may be sent. If a trial of a blocked call is due, the call claims it,
+     * and is pending until the store has the claim.
+     *
+     * @param callId the ID of the call in this process
+     */
+    CallAdmission admission(CallFingerprint call, long callId, String requestId) {
+        if (!mRecords.isBlocked(call)) {
+            return CallAdmission.ADMITTED;
+        }
+        Trial trial = mTrials.get(call);
+        if (trial != null && trial.callId() == callId) {
+            return trial.granted() ? CallAdmission.ADMITTED : CallAdmission.PENDING;
+        }
+        boolean claims = trial == null || trial.granted();
+        return claims && claimTrial(call, callId, requestId)
+                ? CallAdmission.PENDING
+                : CallAdmission.BLOCKED;
+    }
+
+    /** Returns whether a trial was due, so that its claim is being written. */
+    private boolean claimTrial(CallFingerprint call, long callId, String requestId) {
+        Stored stored = mStored.get(call);
+        Optional<CrashRecord> claim = mRecords.startTrial(call, System.currentTimeMillis());
+        if (claim.isEmpty()
+                || stored == null
+                || !stored.present()
+                || mWrites.contains(call)
+                || mContext.storeHealth().isUnavailable()) {
+            return false;
+        }
+        setTrial(call, new Trial(callId, false));
+        String key = StoreKeys.crashKey(call);
+        Transaction transaction =
+                Transaction.builder()
+                        .expect(key, stored.revision())
+                        .write(key, CrashCodec.encode(claim.get()))
+                        .build();
+        mStore.commit(transaction)
+                .thenAcceptAsync(
+                        mContext.callback(
+                                result -> onClaimed(call, callId, requestId, claim.get(), result)),
+                        mContext.executor());
+        return true;
+    }
+
+    private void onClaimed(
+            CallFingerprint call,
+            long callId,
+            String requestId,
+            CrashRecord claim,
+            Result<CommitResult> result) {
+        CommitResult commit = result.fold(done -> done, fault -> null);
+        boolean granted = commit != null && commit.isCommitted();
+        mContext.log()
+                .write(
+                        LogLine.of("call.trial")
+                                .with("request", requestId)
+                                .with("fingerprint", call)
+                                .with("endpoints", claim.endpoints().size())
+                                .with("pause_ms", claim.pauseMillis())
+                                .with("granted", granted));
+        if (granted && isNews(call, commit.revision())) {
+            setStored(call, commit.revision(), true);
+            mRecords.onReplaced(call, claim, System.nanoTime());
+        } else if (commit != null) {
+            commit.current().forEach(item -> apply(call, item));
+        }
+        Trial trial = mTrials.get(call);
+        if (trial == null || trial.callId() != callId) {
+            return;
+        }
+        if (granted) {
+            setTrial(call, new Trial(callId, true));
+        } else {
+            mTrials.remove(call);
+        }
+    }
+
+    private void setTrial(CallFingerprint call, Trial trial) {
+        mTrials.put(call, trial);
+        if (mTrials.size() > MAX_TRIALS) {
+            mTrials.remove(mTrials.keySet().iterator().next());
+        }
+    }
+
+    /** Returns when a caller of a blocked call may come back, in milliseconds. */
+    long retryAfterMillis(CallFingerprint call) {
+        return mRecords.retryAfterMillis(call, System.currentTimeMillis());
     }
 
     /** Returns whether a call that one endpoint may have run may be sent to another one. */
@@ -79,14 +178,11 @@
         return mRecords.contains(call);
     }
 
-    /** Handles the arrival of a call. */
-    void onArrival(CallFingerprint call) {
-        mRecords.onArrival(call, System.currentTimeMillis()).ifPresent(record -> write(call));
-    }
-
     /** Handles a connection that broke while an endpoint ran a call. */
     void onCrash(CallFingerprint call, String requestId, String endpoint) {
-        Optional<CrashRecord> record = mRecords.onCrash(call, endpoint, System.currentTimeMillis());
+        mTrials.remove(call);
+        Optional<CrashRecord> record =
+                mRecords.onCrash(call, endpoint, System.currentTimeMillis(), System.nanoTime());
         record.ifPresent(
                 updated -> {
                     mContext.log()
@@ -103,12 +199,40 @@
 
     /** Handles a response of an endpoint to a call. */
     void onAnswered(CallFingerprint call) {
+        mTrials.remove(call);
         if (mRecords.onAnswered(call)) {
             mWrites.addAnswered(call, System.nanoTime());
             writePending(System.nanoTime());
         }
     }
 
+    /**
+     * Handles a response of an endpoint to any call, which shows that no earlier call crashed it.
+     *
+     * @param endpoint the life of the endpoint
+     * @param sentAt when the call was sent
+     */
+    void onEndpointAnswered(String endpoint, long sentAt) {
+        if (mRecords.isEmpty() || mContext.storeHealth().isUnavailable()) {
+            return;
+        }
+        for (CallFingerprint call : mRecords.onAlive(endpoint, sentAt)) {
+            boolean blocked = mRecords.isBlocked(call);
+            mContext.log()
+                    .write(
+                            LogLine.of("call.cleared")
+                                    .with("fingerprint", call)
+                                    .with("endpoint", endpoint)
+                                    .with("blocked", blocked));
+            if (mRecords.contains(call)) {
+                mWrites.add(call, System.nanoTime());
+            } else {
+                mWrites.addAnswered(call, System.nanoTime());
+            }
+        }
+        writePending(System.nanoTime());
+    }
+
     /** Handles the end of a call that an endpoint was sent and did not answer. */
     void onUnanswered(CallFingerprint call, String requestId, String endpoint) {
         mUnanswered.add(
@@ -122,10 +246,6 @@
                 .forEach(call -> onCrash(call.call(), call.requestId(), endpoint));
     }
 
-    private void write(CallFingerprint call) {
-        write(call, 0);
-    }
-
     private void write(CallFingerprint call, long delayNanos) {
         mWrites.add(call, System.nanoTime() + delayNanos);
         writePending(System.nanoTime());
@@ -259,8 +379,13 @@
             return;
         }
         CrashRecord record = decode(item);
-        if (!record.endpoints().isEmpty()) {
-            mRecords.onShared(call, record);
+        if (record.endpoints().isEmpty()) {
+            return;
+        }
+        if (mWrites.contains(call)) {
+            mRecords.onShared(call, record, System.nanoTime());
+        } else {
+            mRecords.onReplaced(call, record, System.nanoTime());
         }
     }
 
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/EndpointExchange.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/EndpointExchange.java
@@ -55,6 +55,11 @@
         return mEndpoint;
     }
 
+    /** Returns when the request was about to be sent, in nanoseconds of the monotonic clock. */
+    final long createdAt() {
+        return mCreatedAt;
+    }
+
     /** Returns how long after the request the head arrived; -1 if it has not. */
     final long headMillis() {
         return mHead == null ? -1 : Nanos.toMillis(mHeadAt - mCreatedAt);
