Read results by windows, within a bound of memory

Cause: ResultReader kept all results of the 24 steps that were read or listed last, 166 MB in a heap of 160 MB, loaded a whole step for one position, and loaded it once for each reader. None of it was in the account of memory.

Change: a read loads the values around its position (a thirty-second of the account's limit, 2 MiB at most; a response has up to 1 MB), claims them while they are read, and shares the load with other readers of the step. The cache takes an eighth of the limit beside the account; a window that is evicted keeps its end and revision, so that reads at the end still wait for changes, and where values begin, so that the next load starts there. Without memory a read gets 503.

--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/ResultReader.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/ResultReader.java
@@ -1,6 +1,7 @@
 package org.ebonyrun.daemon.hosted;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
@@ -8,6 +9,9 @@
 import org.ebonyrun.base.eventloop.EventLoopCallbacks;
 import org.ebonyrun.base.log.EventLog;
 import org.ebonyrun.base.log.LogLine;
+import org.ebonyrun.base.memory.MemoryAccount;
+import org.ebonyrun.base.memory.MemoryClaim;
+import org.ebonyrun.base.memory.MemoryClass;
 import org.ebonyrun.base.result.Fault;
 import org.ebonyrun.base.result.Result;
 import org.ebonyrun.base.time.MonotonicClock;
@@ -15,9 +19,7 @@
 import org.ebonyrun.core.step.SampleResult;
 import org.ebonyrun.core.step.StepId;
 import org.ebonyrun.ports.store.SharedStore;
-import org.ebonyrun.ports.store.StoreChange;
 import org.ebonyrun.ports.store.StoreChanges;
-import org.ebonyrun.ports.store.StoreItem;
 
 /**
  * Reads listed results, from memory if they are cached and from the shared store otherwise.
@@ -26,6 +28,8 @@
  *
  * <ul>
  *   <li>A cached result was acknowledged by the store, and its position never changes.
+ *   <li>The cache takes a fixed share of the memory, beside the account. A load claims what it
+ *       reads, which is a window around a position; one is open for a step.
  *   <li>A read reports that a position has no result yet only if that was so at some moment after
  *       the read began. Three sources show this: the owner's list while it is authoritative, a load
  *       from the store, or a watch that returned no change. The store may return changes in parts,
@@ -38,8 +42,11 @@
  * <p>Not thread safe; confined to the event loop behind {@code executor}.
  */
 final class ResultReader {
-    private static final int MAX_STEPS = 24;
     private static final long MAX_WAIT_MILLIS = 1_000;
+    // A response takes up to 1 MB; callers go on where it ends.
+    private static final long MAX_WINDOW_BYTES = 2 * 1024 * 1024;
+    private static final int WINDOW_SHARE = 32;
+    private static final int CACHE_SHARE = 8;
 
     /** Provides the steps that this process owns and the results that it has listed. */
     interface Ownership {
@@ -62,39 +69,6 @@
         void onFault(Fault fault);
     }
 
-    /** The cached results of one step, from its first position on without a gap. */
-    private static final class CachedResults {
-        final List<SampleResult> mResults = new ArrayList<>();
-        // The store revision up to which changes were applied; zero if a load must come first.
-        long mRevision;
-
-        /** Adds the new results of a list that starts with the cached ones. */
-        void adopt(List<SampleResult> listed) {
-            if (listed.size() > mResults.size()) {
-                mResults.addAll(listed.subList(mResults.size(), listed.size()));
-            }
-        }
-
-        /** Applies one change. A change that would leave a gap makes a load necessary. */
-        void apply(StoreChange change) {
-            StoreItem item = change.item();
-            if (item == null) {
-                return;
-            }
-            int position = StoreKeys.resultPosition(item.key());
-            if (position == mResults.size()) {
-                mResults.addAll(StepCodec.results(item.value()));
-            } else if (position > mResults.size()) {
-                mRevision = 0;
-            }
-        }
-
-        List<SampleResult> from(int position) {
-            int begin = Math.min(position, mResults.size());
-            return mResults.subList(begin, mResults.size());
-        }
-    }
-
     /** An open read. */
     private record Read(StepId step, int samples, int from, long deadline, Callback callback) {
         long waitMillis(long now) {
@@ -108,7 +82,11 @@
     private final Executor mExecutor;
     private final MonotonicClock mClock;
     private final EventLog mLog;
-    private final Map<StepId, CachedResults> mCache = StepReader.newLruMap(MAX_STEPS);
+    private final MemoryAccount mMemory;
+    private final ResultCache mCache;
+    private final long mWindowBytes;
+    // By step that is being loaded, the reads that begin again afterwards.
+    private final Map<StepId, List<Read>> mLoading = new HashMap<>();
     // Reads of owned steps that wait until this process lists further results.
     private final List<Read> mWaiting = new ArrayList<>();
 
@@ -117,12 +95,16 @@
             Ownership ownership,
             Executor executor,
             MonotonicClock clock,
+            MemoryAccount memory,
             EventLog log) {
         mSharedStore = shared;
         mStepStore = new StepStore(shared);
         mOwnership = ownership;
         mExecutor = executor;
         mClock = clock;
+        mMemory = memory;
+        mCache = new ResultCache(memory.limit() / CACHE_SHARE);
+        mWindowBytes = Math.min(MAX_WINDOW_BYTES, memory.limit() / WINDOW_SHARE);
         mLog = log;
     }
 
@@ -140,105 +122,127 @@
     }
 
     private void start(Read read) {
-        CachedResults cached = cached(read.step());
-        cached.adopt(mOwnership.listedResults(read.step()));
-        if (isComplete(read, cached)) {
-            complete(read, cached);
-        } else if (mOwnership.owns(read.step())) {
+        if (tryComplete(read)) {
+            return;
+        }
+        if (mOwnership.owns(read.step())) {
             mWaiting.add(read);
         } else {
-            readFromStore(read, cached);
+            readFromStore(read);
         }
     }
 
-    private void readFromStore(Read read, CachedResults cached) {
-        if (cached.mRevision == 0) {
-            mStepStore
-                    .loadResults(read.step())
-                    .thenAcceptAsync(
-                            EventLoopCallbacks.rethrowing(
-                                    mExecutor, result -> onLoaded(read, result)),
-                            mExecutor);
+    /** Completes a read if its results are known, or there can't be any. */
+    private boolean tryComplete(Read read) {
+        List<SampleResult> listed = mOwnership.listedResults(read.step());
+        ResultWindow window = mCache.window(read.step());
+        if (listed.size() > read.from()) {
+            read.callback().onResults(listed.subList(read.from(), listed.size()));
+        } else if (window.contains(read.from())) {
+            read.callback().onResults(window.from(read.from()));
+        } else if (read.from() >= read.samples()) {
+            read.callback().onResults(List.of());
         } else {
-            watch(read, cached);
+            return false;
         }
+        return true;
     }
 
-    private CachedResults cached(StepId step) {
-        return mCache.computeIfAbsent(step, ignored -> new CachedResults());
-    }
-
-    private static boolean isComplete(Read read, CachedResults cached) {
-        return cached.mResults.size() > read.from() || read.from() >= read.samples();
+    private void readFromStore(Read read) {
+        ResultWindow window = mCache.window(read.step());
+        if (window.revision() != 0 && read.from() >= window.end()) {
+            watch(read, window);
+            return;
+        }
+        List<Read> waiting = mLoading.get(read.step());
+        if (waiting == null) {
+            load(read, window.valueStartBefore(read.from()));
+        } else {
+            waiting.add(read);
+        }
     }
 
-    private static void complete(Read read, CachedResults cached) {
-        read.callback().onResults(cached.from(read.from()));
+    private void load(Read read, int start) {
+        MemoryClaim memory = mMemory.open(MemoryClass.STEP);
+        ResultCollector collector = new ResultCollector(start, read.from(), mWindowBytes, memory);
+        mLoading.put(read.step(), new ArrayList<>());
+        mStepStore
+                .loadResults(read.step(), start, collector)
+                .thenAcceptAsync(
+                        EventLoopCallbacks.rethrowing(
+                                mExecutor,
+                                result -> {
+                                    onLoaded(read, collector, result);
+                                    memory.release();
+                                }),
+                        mExecutor);
     }
 
-    private void onLoaded(Read read, Result<StoredStep> result) {
+    private void onLoaded(Read read, ResultCollector collector, Result<Long> result) {
+        List<Read> waiting = mLoading.remove(read.step());
         result.fold(
-                stored -> {
-                    CachedResults cached = cached(read.step());
-                    cached.adopt(stored.results());
-                    cached.mRevision = Math.max(cached.mRevision, stored.revision());
-                    if (isComplete(read, cached)) {
-                        complete(read, cached);
-                    } else if (read.waitMillis(mClock.nanoTime()) > 0) {
-                        watch(read, cached);
-                    } else {
-                        completeEmpty(read, "load", stored.revision());
+                revision -> {
+                    ResultWindow window = mCache.window(read.step());
+                    window.onLoaded(collector, revision);
+                    if (!tryComplete(read)) {
+                        onAbsent(read, window, revision);
                     }
-                    return stored;
+                    waiting.forEach(this::start);
+                    return revision;
                 },
-                fault -> fail(read, fault));
+                fault -> {
+                    waiting.forEach(other -> fail(other, fault));
+                    return fail(read, fault);
+                });
+        mCache.trim();
     }
 
-    private void watch(Read read, CachedResults cached) {
+    private void onAbsent(Read read, ResultWindow window, long revision) {
+        if (read.waitMillis(mClock.nanoTime()) > 0) {
+            watch(read, window);
+        } else {
+            completeEmpty(read, "load", revision);
+        }
+    }
+
+    private void watch(Read read, ResultWindow window) {
         long wait = Math.max(1, read.waitMillis(mClock.nanoTime()));
         mSharedStore
-                .watch(StoreKeys.resultsPrefix(read.step()), cached.mRevision, wait, false)
+                .watch(StoreKeys.resultsPrefix(read.step()), window.revision(), wait, false)
                 .thenAcceptAsync(
                         EventLoopCallbacks.rethrowing(
-                                mExecutor, result -> onWatched(read, cached, result)),
+                                mExecutor, result -> onWatched(read, window, result)),
                         mExecutor);
     }
 
-    private void onWatched(Read read, CachedResults cached, Result<StoreChanges> result) {
+    private void onWatched(Read read, ResultWindow window, Result<StoreChanges> result) {
         result.fold(
                 changes -> {
                     if (changes.historyCompacted()) {
-                        cached.mRevision = 0;
+                        window.onHistoryLost();
                     } else {
-                        applyChanges(cached, changes);
+                        window.apply(changes.changes(), changes.revision());
                     }
                     boolean noChanges = !changes.historyCompacted() && changes.changes().isEmpty();
-                    if (isComplete(read, cached)) {
-                        complete(read, cached);
-                    } else if (noChanges && cached.mRevision != 0) {
-                        completeEmpty(read, "watch", changes.revision());
-                    } else {
-                        readFromStore(read, cached);
+                    if (!tryComplete(read)) {
+                        if (noChanges && window.revision() != 0) {
+                            completeEmpty(read, "watch", changes.revision());
+                        } else {
+                            readFromStore(read);
+                        }
                     }
+                    mCache.trim();
                     return changes;
                 },
                 fault -> fail(read, fault));
     }
 
-    private static void applyChanges(CachedResults cached, StoreChanges changes) {
-        // Zero marks a load that is still needed, so it must not be overwritten.
-        if (cached.mRevision != 0) {
-            cached.mRevision = Math.max(cached.mRevision, changes.revision());
-        }
-        changes.changes().forEach(cached::apply);
-    }
-
     private void completeEmpty(Read read, String source, long revision) {
         mLog.write(
                 LogLine.of("step.read.none")
                         .with("step", read.step())
                         .with("from", read.from())
-                        .with("known", cached(read.step()).mResults.size())
+                        .with("known", mCache.window(read.step()).end())
                         .with("source", source)
                         .with("revision", revision));
         read.callback().onResults(List.of());
@@ -251,8 +255,9 @@
 
     /** Caches results that this process has listed as the owner of a step. */
     void onListed(StepId step, List<SampleResult> listed) {
-        cached(step).adopt(listed);
+        mCache.window(step).adopt(listed);
         completeWaiting(mClock.nanoTime());
+        mCache.trim();
     }
 
     /** Ends the wait of reads whose deadline has passed or whose step is no longer owned. */
@@ -266,21 +271,17 @@
         List<Read> unresolved = new ArrayList<>();
         for (Iterator<Read> it = mWaiting.iterator(); it.hasNext(); ) {
             Read read = it.next();
-            CachedResults cached = cached(read.step());
-            // The step may have been handed over and claimed again since the read began.
-            cached.adopt(mOwnership.listedResults(read.step()));
             boolean expired = now - read.deadline() >= 0;
-            if (isComplete(read, cached)) {
+            if (tryComplete(read)) {
                 it.remove();
-                complete(read, cached);
             } else if (expired && mOwnership.isAuthoritative(read.step())) {
                 it.remove();
-                completeEmpty(read, "owner", cached.mRevision);
+                completeEmpty(read, "owner", mCache.window(read.step()).revision());
             } else if (expired || !mOwnership.owns(read.step())) {
                 it.remove();
                 unresolved.add(read);
             }
         }
-        unresolved.forEach(read -> readFromStore(read, cached(read.step())));
+        unresolved.forEach(this::readFromStore);
     }
 }
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/StepReader.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/StepReader.java
@@ -2,7 +2,6 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
@@ -81,21 +80,10 @@
                         ownership,
                         context.executor(),
                         MonotonicClock.system(),
+                        context.memory(),
                         context.log());
     }
 
-    /** Creates a map that evicts the least recently used step above a number of entries. */
-    static <V> Map<StepId, V> newLruMap(int maxSize) {
-        return new LinkedHashMap<>(maxSize, 0.75f, true) {
-            private static final long serialVersionUID = 1;
-
-            @Override
-            protected boolean removeEldestEntry(Map.Entry<StepId, V> eldest) {
-                return size() > maxSize;
-            }
-        };
-    }
-
     /**
      * Reads results.
      *
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/StepStore.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/StepStore.java
@@ -292,9 +292,15 @@
         return collect(StoreKeys.dataPrefix(id), StoreKeys.afterChunks(id));
     }
 
-    /** Reads only the results of a step. */
-    CompletableFuture<Result<StoredStep>> loadResults(StepId id) {
-        return collect(StoreKeys.resultsPrefix(id), "");
+    /**
+     * Reads the results of a step around a position.
+     *
+     * @param start the position of a value at the position or before it; zero if none is known
+     * @return the store revision at which the first page was read
+     */
+    CompletableFuture<Result<Long>> loadResults(StepId id, int start, ResultCollector collector) {
+        String after = start == 0 ? "" : StoreKeys.resultKey(id, start - 1);
+        return StorePages.forEachWhile(mStore, StoreKeys.resultsPrefix(id), after, collector::add);
     }
 
     private CompletableFuture<Result<StoredStep>> collect(String prefix, String after) {
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/StorePages.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/StorePages.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
+import java.util.function.Predicate;
 import org.ebonyrun.base.memory.MemoryRefusedException;
 import org.ebonyrun.base.result.Fault;
 import org.ebonyrun.base.result.FaultCode;
@@ -39,6 +40,19 @@
      */
     static CompletableFuture<Result<Long>> forEach(
             SharedStore store, String prefix, String after, Consumer<StoreItem> sink) {
+        return forEachWhile(
+                store,
+                prefix,
+                after,
+                item -> {
+                    sink.accept(item);
+                    return true;
+                });
+    }
+
+    /** As {@link #forEach}, until the sink returns false for an item. */
+    static CompletableFuture<Result<Long>> forEachWhile(
+            SharedStore store, String prefix, String after, Predicate<StoreItem> sink) {
         return forEach(store, prefix, after, sink, 0, 0);
     }
 
@@ -46,7 +60,7 @@
             SharedStore store,
             String prefix,
             String after,
-            Consumer<StoreItem> sink,
+            Predicate<StoreItem> sink,
             int count,
             long revision) {
         return store.range(prefix, after)
@@ -61,11 +75,12 @@
             SharedStore store,
             String prefix,
             StorePage page,
-            Consumer<StoreItem> sink,
+            Predicate<StoreItem> sink,
             int before,
             long revision) {
+        boolean goesOn;
         try {
-            page.items().forEach(sink);
+            goesOn = page.items().stream().allMatch(sink);
         } catch (IllegalArgumentException e) {
             return failed(
                     Fault.unknown(
@@ -78,7 +93,7 @@
         }
         int count = before + page.items().size();
         long first = revision == 0 ? page.revision() : revision;
-        if (!page.truncated() || page.items().isEmpty()) {
+        if (!goesOn || !page.truncated() || page.items().isEmpty()) {
             return CompletableFuture.completedFuture(Result.ok(first));
         }
         if (count >= MAX_ITEMS) {
--- a/ebonyrun-daemon/src/test/java/org/ebonyrun/daemon/hosted/EntryMemoryTest.java
+++ b/ebonyrun-daemon/src/test/java/org/ebonyrun/daemon/hosted/EntryMemoryTest.java
@@ -21,7 +21,11 @@
 import java.util.stream.IntStream;
 import java.util.stream.LongStream;
 import java.util.stream.Stream;
+import org.ebonyrun.base.json.JsonTrees;
+import org.ebonyrun.core.step.SampleResult;
+import org.ebonyrun.core.step.StepId;
 import org.ebonyrun.platform.standin.StandinDeployment;
+import org.ebonyrun.platform.standin.StandinStore;
 import org.ebonyrun.ports.http.AsyncHttpClient;
 import org.ebonyrun.ports.http.HttpRequest;
 import org.ebonyrun.ports.http.HttpResponse;
@@ -49,6 +53,7 @@
     private static final int STARVED = -GATEWAY_TIMEOUT;
     // Half of the time that the stand-in's configuration gives to calls.
     private static final long MAX_DELAY_MILLIS = 1_000;
+    private static final int LARGE_STEPS = 27;
     private static final int SMALL_CALLERS = 8;
     private static final int MIXED_CALLERS = 12;
     private static final int MIXED_REQUESTS = 8;
@@ -287,6 +292,66 @@
                 });
     }
 
+    /** Stores a finished step; each value has results of {@code texts} with the same text. */
+    private void storeResults(String step, int values, int texts, String text) {
+        StepId id = StepId.of(step);
+        StandinStore store = mDeployment.platform().store();
+        long now = System.currentTimeMillis();
+        StepManifest manifest =
+                new StepManifest(
+                        StandinDeployment.host(), "/step/", "m", 1, 1, values * texts, null, now);
+        mDeployment.platform().put(StoreKeys.liveKey(id, StoreKeys.DONE), "1");
+        store.put(
+                StoreKeys.liveKey(id, StoreKeys.MANIFEST),
+                Base64.getEncoder().encodeToString(StepCodec.manifest(manifest)),
+                0);
+        List<SampleResult> results = new ArrayList<>();
+        for (int i = 0; i < texts; i++) {
+            results.add(new SampleResult("s" + i, true, text, List.of(1), ""));
+        }
+        String value = Base64.getEncoder().encodeToString(StepCodec.results(results));
+        for (int i = 0; i < values; i++) {
+            store.put(StoreKeys.resultKey(id, i * texts), value, 0);
+        }
+    }
+
+    /** Reads all results of a step page by page; returns their number, or an unexpected status. */
+    private CompletableFuture<Integer> readAll(EntryProcess entry, String step, int from) {
+        return request(entry, "GET", "/lots/" + step + "?after=" + from, "", new byte[0])
+                .thenCompose(
+                        response -> {
+                            if (response.status() == 503) {
+                                return readAll(entry, step, from);
+                            }
+                            if (response.status() != 200) {
+                                return CompletableFuture.completedFuture(-response.status());
+                            }
+                            int next = JsonTrees.read(response.body()).path("next").asInt();
+                            return next == from
+                                    ? CompletableFuture.completedFuture(from)
+                                    : readAll(entry, step, next);
+                        });
+    }
+
+    // Review case 8.
+    @Test
+    void resultsOfManyLargeStepsAreReadWithinMemory() {
+        String text = "x".repeat(48_000);
+        for (int i = 0; i < LARGE_STEPS; i++) {
+            storeResults("large-" + i, 12, 12, text);
+        }
+        runBesideSmallCalls(
+                () -> {
+                    List<CompletableFuture<Integer>> reads = new ArrayList<>();
+                    for (int i = 0; i < 2 * LARGE_STEPS; i++) {
+                        EntryProcess entry = mEntries.get(i % mEntries.size());
+                        reads.add(readAll(entry, "large-" + i % LARGE_STEPS, 0));
+                    }
+                    List<Integer> counts = reads.stream().map(CompletableFuture::join).toList();
+                    assertThat(counts, everyItem(is(12 * 12)));
+                });
+    }
+
     @Test
     void anIdleEntryServesBodiesOfNearlyTheLargestSize() {
         byte[] call = new byte[MAX_BODY_BYTES];
--- a/ebonyrun-daemon/src/test/java/org/ebonyrun/daemon/hosted/ResultReaderTest.java
+++ b/ebonyrun-daemon/src/test/java/org/ebonyrun/daemon/hosted/ResultReaderTest.java
@@ -11,6 +11,7 @@
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
 import org.ebonyrun.base.log.EventLog;
+import org.ebonyrun.base.memory.MemoryAccount;
 import org.ebonyrun.base.result.Fault;
 import org.ebonyrun.base.result.FaultCode;
 import org.ebonyrun.base.result.Result;
@@ -23,7 +24,7 @@
 import org.ebonyrun.ports.store.StorePage;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
-import org.junit.jupiter.params.provider.ValueSource;
+import org.junit.jupiter.params.provider.CsvSource;
 
 /**
  * Simulates reads of a step at three processes while its ownership moves between them and the owner
@@ -117,6 +118,7 @@
     }
 
     private final EventLog mLog = EventLog.start(OutputStream.nullOutputStream());
+    private MemoryAccount mMemory = MemoryAccount.unlimited();
     private final List<Runnable> mPending = new ArrayList<>();
     private final List<String> mViolations = new ArrayList<>();
     private final ResultReader[] mReaders = new ResultReader[READERS];
@@ -160,7 +162,7 @@
                         return mOwner == index ? List.copyOf(mListed) : List.of();
                     }
                 };
-        return new ResultReader(mStore, ownership, Runnable::run, () -> mNow, mLog);
+        return new ResultReader(mStore, ownership, Runnable::run, () -> mNow, mMemory, mLog);
     }
 
     private void begin(long seed) {
@@ -295,8 +297,10 @@
     }
 
     @ParameterizedTest
-    @ValueSource(longs = {1, 2, 3, 4, 5})
-    void readsAreMonotonicAcrossProcesses(long seed) {
+    @CsvSource({"1, 0", "2, 0", "3, 0", "4, 0", "5, 0", "6, 60000", "7, 16000", "8, 4000"})
+    void readsAreMonotonicAcrossProcesses(long seed, long memoryBytes) {
+        mMemory =
+                memoryBytes == 0 ? MemoryAccount.unlimited() : MemoryAccount.withLimit(memoryBytes);
         int returnedTotal = 0;
         for (int run = 0; run < RUNS; run++) {
             String description = "seed " + seed + " run " + run;
--- a/ebonyrun-daemon/src/test/java/org/ebonyrun/daemon/hosted/StepProcess.java
+++ b/ebonyrun-daemon/src/test/java/org/ebonyrun/daemon/hosted/StepProcess.java
@@ -215,7 +215,8 @@
      */
     int read(StepId id, int from, int samples) {
         List<Integer> read = new ArrayList<>();
-        ResultReader reader = new ResultReader(mStore, mOwnership, executor(), () -> mNow, log());
+        ResultReader reader =
+                new ResultReader(mStore, mOwnership, executor(), () -> mNow, memory(), log());
         reader.read(
                 id,
                 samples,
