Report the usage of calls that ran before the first holder of the duties

Cause: a holder that finds nothing fixed in the store began with the window of that moment. Calls that ran in earlier windows, while the entries were still choosing the first holder, were stored by their entries and asked for by nobody.

If what holders have fixed is unreadable, it begins with its own window as before, since others may have been reported.

--- a/ebonyrun-core/src/main/java/org/ebonyrun/core/usage/UsageLedger.java
+++ b/ebonyrun-core/src/main/java/org/ebonyrun/core/usage/UsageLedger.java
@@ -35,6 +35,8 @@
     private final TreeMap<Long, SortedMap<WorkspaceName, Long>> mUnanswered = new TreeMap<>();
     private boolean mKnown;
     private long mNextWindow;
+    // The window in which what is stored was read; earlier ones may be from before the first call.
+    private long mFirstOwnWindow;
     private OptionalLong mOnItsWay = OptionalLong.empty();
     private long mRetryNanos = RETRY_NANOS;
     private boolean mWaiting;
@@ -80,6 +82,7 @@
         mKnown = true;
         mUnanswered.clear();
         mNextWindow = mTimes.windowAt(wallMillis);
+        mFirstOwnWindow = mNextWindow;
         stored.ifPresent(
                 state -> {
                     mNextWindow = state.nextWindow();
@@ -87,6 +90,15 @@
                 });
     }
 
+    /**
+     * Handles that no holder has fixed anything. Calls may have run before there was a holder, so
+     * the windows that entries still keep are fixed, too, from the first one with calls on.
+     */
+    public void onNothingStored(long wallMillis) {
+        onRead(Optional.empty(), wallMillis);
+        mNextWindow = mTimes.windowAt(wallMillis - UsageCounts.KEPT_MILLIS);
+    }
+
     /** Returns whether the counts of a window have to be fixed. */
     public boolean isFixDue(long wallMillis) {
         return mKnown && mNextWindow <= mTimes.lastFixable(wallMillis);
@@ -110,7 +122,10 @@
         // The counts of windows before that are gone from the entries.
         long first = Math.max(mNextWindow, last + 1 - MAX_UNANSWERED);
         for (long window = first; window <= last; window++) {
-            unanswered.put(window, counts.apply(window));
+            SortedMap<WorkspaceName, Long> count = counts.apply(window);
+            if (window >= mFirstOwnWindow || !unanswered.isEmpty() || !count.isEmpty()) {
+                unanswered.put(window, count);
+            }
         }
         while (unanswered.size() > MAX_UNANSWERED) {
             unanswered.pollFirstEntry();
--- a/ebonyrun-core/src/test/java/org/ebonyrun/core/usage/UsageLedgerTest.java
+++ b/ebonyrun-core/src/test/java/org/ebonyrun/core/usage/UsageLedgerTest.java
@@ -66,6 +66,31 @@
         assertThat(fixAt(14_000).unanswered().keySet().toString(), is("[201]"));
     }
 
+    /** Guards against usage that no report contains, since the first holder came late. */
+    @ParameterizedTest
+    @CsvSource({"200, '[200, 201]'", "199, '[199, 200, 201]'", "197, '[197, 198, 199, 200, 201]'"})
+    void callsBeforeTheFirstHolderAreReported(long firstWithCalls, String reported) {
+        mLedger.onNothingStored(START + 10);
+        UsageLedgerState state =
+                mLedger.fix(
+                        window -> window == firstWithCalls ? count(3) : ImmutableSortedMap.of(),
+                        START + 14_000);
+
+        assertThat(state.unanswered().keySet().toString(), is(reported));
+        assertThat(state.unanswered().get(firstWithCalls), is(count(3)));
+        assertThat(state.nextWindow(), is(202L));
+    }
+
+    @Test
+    void nothingBeforeTheFirstHolderIsReportedIfNothingRan() {
+        mLedger.onNothingStored(START + 10);
+        assertThat(mLedger.isFixDue(START + 8_999), is(true));
+        UsageLedgerState early = mLedger.fix(window -> ImmutableSortedMap.of(), START + 8_999);
+
+        assertThat(early.unanswered().isEmpty(), is(true));
+        assertThat(early.nextWindow(), is(200L));
+    }
+
     @Test
     void aReportWithoutAnAnswerIsRepeatedAlsoByASuccessor() {
         mLedger.onRead(Optional.empty(), START + 10);
--- a/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/UsageController.java
+++ b/ebonyrun-daemon/src/main/java/org/ebonyrun/daemon/hosted/UsageController.java
@@ -136,8 +136,11 @@
         }
         Optional<StoreItem> item = result.fold(found -> found, fault -> Optional.empty());
         mReportRevision = item.map(StoreItem::revision).orElse(Transaction.ABSENT);
-        Optional<UsageLedgerState> state = item.flatMap(this::decodeState);
-        mLedger.onRead(state, System.currentTimeMillis());
+        if (item.isPresent()) {
+            mLedger.onRead(decodeState(item.get()), System.currentTimeMillis());
+        } else {
+            mLedger.onNothingStored(System.currentTimeMillis());
+        }
         mContext.log()
                 .write(
                         LogLine.of("usage.begin")
