Let a caller that still sends a malformed head read its refusal

Cause: after a request that can't be parsed the connection was closed with input unread, and the reset that follows from it discards what the caller has not read yet. Refused bodies are read to their end; a malformed request has no end.

Change: the output is shut down after the refusal, and input is discarded without being parsed until the caller ends, at most 1 MiB of it; then nothing more is read. Such a connection ends by the idle timeout, which discarded input does not renew. As many linger at a time as refused bodies may, together.

HostileClientsTest (31 kinds) passes.

--- a/ebonyrun-ports/src/main/java/org/ebonyrun/ports/http/FrontConnection.java
+++ b/ebonyrun-ports/src/main/java/org/ebonyrun/ports/http/FrontConnection.java
@@ -30,6 +30,8 @@
 
     // The slowest rate at which a caller may send the body of a request.
     private static final long MIN_BODY_BYTES_PER_SECOND = 1_024;
+    // How much is read after a request that can't be parsed.
+    private static final long MAX_DISCARDED_BYTES = 1 << 20;
 
     private final Connection<?> mConnection;
     private final FrontListener mListener;
@@ -46,6 +48,8 @@
     private boolean mIgnoresInput;
     private boolean mClosed;
     private boolean mExpectsInputEnd;
+    private boolean mIsUnreadable;
+    private long mDiscardedBytes;
     private boolean mResponsesSent;
     private boolean mHasServed;
 
@@ -116,6 +120,27 @@
         mExpectsInputEnd = true;
     }
 
+    /** Handles a request that can't be parsed, so that its end is not found either. */
+    synchronized void onUnreadable() {
+        mIsUnreadable = true;
+    }
+
+    /** Returns whether input that was read is discarded, since no request can be found in it. */
+    boolean discards(int bytes) {
+        boolean tooMuch;
+        synchronized (this) {
+            if (!mIsUnreadable) {
+                return false;
+            }
+            mDiscardedBytes += bytes;
+            tooMuch = mDiscardedBytes > MAX_DISCARDED_BYTES;
+        }
+        if (tooMuch) {
+            setReading(false);
+        }
+        return true;
+    }
+
     /** Handles the end of the request that was refused before its end. */
     void onInputEnd() {
         boolean close;
--- a/ebonyrun-ports/src/main/java/org/ebonyrun/ports/http/FrontServer.java
+++ b/ebonyrun-ports/src/main/java/org/ebonyrun/ports/http/FrontServer.java
@@ -270,6 +270,10 @@
                 read.tryDispose();
                 return ctx.getStopAction();
             }
+            if (connection.discards(read.remaining())) {
+                read.tryDispose();
+                return ctx.getStopAction();
+            }
             byte[] bytes = new byte[read.remaining()];
             read.get(bytes);
             read.tryDispose();
@@ -343,7 +347,7 @@
         private void refuse(HttpRequestPacket packet, FilterChainContext ctx) {
             int status = Math.max(packet.getResponse().getStatus(), BAD_REQUEST);
             FrontConnection connection = of(ctx.getConnection());
-            connection.submit(FrontExchange.refusal(connection, status, HttpHeaders.empty()));
+            connection.reader().refuseUnreadable(status);
         }
     }
 
--- a/ebonyrun-ports/src/main/java/org/ebonyrun/ports/http/RequestReader.java
+++ b/ebonyrun-ports/src/main/java/org/ebonyrun/ports/http/RequestReader.java
@@ -139,6 +139,29 @@
         }
     }
 
+    /**
+     * Refuses a request that can't be parsed. The caller may still be sending it, and would lose
+     * the refusal if the connection were closed meanwhile.
+     */
+    synchronized void refuseUnreadable(int status) {
+        if (mClosed || mIsWaiting) {
+            mConnection.submit(FrontExchange.refusal(mConnection, status, HttpHeaders.empty()));
+            return;
+        }
+        endPending();
+        mConnection.setPendingBody(null, System.nanoTime());
+        mConnection.onUnreadable();
+        linger();
+        mConnection.submit(FrontExchange.refusal(mConnection, status, HttpHeaders.empty()));
+    }
+
+    private void linger() {
+        if (!mLingers && mWaiting.tryLinger()) {
+            mLingers = true;
+            mConnection.expectInputEnd();
+        }
+    }
+
     /** Handles a part of a request, in the order in which they were read. */
     synchronized void onContent(HttpRequestPacket packet, @Nullable Buffer buffer, boolean last) {
         if (mClosed) {
@@ -344,9 +367,8 @@
         endPending();
         mConnection.setPendingBody(null, System.nanoTime());
         mRefused = packet;
-        if (!last && !mLingers && mWaiting.tryLinger()) {
-            mLingers = true;
-            mConnection.expectInputEnd();
+        if (!last) {
+            linger();
         }
         HttpHeaders headers =
                 status == UNAVAILABLE ? mMemory.refusalHeaders() : HttpHeaders.empty();
