Draw freezes and kills among the owners of a step

StepOwnershipOrdersTest found none of the orders in which a former owner comes back after others have finished its step: the processes took turns at every event, and too few samples were completed. Now and then one process is frozen for 10 to 60 events while its lease ends; others may be killed before it goes on and reads what it has missed, before or after it learns that its lease is gone. Leases that nobody renews end.

--- a/ebonyrun-daemon/src/test/java/org/ebonyrun/daemon/hosted/InMemoryStore.java
+++ b/ebonyrun-daemon/src/test/java/org/ebonyrun/daemon/hosted/InMemoryStore.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
 import org.ebonyrun.base.result.Fault;
@@ -51,6 +52,15 @@
         mRevision++;
     }
 
+    /**
+     * Ends all leases but the given ones, as if time had passed in which only those were renewed.
+     */
+    void retainLeases(Set<Long> leases) {
+        mLeases.keySet().retainAll(leases);
+        mItems.values().removeIf(item -> item.lease() != 0 && !mLeases.containsKey(item.lease()));
+        mRevision++;
+    }
+
     /** Ends the leases that were granted without time to live and were not renewed since. */
     void endLapsedLeases() {
         mLeases.values().removeIf(ttl -> ttl == 0);
--- a/ebonyrun-daemon/src/test/java/org/ebonyrun/daemon/hosted/StepOwnershipOrdersTest.java
+++ b/ebonyrun-daemon/src/test/java/org/ebonyrun/daemon/hosted/StepOwnershipOrdersTest.java
@@ -19,16 +19,16 @@
 import org.junit.jupiter.params.provider.MethodSource;
 
 /**
- * Draws orders of events at three processes that share a store: cuts, lost responses, ends of
- * leases, late watches, completed runs and reads. Guards against reads that deny what was read,
- * samples that are listed twice, runs that go on after their step has ended, and steps that nobody
- * finishes.
+ * Draws orders of events at three processes that share a store: cuts, freezes, kills, lost
+ * responses, ends of leases, late watches, completed runs and reads. Guards against reads that deny
+ * what was read, samples that are listed twice, runs that go on after their step has ended, and
+ * steps that nobody finishes.
  */
 class StepOwnershipOrdersTest {
     private static final int PROCESSES = 3;
     private static final int STEPS = 2;
     private static final int SAMPLES = 5;
-    private static final int EVENTS = 120;
+    private static final int EVENTS = 200;
     private static final int MAX_ROUNDS = 80;
     private static final byte[] OTHER = StepProcess.submission(1, 8);
 
@@ -37,6 +37,10 @@
     private final List<StepProcess> mProcesses = new ArrayList<>();
     private final int[] mMaxRead = new int[STEPS];
     private final boolean[] mEnded = new boolean[STEPS];
+    // A process that is frozen, and for how many events more.
+    private int mFrozen;
+    private int mFrozenEvents;
+    private int mStarts;
     private String mOrder = "";
 
     private static Stream<Long> seeds() {
@@ -72,17 +76,77 @@
         mLinks.forEach(link -> link.setCallsPerLoss(0));
         mStore.setTtl(60_000);
         mStore.endLapsedLeases();
+        endLeasesOf(mFrozenEvents > 0 ? mFrozen : PROCESSES);
         finish();
         for (int i = 0; i < STEPS; i++) {
             assertListedOnce(i);
         }
     }
 
-    private void playEvent(Random random) {
+    /**
+     * Draws a process. Now and then one is frozen for some events, in which its lease ends, and
+     * others may be killed before it goes on and reads what it has missed.
+     */
+    private int drawProcess(Random random) {
+        if (mFrozenEvents == 0 && random.nextInt(30) == 0) {
+            mFrozen = random.nextInt(PROCESSES);
+            mFrozenEvents = 10 + random.nextInt(50);
+            mOrder += " freeze@" + mFrozen;
+            endLeasesOf(mFrozen);
+        }
         int number = random.nextInt(PROCESSES);
+        if (mFrozenEvents == 0) {
+            return number;
+        }
+        mFrozenEvents--;
+        if (mFrozenEvents == 0) {
+            mOrder += " thaw@" + mFrozen;
+            for (int i = 0; i < PROCESSES; i++) {
+                if (i != mFrozen && random.nextBoolean()) {
+                    kill(i, random);
+                }
+            }
+            mLinks.get(mFrozen).setCut(false);
+            mLinks.get(mFrozen).setCallsPerLoss(0);
+            boolean leaseFirst = random.nextBoolean();
+            if (leaseFirst) {
+                mProcesses.get(mFrozen).thaw();
+            }
+            readSnapshot(mFrozen);
+            if (!leaseFirst) {
+                mProcesses.get(mFrozen).thaw();
+            }
+            mLinks.get(mFrozen).setCallsPerLoss(12);
+        }
+        return number == mFrozen ? (number + 1) % PROCESSES : number;
+    }
+
+    /** Ends the lease of a process, and those that others have replaced. */
+    private void endLeasesOf(int ended) {
+        Set<Long> leases = new HashSet<>();
+        for (int i = 0; i < PROCESSES; i++) {
+            if (i != ended) {
+                leases.add(mProcesses.get(i).lease().id());
+            }
+        }
+        mStore.retainLeases(leases);
+    }
+
+    /** Ends a process and its lease, and starts another one in its place. */
+    private void kill(int number, Random random) {
+        mOrder += " kill@" + number;
+        endLeasesOf(number);
+        mLinks.set(number, new LossyStore(mStore, random));
+        mLinks.get(number).setCallsPerLoss(12);
+        String vm = "edge-" + number + "-" + ++mStarts;
+        mProcesses.set(number, new StepProcess(vm, mLinks.get(number), MemoryAccount.unlimited()));
+    }
+
+    private void playEvent(Random random) {
+        int number = drawProcess(random);
         StepProcess process = mProcesses.get(number);
         int step = random.nextInt(STEPS);
-        int event = random.nextInt(12);
+        int event = random.nextInt(13);
         mOrder += " " + event + "@" + number;
         switch (event) {
             case 0 -> mLinks.get(number).setCut(!mLinks.get(number).isCut());
@@ -90,7 +154,7 @@
             case 2 -> mStore.setTtl(random.nextBoolean() ? 0 : 60_000);
             case 3, 4 -> process.passSecond();
             case 5, 6 -> readSnapshot(number);
-            case 7 -> process.completeRuns(1 + random.nextInt(2));
+            case 7, 12 -> process.completeRuns(1 + random.nextInt(SAMPLES));
             case 8, 9 -> read(process, step);
             case 10 -> process.accept(StepId.of("other-" + mOrder.length()), OTHER);
             default -> {
--- a/ebonyrun-daemon/src/test/java/org/ebonyrun/daemon/hosted/StepProcess.java
+++ b/ebonyrun-daemon/src/test/java/org/ebonyrun/daemon/hosted/StepProcess.java
@@ -178,6 +178,13 @@
         runTasks();
     }
 
+    /** Goes on after a time in which its lease has ended, which it learns first. */
+    void thaw() {
+        mNow += 60 * Nanos.PER_SECOND;
+        mLease.onTick(true, mNow);
+        runTasks();
+    }
+
     /** Completes a number of runs, the earliest first. */
     void completeRuns(int count) {
         for (long run : mRuns.keySet().stream().limit(count).toList()) {
