--- a/ebonyrun-core/src/main/java/org/ebonyrun/core/call/CrashSweep.java
+++ b/ebonyrun-core/src/main/java/org/ebonyrun/core/call/CrashSweep.java
@@ -6,8 +6,8 @@
 import org.ebonyrun.base.time.Nanos;
 
 /**
- * Removes crash records from the shared store: those of calls that come no more, and the least
- * important ones beyond a maximum.
+ * Removes crash records from the shared store: those of calls that crashed nothing for long, and
+ * the least important ones beyond a maximum.
  *
  * <p>Answers hours in which more calls break than any entry remembers, and entries that are gone
  * before their records expire: a sweep reads the store page by page and relies on nothing that an
